--- /dev/null
+++ b/config/settings/src/index.ts
@@ -0,0 +1,121 @@
+/**
+ * The settings of each program: what a process must know of itself before it
+ * can ask anybody else. Operators' records are kept by control instead.
+ */
+import { readFileSync } from 'node:fs'
+import { isIP } from 'node:net'
+import { z } from 'zod'
+import { checkToml, orThrow } from '@gullwall/config.checker'
+
+/** An address as `IP:port` or `[IPv6]:port`; names are not allowed. */
+export const addressSchema = z.string().refine(isAddress, { error: 'an IP literal and a port, as in 127.0.0.1:7000' })
+
+const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, { error: 'lower-case letters, digits, dots and hyphens, at most 63' })
+const labelsSchema = z.record(z.string(), z.string())
+const MIN_KEY_CHARACTERS = 16
+
+const processSchema = {
+  /** The box's name. */
+  box: nameSchema,
+  dataCentre: nameSchema,
+  /** Where the process listens for its callers and for links. */
+  listen: addressSchema,
+  /** Where metrics, readiness and explanations are served. */
+  admin: addressSchema,
+  /** The key that all processes of one deployment share. */
+  linkKey: z.string().min(MIN_KEY_CHARACTERS, { error: `at least ${MIN_KEY_CHARACTERS} characters` }),
+  logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info')
+}
+
+const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+const DEFAULT_BODY_TIMEOUT_MS = 10_000
+const DEFAULT_MAX_QUEUED = 5000
+const DEFAULT_MAX_ANSWER_BYTES = 1024 * 1024
+
+export const entrySettingsSchema = z.strictObject({
+  ...processSchema,
+  /** Control processes to link to. */
+  control: z.array(addressSchema).min(1),
+  maxBodyBytes: z.number().int().positive().default(DEFAULT_MAX_BODY_BYTES),
+  /** How long a caller may take to send its body, in ms. */
+  bodyTimeoutMs: z.number().int().positive().default(DEFAULT_BODY_TIMEOUT_MS),
+  /** How many requests may wait in this process. */
+  maxQueued: z.number().int().positive().default(DEFAULT_MAX_QUEUED),
+  /** Answers longer than this are not kept for a resume. */
+  maxAnswerBytes: z.number().int().positive().default(DEFAULT_MAX_ANSWER_BYTES),
+  policy: z.enum(['late-binding', 'round-robin', 'least-reported-load', 'power-of-two']).default('late-binding')
+})
+
+export const localEndpointSchema = z.strictObject({
+  name: nameSchema,
+  kind: z.enum(['engine', 'service']),
+  /** The model an engine carries, or the name of the service. */
+  serves: nameSchema,
+  /** The endpoint's own address. */
+  address: addressSchema,
+  labels: labelsSchema.default({}),
+  /** In-flight limit: where it starts, and its bounds. */
+  startLimit: z.number().int().positive().default(8),
+  maxLimit: z.number().int().positive().default(64),
+  /** Whether the endpoint refuses orders with an old fence by itself. */
+  checksFence: z.boolean().default(false)
+})
+
+export const sidecarSettingsSchema = z.strictObject({
+  ...processSchema,
+  control: z.array(addressSchema).min(1),
+  endpoints: z.array(localEndpointSchema).min(1),
+  /** Whether attempts bound early by a baseline policy are taken without a slot. */
+  admitWithoutSlot: z.boolean().default(false)
+})
+
+export const controlSettingsSchema = z.strictObject({
+  ...processSchema,
+  /** This process's identity in the quorum; a box whose disk was lost takes a new one. */
+  member: nameSchema,
+  dataFolder: z.string().min(1),
+  /** The members the quorum starts with; the same on each of them. */
+  members: z.record(nameSchema, addressSchema),
+  /** The bearer token that operators show. */
+  operatorToken: z.string().min(MIN_KEY_CHARACTERS, { error: `at least ${MIN_KEY_CHARACTERS} characters` })
+})
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>
+export type SidecarSettings = z.infer<typeof sidecarSettingsSchema>
+export type ControlSettings = z.infer<typeof controlSettingsSchema>
+export type LocalEndpoint = z.infer<typeof localEndpointSchema>
+
+/** The settings schema of each program, by its role. */
+export const SETTINGS_SCHEMAS = {
+  entry: entrySettingsSchema,
+  sidecar: sidecarSettingsSchema,
+  control: controlSettingsSchema
+}
+
+/**
+ * Reads a settings file.
+ * @throws ERR_GULLWALL_BAD_CONFIGURATION with every mistake in it.
+ */
+export function readSettings<T> (file: string, schema: z.ZodType<T>): T {
+  return orThrow(checkToml(readFileSync(file, 'utf8'), schema, { file }), 'read settings')
+}
+
+/** An address in its two parts. */
+export interface HostPort {
+  host: string
+  port: number
+}
+
+/** Splits an address that was checked before. */
+export function splitAddress (address: string): HostPort {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
+}
+
+const MAX_PORT = 65_535
+
+function isAddress (text: string): boolean {
+  if (!/^.+:\d{1,5}$/.test(text)) return false
+  const { host, port } = splitAddress(text)
+  return isIP(host) !== 0 && port <= MAX_PORT
+}
--- /dev/null
+++ b/control/client/src/index.ts
@@ -0,0 +1,131 @@
+/**
+ * The link of an entry or a sidecar to control: one link, to another control
+ * process if the first is lost. It brings records and members, confirms at the
+ * start that the records are not older than what a quorum accepted, and claims.
+ */
+import { GullwallError, messageOf } from '@gullwall/core.error'
+import { type Logger } from '@gullwall/core.logger'
+import { type RevisionStore, type Spreader } from '@gullwall/config.spread'
+import { Dialer, type Link, type LocalIdentity } from '@gullwall/transport.link'
+import { type Member, type Message, type MessageOf } from '@gullwall/transport.messages'
+
+export interface ControlClientOptions {
+  local: LocalIdentity
+  sharedKey: string
+  addresses: readonly string[]
+  logger: Logger
+  store: RevisionStore
+  spreader: Spreader
+  /** What a sidecar says of itself; none for an entry. */
+  announcement?: () => Member
+  /** Told of the sidecars that control knows; only entries ask for them. */
+  onMembers?: (message: MessageOf<'members'>) => void
+}
+
+/** What a claim for a request that must run at most once has given. */
+export interface ClaimAnswer {
+  granted: boolean
+  /** The request that holds the claim. */
+  holder: string
+  outcome: string
+}
+
+const CONFIRM_RETRY_MS = 200
+const CLAIM_TIMEOUT_MS = 3000
+
+export class ControlClient {
+  private dialer: Dialer | undefined
+  private confirmedRevision: number | undefined
+  private confirmTimer: NodeJS.Timeout | undefined
+  private stopped = false
+
+  constructor (private readonly options: ControlClientOptions) {}
+
+  start (): void {
+    const { addresses, local, sharedKey, logger, store, spreader } = this.options
+    // Processes begin at different control processes, so that these share the load.
+    const first = Math.floor(Math.random() * addresses.length)
+    const ordered = [...addresses.slice(first), ...addresses.slice(0, first)]
+    this.dialer = new Dialer(ordered[0] ?? '', {
+      local,
+      sharedKey,
+      logger,
+      alternatives: ordered.slice(1),
+      revision: () => store.revision,
+      onOpen: (link) => {
+        spreader.opened(link)
+        this.announce()
+        void this.confirm(link)
+      },
+      onMessage: (link, message) => this.receive(link, message),
+      onClose: (link) => {
+        spreader.closed(link)
+        clearTimeout(this.confirmTimer)
+      }
+    })
+  }
+
+  stop (): void {
+    this.stopped = true
+    clearTimeout(this.confirmTimer)
+    this.dialer?.stop()
+  }
+
+  /** Why the records in force may be older than what was accepted, or undefined if they are not. */
+  notReady (): string | undefined {
+    if (this.confirmedRevision === undefined) return 'no quorum has confirmed a revision yet'
+    if (this.options.store.revision < this.confirmedRevision) return `revision ${this.confirmedRevision} is not here yet`
+    return undefined
+  }
+
+  /** Tells control again what this sidecar is. */
+  announce (): void {
+    if (this.options.announcement === undefined) return
+    this.dialer?.link?.send({ kind: 'announce', member: this.options.announcement() })
+  }
+
+  /**
+   * Claims a key for a request in the replicated state.
+   * @throws ERR_GULLWALL_NO_QUORUM if no quorum has accepted it
+   */
+  async claim (key: string, requestId: string, holdMs: number): Promise<ClaimAnswer> {
+    const message: Message = { kind: 'claim', key, requestId, holdMs }
+    try {
+      return await this.openLink().request(message, 'claimed', CLAIM_TIMEOUT_MS)
+    } catch (cause) {
+      throw new GullwallError('ERR_GULLWALL_NO_QUORUM', `the claim was not accepted: ${messageOf(cause)}`, {
+        step: 'claim', hint: 'the request was not run; try again when control has a quorum', cause
+      })
+    }
+  }
+
+  /** Says what became of a claimed request; a failure is logged, since the claim stands either way. */
+  async settle (key: string, requestId: string, outcome: MessageOf<'settle'>['outcome']): Promise<void> {
+    try {
+      await this.openLink().request({ kind: 'settle', key, requestId, outcome }, 'done', CLAIM_TIMEOUT_MS)
+    } catch (error) {
+      this.options.logger.warn({ channel: 'process', event: 'failed', why: `settle ${requestId}: ${messageOf(error)}` })
+    }
+  }
+
+  private openLink (): Link {
+    const link = this.dialer?.link
+    if (link?.isOpen !== true) throw new GullwallError('ERR_GULLWALL_LINK_CLOSED', 'no link to control', { step: 'control link' })
+    return link
+  }
+
+  private receive (link: Link, message: Message): void {
+    if (this.options.spreader.receive(link, message)) return
+    if (message.kind === 'members') this.options.onMembers?.(message)
+  }
+
+  private async confirm (link: Link): Promise<void> {
+    if (this.confirmedRevision !== undefined || this.stopped || !link.isOpen) return
+    try {
+      const { revision } = await link.request({ kind: 'confirm' }, 'confirmed')
+      this.confirmedRevision = revision
+    } catch {
+      this.confirmTimer = setTimeout(() => { void this.confirm(link) }, CONFIRM_RETRY_MS)
+    }
+  }
+}
--- /dev/null
+++ b/control/program/src/index.ts
@@ -0,0 +1,94 @@
+/** The control process, put together from its services. */
+import { Kernel } from '@gullwall/core.kernel'
+import { newStartId } from '@gullwall/core.ids'
+import { createLogger, type Logger } from '@gullwall/core.logger'
+import { createRegistry } from '@gullwall/core.metrics'
+import { type ControlSettings } from '@gullwall/config.settings'
+import { RevisionStore, Spreader } from '@gullwall/config.spread'
+import { ControlState } from '@gullwall/control.state'
+import { QuorumNode } from '@gullwall/control.quorum'
+import { FolderDisk, type Disk } from '@gullwall/control.storage'
+import { createAdminServer, type HttpServer } from '@gullwall/transport.http-server'
+import { ControlServer } from './control-server.ts'
+import { MemberTable } from './member-table.ts'
+import { ControlPeers } from './peers.ts'
+import { Proposer } from './proposer.ts'
+
+export interface ControlServices {
+  settings: ControlSettings
+  startId: string
+  logger: Logger
+  disk: Disk
+  store: RevisionStore
+  spreader: Spreader
+  state: ControlState
+  members: MemberTable
+  peers: ControlPeers
+  quorum: QuorumNode
+  proposer: Proposer
+  server: ControlServer
+  admin: ControlAdmin
+}
+
+export interface ControlOptions {
+  /** Where log lines go. */
+  write?: (line: string) => void
+  /** The data folder; the one of the settings unless a test or `dev` gives another. */
+  disk?: Disk
+}
+
+/** Builds a control process; nothing runs before its kernel is started. */
+export async function createControl (settings: ControlSettings, options: ControlOptions = {}): Promise<Kernel<ControlServices>> {
+  const disk = options.disk ?? await FolderDisk.open(settings.dataFolder)
+  return new Kernel<ControlServices>()
+    .value('settings', settings)
+    .value('startId', newStartId())
+    .value('disk', disk)
+    .value('logger', createLogger({ program: 'gullwall-control', box: settings.box, level: settings.logLevel, write: options.write }))
+    .service('store', ({ logger }) => new RevisionStore({ logger }))
+    .service('spreader', ({ store }) => new Spreader(store, { takes: false }))
+    .service('state', createState)
+    .service('members', () => new MemberTable())
+    .service('peers', (services) => new ControlPeers(services))
+    .service('server', (services) => new ControlServer(services))
+    .service('quorum', createQuorum)
+    .service('proposer', (services) => new Proposer(services))
+    .service('admin', (services) => new ControlAdmin(services))
+}
+
+function createState ({ store }: ControlServices): ControlState {
+  const state: ControlState = new ControlState({
+    records: store.records,
+    onAccepted: (revision, changes) => store.apply(revision, changes),
+    onRestored: () => { store.replace(state.revision, [...state.records.entries()]) }
+  })
+  return state
+}
+
+function createQuorum ({ settings, disk, peers, state, logger }: ControlServices): QuorumNode {
+  return new QuorumNode({ member: settings.member, founders: settings.members, disk, transport: peers, machine: state, logger })
+}
+
+/** Metrics, readiness and the state of the quorum. */
+export class ControlAdmin {
+  address = ''
+  private http: HttpServer | undefined
+
+  constructor (private readonly services: ControlServices) {}
+
+  async start (): Promise<void> {
+    const { settings, quorum, store, members } = this.services
+    this.http = createAdminServer({
+      registry: createRegistry({ process: true }),
+      notReady: () => quorum.leaderName === undefined ? 'no leader is known' : undefined,
+      pages: {
+        '/status': () => ({ role: 'control', box: settings.box, revision: store.revision, quorum: quorum.status(), boxes: members.all().length })
+      }
+    })
+    this.address = await this.http.listen(settings.admin)
+  }
+
+  async stop (): Promise<void> {
+    await this.http?.close()
+  }
+}
--- /dev/null
+++ b/control/program/src/operator-api.ts
@@ -0,0 +1,122 @@
+/** The HTTP interface for operators, on every control process. */
+import { createHash, timingSafeEqual } from 'node:crypto'
+import { type Context, type Next } from 'koa'
+import { z } from 'zod'
+import { checkValue, formatMistakes } from '@gullwall/config.checker'
+import { checkChanges } from '@gullwall/config.records'
+import { addressSchema } from '@gullwall/config.settings'
+import { toGullwallError } from '@gullwall/core.error'
+import { type ApplyCommand, type ApplyResult } from '@gullwall/control.state'
+import { Koa, Router } from '@gullwall/transport.http-server'
+import { type MessageOf } from '@gullwall/transport.messages'
+import { readBody } from './read-body.ts'
+import { type ControlServices } from './index.ts'
+
+const operationSchema = z.strictObject({
+  operationId: z.string().min(1).max(100),
+  expectedRevision: z.number().int().min(0).nullable().default(null),
+  operator: z.string().min(1).max(100),
+  changes: z.array(z.strictObject({ key: z.string(), value: z.string().nullable() })).min(1)
+})
+
+const newMemberSchema = z.strictObject({ name: z.string().min(1), address: addressSchema })
+
+/** Errors that are the operator's to mend; all others mean that the change was not taken, or may not have been. */
+const STATUS_BY_CODE: Record<string, number> = {
+  ERR_GULLWALL_BODY: 400,
+  ERR_GULLWALL_MEMBER_EXISTS: 409,
+  ERR_GULLWALL_NO_SUCH_MEMBER: 404,
+  ERR_GULLWALL_LAST_VOTER: 409
+}
+const NOT_TAKEN_STATUS = 503
+
+export function createOperatorApi (services: ControlServices, inForce: () => Promise<MessageOf<'inForce'>['processes']>): Koa {
+  const { proposer, store, state, quorum, members, settings } = services
+  const router = new Router({ prefix: '/v1' })
+
+  router.post('/operations', async (context) => await applyOperation(context, services))
+  router.get('/records', async (context) => {
+    await proposer.confirm()
+    context.body = { revision: store.revision, records: Object.fromEntries(store.records.entries()) }
+  })
+  router.get('/history', (context) => {
+    const since = Number(context.query['since'] ?? 0)
+    context.body = { revision: state.revision, history: state.history.filter((entry) => entry.revision > since) }
+  })
+  router.get('/in-force', async (context) => { context.body = { revision: store.revision, processes: await inForce() } })
+  router.get('/status', (context) => {
+    context.body = { quorum: quorum.status(), revision: store.revision, claims: state.claims.size, boxes: members.all() }
+  })
+  router.post('/control/members', async (context) => {
+    const asked = checkValue(await readBody(context.req), newMemberSchema, { file: 'request' })
+    await asked.caseOf({
+      Left: async (mistakes) => badRequest(context, formatMistakes(mistakes)),
+      Right: async ({ name, address }) => {
+        await quorum.addMember(name, address)
+        context.body = quorum.status()
+      }
+    })
+  })
+  router.delete('/control/members/:name', async (context) => {
+    await quorum.removeMember(String(context.params['name']))
+    context.body = quorum.status()
+  })
+
+  const app = new Koa()
+  app.silent = true
+  app.use(reportErrors)
+  app.use(async (context, next) => await authenticate(context, next, settings.operatorToken))
+  app.use(router.routes())
+  return app
+}
+
+async function applyOperation (context: Context, services: ControlServices): Promise<void> {
+  const asked = checkValue(await readBody(context.req), operationSchema, { file: 'request' })
+    .chain((operation) => checkChanges(operation.changes).map(() => operation))
+  await asked.caseOf({
+    Left: async (mistakes) => badRequest(context, formatMistakes(mistakes)),
+    Right: async (operation) => {
+      const command: ApplyCommand = { type: 'apply', ...operation, at: new Date().toISOString() }
+      const result = await services.proposer.apply(command)
+      context.status = statusOf(result)
+      context.body = result
+    }
+  })
+}
+
+function statusOf (result: ApplyResult): number {
+  switch (result.type) {
+    case 'accepted': return 200
+    case 'conflict': return 409
+    case 'invalid': return 400
+  }
+}
+
+function badRequest (context: Context, message: string): void {
+  context.status = 400
+  context.body = { type: 'invalid', message }
+}
+
+async function reportErrors (context: Context, next: Next): Promise<void> {
+  try {
+    await next()
+  } catch (thrown) {
+    const error = toGullwallError(thrown, { step: 'operator request' })
+    context.status = STATUS_BY_CODE[error.code] ?? NOT_TAKEN_STATUS
+    context.body = { type: 'failed', code: error.code, message: error.message, step: error.step, peer: error.peer, hint: error.hint }
+  }
+}
+
+async function authenticate (context: Context, next: Next, token: string): Promise<void> {
+  const given = /^Bearer\s+(\S+)$/i.exec(context.headers.authorization ?? '')?.[1] ?? ''
+  if (timingSafeEqual(hash(given), hash(token))) {
+    await next()
+    return
+  }
+  context.status = 401
+  context.body = { type: 'failed', code: 'ERR_GULLWALL_TOKEN', message: 'the operator token is missing or wrong', step: 'authenticate' }
+}
+
+function hash (text: string): Buffer {
+  return createHash('sha256').update(text).digest()
+}
--- /dev/null
+++ b/control/program/src/peers.ts
@@ -0,0 +1,59 @@
+/** The links of a control process to its peers: requests of the quorum, forwarded commands, known sidecars. */
+import { GullwallError } from '@gullwall/core.error'
+import { type QuorumTransport } from '@gullwall/control.quorum'
+import { Dialer, type Link } from '@gullwall/transport.link'
+import { type Message, type MessageKind, type MessageOf } from '@gullwall/transport.messages'
+import { type ControlServices } from './index.ts'
+
+const MAX_BACKOFF_MS = 300
+
+export class ControlPeers implements QuorumTransport {
+  private readonly dialers = new Map<string, Dialer>()
+
+  constructor (private readonly services: ControlServices) {}
+
+  start (): void {
+    const { settings, members } = this.services
+    for (const [name, address] of Object.entries(settings.members)) {
+      if (name !== settings.member) this.dial(address)
+    }
+    members.onChange((change, isLocal) => {
+      if (!isLocal) return
+      for (const dialer of this.dialers.values()) dialer.link?.send(change)
+    })
+  }
+
+  stop (): void {
+    for (const dialer of this.dialers.values()) dialer.stop()
+  }
+
+  /** @throws ERR_GULLWALL_LINK_CLOSED, ERR_GULLWALL_LINK_TIMEOUT, ERR_GULLWALL_PEER_FAILED */
+  async call<Kind extends MessageKind> (address: string, message: Message, expected: Kind, timeoutMs: number): Promise<MessageOf<Kind>> {
+    const link = this.dial(address).link
+    if (link?.isOpen !== true) throw new GullwallError('ERR_GULLWALL_LINK_CLOSED', 'no link to the peer', { step: message.kind, peer: address })
+    return await link.request(message, expected, timeoutMs)
+  }
+
+  /** The open links to peers. */
+  links (): Link[] {
+    return [...this.dialers.values()].flatMap((dialer) => dialer.link?.isOpen === true ? [dialer.link] : [])
+  }
+
+  private dial (address: string): Dialer {
+    const known = this.dialers.get(address)
+    if (known !== undefined) return known
+    const { settings, startId, logger, members, store } = this.services
+    const dialer = new Dialer(address, {
+      local: { role: 'control', name: settings.member, startId, dataCentre: settings.dataCentre },
+      sharedKey: settings.linkKey,
+      logger,
+      maxBackoffMs: MAX_BACKOFF_MS,
+      revision: () => store.revision,
+      onOpen: (link) => link.send({ kind: 'members', whole: true, present: members.locals(), gone: [] }),
+      onMessage: () => {},
+      onClose: () => {}
+    })
+    this.dialers.set(address, dialer)
+    return dialer
+  }
+}
--- /dev/null
+++ b/control/quorum/src/durable-vote.ts
@@ -0,0 +1,42 @@
+/** What a member must remember besides the log: who it is, its term, and whom it gave its vote. */
+import { randomBytes } from 'node:crypto'
+import { readChecked, writeChecked, type Disk } from '@gullwall/control.storage'
+
+const IDENTITY_FILE = 'identity'
+const VOTE_FILE = 'vote'
+const INCARNATION_BYTES = 8
+
+interface Vote {
+  term: number
+  votedFor: string | null
+}
+
+export class DurableVote {
+  private constructor (private readonly disk: Disk, readonly incarnation: string, private vote: Vote) {}
+
+  /** Reads what is remembered; an empty folder gets a new incarnation. */
+  static async open (disk: Disk): Promise<DurableVote> {
+    let incarnation = await readChecked(disk, IDENTITY_FILE)
+    if (incarnation === undefined) {
+      incarnation = randomBytes(INCARNATION_BYTES).toString('hex')
+      await writeChecked(disk, IDENTITY_FILE, incarnation)
+    }
+    const text = await readChecked(disk, VOTE_FILE)
+    const vote = text === undefined ? { term: 0, votedFor: null } : JSON.parse(text) as Vote
+    return new DurableVote(disk, incarnation, vote)
+  }
+
+  get term (): number {
+    return this.vote.term
+  }
+
+  get votedFor (): string | null {
+    return this.vote.votedFor
+  }
+
+  /** Remembers a term and a vote; resolves when they are synced. */
+  async set (term: number, votedFor: string | null): Promise<void> {
+    await writeChecked(this.disk, VOTE_FILE, JSON.stringify({ term, votedFor }))
+    this.vote = { term, votedFor }
+  }
+}
--- /dev/null
+++ b/control/quorum/src/types.ts
@@ -0,0 +1,48 @@
+/** What the quorum needs from outside, and what it tells. */
+import { type Message, type MessageKind, type MessageOf } from '@gullwall/transport.messages'
+
+/** Carries requests to other members. */
+export interface QuorumTransport {
+  /** @throws if no reply came in time */
+  call<Kind extends MessageKind> (address: string, message: Message, expected: Kind, timeoutMs: number): Promise<MessageOf<Kind>>
+}
+
+/** What the log drives. Every member applies the same commands in the same order. */
+export interface StateMachine {
+  /** Applies a command and gives its result. Must depend on nothing but the state and the command. */
+  apply (index: number, command: string): string
+  /** The whole state as text. */
+  snapshot (): string
+  restore (snapshot: string): void
+}
+
+/** The outcome of a command that a quorum accepted. */
+export interface Applied {
+  index: number
+  result: string
+}
+
+export type QuorumRole = 'follower' | 'candidate' | 'leader'
+
+export interface QuorumStatus {
+  member: string
+  incarnation: string
+  role: QuorumRole
+  term: number
+  leader: string | undefined
+  lastIndex: number
+  commitIndex: number
+  snapshotIndex: number
+  voters: string[]
+  learners: string[]
+}
+
+export interface QuorumTiming {
+  heartbeatMs: number
+  /** An election starts after between one and two times this without word from a leader. */
+  electionMs: number
+  /** How long a request to a peer may take. */
+  callMs: number
+}
+
+export const DEFAULT_QUORUM_TIMING: QuorumTiming = { heartbeatMs: 100, electionMs: 500, callMs: 1000 }
--- /dev/null
+++ b/control/state/src/commands.ts
@@ -0,0 +1,63 @@
+/** The commands of the replicated log and their results. */
+import { type Mistake } from '@gullwall/config.checker'
+import { type RecordChange } from '@gullwall/config.records'
+import { type Ran } from '@gullwall/core.types'
+
+/** An operator's change. The same operation id again gives the first answer again. */
+export interface ApplyCommand {
+  type: 'apply'
+  operationId: string
+  /** The revision the operator saw; none if any will do. */
+  expectedRevision: number | null
+  changes: RecordChange[]
+  operator: string
+  /** Wall-clock time for the history; nothing is decided by it. */
+  at: string
+}
+
+/** Claims a key for a request that must run at most once. */
+export interface ClaimCommand {
+  type: 'claim'
+  key: string
+  requestId: string
+  holdMs: number
+  /** Time of the log in ms; see {@link LogClock}. */
+  now: number
+}
+
+/** Says what became of a claimed request. */
+export interface SettleCommand {
+  type: 'settle'
+  key: string
+  requestId: string
+  outcome: Ran
+}
+
+export type Command = ApplyCommand | ClaimCommand | SettleCommand
+
+/** How a record differs from what an operator saw. */
+export interface Difference {
+  key: string
+  before: string | null
+  after: string | null
+}
+
+export type ApplyResult =
+  | { type: 'accepted', revision: number }
+  | { type: 'conflict', revision: number, operationId: string, operator: string, difference: Difference[] }
+  | { type: 'invalid', mistakes: Mistake[] }
+
+export interface ClaimResult {
+  granted: boolean
+  holder: string
+  outcome: string
+}
+
+/** One accepted operation, as the history keeps it. */
+export interface HistoryEntry {
+  revision: number
+  operationId: string
+  operator: string
+  at: string
+  difference: Difference[]
+}
--- /dev/null
+++ b/control/state/src/control-state.ts
@@ -0,0 +1,139 @@
+/** The state machine of control: applies commands in the order of the log. */
+import { checkReferences, RecordMap, type RecordChange } from '@gullwall/config.records'
+import { type Mistake } from '@gullwall/config.checker'
+import { Claims } from './claims.ts'
+import { type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type Difference, type HistoryEntry } from './commands.ts'
+
+/** How many answers are remembered for operations that are sent again. */
+const MAX_REMEMBERED_OPERATIONS = 20_000
+const MAX_HISTORY = 1000
+
+export interface ControlStateOptions {
+  /** Where the records are held; the process serves its readers from the same map. */
+  records?: RecordMap
+  /** Told of each accepted operation, in order. */
+  onAccepted?: (revision: number, changes: readonly RecordChange[]) => void
+  /** Told when the whole state was replaced by a snapshot. */
+  onRestored?: () => void
+}
+
+/** What a snapshot holds. */
+interface Dump {
+  revision: number
+  records: Array<[string, string]>
+  operations: Array<[string, ApplyResult]>
+  history: HistoryEntry[]
+  claims: object
+}
+
+export class ControlState {
+  readonly records: RecordMap
+  readonly claims = new Claims()
+  revision = 0
+  private operations = new Map<string, ApplyResult>()
+  private past: HistoryEntry[] = []
+
+  constructor (private readonly options: ControlStateOptions = {}) {
+    this.records = options.records ?? new RecordMap()
+  }
+
+  /** The newest accepted operations, oldest first. */
+  get history (): readonly HistoryEntry[] {
+    return this.past
+  }
+
+  apply (_index: number, text: string): string {
+    return JSON.stringify(this.run(JSON.parse(text) as Command))
+  }
+
+  snapshot (): string {
+    const dump: Dump = {
+      revision: this.revision,
+      records: [...this.records.entries()],
+      operations: [...this.operations],
+      history: this.past,
+      claims: this.claims.dump()
+    }
+    return JSON.stringify(dump)
+  }
+
+  restore (snapshot: string): void {
+    const dump = JSON.parse(snapshot) as Dump
+    this.revision = dump.revision
+    this.records.replace(dump.records)
+    this.operations = new Map(dump.operations)
+    this.past = dump.history
+    this.claims.restore(dump.claims)
+    this.options.onRestored?.()
+  }
+
+  private run (command: Command): ApplyResult | ClaimResult | object {
+    switch (command.type) {
+      case 'apply': return this.runApply(command)
+      case 'claim': return this.claims.claim(command)
+      case 'settle':
+        this.claims.settle(command)
+        return {}
+    }
+  }
+
+  private runApply (command: ApplyCommand): ApplyResult {
+    const known = this.operations.get(command.operationId)
+    if (known !== undefined) return known
+    const result = this.decide(command)
+    if (result.type === 'accepted') this.accept(command, result.revision)
+    this.remember(command.operationId, result)
+    return result
+  }
+
+  private decide (command: ApplyCommand): ApplyResult {
+    const { expectedRevision } = command
+    if (expectedRevision !== null && expectedRevision !== this.revision) return this.conflict(expectedRevision)
+    const mistakes = [...checkReferences(command.changes, this.records), ...this.checkDeletions(command.changes)]
+    if (mistakes.length > 0) return { type: 'invalid', mistakes }
+    return { type: 'accepted', revision: this.revision + 1 }
+  }
+
+  /** Names the operation that was first, and all that has changed since the expected revision. */
+  private conflict (expectedRevision: number): ApplyResult {
+    const since = this.past.filter((entry) => entry.revision > expectedRevision)
+    const winner = since[0] ?? this.past.at(-1)
+    return {
+      type: 'conflict',
+      revision: this.revision,
+      operationId: winner?.operationId ?? '',
+      operator: winner?.operator ?? '',
+      difference: since.flatMap((entry) => entry.difference)
+    }
+  }
+
+  private accept (command: ApplyCommand, revision: number): void {
+    const difference = differenceOf(command.changes, this.records)
+    this.records.apply(command.changes)
+    this.revision = revision
+    this.past.push({ revision, operationId: command.operationId, operator: command.operator, at: command.at, difference })
+    if (this.past.length > MAX_HISTORY) this.past = this.past.slice(-MAX_HISTORY)
+    this.options.onAccepted?.(revision, command.changes)
+  }
+
+  private remember (operationId: string, result: ApplyResult): void {
+    this.operations.set(operationId, result)
+    if (this.operations.size <= MAX_REMEMBERED_OPERATIONS) return
+    const oldest = this.operations.keys().next().value
+    if (oldest !== undefined) this.operations.delete(oldest)
+  }
+
+  /** A record that others refer to can't be deleted. */
+  private checkDeletions (changes: readonly RecordChange[]): Mistake[] {
+    const deleted = changes.filter((change) => change.value === null).map((change) => change.key)
+    if (deleted.length === 0) return []
+    const remaining = [...this.records.entries()].map(([key, value]) => ({ key, value }))
+      .filter(({ key }) => !changes.some((change) => change.key === key))
+    return checkReferences([...remaining, ...changes], this.records)
+      .filter((mistake) => deleted.some((key) => mistake.found.endsWith(` ${key}`)))
+  }
+}
+
+function differenceOf (changes: readonly RecordChange[], records: RecordMap): Difference[] {
+  return changes.map(({ key, value }) => ({ key, before: records.text(key) ?? null, after: value }))
+}
--- /dev/null
+++ b/control/state/src/index.ts
@@ -0,0 +1,4 @@
+/** The replicated state: operators' records, their history, and claims. */
+export * from './commands.ts'
+export * from './control-state.ts'
+export * from './claims.ts'
--- /dev/null
+++ b/core/kernel/src/program.ts
@@ -0,0 +1,36 @@
+/** What every program does alike: refuse unfit surroundings, start, and stop on a signal. */
+import { errorRecord, GullwallError } from '@gullwall/core.error'
+import { type Kernel } from './index.ts'
+
+/** Exit code for wrong settings or records. */
+export const EXIT_BAD_CONFIGURATION = 2
+const EXIT_FAILURE = 1
+
+/** Refuses to run where io_uring is switched on: files must go through ordinary system calls. */
+export function assertRuntime (env: NodeJS.ProcessEnv = process.env): void {
+  if (env['UV_USE_IO_URING'] === '1') {
+    throw new GullwallError('ERR_GULLWALL_IO_URING', 'UV_USE_IO_URING is 1', {
+      step: 'start', hint: 'unset UV_USE_IO_URING or set it to 0'
+    })
+  }
+}
+
+/** Starts a kernel and stops it once on SIGTERM or SIGINT; the process then ends with code 0. */
+export async function runProgram<Services extends object> (kernel: Kernel<Services>): Promise<void> {
+  let stopping = false
+  const stop = () => {
+    if (stopping) return
+    stopping = true
+    kernel.stop().then(() => process.exit(0), fail)
+  }
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
+  await kernel.start()
+}
+
+/** Prints an error as one JSON line and ends the process. */
+export function fail (error: unknown): never {
+  const record = errorRecord(error)
+  process.stderr.write(`${JSON.stringify({ level: 'fatal', ...record })}\n`)
+  process.exit(record.code === 'ERR_GULLWALL_BAD_CONFIGURATION' ? EXIT_BAD_CONFIGURATION : EXIT_FAILURE)
+}
--- /dev/null
+++ b/core/logger/src/records.ts
@@ -0,0 +1,74 @@
+/** The typed log records, by channel. */
+import { type ErrorRecord } from '@gullwall/core.error'
+import { type Ran } from '@gullwall/core.types'
+
+/** One decision on one request: where it runs, that it waits, or that it is refused. */
+export interface RoutingRecord {
+  channel: 'routing'
+  decision: 'dispatch' | 'wait' | 'refuse' | 'retry' | 'resume' | 'preempt' | 'finish' | 'cancel'
+  requestId: string
+  attemptId?: string
+  organisation: string
+  class: string
+  tier: number
+  model: string
+  /** The chosen endpoint. */
+  endpoint?: string
+  /** How many endpoints the class may reach, and how many of those were usable. */
+  eligible?: number
+  usable?: number
+  /** The best candidates weighed, with the spare slots that were known. */
+  candidates?: CandidateRecord[]
+  queuedMs?: number
+  ran?: Ran
+  why: string
+}
+
+export interface CandidateRecord {
+  endpoint: string
+  spare: number
+  local: boolean
+}
+
+/** A change in what a process knows of an endpoint. */
+export interface EndpointRecord {
+  channel: 'endpoint'
+  endpoint: string
+  event: 'up' | 'down' | 'leaving' | 'ejected' | 'probing' | 'readmitted' | 'limit'
+  why: string
+}
+
+/** The life of a link between two processes. */
+export interface LinkRecord {
+  channel: 'link'
+  event: 'open' | 'closed' | 'refused' | 'malformed' | 'overflow'
+  peer: string
+  why: string
+}
+
+/** Events of the replicated log and of its membership. */
+export interface QuorumRecord {
+  channel: 'quorum'
+  event: 'leader' | 'follower' | 'candidate' | 'snapshot' | 'member' | 'recovered' | 'handover'
+  term: number
+  why: string
+}
+
+/** A configuration coming into force in this process. */
+export interface ConfigurationRecord {
+  channel: 'configuration'
+  event: 'applied' | 'ignored' | 'conflict'
+  revision: number
+  why: string
+}
+
+/** Start, stop and failures of a program. */
+export interface ProcessRecord {
+  channel: 'process'
+  event: 'started' | 'stopping' | 'stopped' | 'failed'
+  why: string
+  address?: string
+  error?: ErrorRecord
+}
+
+export type LogRecord = RoutingRecord | EndpointRecord | LinkRecord | QuorumRecord | ConfigurationRecord | ProcessRecord
--- /dev/null
+++ b/endpoint/openai/src/engine.ts
@@ -0,0 +1,29 @@
+/** A model engine. */
+import { z } from 'zod'
+import { type Endpoint, type EndpointAnswer, type EndpointCall, type ReportedLoad } from '@gullwall/endpoint.dialect'
+import { HttpEndpoint } from '@gullwall/endpoint.http'
+
+export const CHAT_PATH = '/v1/chat/completions'
+const LOAD_PATH = '/load'
+const loadSchema = z.object({ in_flight: z.number().int().min(0) })
+
+export class OpenAiEngine implements Endpoint {
+  private readonly http: HttpEndpoint
+
+  constructor (name: string, address: string) {
+    this.http = new HttpEndpoint(name, address)
+  }
+
+  run (call: EndpointCall): Promise<EndpointAnswer> {
+    return this.http.run(call)
+  }
+
+  async reportedLoad (): Promise<ReportedLoad> {
+    const report = loadSchema.parse(await this.http.getJson(LOAD_PATH))
+    return { inFlight: report.in_flight }
+  }
+
+  close (): Promise<void> {
+    return this.http.close()
+  }
+}
--- /dev/null
+++ b/entry/answers/src/request-run.ts
@@ -0,0 +1,275 @@
+/** The life of one request: queue, attempt, and again where that is right, until it is answered. */
+import { type Pool } from 'undici'
+import { type IdSequence } from '@gullwall/core.ids'
+import { type RoutingRecord } from '@gullwall/core.logger'
+import { type Ran } from '@gullwall/core.types'
+import { readAnswer, resumedBody, withPriority, type AnswerSoFar } from '@gullwall/endpoint.openai'
+import { type DecisionLog } from '@gullwall/routing.decision-log'
+import { type Dispatcher, type Grant, type Refusal, type RoutedRequest } from '@gullwall/routing.dispatcher'
+import { type RetryBudget } from '@gullwall/routing.limits'
+import { type AttemptHead } from '@gullwall/transport.attempt'
+import { runAttempt, type AttemptCall, type AttemptOutcome } from './attempt.ts'
+import { type CallerResponse } from './caller-response.ts'
+import { AnswerTiming } from './timing.ts'
+
+/** A request with all that its attempts need. */
+export interface RequestToRun extends RoutedRequest {
+  call: AttemptCall
+  repeatable: boolean
+  stream: boolean
+  /** Whether its stream can go on elsewhere from the text so far. */
+  resumable: boolean
+  betweenTokensMs: number
+}
+
+/** What requests share in an entry. */
+export interface RunServices {
+  dispatcher: Dispatcher
+  decisions: DecisionLog
+  retryBudget: RetryBudget
+  attemptIds: IdSequence
+  startId: string
+  maxAnswerBytes: number
+  poolOf: (address: string) => Pool
+  /** Asks the sidecar of a grant whether an attempt started; `unknown` if it does not answer. */
+  revoke: (grant: Grant, attemptId: string) => Promise<Ran>
+}
+
+/** What became of a request, for metrics and claims. */
+export interface RunResult {
+  ran: Ran
+  outcome: 'answered' | 'refused' | 'failed' | 'cancelled'
+  inTime: boolean
+  status: number
+  firstTokenMs: number | undefined
+}
+
+const MAX_ATTEMPTS = 6
+/** A stream is cut off for higher tiers at most so many times, so that it ends at some time. */
+const MAX_PREEMPTIONS = 2
+const MAX_CANDIDATES_LOGGED = 3
+
+export class RequestRun {
+  private readonly timing: AnswerTiming
+  private kept: Buffer[] = []
+  private keptBytes = 0
+  private keepsAll = true
+  private preemptions = 0
+  private attempts = 0
+  private ran: Ran = 'no'
+
+  constructor (
+    private readonly request: RequestToRun,
+    private readonly caller: CallerResponse,
+    private readonly services: RunServices
+  ) {
+    this.timing = new AnswerTiming(request.arrivedAt, request)
+    caller.gone.signal.addEventListener('abort', () => services.dispatcher.cancel(request))
+  }
+
+  /** Runs the request to its end; the caller has been answered when it resolves. */
+  async run (): Promise<RunResult> {
+    for (;;) {
+      const submitted = this.services.dispatcher.submit(this.request, { front: this.attempts > 0 })
+      this.logWait()
+      const granted = await submitted
+      const ended = await granted.caseOf({
+        Left: async (refusal) => this.refused(refusal),
+        Right: async (grant) => await this.attempt(grant)
+      })
+      if (ended !== undefined) return ended
+    }
+  }
+
+  /** Runs one attempt; gives nothing if there is to be another. */
+  private async attempt (grant: Grant): Promise<RunResult | undefined> {
+    const { services, request, caller } = this
+    if (caller.isGone) {
+      services.dispatcher.finished(grant, true)
+      return this.result('cancelled')
+    }
+    this.attempts += 1
+    const attemptId = services.attemptIds.next()
+    const resumes = this.answerSoFar()
+    this.logGrant(grant, attemptId, resumes)
+    if (resumes?.finished === true) return this.finishWhole(grant)
+    const outcome = await runAttempt({
+      pool: services.poolOf(grant.sidecar.address),
+      head: this.head(grant, attemptId),
+      call: this.call(resumes),
+      caller,
+      timing: this.timing,
+      resumes,
+      revoke: () => services.revoke(grant, attemptId),
+      keep: (events) => this.keep(events)
+    })
+    services.dispatcher.finished(grant, outcome.kind === 'whole' || outcome.kind === 'cancelled')
+    request.late = 'serve'
+    return this.settle(outcome, grant, attemptId)
+  }
+
+  private settle (outcome: AttemptOutcome, grant: Grant, attemptId: string): RunResult | undefined {
+    switch (outcome.kind) {
+      case 'whole':
+        this.ran = 'yes'
+        this.services.retryBudget.noteSuccess()
+        this.log('finish', `answered with ${outcome.status}`, grant, attemptId)
+        return this.result('answered', outcome.status)
+      case 'cancelled':
+        this.ran = 'partly'
+        this.log('cancel', 'the caller has gone', grant, attemptId)
+        return this.result('cancelled')
+      case 'not-run':
+        return this.settleNotRun(outcome.reason, outcome.why, grant, attemptId)
+      case 'broken':
+        return this.settleBroken(outcome, grant, attemptId)
+    }
+  }
+
+  private settleNotRun (reason: string, why: string, grant: Grant, attemptId: string): RunResult | undefined {
+    if (reason === 'busy') {
+      this.services.dispatcher.noteBusy(grant.endpoint)
+      this.log('wait', 'the slot was taken', grant, attemptId)
+      this.attempts -= 1
+      return undefined
+    }
+    this.request.avoid.add(grant.endpoint)
+    if (this.attempts < MAX_ATTEMPTS) {
+      this.log('retry', `not run: ${reason}`, grant, attemptId)
+      return undefined
+    }
+    return this.fail(503, 'endpoints_unavailable', `not run: ${reason}: ${why}`, grant)
+  }
+
+  private settleBroken (outcome: AttemptOutcome & { kind: 'broken' }, grant: Grant, attemptId: string): RunResult | undefined {
+    this.ran = outcome.ran
+    const { request, services, caller } = this
+    const why = `${outcome.reason}: ${outcome.why}`
+    if (outcome.reason === 'preempted') {
+      this.preemptions += 1
+      this.attempts -= 1
+    } else {
+      request.avoid.add(grant.endpoint)
+      if (outcome.reason === 'stalled') services.dispatcher.health.noteStall(grant.endpoint)
+      if (!request.repeatable) return this.fail(502, 'may_have_run', `it may have run and is not repeated: ${why}`, grant)
+      if (this.attempts >= MAX_ATTEMPTS) return this.fail(502, 'endpoints_failed', why, grant)
+      if (!services.retryBudget.take()) return this.fail(502, 'retry_budget_spent', why, grant)
+    }
+    if (caller.hasBegun && (!request.resumable || !this.keepsAll)) return this.fail(502, 'broken_off', why, grant)
+    this.log(caller.hasBegun ? 'resume' : 'retry', why, grant, attemptId)
+    return undefined
+  }
+
+  private refused (refusal: Refusal): RunResult {
+    if (refusal.reason === 'cancelled') {
+      this.log('cancel', refusal.why)
+      return this.result('cancelled')
+    }
+    this.log('refuse', `${refusal.reason}: ${refusal.why}`)
+    this.caller.fail({
+      status: 503,
+      code: refusal.reason.replaceAll('-', '_'),
+      message: `${this.ran === 'no' ? 'not run' : 'not finished'}: ${refusal.why}`,
+      ran: this.ran,
+      step: 'queue',
+      retryAfterMs: refusal.retryAfterMs
+    })
+    return this.result('refused', 503)
+  }
+
+  private fail (status: number, code: string, message: string, grant: Grant): RunResult {
+    this.log('refuse', message, grant)
+    this.caller.fail({ status, code, message, ran: this.ran, step: 'attempt', peer: `${grant.endpoint}@${grant.sidecar.name}` })
+    return this.result('failed', status)
+  }
+
+  /** The text was whole when the stream broke; only its last event is missing. */
+  private finishWhole (grant: Grant): RunResult {
+    this.services.dispatcher.finished(grant, true)
+    void this.caller.write(Buffer.from('data: [DONE]\n\n'))
+    this.caller.end()
+    this.ran = 'yes'
+    return this.result('answered', 200)
+  }
+
+  private result (outcome: RunResult['outcome'], status = 0): RunResult {
+    const isGood = outcome === 'answered' && status < 400
+    return { ran: this.ran, outcome, status, inTime: isGood && this.timing.inTime, firstTokenMs: this.timing.firstTokenMs }
+  }
+
+  private keep (events: Buffer): void {
+    if (!this.request.resumable || !this.keepsAll) return
+    this.kept.push(events)
+    this.keptBytes += events.length
+    if (this.keptBytes <= this.services.maxAnswerBytes) return
+    this.keepsAll = false
+    this.kept = []
+  }
+
+  private answerSoFar (): AnswerSoFar | undefined {
+    if (!this.caller.hasBegun) return undefined
+    return readAnswer(this.kept)
+  }
+
+  private call (resumes: AnswerSoFar | undefined): AttemptCall {
+    const { call, kind, tier } = this.request
+    if (kind !== 'engine' || call.body === undefined) return call
+    const body = resumes === undefined ? call.body : resumedBody(call.body, resumes)
+    const prioritised = withPriority(body, tier)
+    return { ...call, body: prioritised, headers: { ...call.headers, 'content-length': String(prioritised.length) } }
+  }
+
+  private head (grant: Grant, attemptId: string): AttemptHead {
+    const { request } = this
+    return {
+      attemptId,
+      requestId: request.id,
+      entry: this.services.startId,
+      endpoint: grant.endpoint,
+      sidecarStartId: grant.sidecar.startId,
+      offerId: grant.offerId,
+      class: request.class,
+      tier: request.tier,
+      repeatable: request.repeatable,
+      preemptible: request.repeatable && request.resumable && this.keepsAll && this.preemptions < MAX_PREEMPTIONS,
+      stream: request.stream,
+      firstTokenMs: request.firstTokenMs,
+      betweenTokensMs: request.betweenTokensMs
+    }
+  }
+
+  private logWait (): void {
+    const ahead = this.services.dispatcher.waitingBehind(this.request)
+    if (ahead !== undefined) this.log('wait', `no slot is free; ${ahead} ahead`)
+  }
+
+  private logGrant (grant: Grant, attemptId: string, resumes: AnswerSoFar | undefined): void {
+    const reach = this.services.dispatcher.directory.reachOf(this.request)
+    const usable = this.services.dispatcher.usable(this.request)
+    this.log('dispatch', resumes === undefined ? grant.why : `${grant.why}; goes on after ${resumes.tokens} tokens`, grant, attemptId, {
+      eligible: reach.length,
+      usable: usable.length,
+      queuedMs: Math.round(grant.queuedMs),
+      candidates: usable.slice(0, MAX_CANDIDATES_LOGGED).map((view) => ({
+        endpoint: view.description.name, spare: view.load.spare, local: view.sidecar.dataCentre === grant.sidecar.dataCentre
+      }))
+    })
+  }
+
+  private log (decision: RoutingRecord['decision'], why: string, grant?: Grant, attemptId?: string, more?: Partial<RoutingRecord>): void {
+    const { request } = this
+    this.services.decisions.record({
+      decision,
+      requestId: request.id,
+      attemptId,
+      organisation: request.organisation,
+      class: request.class,
+      tier: request.tier,
+      model: request.serves,
+      endpoint: grant?.endpoint,
+      ran: this.ran,
+      why,
+      ...more
+    })
+  }
+}
--- /dev/null
+++ b/sidecar/attempts/src/registry.ts
@@ -0,0 +1,63 @@
+/**
+ * What has become of each attempt. An entry may revoke an attempt: the answer
+ * `never-started` is a promise that it never will start.
+ */
+
+export type AttemptState = 'never-started' | 'started' | 'finished'
+
+/** How long an attempt is remembered, in ms; longer than any entry waits to revoke it. */
+const REMEMBER_MS = 10 * 60_000
+const SWEEP_EVERY = 1000
+
+interface Remembered {
+  state: AttemptState
+  at: number
+}
+
+export class AttemptRegistry {
+  private readonly attempts = new Map<string, Remembered>()
+  private sinceSweep = 0
+
+  get size (): number {
+    return this.attempts.size
+  }
+
+  /** Marks an attempt as started; false if it was revoked or had started before. */
+  start (attemptId: string): 'started' | 'revoked' | 'duplicate' {
+    const known = this.attempts.get(attemptId)
+    if (known !== undefined) return known.state === 'never-started' ? 'revoked' : 'duplicate'
+    this.remember(attemptId, 'started')
+    return 'started'
+  }
+
+  finish (attemptId: string): void {
+    this.remember(attemptId, 'finished')
+  }
+
+  /** Takes back a start that did not reach the endpoint. */
+  notStarted (attemptId: string): void {
+    this.remember(attemptId, 'never-started')
+  }
+
+  /** Revokes an attempt unless it has started, and tells which. */
+  revoke (attemptId: string): AttemptState {
+    const known = this.attempts.get(attemptId)
+    if (known !== undefined) return known.state
+    this.remember(attemptId, 'never-started')
+    return 'never-started'
+  }
+
+  private remember (attemptId: string, state: AttemptState): void {
+    this.attempts.set(attemptId, { state, at: performance.now() })
+    this.sinceSweep += 1
+    if (this.sinceSweep >= SWEEP_EVERY) this.sweep()
+  }
+
+  private sweep (): void {
+    this.sinceSweep = 0
+    const oldest = performance.now() - REMEMBER_MS
+    for (const [attemptId, { state, at }] of this.attempts) {
+      if (at < oldest && state !== 'started') this.attempts.delete(attemptId)
+    }
+  }
+}
--- /dev/null
+++ b/sidecar/program/src/entry-links.ts
@@ -0,0 +1,154 @@
+/** The links of entries to this sidecar, and the HTTP server on which their attempts arrive. */
+import { type EndpointDescription } from '@gullwall/core.types'
+import { ATTEMPT_PREFIX, AttemptRunner } from '@gullwall/sidecar.attempts'
+import { HttpServer, Koa } from '@gullwall/transport.http-server'
+import { LinkAcceptor, type Link } from '@gullwall/transport.link'
+import { type Message, type MessageOf } from '@gullwall/transport.messages'
+import { type SidecarServices } from './index.ts'
+
+/** The least time between two load reports to an entry, in ms. */
+const REPORT_MS = 50
+const SLOW_REPORT_MS = 1000
+
+export class EntryLinks {
+  isLeaving = false
+  address = ''
+  private readonly http: HttpServer
+  private acceptor: LinkAcceptor | undefined
+  /** Open links by the start id of the entry's process. */
+  private readonly byEntry = new Map<string, Link>()
+  private readonly changed = new Set<string>()
+  private reportTimer: NodeJS.Timeout | undefined
+  private slowTimer: NodeJS.Timeout | undefined
+
+  constructor (private readonly services: SidecarServices) {
+    this.http = new HttpServer(this.createApp())
+  }
+
+  get linkCount (): number {
+    return this.byEntry.size
+  }
+
+  async start (): Promise<void> {
+    const { settings, startId, logger, store } = this.services
+    this.acceptor = new LinkAcceptor(this.http.server, {
+      local: { role: 'sidecar', name: settings.box, startId, dataCentre: settings.dataCentre },
+      sharedKey: settings.linkKey,
+      logger,
+      revision: () => store.revision,
+      onOpen: (link) => this.opened(link),
+      onMessage: (link, message) => this.receive(link, message),
+      onRequest: (_link, message) => this.answer(message),
+      onClose: (link) => this.closed(link)
+    })
+    this.address = await this.http.listen(settings.listen)
+    this.slowTimer = setInterval(() => this.reportAll(), SLOW_REPORT_MS)
+  }
+
+  async stop (): Promise<void> {
+    clearTimeout(this.reportTimer)
+    clearInterval(this.slowTimer)
+    const closed = this.http.close()
+    this.acceptor?.stop()
+    await closed
+  }
+
+  /** Tells every entry that this box takes no new work. */
+  leave (): void {
+    this.isLeaving = true
+    for (const [entry, link] of this.byEntry) {
+      this.services.book.drop(entry)
+      this.sendEndpoints(link)
+    }
+  }
+
+  /** Waits for the attempts that run. */
+  drained (): Promise<void> {
+    return this.http.drained()
+  }
+
+  sendTo (entry: string, message: MessageOf<'offer'>): boolean {
+    return this.byEntry.get(entry)?.send(message) ?? false
+  }
+
+  /** Reports the load of an endpoint soon; calls in the meantime are joined. */
+  loadChanged (endpoint: string): void {
+    this.changed.add(endpoint)
+    this.reportTimer ??= setTimeout(() => {
+      this.reportTimer = undefined
+      this.report([...this.changed])
+    }, REPORT_MS)
+  }
+
+  private createApp (): Koa {
+    const { startId, endpoints, attempts, logger } = this.services
+    const runner = new AttemptRunner({ startId, endpoints, registry: attempts, logger, isLeaving: () => this.isLeaving })
+    const app = new Koa()
+    app.silent = true
+    app.use(async (context) => {
+      if (context.path.startsWith(`${ATTEMPT_PREFIX}/`)) await runner.handle(context)
+    })
+    return app
+  }
+
+  private opened (link: Link): void {
+    this.byEntry.set(link.peer.startId, link)
+    this.services.spreader.opened(link)
+    this.sendEndpoints(link)
+    link.send({ kind: 'load', endpoints: [...this.services.endpoints.values()].map(({ slots }) => slots.load()) })
+  }
+
+  private closed (link: Link): void {
+    this.services.spreader.closed(link)
+    if (this.byEntry.get(link.peer.startId) !== link) return
+    this.byEntry.delete(link.peer.startId)
+    this.services.book.drop(link.peer.startId)
+  }
+
+  private receive (link: Link, message: Message): void {
+    const { spreader, book, endpoints } = this.services
+    if (spreader.receive(link, message)) return
+    switch (message.kind) {
+      case 'demand':
+        if (this.isLeaving) break
+        book.update(link.peer.startId, message.rows)
+        this.offerEverywhere()
+        break
+      case 'pass':
+        for (const { slots } of endpoints.values()) slots.pass(message.offerId)
+        break
+      case 'preempt':
+        endpoints.get(message.endpoint)?.slots.preempt(link.peer.startId, message.class, message.tier)
+        break
+    }
+  }
+
+  private async answer (message: Message): Promise<Message> {
+    if (message.kind !== 'revoke') return { kind: 'failed', code: 'ERR_GULLWALL_NO_REQUESTS', message: `no answer to ${message.kind}` }
+    return { kind: 'revoked', state: this.services.attempts.revoke(message.attemptId) }
+  }
+
+  private offerEverywhere (): void {
+    for (const { slots } of this.services.endpoints.values()) slots.offerFree()
+  }
+
+  private sendEndpoints (link: Link): void {
+    const endpoints: EndpointDescription[] = [...this.services.endpoints.values()].map(({ local }) => ({
+      name: local.name, kind: local.kind, serves: local.serves, labels: local.labels
+    }))
+    link.send({ kind: 'endpoints', endpoints, leaving: this.isLeaving })
+  }
+
+  private reportAll (): void {
+    this.report([...this.services.endpoints.keys()])
+  }
+
+  private report (names: string[]): void {
+    this.changed.clear()
+    const endpoints = names.flatMap((name) => {
+      const served = this.services.endpoints.get(name)
+      return served === undefined ? [] : [served.slots.load()]
+    })
+    for (const link of this.byEntry.values()) link.send({ kind: 'load', endpoints })
+  }
+}
--- /dev/null
+++ b/transport/attempt/src/index.ts
@@ -0,0 +1,88 @@
+/** The HTTP headers between an entry and a sidecar that go with one attempt, and the sidecar's refusals. */
+import { type IncomingHttpHeaders } from 'node:http'
+import { Either, Left, Right } from 'purify-ts'
+import { type Ran } from '@gullwall/core.types'
+
+const PREFIX = 'x-gullwall-'
+
+/** What a sidecar must know of an attempt. */
+export interface AttemptHead {
+  attemptId: string
+  requestId: string
+  /** The entry process, by its start id. */
+  entry: string
+  endpoint: string
+  /** The start of the sidecar process that the entry means; another one must not run it. */
+  sidecarStartId: string
+  offerId: string | undefined
+  class: string
+  tier: number
+  repeatable: boolean
+  preemptible: boolean
+  /** Whether the answer comes token by token, so that silence means something. */
+  stream: boolean
+  /** Targets of the class, in ms. */
+  firstTokenMs: number
+  betweenTokensMs: number
+}
+
+/** Why a sidecar did not run an attempt, or did not run it to its end. */
+export type AttemptRefusal =
+  | 'busy' | 'leaving' | 'revoked' | 'duplicate' | 'other-start' | 'unknown-endpoint' | 'bad-head' | 'endpoint-down' | 'endpoint-failed' | 'stalled' | 'preempted'
+
+/** A sidecar's refusal as the entry reads it. */
+export interface AttemptRefused {
+  reason: AttemptRefusal
+  ran: Ran
+}
+
+export const REFUSED_STATUS = 409
+
+/** Writes an attempt's head as headers. */
+export function writeHead (head: AttemptHead): Record<string, string> {
+  const headers: Record<string, string> = {}
+  for (const [name, value] of Object.entries(head)) {
+    if (value !== undefined) headers[PREFIX + name.toLowerCase()] = String(value)
+  }
+  return headers
+}
+
+/** Reads an attempt's head; Left names the header that is missing. */
+export function readHead (headers: IncomingHttpHeaders): Either<string, AttemptHead> {
+  const text = (name: string) => headers[PREFIX + name.toLowerCase()] as string | undefined
+  const required = ['attemptId', 'requestId', 'entry', 'endpoint', 'sidecarStartId', 'class', 'tier', 'firstTokenMs', 'betweenTokensMs']
+  const missing = required.find((name) => text(name) === undefined)
+  if (missing !== undefined) return Left(missing)
+  return Right({
+    attemptId: text('attemptId') ?? '',
+    requestId: text('requestId') ?? '',
+    entry: text('entry') ?? '',
+    endpoint: text('endpoint') ?? '',
+    sidecarStartId: text('sidecarStartId') ?? '',
+    offerId: text('offerId'),
+    class: text('class') ?? '',
+    tier: Number(text('tier')),
+    repeatable: text('repeatable') === 'true',
+    preemptible: text('preemptible') === 'true',
+    stream: text('stream') === 'true',
+    firstTokenMs: Number(text('firstTokenMs')),
+    betweenTokensMs: Number(text('betweenTokensMs'))
+  })
+}
+
+/** Gives the headers without those of the system itself. */
+export function withoutOwnHeaders<Value> (headers: Record<string, Value>): Record<string, Value> {
+  return Object.fromEntries(Object.entries(headers).filter(([name]) => !name.toLowerCase().startsWith(PREFIX)))
+}
+
+/** Writes a refusal as headers. */
+export function writeRefusal (refused: AttemptRefused): Record<string, string> {
+  return { [`${PREFIX}refused`]: refused.reason, [`${PREFIX}ran`]: refused.ran }
+}
+
+/** Reads a refusal, if an answer is one. */
+export function readRefusal (headers: IncomingHttpHeaders): AttemptRefused | undefined {
+  const reason = headers[`${PREFIX}refused`]
+  if (typeof reason !== 'string') return undefined
+  return { reason: reason as AttemptRefusal, ran: (headers[`${PREFIX}ran`] as Ran | undefined) ?? 'unknown' }
+}
--- /dev/null
+++ b/transport/link/src/index.ts
@@ -0,0 +1,5 @@
+/** Links between the processes of the system: `ws` connections that carry typed messages. */
+export * from './link.ts'
+export * from './dial.ts'
+export * from './accept.ts'
+export * from './handshake.ts'
--- /dev/null
+++ b/transport/messages/src/index.ts
@@ -0,0 +1,155 @@
+/** The typed messages of the links, each with a schema that is checked on arrival. */
+import { z } from 'zod'
+
+const count = z.number().int().min(0)
+const labels = z.record(z.string(), z.string())
+
+export const endpointDescriptionSchema = z.object({
+  name: z.string(), kind: z.enum(['engine', 'service']), serves: z.string(), labels
+})
+
+export const endpointLoadSchema = z.object({
+  name: z.string(),
+  inFlight: count,
+  limit: count,
+  spare: count,
+  tokenGapMs: z.number(),
+  firstTokenMs: z.number(),
+  failuresInRow: count,
+  reportedInFlight: count,
+  preemptableTier: z.number().int()
+})
+
+/** One sidecar as control and its peers know it. */
+export const memberSchema = z.object({
+  box: z.string(),
+  dataCentre: z.string(),
+  startId: z.string(),
+  /** Where its HTTP and its links listen. */
+  address: z.string(),
+  leaving: z.boolean(),
+  /** What it serves, so that an entry can link to a subset for each model. */
+  serves: z.array(z.string())
+})
+
+/** Waiting work of one class at one entry for endpoints of one sidecar. */
+export const demandRowSchema = z.object({
+  class: z.string(),
+  tier: count,
+  /** The least share of grants that the class gets while it waits. */
+  floor: z.number(),
+  /** Requests waiting. */
+  count,
+  /** Organisations among them, which weighs one entry against another. */
+  organisations: count,
+  /** Endpoints of this sidecar that the rows may use. */
+  endpoints: z.array(z.string())
+})
+
+export const recordChangeSchema = z.object({ key: z.string(), value: z.string().nullable() })
+
+/** One entry of the replicated log. */
+export const logEntrySchema = z.object({ index: count, term: count, data: z.string() })
+
+/** The changes of one accepted operation. */
+export const revisionSchema = z.object({ revision: count, changes: z.array(recordChangeSchema) })
+
+export const MESSAGE_SCHEMAS = {
+  // Any process to any other.
+  heartbeat: z.object({ kind: z.literal('heartbeat'), revision: count }),
+  /** Revisions that follow each other; `base` is the revision before the first. */
+  revisions: z.object({ kind: z.literal('revisions'), base: count, revisions: z.array(revisionSchema) }),
+  /** A part of a whole copy of the records. */
+  snapshot: z.object({
+    kind: z.literal('snapshot'), revision: count, part: count, last: z.boolean(), entries: z.array(z.tuple([z.string(), z.string()]))
+  }),
+
+  // Entry to sidecar.
+  demand: z.object({ kind: z.literal('demand'), rows: z.array(demandRowSchema) }),
+  pass: z.object({ kind: z.literal('pass'), offerId: z.string() }),
+  /** Asks for a slot of an endpoint at the cost of a stream of a lower tier. */
+  preempt: z.object({ kind: z.literal('preempt'), endpoint: z.string(), class: z.string(), tier: count }),
+  revoke: z.object({ kind: z.literal('revoke'), attemptId: z.string() }),
+
+  // Sidecar to entry.
+  endpoints: z.object({ kind: z.literal('endpoints'), endpoints: z.array(endpointDescriptionSchema), leaving: z.boolean() }),
+  load: z.object({ kind: z.literal('load'), endpoints: z.array(endpointLoadSchema) }),
+  offer: z.object({
+    kind: z.literal('offer'), offerId: z.string(), endpoint: z.string(), class: z.string(), tier: count, floor: z.boolean()
+  }),
+  revoked: z.object({ kind: z.literal('revoked'), state: z.enum(['never-started', 'started', 'finished']) }),
+
+  // Sidecar and entry to control, and back.
+  announce: z.object({ kind: z.literal('announce'), member: memberSchema }),
+  members: z.object({ kind: z.literal('members'), whole: z.boolean(), present: z.array(memberSchema), gone: z.array(z.string()) }),
+  inForce: z.object({ kind: z.literal('inForce'), processes: z.array(z.object({ process: z.string(), revision: count })) }),
+  confirm: z.object({ kind: z.literal('confirm') }),
+  confirmed: z.object({ kind: z.literal('confirmed'), revision: count }),
+  claim: z.object({ kind: z.literal('claim'), key: z.string(), requestId: z.string(), holdMs: count }),
+  settle: z.object({ kind: z.literal('settle'), key: z.string(), requestId: z.string(), outcome: z.enum(['no', 'partly', 'yes', 'unknown']) }),
+  claimed: z.object({ kind: z.literal('claimed'), granted: z.boolean(), holder: z.string(), outcome: z.string() }),
+  failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
+
+  // Among control processes: the quorum protocol. `to` is the incarnation that the sender takes the receiver for.
+  whoAreYou: z.object({ kind: z.literal('whoAreYou') }),
+  iAm: z.object({ kind: z.literal('iAm'), member: z.string(), incarnation: z.string(), formed: z.boolean() }),
+  vote: z.object({
+    kind: z.literal('vote'),
+    to: z.string(),
+    term: count,
+    candidate: z.string(),
+    lastIndex: count,
+    lastTerm: count,
+    prevote: z.boolean(),
+    handover: z.boolean()
+  }),
+  voted: z.object({ kind: z.literal('voted'), term: count, granted: z.boolean() }),
+  append: z.object({
+    kind: z.literal('append'),
+    to: z.string(),
+    term: count,
+    leader: z.string(),
+    prevIndex: count,
+    prevTerm: count,
+    commit: count,
+    entries: z.array(logEntrySchema)
+  }),
+  appended: z.object({ kind: z.literal('appended'), term: count, ok: z.boolean(), lastIndex: count }),
+  install: z.object({
+    kind: z.literal('install'),
+    to: z.string(),
+    term: count,
+    leader: z.string(),
+    offset: count,
+    last: z.boolean(),
+    /** A part of the snapshot file's text. */
+    data: z.string()
+  }),
+  takeOver: z.object({ kind: z.literal('takeOver'), to: z.string(), term: count }),
+  propose: z.object({ kind: z.literal('propose'), data: z.string() }),
+  proposed: z.object({ kind: z.literal('proposed'), index: count, result: z.string() }),
+  readIndex: z.object({ kind: z.literal('readIndex') }),
+  done: z.object({ kind: z.literal('done') })
+}
+
+export type MessageKind = keyof typeof MESSAGE_SCHEMAS
+export type MessageOf<Kind extends MessageKind> = z.infer<(typeof MESSAGE_SCHEMAS)[Kind]>
+export type Message = { [Kind in MessageKind]: MessageOf<Kind> }[MessageKind]
+export type Member = z.infer<typeof memberSchema>
+export type DemandRow = z.infer<typeof demandRowSchema>
+export type LogEntry = z.infer<typeof logEntrySchema>
+export type Revision = z.infer<typeof revisionSchema>
+
+/** What the check of an arriving message gives. */
+export type ParsedMessage =
+  | { ok: true, message: Message }
+  | { ok: false, reason: 'unknown' | 'malformed' }
+
+/** Checks a decoded message. Unknown kinds are told from malformed ones: a newer peer may send the first. */
+export function parseMessage (value: unknown): ParsedMessage {
+  const kind = (value as { kind?: unknown } | null)?.kind
+  if (typeof kind !== 'string') return { ok: false, reason: 'malformed' }
+  if (!Object.hasOwn(MESSAGE_SCHEMAS, kind)) return { ok: false, reason: 'unknown' }
+  const result = MESSAGE_SCHEMAS[kind as MessageKind].safeParse(value)
+  return result.success ? { ok: true, message: result.data as Message } : { ok: false, reason: 'malformed' }
+}
