feat: programs as processes, the command line, the load tool and the demo

Cause: the path ran in one process only, without an operator's tools. Change: gullwall, gullwall-load and the process bench; the entry started its dispatcher's upkeep twice, so the process never ended: the service is started by the kernel alone now. Conclusion: the main job runs as separate processes from TOML files.

--- /dev/null
+++ b/bench/processes/src/child.ts
@@ -0,0 +1,66 @@
+/** One program as a child process. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { createWriteStream } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+
+export type ProgramName = 'gullwall-entry' | 'gullwall-sidecar' | 'gullwall-control' | 'gullwall-fake-engine'
+
+export interface ChildOptions {
+  settings: string
+  /** Where its log goes. */
+  log: string
+  /** Keep its heap below so many MiB. */
+  maxHeapMiB?: number
+}
+
+const DIST = fileURLToPath(new URL('../../../dist/', import.meta.url))
+
+export class Child {
+  private readonly process: ChildProcess
+  private readonly exited: Promise<unknown>
+
+  constructor (readonly program: ProgramName, options: ChildOptions) {
+    const nodeOptions = options.maxHeapMiB === undefined ? [] : [`--max-old-space-size=${options.maxHeapMiB}`]
+    this.process = spawn(process.execPath, [...nodeOptions, `${DIST}${program}.mjs`, '--settings', options.settings], {
+      stdio: ['ignore', 'pipe', 'pipe']
+    })
+    const log = createWriteStream(options.log, { flags: 'a' })
+    this.process.stdout?.pipe(log)
+    this.process.stderr?.pipe(log)
+    this.exited = once(this.process, 'exit')
+  }
+
+  get pid (): number {
+    return this.process.pid ?? 0
+  }
+
+  get exitCode (): number | null {
+    return this.process.exitCode
+  }
+
+  /** Asks it to stop and waits until it has. */
+  async terminate (): Promise<void> {
+    this.process.kill('SIGTERM')
+    await this.exited
+  }
+
+  /** Ends it at once, as a lost box would. */
+  async kill (): Promise<void> {
+    this.process.kill('SIGKILL')
+    await this.exited
+  }
+
+  /** Holds it still, as a box that hangs would; `resume` lets it go on. */
+  freeze (): void {
+    this.process.kill('SIGSTOP')
+  }
+
+  resume (): void {
+    this.process.kill('SIGCONT')
+  }
+
+  hasExited (): Promise<unknown> {
+    return this.exited
+  }
+}
--- /dev/null
+++ b/cli/gullwall/src/commands/status.ts
@@ -0,0 +1,119 @@
+/** Commands that show what the system does. */
+import { command, flag, option, number, positional, string } from 'cmd-ts'
+import { request } from 'undici'
+import { messageOf } from '@gullwall/core.error'
+import { adminAddresses, admins, connection, print, withClient, type ConnectionArgs } from '../options.ts'
+
+interface EndpointStatus {
+  name: string
+  box: string
+  serves: string
+  inFlight: number
+  limit: number
+  tokenGapMs: number
+  health: string
+}
+
+interface ClassCounts {
+  requests: number
+  answered: number
+  inTime: number
+  refused: number
+  failed: number
+}
+
+interface ProcessStatus {
+  role: string
+  box: string
+  revision: number
+  queued?: Record<string, number>
+  classes?: Record<string, ClassCounts>
+  endpoints?: EndpointStatus[]
+}
+
+interface WholeStatus {
+  revision: number
+  leader: string | undefined
+  boxes: number
+  lagging: string[]
+  processes: ProcessStatus[]
+  unreachable: string[]
+}
+
+const MS_PER_SECOND = 1000
+
+export const statusCommand = command({
+  name: 'status',
+  description: 'Shows boxes, endpoints, queues and attainment at a glance.\nExample: gullwall status --admin 10.0.0.9:7001 --watch',
+  args: {
+    ...connection,
+    admin: admins,
+    json: flag({ long: 'json', description: 'print JSON' }),
+    watch: flag({ long: 'watch', description: 'print again and again' }),
+    every: option({ type: number, long: 'every', defaultValue: () => 2, description: 'seconds between two prints' })
+  },
+  handler: async (args) => {
+    do {
+      const status = await readStatus(args, adminAddresses(args.admin))
+      print(args.json ? JSON.stringify(status) : formatStatus(status))
+      if (args.watch) await new Promise((resolve) => setTimeout(resolve, args.every * MS_PER_SECOND))
+    } while (args.watch)
+  }
+})
+
+export const explainCommand = command({
+  name: 'explain',
+  description: 'Shows the decisions on one request, across processes.\nExample: gullwall explain r-0011aabb-1 --admin 10.0.0.9:7001',
+  args: { request: positional({ type: string, displayName: 'REQUEST' }), admin: admins },
+  handler: async ({ request: requestId, admin }) => {
+    const decisions: Array<{ time: string, decision: string, endpoint?: string, why: string, ran?: string }> = []
+    for (const address of adminAddresses(admin)) {
+      decisions.push(...await readJson<typeof decisions>(address, `/explain?request=${encodeURIComponent(requestId)}`))
+    }
+    decisions.sort((left, right) => left.time.localeCompare(right.time))
+    for (const { time, decision, endpoint, why, ran } of decisions) print(`${time}  ${decision.padEnd(8)} ${endpoint ?? '-'}  ${why}  (ran: ${ran ?? 'no'})`)
+    if (decisions.length === 0) print('no process remembers this request; its log lines may still tell')
+  }
+})
+
+async function readStatus (args: ConnectionArgs, addresses: string[]): Promise<WholeStatus> {
+  const control = await withClient(args, async (client) => ({ status: await client.status(), inForce: await client.inForce() }))
+  const processes: ProcessStatus[] = []
+  const unreachable: string[] = []
+  for (const address of addresses) {
+    try {
+      processes.push(await readJson<ProcessStatus>(address, '/status'))
+    } catch (error) {
+      unreachable.push(`${address}: ${messageOf(error)}`)
+    }
+  }
+  const { revision, quorum, boxes } = control.status
+  const lagging = control.inForce.filter((known) => known.revision < revision).map((known) => known.process)
+  return { revision, leader: quorum.leader, boxes: boxes.length, lagging, processes, unreachable }
+}
+
+function formatStatus (status: WholeStatus): string {
+  const lines = [`revision ${status.revision}, leader ${status.leader ?? 'none'}, ${status.boxes} boxes, lagging: ${status.lagging.join(', ') || 'none'}`]
+  for (const { role, box, queued, classes, endpoints } of status.processes) {
+    lines.push(`${role} ${box}`)
+    for (const [name, counts] of Object.entries(classes ?? {})) lines.push(formatClass(name, counts, queued?.[name] ?? 0))
+    for (const endpoint of endpoints ?? []) lines.push(formatEndpoint(endpoint))
+  }
+  for (const text of status.unreachable) lines.push(`unreachable ${text}`)
+  return lines.join('\n')
+}
+
+function formatClass (name: string, counts: ClassCounts, queued: number): string {
+  const percent = (100 * counts.inTime / Math.max(1, counts.requests)).toFixed(1)
+  return `  class ${name}: ${counts.requests} requests, ${percent}% in time, ${counts.refused} refused, ${counts.failed} failed, ${queued} waiting`
+}
+
+function formatEndpoint (endpoint: EndpointStatus): string {
+  const { name, serves, inFlight, limit, tokenGapMs, health } = endpoint
+  return `  endpoint ${name} (${serves}): ${inFlight}/${limit} in flight, ${tokenGapMs} ms between tokens, ${health ?? ''}`
+}
+
+async function readJson<T> (address: string, path: string): Promise<T> {
+  const answer = await request(`http://${address}${path}`)
+  return await answer.body.json() as T
+}
--- /dev/null
+++ b/cli/gullwall/src/main.ts
@@ -0,0 +1,34 @@
+/** `gullwall`: the operators' command line. */
+import { run, subcommands } from 'cmd-ts'
+import { fail } from '@gullwall/core.kernel/program'
+import { applyCommand, checkCommand, deleteCommand, drainCommand, getCommand, labelCommand, undrainCommand } from './commands/records.ts'
+import { controlCommands } from './commands/control.ts'
+import { devCommand } from './commands/dev.ts'
+import { diffCommand, exportCommand, historyCommand, restoreCommand } from './commands/history.ts'
+import { keyCommand } from './commands/key.ts'
+import { explainCommand, statusCommand } from './commands/status.ts'
+
+const program = subcommands({
+  name: 'gullwall',
+  description: 'Operates a gullwall deployment.\nExample: gullwall apply records.toml --wait --control 10.0.0.1:7400',
+  cmds: {
+    apply: applyCommand,
+    check: checkCommand,
+    get: getCommand,
+    delete: deleteCommand,
+    label: labelCommand,
+    drain: drainCommand,
+    undrain: undrainCommand,
+    status: statusCommand,
+    explain: explainCommand,
+    history: historyCommand,
+    diff: diffCommand,
+    export: exportCommand,
+    restore: restoreCommand,
+    control: controlCommands,
+    key: keyCommand,
+    dev: devCommand
+  }
+})
+
+run(program, process.argv.slice(2)).catch(fail)
--- a/entry/program/src/sidecar-links.ts
+++ b/entry/program/src/sidecar-links.ts
@@ -64,12 +64,7 @@
     for (const address of gone) this.dropIfClosed(address)
   }
 
-  start (): void {
-    this.services.dispatcher.start()
-  }
-
   async stop (): Promise<void> {
-    this.services.dispatcher.stop()
     for (const dialer of this.dialers.values()) dialer.stop()
     await Promise.all([...this.pools.values()].map((pool) => pool.destroy()))
   }
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -2,10 +2,12 @@
 import { build } from 'esbuild'
 
 const PROGRAMS = {
+  gullwall: 'cli/gullwall/src/main.ts',
   'gullwall-entry': 'entry/program/src/main.ts',
   'gullwall-sidecar': 'sidecar/program/src/main.ts',
   'gullwall-control': 'control/program/src/main.ts',
-  'gullwall-fake-engine': 'bench/fake-engine/src/main.ts'
+  'gullwall-fake-engine': 'bench/fake-engine/src/main.ts',
+  'gullwall-load': 'bench/load/src/main.ts'
 }
 
 // Libraries in CommonJS form call require(), which an ES module does not have by itself.
