--- a/bench/load/src/run-load.ts
+++ b/bench/load/src/run-load.ts
@@ -1,4 +1,5 @@
 /** Sends the arrivals of a scenario when they are due, whatever has become of those before. */
+import { setMaxListeners } from 'node:events'
 import { Pool } from 'undici'
 import { drawArrivals, type Arrival } from './arrivals.ts'
 import { call, type CallOutcome } from './caller.ts'
@@ -18,6 +19,8 @@
   const arrivals = drawArrivals(scenario)
   const pools = scenario.entries.map((address) => new Pool(`http://${address}`, { connections: null, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 }))
   const giveUp = new AbortController()
+  // Every call in flight listens to it.
+  setMaxListeners(0, giveUp.signal)
   const outcomes: CallOutcome[] = []
   const calls: Array<Promise<unknown>> = []
   const progress = setInterval(() => options.onProgress?.(calls.length, arrivals.length, outcomes), PROGRESS_MS)
