--- a/bench/deployment/src/deployment.ts
+++ b/bench/deployment/src/deployment.ts
@@ -15,7 +15,7 @@
 export interface BoxPlan {
   box: string
   dataCentre: string
-  engines: Array<{ name: string, model: string, labels?: Record<string, string> }>
+  engines: Array<{ name: string, model: string, labels?: Record<string, string>, speed?: Partial<EngineSpeed> }>
   services?: string[]
 }
 
--- a/bench/experiment/src/experiment.ts
+++ b/bench/experiment/src/experiment.ts
@@ -76,7 +76,8 @@
     openings: 20,
     bursts: experiment.variant === 'burst' && mix.organisation === 'counter' ? [burst] : []
   }))
-  return { seed: experiment.seed, seconds: experiment.seconds, graceSeconds: GRACE_SECONDS, entries: deployment.entries.map(({ listen }) => listen), classes }
+  const entries = deployment.entries.map(({ listen }) => listen)
+  return { seed: experiment.seed, seconds: experiment.seconds, graceSeconds: GRACE_SECONDS, entries, classes }
 }
 
 /** Sets a variant's faults going. */
--- a/bench/processes/src/process-deployment.ts
+++ b/bench/processes/src/process-deployment.ts
@@ -100,6 +100,10 @@
     await request(`http://${host?.admin ?? ''}/faults`, { method: 'POST', body: JSON.stringify({ engine, kind, factor }) })
   }
 
+  engineAddress (engine: string): string {
+    return this.engineAddresses.get(engine)?.address ?? ''
+  }
+
   async startEntry (box: string, dataCentre: string): Promise<RunningProgram> {
     const [listen = '', admin = ''] = await freeAddresses(2)
     const settings = {
@@ -153,7 +157,9 @@
       engines.forEach(({ name }, index) => this.engineAddresses.set(name, { address: listens[index] ?? '', host: this.engineHosts.length }))
       const settings = {
         admin,
-        engines: engines.map(({ name, model }, index) => ({ name, model, listen: listens[index], speed }))
+        engines: engines.map((engine, index) => ({
+          name: engine.name, model: engine.model, listen: listens[index], speed: { ...speed, ...engine.speed }
+        }))
       }
       const host = this.spawn('gullwall-fake-engine', `engines-${first}`, settings, admin, admin)
       await until('the engines', async () => await readJson(admin, '/ledger') !== undefined)
