perf(entry): pass bytes from connection to connection without a stream between

Cause: each token went through a readable stream and an async iterator on both hops; kept answers were held as one small buffer for each token. Change: undici's dispatch hands bytes to the relay; kept buffers are joined.

--- a/endpoint/dialect/src/index.ts
+++ b/endpoint/dialect/src/index.ts
@@ -15,11 +15,11 @@
   signal: AbortSignal
 }
 
-/** The head of a back end's answer; the body follows as a stream. */
-export interface EndpointAnswer {
-  status: number
-  headers: IncomingHttpHeaders
-  body: Readable
+/** Takes a back end's answer as it arrives. */
+export interface AnswerReceiver {
+  onHead: (status: number, headers: IncomingHttpHeaders) => void
+  /** A promise holds the back end up until it resolves. */
+  onData: (chunk: Buffer) => Promise<void> | undefined
 }
 
 /** What a model engine reports of itself; it comes late, and may be wrong. */
@@ -30,11 +30,11 @@
 /** One back end. */
 export interface Endpoint {
   /**
-   * Runs a call.
+   * Runs a call; resolves when its answer is whole.
    * @throws ERR_GULLWALL_ENDPOINT_REFUSED if it was certainly not run,
    *   ERR_GULLWALL_ENDPOINT_FAILED if that can't be told.
    */
-  run (call: EndpointCall): Promise<EndpointAnswer>
+  run (call: EndpointCall, receiver: AnswerReceiver): Promise<void>
   /** Reads the load report, where the dialect has one. */
   reportedLoad? (): Promise<ReportedLoad>
   close (): Promise<void>
--- /dev/null
+++ b/endpoint/http/src/exchange.ts
@@ -0,0 +1,40 @@
+/**
+ * One HTTP exchange by undici, given to a receiver as it comes. Bytes go
+ * straight from the connection to the receiver, without a readable stream between
+ * them; see docs/measurements/latency.md for what that saves.
+ */
+import { type Dispatcher, type Pool } from 'undici'
+import { type AnswerReceiver } from '@gullwall/endpoint.dialect'
+
+/** Sends a request; resolves when the answer is whole, rejects if it breaks or the signal aborts it. */
+export function exchange (pool: Pool, options: Dispatcher.DispatchOptions, receiver: AnswerReceiver, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    let controller: Dispatcher.DispatchController | undefined
+    const abort = () => controller?.abort(abortReason(signal))
+    const settle = (error?: Error) => {
+      signal.removeEventListener('abort', abort)
+      if (error === undefined) resolve()
+      else reject(error)
+    }
+    signal.addEventListener('abort', abort)
+    pool.dispatch(options, {
+      onRequestStart: (started) => {
+        controller = started
+        if (signal.aborted) abort()
+      },
+      onResponseStart: (_controller, status, headers) => receiver.onHead(status, headers),
+      onResponseData: (started, chunk) => {
+        const busy = receiver.onData(chunk)
+        if (busy === undefined) return
+        started.pause()
+        busy.then(() => started.resume(), (error: Error) => started.abort(error))
+      },
+      onResponseEnd: () => settle(),
+      onResponseError: (_controller, error) => settle(error)
+    })
+  })
+}
+
+function abortReason (signal: AbortSignal): Error {
+  return signal.reason instanceof Error ? signal.reason : new Error('aborted')
+}
--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -1,7 +1,10 @@
 /** What the HTTP dialects have in common: one pool of connections to a back end by undici. */
 import { Pool, type Dispatcher } from 'undici'
 import { GullwallError } from '@gullwall/core.error'
-import { type Endpoint, type EndpointAnswer, type EndpointCall } from '@gullwall/endpoint.dialect'
+import { type AnswerReceiver, type Endpoint, type EndpointCall } from '@gullwall/endpoint.dialect'
+import { exchange } from './exchange.ts'
+
+export { exchange } from './exchange.ts'
 
 /** Headers that belong to one connection and are never passed on (RFC 9110, section 7.6.1). */
 const HOP_BY_HOP = new Set([
@@ -43,17 +46,14 @@
     this.pool = createPool(address)
   }
 
-  async run (call: EndpointCall): Promise<EndpointAnswer> {
-    const options: Dispatcher.RequestOptions = {
-      method: call.method as Dispatcher.HttpMethod, path: call.path, headers: call.headers, body: call.body, signal: call.signal
-    }
+  async run (call: EndpointCall, receiver: AnswerReceiver): Promise<void> {
+    const options = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers: call.headers, body: call.body }
     try {
-      const answer = await this.pool.request(options)
-      return { status: answer.statusCode, headers: answer.headers, body: answer.body }
+      await exchange(this.pool, options, receiver, call.signal)
     } catch (cause) {
       const certain = wasNotSent(cause)
       throw new GullwallError(certain ? 'ERR_GULLWALL_ENDPOINT_REFUSED' : 'ERR_GULLWALL_ENDPOINT_FAILED',
-        certain ? 'the endpoint takes no connection' : 'the endpoint failed before it answered',
+        certain ? 'the endpoint takes no connection' : 'the endpoint failed before its answer was whole',
         { step: 'run', peer: `${this.name}@${this.address}`, cause })
     }
   }
--- a/endpoint/openai/src/engine.ts
+++ b/endpoint/openai/src/engine.ts
@@ -1,6 +1,6 @@
 /** A model engine. */
 import { z } from 'zod'
-import { type Endpoint, type EndpointAnswer, type EndpointCall, type ReportedLoad } from '@gullwall/endpoint.dialect'
+import { type AnswerReceiver, type Endpoint, type EndpointCall, type ReportedLoad } from '@gullwall/endpoint.dialect'
 import { HttpEndpoint } from '@gullwall/endpoint.http'
 
 export const CHAT_PATH = '/v1/chat/completions'
@@ -14,8 +14,8 @@
     this.http = new HttpEndpoint(name, address)
   }
 
-  run (call: EndpointCall): Promise<EndpointAnswer> {
-    return this.http.run(call)
+  run (call: EndpointCall, receiver: AnswerReceiver): Promise<void> {
+    return this.http.run(call, receiver)
   }
 
   async reportedLoad (): Promise<ReportedLoad> {
--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -1,10 +1,12 @@
 /** One attempt: the call to the sidecar, the relay of its answer, and what is certain when it breaks. */
+import { type IncomingHttpHeaders } from 'node:http'
 import { type Dispatcher as UndiciDispatcher, type Pool } from 'undici'
 import { messageOf } from '@gullwall/core.error'
 import { type Ran } from '@gullwall/core.types'
-import { endToEndHeaders, wasNotSent } from '@gullwall/endpoint.http'
+import { type AnswerReceiver } from '@gullwall/endpoint.dialect'
+import { endToEndHeaders, exchange, wasNotSent } from '@gullwall/endpoint.http'
 import { EventRelay, rewriteResumed, type AnswerSoFar } from '@gullwall/endpoint.openai'
-import { readRefusal, withoutOwnHeaders, writeHead, type AttemptHead, type AttemptRefusal } from '@gullwall/transport.attempt'
+import { readRefusal, withoutOwnHeaders, writeHead, type AttemptHead, type AttemptRefusal, type AttemptRefused } from '@gullwall/transport.attempt'
 import { type CallerResponse } from './caller-response.ts'
 import { type AnswerTiming } from './timing.ts'
 
@@ -41,31 +43,21 @@
 const ATTEMPT_PREFIX = '/attempt'
 
 export async function runAttempt (options: AttemptOptions): Promise<AttemptOutcome> {
-  const { caller } = options
-  let answer: UndiciDispatcher.ResponseData
+  const { pool, head, call, caller } = options
+  const relay = new AnswerRelay(options)
+  const request = {
+    method: call.method as UndiciDispatcher.HttpMethod,
+    path: ATTEMPT_PREFIX + call.path,
+    headers: { ...call.headers, ...writeHead(head) },
+    body: call.body
+  }
   try {
-    answer = await send(options)
+    await exchange(pool, request, relay, caller.gone.signal)
   } catch (error) {
     if (caller.isGone) return { kind: 'cancelled' }
-    return await whatBecameOf(options, error)
+    return relay.hasHead ? { kind: 'broken', ran: 'partly', reason: 'lost', why: messageOf(error) } : await whatBecameOf(options, error)
   }
-  const refusal = readRefusal(answer.headers)
-  if (refusal !== undefined) {
-    const why = await textOf(answer)
-    if (refusal.ran === 'no') return { kind: 'not-run', reason: refusal.reason, why }
-    return { kind: 'broken', ran: refusal.ran, reason: refusal.reason, why }
-  }
-  return await relay(answer, options)
-}
-
-function send ({ pool, head, call, caller }: AttemptOptions): Promise<UndiciDispatcher.ResponseData> {
-  return pool.request({
-    method: call.method as UndiciDispatcher.HttpMethod,
-    path: ATTEMPT_PREFIX + call.path,
-    headers: { ...call.headers, ...writeHead(head) },
-    body: call.body,
-    signal: caller.gone.signal
-  })
+  return relay.outcome()
 }
 
 async function whatBecameOf (options: AttemptOptions, error: unknown): Promise<AttemptOutcome> {
@@ -75,68 +67,75 @@
   return ran === 'no' ? { kind: 'not-run', reason: 'revoked', why } : { kind: 'broken', ran, reason: 'lost', why }
 }
 
-async function relay (answer: UndiciDispatcher.ResponseData, options: AttemptOptions): Promise<AttemptOutcome> {
-  const isStream = String(answer.headers['content-type'] ?? '').startsWith('text/event-stream')
-  try {
-    return isStream ? await relayEvents(answer, options) : await relayBytes(answer, options)
-  } catch (error) {
-    if (options.caller.isGone) return { kind: 'cancelled' }
-    return { kind: 'broken', ran: 'partly', reason: 'lost', why: messageOf(error) }
-  } finally {
-    // Without a listener a late error of an abandoned body would end the process.
-    answer.body.on('error', () => {})
-    answer.body.destroy()
+/** Passes a sidecar's answer on to the caller. */
+class AnswerRelay implements AnswerReceiver {
+  hasHead = false
+  private status = 0
+  private headers: IncomingHttpHeaders = {}
+  private refusal: AttemptRefused | undefined
+  private refusalText = ''
+  private readonly events = new EventRelay()
+  private isStream = false
+
+  constructor (private readonly options: AttemptOptions) {}
+
+  onHead (status: number, headers: IncomingHttpHeaders): void {
+    this.hasHead = true
+    this.status = status
+    this.headers = headers
+    this.refusal = readRefusal(headers)
+    this.isStream = String(headers['content-type'] ?? '').startsWith('text/event-stream')
+    if (this.isStream) this.options.caller.markEventStream()
   }
-}
 
-async function relayEvents (answer: UndiciDispatcher.ResponseData, options: AttemptOptions): Promise<AttemptOutcome> {
-  const { caller, timing, keep, resumes } = options
-  const events = new EventRelay()
-  caller.markEventStream()
-  for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-    const whole = events.push(chunk)
-    if (whole === undefined) continue
+  onData (chunk: Buffer): Promise<void> | undefined {
+    if (this.refusal !== undefined) {
+      this.refusalText += chunk.toString('utf8')
+      return undefined
+    }
+    return this.isStream ? this.relayEvents(chunk) : this.relayBytes(chunk)
+  }
+
+  /** How the attempt ended, once its answer has. */
+  outcome (): AttemptOutcome {
+    const { refusal } = this
+    if (refusal !== undefined) {
+      const why = this.refusalText
+      return refusal.ran === 'no' ? { kind: 'not-run', reason: refusal.reason, why } : { kind: 'broken', ...refusal, why }
+    }
+    if (this.isStream && !this.events.done) {
+      return { kind: 'broken', ran: 'partly', reason: this.endReason(), why: 'the stream ended before its answer was whole' }
+    }
+    this.beginAnswer()
+    this.options.caller.end()
+    return { kind: 'whole', status: this.status }
+  }
+
+  private relayEvents (chunk: Buffer): Promise<void> | undefined {
+    const { resumes, timing, keep, caller } = this.options
+    const whole = this.events.push(chunk)
+    if (whole === undefined) return undefined
     const bytes = resumes === undefined ? whole : rewriteResumed(whole, resumes)
-    if (bytes.length === 0) continue
+    if (bytes.length === 0) return undefined
     timing.noteToken()
     keep(bytes)
-    caller.begin(answer.statusCode, callerHeaders(answer))
-    await caller.write(bytes)
-    if (caller.isGone) return { kind: 'cancelled' }
-  }
-  if (events.done) {
-    caller.end()
-    return { kind: 'whole', status: answer.statusCode }
+    this.beginAnswer()
+    return caller.write(bytes)
   }
-  return { kind: 'broken', ran: 'partly', reason: refusalOf(events), why: 'the stream ended before its answer was whole' }
-}
 
-function refusalOf (events: EventRelay): AttemptRefusal | 'lost' {
-  return events.endReason === 'engine-failed' ? 'endpoint-failed' : events.endReason ?? 'lost'
-}
-
-async function relayBytes (answer: UndiciDispatcher.ResponseData, options: AttemptOptions): Promise<AttemptOutcome> {
-  const { caller, timing } = options
-  for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+  private relayBytes (chunk: Buffer): Promise<void> | undefined {
+    const { caller, timing } = this.options
     if (!caller.hasBegun) timing.noteToken()
-    caller.begin(answer.statusCode, callerHeaders(answer))
-    await caller.write(chunk)
-    if (caller.isGone) return { kind: 'cancelled' }
+    this.beginAnswer()
+    return caller.write(chunk)
   }
-  caller.begin(answer.statusCode, callerHeaders(answer))
-  caller.end()
-  return { kind: 'whole', status: answer.statusCode }
-}
 
-function callerHeaders (answer: UndiciDispatcher.ResponseData): Record<string, string | string[]> {
-  return withoutOwnHeaders(endToEndHeaders(answer.headers))
-}
+  private beginAnswer (): void {
+    const { caller } = this.options
+    if (!caller.hasBegun) caller.begin(this.status, withoutOwnHeaders(endToEndHeaders(this.headers)))
+  }
 
-async function textOf (answer: UndiciDispatcher.ResponseData): Promise<string> {
-  try {
-    const { why } = await answer.body.json() as { why?: string }
-    return why ?? ''
-  } catch {
-    return ''
+  private endReason (): AttemptRefusal | 'lost' {
+    return this.events.endReason === 'engine-failed' ? 'endpoint-failed' : this.events.endReason ?? 'lost'
   }
 }
--- a/entry/answers/src/caller-response.ts
+++ b/entry/answers/src/caller-response.ts
@@ -41,10 +41,9 @@
     this.response.writeHead(status, { ...headers, 'x-request-id': this.requestId })
   }
 
-  /** Writes bytes and waits while the caller is slow. */
-  async write (bytes: Buffer): Promise<void> {
-    if (this.response.write(bytes) || this.isGone) return
-    await this.drained()
+  /** Writes bytes; a promise resolves when a slow caller has taken them. */
+  write (bytes: Buffer): Promise<void> | undefined {
+    return this.response.write(bytes) || this.isGone ? undefined : this.drained()
   }
 
   end (): void {
--- a/entry/answers/src/request-run.ts
+++ b/entry/answers/src/request-run.ts
@@ -48,11 +48,14 @@
 /** A stream is cut off for higher tiers at most so many times, so that it ends at some time. */
 const MAX_PREEMPTIONS = 2
 const MAX_CANDIDATES_LOGGED = 3
+const JOIN_EVERY = 32
 
 export class RequestRun {
   private readonly timing: AnswerTiming
   private kept: Buffer[] = []
   private keptBytes = 0
+  /** How many of the kept buffers are joined ones. */
+  private joined = 0
   private keepsAll = true
   private preemptions = 0
   private attempts = 0
@@ -200,10 +203,18 @@
   private keep (events: Buffer): void {
     if (!this.request.resumable || !this.keepsAll) return
     this.kept.push(events)
+    if (this.kept.length - this.joined >= JOIN_EVERY) this.joinKept()
     this.keptBytes += events.length
     if (this.keptBytes <= this.services.maxAnswerBytes) return
     this.keepsAll = false
     this.kept = []
+    this.joined = 0
+  }
+
+  /** Many small buffers take more memory than what is in them. */
+  private joinKept (): void {
+    this.kept.push(Buffer.concat(this.kept.splice(this.joined)))
+    this.joined = this.kept.length
   }
 
   private answerSoFar (): AnswerSoFar | undefined {
--- a/sidecar/attempts/src/runner.ts
+++ b/sidecar/attempts/src/runner.ts
@@ -1,10 +1,10 @@
 /** Runs one attempt: checks it, takes a slot, passes it to the endpoint and relays the answer. */
-import { type ServerResponse } from 'node:http'
+import { type IncomingHttpHeaders, type ServerResponse } from 'node:http'
 import { type Context } from 'koa'
 import { GullwallError, messageOf } from '@gullwall/core.error'
 import { type Logger } from '@gullwall/core.logger'
 import { type LocalEndpoint } from '@gullwall/config.settings'
-import { type Endpoint, type EndpointAnswer } from '@gullwall/endpoint.dialect'
+import { type Endpoint } from '@gullwall/endpoint.dialect'
 import { endToEndHeaders } from '@gullwall/endpoint.http'
 import { endComment, type EndReason } from '@gullwall/endpoint.openai'
 import { type EndpointSlots } from '@gullwall/sidecar.slots'
@@ -101,32 +101,35 @@
   }
 
   async run (): Promise<void> {
-    this.response.once('close', () => this.abort.abort())
+    const { response } = this
+    response.once('close', () => this.abort.abort())
     this.watchForStall(this.firstTokenStallMs())
     try {
-      const answer = await this.callEndpoint()
-      if (answer !== undefined) await this.relay(answer)
+      await this.callEndpoint()
+      response.end()
+      if (!this.isStream) this.served.slots.noteFirstToken(performance.now() - this.startedAt)
+    } catch (error) {
+      if (response.headersSent) this.breakOff(error)
+      else this.refuseFailed(error)
     } finally {
       clearTimeout(this.stallTimer)
       this.options.registry.finish(this.head.attemptId)
     }
   }
 
-  private async callEndpoint (): Promise<EndpointAnswer | undefined> {
+  private callEndpoint (): Promise<void> {
     const { context } = this
     const hasBody = context.headers['content-length'] !== undefined || context.headers['transfer-encoding'] !== undefined
-    try {
-      return await this.served.endpoint.run({
-        method: context.method,
-        path: context.url.slice(ATTEMPT_PREFIX.length),
-        headers: withoutOwnHeaders(endToEndHeaders(context.headers)),
-        body: hasBody ? context.req : undefined,
-        signal: this.abort.signal
-      })
-    } catch (error) {
-      this.refuseFailed(error)
-      return undefined
-    }
+    return this.served.endpoint.run({
+      method: context.method,
+      path: context.url.slice(ATTEMPT_PREFIX.length),
+      headers: withoutOwnHeaders(endToEndHeaders(context.headers)),
+      body: hasBody ? context.req : undefined,
+      signal: this.abort.signal
+    }, {
+      onHead: (status, headers) => this.relayHead(status, headers),
+      onData: (chunk) => this.relayChunk(chunk)
+    })
   }
 
   private refuseFailed (error: unknown): void {
@@ -140,32 +143,36 @@
     answerRefusal(this.context, { reason, ran: certain ? 'no' : 'partly' }, messageOf(error))
   }
 
-  private async relay (answer: EndpointAnswer): Promise<void> {
+  private relayHead (status: number, headers: IncomingHttpHeaders): void {
     const { response } = this
-    this.isStream = String(answer.headers['content-type'] ?? '').startsWith('text/event-stream')
+    this.isStream = String(headers['content-type'] ?? '').startsWith('text/event-stream')
     this.context.respond = false
-    response.writeHead(answer.status, withoutOwnHeaders(endToEndHeaders(answer.headers)))
+    response.writeHead(status, withoutOwnHeaders(endToEndHeaders(headers)))
     response.flushHeaders()
-    try {
-      for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-        this.noteChunk()
-        if (!response.write(chunk)) await drained(response)
-        if (response.destroyed) break
-      }
-      response.end()
-      if (!this.isStream) this.served.slots.noteFirstToken(performance.now() - this.startedAt)
-    } catch (error) {
-      this.breakOff(error)
-    }
+  }
+
+  private relayChunk (chunk: Buffer): Promise<void> | undefined {
+    this.noteChunk()
+    return this.response.write(chunk) ? undefined : drained(this.response)
   }
 
   private breakOff (error: unknown): void {
-    const { response } = this
+    const { response, head } = this
     if (response.destroyed) return
     const reason = this.endReason ?? 'engine-failed'
     if (reason !== 'preempted') this.served.slots.noteFailure()
     this.options.logger.info({
-      channel: 'routing', decision: reason === 'preempted' ? 'preempt' : 'finish', requestId: this.head.requestId, attemptId: this.head.attemptId, organisation: '', class: this.head.class, tier: this.head.tier, model: this.served.local.serves, endpoint: this.head.endpoint, ran: 'partly', why: `${reason}: ${messageOf(error)}`
+      channel: 'routing',
+      decision: reason === 'preempted' ? 'preempt' : 'finish',
+      requestId: head.requestId,
+      attemptId: head.attemptId,
+      organisation: '',
+      class: head.class,
+      tier: head.tier,
+      model: this.served.local.serves,
+      endpoint: head.endpoint,
+      ran: 'partly',
+      why: `${reason}: ${messageOf(error)}`
     })
     if (this.isStream) response.end(endComment(reason))
     else response.destroy()
