test: fuzz the quorum and the decisions against simple oracles

Cause: the promises on accepted changes and on tiers were not proved. Change: random sequences of work and faults (crashes at every sync point, torn and lost writes, lost disks, one-way cuts, delays, reordering) run the real code in virtual time; each known way to break it is a mutation that must be caught. Three failures found on the way were the oracle's own: it asked for acknowledged commands while members that hold them were down, left an armed crash over a restart, and compared nothing when all were down.

--- /dev/null
+++ b/control/quorum/test/cluster.ts
@@ -0,0 +1,185 @@
+/** Members of a quorum on disks in memory and a network that the test cuts; time is the test's. */
+import { vi } from 'vitest'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { silentLogger } from '@gullwall/core.logger'
+import { MemoryDisk, type CrashEffect } from '@gullwall/control.storage'
+import { QuorumNode, type QuorumTransport, type StateMachine } from '@gullwall/control.quorum'
+import { type Message, type MessageKind, type MessageOf } from '@gullwall/transport.messages'
+
+/** Keeps the commands it was given, in order. */
+class ListMachine implements StateMachine {
+  commands: string[] = []
+  apply (_index: number, command: string): string {
+    this.commands.push(command)
+    return `${this.commands.length}`
+  }
+
+  snapshot (): string {
+    return JSON.stringify(this.commands)
+  }
+
+  restore (snapshot: string): void {
+    this.commands = JSON.parse(snapshot) as string[]
+  }
+}
+
+interface Member {
+  node: QuorumNode
+  disk: MemoryDisk
+  machine: ListMachine
+  isUp: boolean
+}
+
+const MAX_DELAY_MS = 8
+const STEP_MS = 20
+
+export class Cluster {
+  readonly members = new Map<string, Member>()
+  readonly acknowledged: string[] = []
+  /** One-way cuts, as `from>to`. */
+  readonly cuts = new Set<string>()
+  private readonly random: () => number
+  private proposed = 0
+
+  constructor (readonly names: readonly string[], seed: number) {
+    const generator = xoroshiro128plus(seed)
+    this.random = () => uniformFloat64(generator)
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
+    vi.spyOn(Math, 'random').mockImplementation(this.random)
+  }
+
+  async start (): Promise<void> {
+    for (const name of this.names) await this.boot(name, new MemoryDisk())
+    await this.until(() => this.leader() !== undefined)
+  }
+
+  stop (): void {
+    for (const { node } of this.members.values()) node.kill()
+    vi.restoreAllMocks()
+    vi.useRealTimers()
+  }
+
+  get (name: string): Member {
+    const member = this.members.get(name)
+    if (member === undefined) throw new Error(`no member ${name}`)
+    return member
+  }
+
+  leader (): QuorumNode | undefined {
+    const leaders = [...this.members.values()].filter(({ node, isUp }) => isUp && node.role === 'leader').map(({ node }) => node)
+    return leaders.sort((left, right) => right.vote.term - left.vote.term)[0]
+  }
+
+  /** Proposes to whoever says it leads; notes the command if it is acknowledged. */
+  propose (name: string): void {
+    const { node, isUp } = this.get(name)
+    if (!isUp) return
+    this.proposed += 1
+    const command = `command ${this.proposed}`
+    node.propose(command).then(() => this.acknowledged.push(command), () => {})
+  }
+
+  /** Reads what must not be older than anything acknowledged before. */
+  read (name: string): Promise<void> {
+    const { node, isUp, machine } = this.get(name)
+    if (!isUp) return Promise.resolve()
+    const before = [...this.acknowledged]
+    return node.confirmRead().then(() => {
+      const missing = before.find((command) => !machine.commands.includes(command))
+      if (missing !== undefined) throw new Error(`a confirmed read at ${name} lacks ${missing}`)
+    }, () => {})
+  }
+
+  crash (name: string): void {
+    const member = this.get(name)
+    if (!member.isUp) return
+    member.isUp = false
+    member.disk.crash()
+    member.node.kill()
+  }
+
+  /** The member crashes at its next write, which is lost, half there, or there but not answered. */
+  crashAtNextWrite (name: string, effect: CrashEffect): void {
+    const member = this.get(name)
+    if (!member.isUp) return
+    member.disk.beforeWrite = () => {
+      member.isUp = false
+      member.node.kill()
+      return effect
+    }
+  }
+
+  /** Starts a member again if it is down; if it is up, no crash hangs over it any more. */
+  async restart (name: string): Promise<void> {
+    const member = this.get(name)
+    member.disk.beforeWrite = undefined
+    if (!member.isUp) await this.boot(name, member.disk.reopened())
+  }
+
+  /** The member comes back with an empty disk. */
+  async loseDisk (name: string): Promise<void> {
+    this.crash(name)
+    await this.boot(name, new MemoryDisk())
+  }
+
+  /** An operator removes a member that has lost its disk and adds it again. */
+  async readmit (name: string): Promise<void> {
+    const address = name
+    await this.leader()?.removeMember(name).catch(() => {})
+    await this.leader()?.addMember(name, address).catch(() => {})
+  }
+
+  async advance (ms: number): Promise<void> {
+    await vi.advanceTimersByTimeAsync(ms)
+  }
+
+  async until (holds: () => boolean, limitMs = 20_000): Promise<boolean> {
+    for (let waited = 0; waited < limitMs; waited += STEP_MS) {
+      if (holds()) return true
+      await this.advance(STEP_MS)
+    }
+    return holds()
+  }
+
+  private async boot (name: string, disk: MemoryDisk): Promise<void> {
+    const machine = new ListMachine()
+    const founders = Object.fromEntries(this.names.map((member) => [member, member]))
+    const node = new QuorumNode({
+      member: name, founders, disk, machine, transport: this.transport(name), logger: silentLogger(), snapshotEvery: 12
+    })
+    const started = node.start()
+    await this.advance(1)
+    await started
+    this.members.set(name, { node, disk, machine, isUp: true })
+  }
+
+  private transport (from: string): QuorumTransport {
+    return {
+      call: async <Kind extends MessageKind>(to: string, message: Message, _expected: Kind, timeoutMs: number) => {
+        return await this.deliver(from, to, structuredClone(message), timeoutMs) as MessageOf<Kind>
+      }
+    }
+  }
+
+  private deliver (from: string, to: string, message: Message, timeoutMs: number): Promise<Message> {
+    return new Promise((resolve, reject) => {
+      setTimeout(() => reject(new Error('timed out')), timeoutMs)
+      this.afterDelay(from, to, () => {
+        const member = this.members.get(to)
+        if (member === undefined || !member.isUp) return
+        member.node.handle(message).then(
+          (reply) => { if (member.isUp) this.afterDelay(to, from, () => resolve(reply)) },
+          (error: Error) => reject(error)
+        )
+      })
+    })
+  }
+
+  /** Messages overtake each other, and are lost where the network is cut. */
+  private afterDelay (from: string, to: string, action: () => void): void {
+    setTimeout(() => {
+      if (!this.cuts.has(`${from}>${to}`)) action()
+    }, 1 + Math.floor(this.random() * MAX_DELAY_MS))
+  }
+}
--- /dev/null
+++ b/routing/dispatcher/test/dispatcher.fuzz.test.ts
@@ -0,0 +1,152 @@
+import { describe, expect, it, vi } from 'vitest'
+import fc from 'fast-check'
+import { FairQueue } from '@gullwall/routing.fair-queue'
+import { ReservationBook } from '@gullwall/routing.reservations'
+import { EndpointSlots } from '@gullwall/sidecar.slots'
+import { World, type WorldClass } from './world.ts'
+
+const RUNS = Number(process.env['FUZZ_RUNS'] ?? 60)
+const SEED = Number(process.env['FUZZ_SEED'] ?? 20261202)
+
+const CLASSES: WorldClass[] = [
+  { name: 'interactive', tier: 0, floor: 0.02 },
+  { name: 'standard', tier: 1, floor: 0.05 },
+  { name: 'batch', tier: 2, floor: 0.1 }
+]
+
+type Step =
+  | { do: 'send', entry: number, class: number, organisation: number, runMs: number, times: number }
+  | { do: 'relink', entry: number, sidecar: number }
+  | { do: 'advance', ms: number }
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      do: fc.constant('send' as const),
+      entry: fc.nat(2),
+      class: fc.nat(2),
+      organisation: fc.nat(3),
+      runMs: fc.constantFrom(10, 80, 400),
+      times: fc.integer({ min: 1, max: 10 })
+    })
+  },
+  { weight: 1, arbitrary: fc.record({ do: fc.constant('relink' as const), entry: fc.nat(2), sidecar: fc.nat(1) }) },
+  { weight: 4, arbitrary: fc.record({ do: fc.constant('advance' as const), ms: fc.constantFrom(1, 10, 100, 700) }) }
+)
+
+/** Enough for the longest sequence on all slots; a request that still waits then is stuck. */
+const SETTLE_MS = 60_000
+const SETTLE_STEP_MS = 500
+const LIMIT = 2
+
+async function runSteps (steps: readonly Step[], seed: number, mutate?: () => void): Promise<string | undefined> {
+  const world: World = new World({ seed, entries: 3, endpoints: 2, limit: LIMIT, maxQueued: 12, classes: CLASSES })
+  try {
+    mutate?.()
+    for (const next of steps) {
+      if (next.do === 'advance') await world.advance(next.ms)
+      else if (next.do === 'relink') world.relink(next.entry, next.sidecar)
+      else for (let time = 0; time < next.times; time++) world.send(next.entry, CLASSES[next.class]?.name ?? '', `o${next.organisation}`, next.runMs)
+    }
+    const findStuck = () => world.fates.find(({ state }) => state === 'waiting' || state === 'running')
+    for (let waited = 0; findStuck() !== undefined && waited < SETTLE_MS; waited += SETTLE_STEP_MS) await world.advance(SETTLE_STEP_MS)
+    const stuck = findStuck()
+    if (stuck !== undefined) world.violations.push(`${stuck.request.class} ${stuck.request.id} is still ${stuck.state}`)
+    await world.advance(SETTLE_STEP_MS)
+    for (const { name, slots } of world.sidecars) {
+      if (slots.spare !== LIMIT) world.violations.push(`${name} has ${slots.spare} free slots of ${LIMIT} with nothing to do`)
+    }
+    return world.violations[0]
+  } finally {
+    world.stop()
+  }
+}
+
+async function fuzz (runs: number, mutate?: () => void): Promise<fc.RunDetails<[Step[], number]>> {
+  const property = fc.asyncProperty(fc.array(step, { minLength: 3, maxLength: 25 }), fc.integer(), async (steps, seed) => {
+    const violation = await runSteps(steps, seed, mutate)
+    if (violation !== undefined) throw new Error(violation)
+  })
+  return await fc.check(property, { numRuns: runs, seed: SEED, endOnFailure: mutate !== undefined })
+}
+
+describe('decisions of entries and sidecars together', () => {
+  it('keep tiers, limits and every request, under random work and lost links', async () => {
+    console.log(`seed ${SEED}, ${RUNS} sequences`)
+    const details = await fuzz(RUNS)
+    expect(details.failed, `${String(details.errorInstance)}\n${fc.defaultReportMessage(details) ?? ''}`).toBe(false)
+  }, 3_600_000)
+
+  it('serve every class at its floor while higher tiers never stop', async () => {
+    const world = new World({ seed: 5, entries: 2, endpoints: 1, limit: 2, maxQueued: 500, classes: CLASSES })
+    try {
+      for (let index = 0; index < 60; index++) world.send(index, 'batch', 'o1', 20)
+      for (let tick = 0; tick < 400; tick++) {
+        world.send(tick, 'interactive', 'o2', 20)
+        await world.advance(10)
+      }
+      const grants = world.started.length
+      const batch = world.started.filter((fate) => fate.request.class === 'batch').length
+      expect(batch / grants).toBeGreaterThanOrEqual(0.09)
+      expect(world.violations).toEqual([])
+    } finally {
+      world.stop()
+    }
+  })
+
+  it('serve a higher tier at one entry before a lower one that waited longer at another', async () => {
+    const withoutFloor = CLASSES.map((known) => ({ ...known, floor: 0 }))
+    const world = new World({ seed: 6, entries: 3, endpoints: 1, limit: 1, maxQueued: 500, classes: withoutFloor })
+    try {
+      world.send(0, 'interactive', 'o1', 300)
+      await world.advance(20)
+      for (let index = 0; index < 5; index++) world.send(1, 'batch', 'o2', 50)
+      await world.advance(100)
+      for (let index = 0; index < 3; index++) world.send(2, 'interactive', 'o3', 50)
+      await world.advance(5000)
+      expect(world.started.slice(1, 4).map((fate) => fate.request.class)).toEqual(['interactive', 'interactive', 'interactive'])
+    } finally {
+      world.stop()
+    }
+  })
+})
+
+/** A private member, for a mutation to replace. */
+type Open = Record<string, (...args: never[]) => unknown>
+
+const MUTATIONS: Record<string, () => void> = {
+  'the highest tier is shed first': () => {
+    const original = FairQueue.prototype.samples
+    vi.spyOn(FairQueue.prototype, 'victim').mockImplementation(function (this: FairQueue<never>) {
+      return original.call(this).sort((left: { tier: number }, right: { tier: number }) => left.tier - right.tier)[0] as never
+    })
+  },
+  'a slot that is offered may be taken by anybody': () => {
+    vi.spyOn(EndpointSlots.prototype as unknown as Open, 'mayGoAhead').mockImplementation(function (this: EndpointSlots) {
+      return this.inFlight < LIMIT
+    })
+  },
+  'slots are not counted': () => {
+    vi.spyOn(EndpointSlots.prototype, 'spare', 'get').mockReturnValue(1)
+  },
+  'any stream is preempted': () => {
+    vi.spyOn(EndpointSlots.prototype as unknown as Open, 'victimBelow').mockImplementation(function (this: EndpointSlots) {
+      return [...(this as unknown as { running: Map<string, unknown> }).running.values()][0]
+    })
+  },
+  'a lost offer is never void': () => {
+    vi.spyOn(EndpointSlots.prototype, 'pass').mockImplementation(() => {})
+  },
+  'the floor is forgotten and only the highest tier is offered': () => {
+    vi.spyOn(ReservationBook.prototype, 'pick').mockImplementation(() => undefined)
+  }
+}
+
+describe('the oracle of the decisions', () => {
+  for (const [name, mutate] of Object.entries(MUTATIONS)) {
+    it(`catches that ${name}`, async () => {
+      expect((await fuzz(300, mutate)).failed).toBe(true)
+    }, 120_000)
+  }
+})
