fix(dispatcher): the estimate of a wait failed after a pause

Cause: the window kept its buckets in an array with holes; the first request after two idle seconds threw, and its caller got a bare 500 from koa.

--- a/entry/program/src/caller-server.ts
+++ b/entry/program/src/caller-server.ts
@@ -24,6 +24,7 @@
   constructor (private readonly services: EntryServices, options: CallerServerOptions) {
     const { settings, store, metrics, control, dispatcher, decisions, startId, sidecars } = services
     this.http = new HttpServer(createApi({
+      logger: services.logger,
       records: store.records,
       limits: this.limits,
       metrics,
--- a/entry/server/src/api.ts
+++ b/entry/server/src/api.ts
@@ -1,8 +1,9 @@
 /** The routes that callers use: chat completions, the list of models, and plain services. */
-import { type Context } from 'koa'
+import { type Context, type Next } from 'koa'
 import { Either, Left, Right } from 'purify-ts'
 import { type IdSequence } from '@gullwall/core.ids'
-import { messageOf } from '@gullwall/core.error'
+import { errorRecord, messageOf } from '@gullwall/core.error'
+import { type Logger } from '@gullwall/core.logger'
 import { type RecordMap } from '@gullwall/config.records'
 import { type ControlClient } from '@gullwall/control.client'
 import { endToEndHeaders } from '@gullwall/endpoint.http'
@@ -17,6 +18,7 @@
 import { type EntryMetrics } from './metrics.ts'
 
 export interface ApiOptions {
+  logger: Logger
   records: RecordMap
   limits: OrganisationLimits
   metrics: EntryMetrics
@@ -44,6 +46,7 @@
   router.all('/services/:service{/*path}', (context) => api.service(context, String(context.params['service'])))
   const app = new Koa()
   app.silent = true
+  app.use(async (context, next) => await api.guard(context, next))
   app.use(async (context, next) => {
     await next()
     if (context.status === 404 && context.respond !== false && context.body === undefined) {
@@ -67,6 +70,18 @@
 class Api {
   constructor (private readonly options: ApiOptions) {}
 
+  /** A failure of the entry itself is logged, and told to the caller as one that may have run. */
+  async guard (context: Context, next: Next): Promise<void> {
+    try {
+      await next()
+    } catch (error) {
+      this.options.logger.error({ channel: 'process', event: 'failed', why: `${context.method} ${context.path}`, error: errorRecord(error) })
+      if (context.res.headersSent) context.res.destroy()
+      else this.refuse(context, { status: 500, code: 'internal_error', message: messageOf(error), ran: 'unknown', step: 'entry' })
+      context.respond = !context.res.destroyed
+    }
+  }
+
   async chat (context: Context): Promise<void> {
     const caller = this.accept(context, true)
     const body = await this.body(context, caller)
--- a/routing/dispatcher/src/wait-estimate.ts
+++ b/routing/dispatcher/src/wait-estimate.ts
@@ -12,7 +12,7 @@
 
 /** Counts by tier over a sliding window. */
 class RateWindow {
-  private readonly buckets: Map<Tier, number>[] = []
+  private readonly buckets = new Map<number, Map<Tier, number>>()
   private current = 0
 
   add (tier: Tier, now: number): void {
@@ -23,7 +23,7 @@
   sum (now: number, wanted: (tier: Tier) => boolean): number {
     this.bucketAt(now)
     let total = 0
-    for (const bucket of this.buckets) {
+    for (const bucket of this.buckets.values()) {
       for (const [tier, amount] of bucket) {
         if (wanted(tier)) total += amount
       }
@@ -31,12 +31,21 @@
     return total
   }
 
+  /** Gives the bucket of a time, and drops those that have left the window. */
   private bucketAt (now: number): Map<Tier, number> {
     const number = Math.floor(now / BUCKET_MS)
-    if (number - this.current >= BUCKETS) this.buckets.length = 0
-    else for (let stale = this.current + 1; stale <= number; stale++) this.buckets[stale % BUCKETS] = new Map()
-    this.current = number
-    return (this.buckets[number % BUCKETS] ??= new Map())
+    if (number !== this.current) {
+      this.current = number
+      for (const kept of this.buckets.keys()) {
+        if (number - kept >= BUCKETS) this.buckets.delete(kept)
+      }
+    }
+    let bucket = this.buckets.get(number)
+    if (bucket === undefined) {
+      bucket = new Map()
+      this.buckets.set(number, bucket)
+    }
+    return bucket
   }
 }
 
