--- a/sidecar/slots/src/index.ts
+++ b/sidecar/slots/src/index.ts
@@ -51,6 +51,11 @@
 
 /** An offer that is neither taken nor passed on within this time is void, in ms. */
 const OFFER_LIFETIME_MS = 300
+/** Few enough that an engine which turns slow shows it within a second. */
+const GAP_SAMPLES = 24
+const GAP_CHECK_EVERY = 8
+/** A median that has moved by this factor is reported at once. */
+const GAP_MOVED_FACTOR = 1.5
 
 export class EndpointSlots {
   readonly limit: AdaptiveLimit
@@ -59,8 +64,10 @@
   private readonly running = new Map<string, RunningAttempt>()
   private readonly offers = new Map<string, OpenOffer>()
   private readonly held: HeldSlot[] = []
-  private readonly gaps = new SampleWindow()
+  private readonly gaps = new SampleWindow(GAP_SAMPLES)
   private readonly firstTokens = new SampleWindow()
+  private gapsSinceCheck = 0
+  private reportedGapMs = 0
 
   constructor (private readonly options: EndpointSlotsOptions) {
     this.limit = new AdaptiveLimit({ start: options.startLimit, max: options.maxLimit })
@@ -128,12 +135,24 @@
 
   noteGap (gapMs: number, targetMs: number): void {
     this.gaps.add(gapMs)
+    this.reportMovedGap()
     if (this.limit.addGap(gapMs, targetMs)) {
       this.offerFree()
       this.options.onChange()
     }
   }
 
+  private reportMovedGap (): void {
+    this.gapsSinceCheck += 1
+    if (this.gapsSinceCheck < GAP_CHECK_EVERY) return
+    this.gapsSinceCheck = 0
+    const median = this.gaps.quantile(0.5)
+    const isSame = median < this.reportedGapMs * GAP_MOVED_FACTOR && median * GAP_MOVED_FACTOR > this.reportedGapMs
+    if (isSame) return
+    this.reportedGapMs = median
+    this.options.onChange()
+  }
+
   noteFailure (): void {
     this.failuresInRow += 1
     this.options.onChange()
