feat(routing): streams leave a sick endpoint, slow probes do not bring it back

Cause: streams on an endpoint found slow stayed there to their end, an endpoint was readmitted after two slow probes, and the in-flight limit hovered at the target itself, so many requests had just over 5 late gaps in 100. Change: streams that can be resumed go on elsewhere when their endpoint is put aside; a probe must show the endpoint as fast as its peers; the limit falls from 0.85 of the target and rises below 0.72 (was 1.0 and 0.85).

--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -9,6 +9,7 @@
 import { QuorumNode } from '@gullwall/control.quorum'
 import { FolderDisk, type Disk } from '@gullwall/control.storage'
 import { createAdminServer, type HttpServer } from '@gullwall/transport.http-server'
+import { linkMetrics } from '@gullwall/transport.link'
 import { ControlServer } from './control-server.ts'
 import { MemberTable } from './member-table.ts'
 import { ControlPeers } from './peers.ts'
@@ -78,8 +79,10 @@
 
   async start (): Promise<void> {
     const { settings, quorum, store, members } = this.services
+    const registry = createRegistry({ process: true })
+    linkMetrics(registry)
     this.http = createAdminServer({
-      registry: createRegistry({ process: true }),
+      registry,
       notReady: () => quorum.leaderName === undefined ? 'no leader is known' : undefined,
       pages: {
         '/status': () => ({ role: 'control', box: settings.box, revision: store.revision, quorum: quorum.status(), boxes: members.all().length })
--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -30,6 +30,8 @@
   head: AttemptHead
   call: AttemptCall
   caller: CallerResponse
+  /** Aborts when the stream is to go on elsewhere, since its endpoint is sick. */
+  move: AbortSignal
   timing: AnswerTiming
   /** Asks the sidecar whether the attempt has started, and forbids it if not. */
   revoke: () => Promise<Ran>
@@ -43,7 +45,7 @@
 const ATTEMPT_PREFIX = '/attempt'
 
 export async function runAttempt (options: AttemptOptions): Promise<AttemptOutcome> {
-  const { pool, head, call, caller } = options
+  const { pool, head, call, caller, move } = options
   const relay = new AnswerRelay(options)
   const request = {
     method: call.method as UndiciDispatcher.HttpMethod,
@@ -52,9 +54,10 @@
     body: call.body
   }
   try {
-    await exchange(pool, request, relay, caller.gone.signal)
+    await exchange(pool, request, relay, AbortSignal.any([caller.gone.signal, move]))
   } catch (error) {
     if (caller.isGone) return { kind: 'cancelled' }
+    if (move.aborted) return { kind: 'broken', ran: 'partly', reason: 'moved', why: 'its endpoint was put aside' }
     return relay.hasHead ? { kind: 'broken', ran: 'partly', reason: 'lost', why: messageOf(error) } : await whatBecameOf(options, error)
   }
   return relay.outcome()
--- a/entry/answers/src/request-run.ts
+++ b/entry/answers/src/request-run.ts
@@ -96,7 +96,11 @@
     const resumes = this.answerSoFar()
     this.logGrant(grant, attemptId, resumes)
     if (resumes?.finished === true) return this.finishWhole(grant)
+    const move = new AbortController()
+    const onEjected = () => move.abort()
+    if (this.isMovable) services.dispatcher.ejections.once(grant.endpoint, onEjected)
     const outcome = await runAttempt({
+      move: move.signal,
       pool: services.poolOf(grant.sidecar.address),
       head: this.head(grant, attemptId),
       call: this.call(resumes),
@@ -106,6 +110,7 @@
       revoke: () => services.revoke(grant, attemptId),
       keep: (events) => this.keep(events)
     })
+    services.dispatcher.ejections.off(grant.endpoint, onEjected)
     services.dispatcher.finished(grant, outcome.kind === 'whole' || outcome.kind === 'cancelled')
     request.late = 'serve'
     return this.settle(outcome, grant, attemptId)
@@ -151,6 +156,8 @@
     if (outcome.reason === 'preempted') {
       this.preemptions += 1
       this.attempts -= 1
+    } else if (outcome.reason === 'moved') {
+      request.avoid.add(grant.endpoint)
     } else {
       request.avoid.add(grant.endpoint)
       if (outcome.reason === 'stalled') services.dispatcher.health.noteStall(grant.endpoint)
@@ -242,13 +249,18 @@
       class: request.class,
       tier: request.tier,
       repeatable: request.repeatable,
-      preemptible: request.repeatable && request.resumable && this.keepsAll && this.preemptions < MAX_PREEMPTIONS,
+      preemptible: this.isMovable && this.preemptions < MAX_PREEMPTIONS,
       stream: request.stream,
       firstTokenMs: request.firstTokenMs,
       betweenTokensMs: request.betweenTokensMs
     }
   }
 
+  /** Whether the stream can be broken off and go on elsewhere without a loss. */
+  private get isMovable (): boolean {
+    return this.request.repeatable && this.request.resumable && this.keepsAll
+  }
+
   private logWait (): void {
     const ahead = this.services.dispatcher.waitingBehind(this.request)
     if (ahead !== undefined) this.log('wait', `no slot is free; ${ahead} ahead`)
--- a/entry/program/src/admin.ts
+++ b/entry/program/src/admin.ts
@@ -1,5 +1,6 @@
 /** The entry's admin page: metrics, readiness, status and explanations. */
 import { createAdminServer, type HttpServer } from '@gullwall/transport.http-server'
+import { linkMetrics } from '@gullwall/transport.link'
 import { type EntryServices } from './index.ts'
 
 export class EntryAdmin {
@@ -10,6 +11,7 @@
 
   async start (): Promise<void> {
     const { registry, settings, decisions } = this.services
+    linkMetrics(registry)
     this.server = createAdminServer({
       registry,
       notReady: () => this.notReady(),
--- a/routing/dispatcher/src/dispatcher.ts
+++ b/routing/dispatcher/src/dispatcher.ts
@@ -3,6 +3,7 @@
  * slot is known to be free and nobody of its tier or higher waits for it; else
  * it waits until a sidecar offers a slot. It is bound only then.
  */
+import { EventEmitter } from 'node:events'
 import { Either, Left, Right } from 'purify-ts'
 import { type Logger } from '@gullwall/core.logger'
 import { type EndpointDescription, type EndpointLoad } from '@gullwall/core.types'
@@ -46,6 +47,8 @@
 export class Dispatcher {
   readonly directory: EndpointDirectory
   readonly health = new HealthMonitor()
+  /** Emits the name of an endpoint that is put aside, so that its streams go on elsewhere. */
+  readonly ejections = new EventEmitter().setMaxListeners(0)
   private readonly queue = new FairQueue<RoutedRequest>()
   private readonly waiters = new Map<string, Waiter>()
   private readonly demand: DemandSender
@@ -337,6 +340,7 @@
     for (const { endpoint, state, why } of changes) {
       const event = state === 'healthy' ? 'readmitted' : state
       this.options.logger.info({ channel: 'endpoint', endpoint, event, why })
+      if (state === 'ejected') this.ejections.emit(endpoint)
     }
     if (changes.length > 0) this.demand.schedule()
   }
--- a/routing/health/src/index.ts
+++ b/routing/health/src/index.ts
@@ -42,6 +42,8 @@
 const FIRST_EJECTION_MS = 2000
 const MAX_EJECTION_MS = 30_000
 const PROBE_SUCCESSES = 2
+/** Time for a probe to show how fast the endpoint is by now, in ms. */
+const MIN_PROBE_MS = 1500
 
 export class HealthMonitor {
   private readonly entries = new Map<string, Entry>()
@@ -87,8 +89,8 @@
   private evaluateOne (sample: EndpointSample, peers: readonly EndpointSample[], medians: Medians, now: number): HealthChange | undefined {
     const entry = this.entryOf(sample.name)
     if (entry.state === 'ejected') return this.probeWhenDue(sample.name, entry, now)
-    if (entry.state === 'probing') return this.readmitWhenProved(sample.name, entry)
     const why = sicknessOf(sample, entry, medians, peers.length)
+    if (entry.state === 'probing') return this.endProbe(sample.name, entry, why, now)
     if (why === undefined || !this.mayEject(peers)) return undefined
     eject(entry, now)
     return { endpoint: sample.name, state: 'ejected', why }
@@ -101,7 +103,13 @@
     return { endpoint, state: 'probing', why: `put aside ${entry.ejections} times` }
   }
 
-  private readmitWhenProved (endpoint: string, entry: Entry): HealthChange | undefined {
+  /** An endpoint whose probes end well but slowly is as sick as before. */
+  private endProbe (endpoint: string, entry: Entry, sickness: string | undefined, now: number): HealthChange | undefined {
+    if (now < entry.until + MIN_PROBE_MS) return undefined
+    if (sickness !== undefined) {
+      eject(entry, now)
+      return { endpoint, state: 'ejected', why: sickness }
+    }
     if (entry.probeSuccesses < PROBE_SUCCESSES) return undefined
     entry.state = 'healthy'
     entry.stalls = 0
--- a/routing/health/test/health.test.ts
+++ b/routing/health/test/health.test.ts
@@ -15,7 +15,17 @@
     expect(health.evaluate(seen, 2500)).toMatchObject([{ endpoint: slow, state: 'probing' }])
     health.noteSuccess(slow)
     health.noteSuccess(slow)
-    expect(health.evaluate(samples([50, 55, 60, 58]), 2600)).toMatchObject([{ endpoint: slow, state: 'healthy' }])
+    expect(health.evaluate(samples([50, 55, 60, 58]), 3600)).toMatchObject([{ endpoint: slow, state: 'healthy' }])
+  })
+
+  it('keeps one aside whose probes end well but slowly', () => {
+    const health = new HealthMonitor()
+    const slow = 'parts/east/3'
+    health.evaluate(samples([50, 55, 60, 300]), 0)
+    health.evaluate(samples([50, 55, 60, 300]), 2500)
+    health.noteSuccess(slow)
+    health.noteSuccess(slow)
+    expect(health.evaluate(samples([50, 55, 60, 300]), 3600)).toMatchObject([{ endpoint: slow, state: 'ejected' }])
   })
 
   it('puts it aside for longer each time', () => {
--- a/routing/limits/src/adaptive-limit.ts
+++ b/routing/limits/src/adaptive-limit.ts
@@ -14,8 +14,10 @@
 
 const DEFAULT_SAMPLES_PER_STEP = 40
 const DECREASE_FACTOR = 0.9
-/** Between this share of the target and the target the limit stays as it is. */
-const HEADROOM = 0.85
+/** Above this share of the target the limit falls; a request must keep it in 95 of its own 100 gaps, not on average. */
+const CEILING = 0.85
+/** Below this share it may rise. */
+const HEADROOM = 0.72
 /** The quantile held against the target: targets are for 95 in 100 tokens. */
 const TARGET_QUANTILE = 0.95
 
@@ -56,7 +58,7 @@
   private step (): boolean {
     const before = this.limit
     const load = this.gaps.quantile(TARGET_QUANTILE)
-    if (load > 1) this.value = Math.max(1, this.value * DECREASE_FACTOR)
+    if (load > CEILING) this.value = Math.max(1, this.value * DECREASE_FACTOR)
     else if (load < HEADROOM && this.wasFull) this.value = Math.min(this.options.max, this.value + 1)
     this.sinceStep = 0
     this.wasFull = false
--- a/sidecar/program/src/index.ts
+++ b/sidecar/program/src/index.ts
@@ -9,6 +9,7 @@
 import { AttemptRegistry } from '@gullwall/sidecar.attempts'
 import { ReservationBook } from '@gullwall/routing.reservations'
 import { createAdminServer, type HttpServer } from '@gullwall/transport.http-server'
+import { linkMetrics } from '@gullwall/transport.link'
 import { type Member } from '@gullwall/transport.messages'
 import { createServedEndpoints, ReportPoller, type EndpointTable } from './endpoints.ts'
 import { EntryLinks } from './entry-links.ts'
@@ -99,6 +100,7 @@
   async start (): Promise<void> {
     const { settings, endpoints, entryLinks, store, attempts } = this.services
     const registry = createRegistry({ process: true })
+    linkMetrics(registry)
     sidecarMetrics(registry, endpoints, entryLinks)
     this.server = createAdminServer({
       registry,
--- a/transport/link/src/link.ts
+++ b/transport/link/src/link.ts
@@ -49,6 +49,9 @@
   timer: NodeJS.Timeout
 }
 
+/** Bytes and messages of all links of this process since its start. */
+export const linkTotals = { bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0 }
+
 const packr = new Packr({ useRecords: false })
 
 export class Link {
@@ -58,8 +61,6 @@
   roundTripMs = 0
   /** Messages of kinds that this version does not know. */
   unknownMessages = 0
-  bytesSent = 0
-  bytesReceived = 0
   private state: 'hello' | 'proof' | 'open' | 'closed' = 'hello'
   private readonly mine: LinkIdentity
   private readonly timing: LinkTiming
@@ -126,7 +127,8 @@
 
   private receive (data: Buffer): void {
     this.heardAt = performance.now()
-    this.bytesReceived += data.length
+    linkTotals.bytesReceived += data.length
+    linkTotals.messagesReceived += 1
     let value: unknown
     try {
       value = packr.unpack(data)
@@ -227,7 +229,8 @@
       return
     }
     const data = packr.pack(value)
-    this.bytesSent += data.length
+    linkTotals.bytesSent += data.length
+    linkTotals.messagesSent += 1
     this.socket.send(data)
   }
 
