perf(control): followers put a change in force when it commits, not a heartbeat later

Cause: followers learned a commit from the next heartbeat, 100 ms later, and each change was pushed to every link on its own.

--- a/config/spread/src/spreader.ts
+++ b/config/spread/src/spreader.ts
@@ -21,13 +21,16 @@
 export interface SpreaderOptions {
   /** Whether revisions are taken from peers; control takes them from its log only. */
   takes: boolean
+  /** When to push: by default once for all revisions that come in force together. */
+  schedule?: (push: () => void) => void
 }
 
 export class Spreader {
   private readonly links = new Map<Link, LinkState>()
+  private isScheduled = false
 
   constructor (private readonly store: RevisionStore, private readonly options: SpreaderOptions) {
-    store.onChange(() => this.pushAll())
+    store.onChange(() => this.schedulePush())
   }
 
   opened (link: Link): void {
@@ -66,6 +69,16 @@
     }
   }
 
+  private schedulePush (): void {
+    if (this.isScheduled) return
+    this.isScheduled = true
+    const schedule = this.options.schedule ?? setImmediate
+    schedule(() => {
+      this.isScheduled = false
+      this.pushAll()
+    })
+  }
+
   private pushAll (): void {
     for (const [link, state] of this.links) {
       // Saying the own revision first spares the peer from sending it back.
--- a/config/spread/test/spread.fuzz.test.ts
+++ b/config/spread/test/spread.fuzz.test.ts
@@ -20,7 +20,7 @@
     for (let index = 0; index < PROCESSES; index++) {
       const store = new RevisionStore({ logger: silentLogger() })
       this.stores.push(store)
-      this.spreaders.push(new Spreader(store, { takes: index > 0 }))
+      this.spreaders.push(new Spreader(store, { takes: index > 0, schedule: (push) => push() }))
       this.seen.push(0)
       store.onChange(() => this.noteRevision(index))
     }
--- a/control/quorum/src/leader.ts
+++ b/control/quorum/src/leader.ts
@@ -164,6 +164,8 @@
       const holders = this.countVoters((peer) => peer.matchIndex >= index, this.log.syncedIndex >= index)
       if (holders < majority(membership)) continue
       this.node.commitTo(index)
+      // Followers put it in force now, not with the next heartbeat.
+      this.wakeAll()
       this.leaveIfRemoved()
       return
     }
