perf(links): report load when it tells something, not every second

Cause: an idle link of a sidecar with 4 endpoints cost 647 bytes/s, so the 11 KB/s that a node may spend on control were gone at 17 links. Change: heartbeats each second; load reports only on news (no slot or some slots, a quarter of the limit, the limit, failures, the median gap by 1.4).

--- a/bench/experiment/src/experiment.ts
+++ b/bench/experiment/src/experiment.ts
@@ -1,4 +1,5 @@
 /** Runs one experiment on separate processes. */
+import { figures } from '@gullwall/bench.capacity'
 import { createReport, runLoad, type LoadClass, type LoadReport, type Scenario } from '@gullwall/bench.load'
 import { ProcessDeployment } from '@gullwall/bench.processes'
 import { sampleDeployment, sampleKeys, sampleModel, type SampleKeys } from '@gullwall/bench.samples'
@@ -7,6 +8,8 @@
 
 export interface ExperimentResult extends Experiment {
   report: LoadReport
+  /** Bytes a second on the links of one entry, both ways, while the load ran. */
+  linkBytesPerSecond: number
 }
 
 /** The stand-in engines of all experiments. */
@@ -45,9 +48,13 @@
     const engines = boxes.flatMap((box) => box.engines.map((engine) => engine.name))
     const scenario = createScenario(experiment, deployment, keys, engines.length)
     const faults = scheduleFaults(experiment, deployment, engines)
+    const admin = deployment.entries[0]?.admin ?? ''
+    const before = { at: performance.now(), ...await figures(admin) }
     const outcomes = await runLoad(scenario)
+    const linkBytes = (await figures(admin)).bytes - before.bytes
+    const linkBytesPerSecond = linkBytes / (performance.now() - before.at) * MS_PER_SECOND
     faults.forEach(clearTimeout)
-    return { ...experiment, report: createReport(outcomes, await deployment.runs(), experiment.seconds) }
+    return { ...experiment, linkBytesPerSecond, report: createReport(outcomes, await deployment.runs(), experiment.seconds) }
   } finally {
     await deployment.stop()
   }
--- a/sidecar/program/src/entry-links.ts
+++ b/sidecar/program/src/entry-links.ts
@@ -1,5 +1,5 @@
 /** The links of entries to this sidecar, and the HTTP server on which their attempts arrive. */
-import { type EndpointDescription } from '@gullwall/core.types'
+import { type EndpointDescription, type EndpointLoad } from '@gullwall/core.types'
 import { ATTEMPT_PREFIX, AttemptRunner } from '@gullwall/sidecar.attempts'
 import { HttpServer, Koa } from '@gullwall/transport.http-server'
 import { LinkAcceptor, type Link } from '@gullwall/transport.link'
@@ -8,7 +8,10 @@
 
 /** The least time between two load reports to an entry, in ms. */
 const REPORT_MS = 50
-const SLOW_REPORT_MS = 1000
+const SPARE_TOLERANCE = 0.25
+const GAP_MOVED_FACTOR = 1.4
+/** How often everything is reported whether it has changed or not, in ms. */
+const SLOW_REPORT_MS = 10_000
 
 export class EntryLinks {
   isLeaving = false
@@ -18,6 +21,7 @@
   /** Open links by the start id of the entry's process. */
   private readonly byEntry = new Map<string, Link>()
   private readonly changed = new Set<string>()
+  private readonly reported = new Map<string, EndpointLoad>()
   private reportTimer: NodeJS.Timeout | undefined
   private slowTimer: NodeJS.Timeout | undefined
 
@@ -76,7 +80,7 @@
     this.changed.add(endpoint)
     this.reportTimer ??= setTimeout(() => {
       this.reportTimer = undefined
-      this.report([...this.changed])
+      this.reportChanged()
     }, REPORT_MS)
   }
 
@@ -140,15 +144,34 @@
   }
 
   private reportAll (): void {
-    this.report([...this.services.endpoints.keys()])
+    this.send(this.loadsOf(this.services.endpoints.keys()))
   }
 
-  private report (names: string[]): void {
+  private reportChanged (): void {
+    const loads = this.loadsOf(this.changed)
     this.changed.clear()
-    const endpoints = names.flatMap((name) => {
-      const served = this.services.endpoints.get(name)
-      return served === undefined ? [] : [served.slots.load()]
-    })
+    this.send(loads.filter((load) => isNews(load, this.reported.get(load.name))))
+  }
+
+  private loadsOf (names: Iterable<string>): EndpointLoad[] {
+    return [...names].flatMap((name) => this.services.endpoints.get(name)?.slots.load() ?? [])
+  }
+
+  private send (endpoints: EndpointLoad[]): void {
+    if (endpoints.length === 0) return
+    for (const load of endpoints) this.reported.set(load.name, load)
     for (const link of this.byEntry.values()) link.send({ kind: 'load', endpoints })
   }
 }
+
+/** Whether a load tells an entry something that its decisions turn on. Free slots are counted roughly: a sidecar may still say no. */
+function isNews (load: EndpointLoad, before: EndpointLoad | undefined): boolean {
+  if (before === undefined) return true
+  const isSame = load.limit === before.limit && load.failuresInRow === before.failuresInRow && load.preemptableTier === before.preemptableTier
+  if (!isSame || (load.spare === 0) !== (before.spare === 0)) return true
+  return Math.abs(load.spare - before.spare) > load.limit * SPARE_TOLERANCE || hasMoved(load.tokenGapMs, before.tokenGapMs)
+}
+
+function hasMoved (now: number, before: number): boolean {
+  return now > before * GAP_MOVED_FACTOR || before > now * GAP_MOVED_FACTOR
+}
--- a/transport/link/src/link.ts
+++ b/transport/link/src/link.ts
@@ -28,7 +28,7 @@
   handshakeMs: number
 }
 
-export const DEFAULT_TIMING: LinkTiming = { heartbeatMs: 500, silenceMs: 2000, handshakeMs: 3000 }
+export const DEFAULT_TIMING: LinkTiming = { heartbeatMs: 1000, silenceMs: 3000, handshakeMs: 3000 }
 
 /** Above so many unsent bytes a link is closed: the peer no longer reads. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024
