--- a/routing/dispatcher/src/demand-sender.ts
+++ b/routing/dispatcher/src/demand-sender.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps the reservations at the sidecars in step with the queue. A summary is
- * sent when waiting work appears or vanishes, or its amount has moved by a
- * quarter: messages do not grow with the request rate.
+ * sent when waiting work appears or vanishes, or its amount has about doubled
+ * or halved: messages do not grow with the request rate.
  */
 import { type GroupSummary } from '@gullwall/routing.fair-queue'
 import { type DemandRow } from '@gullwall/transport.messages'
@@ -13,8 +13,9 @@
 }
 
 /** The least time between two summaries to the sidecars, in ms. */
-const MIN_INTERVAL_MS = 5
-const COUNT_TOLERANCE = 0.25
+const MIN_INTERVAL_MS = 15
+/** An amount is sent again when it has about doubled or halved: a slot more or less is offered with the next change. */
+const COUNT_FACTOR = 2
 
 export class DemandSender {
   /** What each sidecar believes, by group. */
@@ -22,7 +23,12 @@
   private timer: NodeJS.Timeout | undefined
   private lastFlush = -Infinity
 
-  constructor (private readonly demands: () => GroupDemand[], private readonly ports: () => SidecarPort[]) {}
+  constructor (
+    private readonly demands: () => GroupDemand[],
+    private readonly ports: () => SidecarPort[],
+    /** How many endpoints a sidecar has. */
+    private readonly endpointCount: (port: SidecarPort) => number
+  ) {}
 
   /** Sends soon; calls in the meantime are joined. */
   schedule (): void {
@@ -55,7 +61,7 @@
     this.lastFlush = performance.now()
     const demands = this.demands()
     for (const port of this.ports()) {
-      const rows = rowsFor(port, demands)
+      const rows = rowsFor(port, demands, this.endpointCount(port))
       if (!differs(rows, this.believed.get(port))) continue
       this.believed.set(port, new Map(rows.map((row, index) => [`${index}`, { ...row }])))
       port.sendDemand(rows)
@@ -63,13 +69,14 @@
   }
 }
 
-function rowsFor (port: SidecarPort, demands: readonly GroupDemand[]): DemandRow[] {
+function rowsFor (port: SidecarPort, demands: readonly GroupDemand[], endpointCount: number): DemandRow[] {
   const rows: DemandRow[] = []
   for (const demand of demands) {
     const endpoints = demand.endpoints.filter((view) => view.sidecar === port).map((view) => view.description.name)
     if (endpoints.length === 0) continue
     const { class: className, tier, sample, count, organisations } = demand
-    rows.push({ class: className, tier, floor: sample.floor, count, organisations, endpoints })
+    const named = endpoints.length === endpointCount ? [] : endpoints
+    rows.push({ class: className, tier, floor: sample.floor, count, organisations, endpoints: named })
   }
   return rows
 }
@@ -86,5 +93,5 @@
 
 function countDiffers (now: number, before: number): boolean {
   if ((now === 0) !== (before === 0)) return true
-  return Math.abs(now - before) > COUNT_TOLERANCE * before
+  return now > before * COUNT_FACTOR + 1 || before > now * COUNT_FACTOR + 1
 }
--- a/routing/dispatcher/src/dispatcher.ts
+++ b/routing/dispatcher/src/dispatcher.ts
@@ -61,7 +61,9 @@
 
   constructor (private readonly options: DispatcherOptions) {
     this.directory = new EndpointDirectory(options.records)
-    this.demand = new DemandSender(() => this.demands(), () => this.directory.ports())
+    this.demand = new DemandSender(
+      () => this.demands(), () => this.directory.ports(), (port) => this.directory.endpointCount(port)
+    )
     this.preemption = new PreemptionPlanner(options.dataCentre)
   }
 
--- a/routing/dispatcher/src/endpoint-directory.ts
+++ b/routing/dispatcher/src/endpoint-directory.ts
@@ -74,6 +74,10 @@
     return [...this.sidecars.values()].map((sidecar) => sidecar.port)
   }
 
+  endpointCount (port: SidecarPort): number {
+    return this.sidecars.get(port.name)?.endpoints.length ?? 0
+  }
+
   /** Gives the endpoints that a request may use, whatever their load or health. */
   reachOf (query: ReachQuery): readonly EndpointView[] {
     const cached = this.reach.get(query.group)
--- a/routing/reservations/src/index.ts
+++ b/routing/reservations/src/index.ts
@@ -63,7 +63,8 @@
   private * waitingFor (endpoint: string): Generator<Waiting> {
     for (const [entry, rows] of this.demands) {
       for (const row of rows) {
-        if (row.count > 0 && row.endpoints.includes(endpoint)) yield { entry, row }
+        const mayServe = row.endpoints.length === 0 || row.endpoints.includes(endpoint)
+        if (row.count > 0 && mayServe) yield { entry, row }
       }
     }
   }
--- a/sidecar/program/src/entry-links.ts
+++ b/sidecar/program/src/entry-links.ts
@@ -164,11 +164,11 @@
   }
 }
 
-/** Whether a load tells an entry something that its decisions turn on. Free slots are counted roughly: a sidecar may still say no. */
+/** Whether a load tells an entry something new. Free slots are counted roughly: a sidecar may still say no. */
 function isNews (load: EndpointLoad, before: EndpointLoad | undefined): boolean {
   if (before === undefined) return true
-  const isSame = load.limit === before.limit && load.failuresInRow === before.failuresInRow && load.preemptableTier === before.preemptableTier
-  if (!isSame || (load.spare === 0) !== (before.spare === 0)) return true
+  const isSameLimit = load.limit === before.limit && load.preemptableTier === before.preemptableTier
+  if (!isSameLimit || load.failuresInRow !== before.failuresInRow || (load.spare === 0) !== (before.spare === 0)) return true
   return Math.abs(load.spare - before.spare) > load.limit * SPARE_TOLERANCE || hasMoved(load.tokenGapMs, before.tokenGapMs)
 }
 
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -42,7 +42,7 @@
   count,
   /** Organisations among them, which weighs one entry against another. */
   organisations: count,
-  /** Endpoints of this sidecar that the rows may use. */
+  /** Endpoints of this sidecar that may serve it; none named means all of them. */
   endpoints: z.array(z.string())
 })
 
