fix(dispatcher): demand summaries follow the queue closely again

Cause: to save bytes, summaries had been sent only when the amount had doubled or halved, and at most each 15 ms. Slots stood idle for a round trip and were then filled in bursts, whose prefill disturbs the streams that run. Ruled out: the short form that names no endpoints where all of a sidecar's may serve, which is kept.

--- a/routing/dispatcher/src/demand-sender.ts
+++ b/routing/dispatcher/src/demand-sender.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps the reservations at the sidecars in step with the queue. A summary is
- * sent when waiting work appears or vanishes, or its amount has about doubled
- * or halved: messages do not grow with the request rate.
+ * sent when waiting work appears or vanishes, or its amount has moved by a
+ * quarter: messages do not grow with the request rate.
  */
 import { type GroupSummary } from '@gullwall/routing.fair-queue'
 import { type DemandRow } from '@gullwall/transport.messages'
@@ -13,9 +13,9 @@
 }
 
 /** The least time between two summaries to the sidecars, in ms. */
-const MIN_INTERVAL_MS = 15
-/** An amount is sent again when it has about doubled or halved: a slot more or less is offered with the next change. */
-const COUNT_FACTOR = 2
+const MIN_INTERVAL_MS = 5
+/** Coarser steps leave slots idle for a round trip, and then fill them in bursts that disturb the streams that run. */
+const COUNT_TOLERANCE = 0.25
 
 export class DemandSender {
   /** What each sidecar believes, by group. */
@@ -93,5 +93,5 @@
 
 function countDiffers (now: number, before: number): boolean {
   if ((now === 0) !== (before === 0)) return true
-  return now > before * COUNT_FACTOR + 1 || before > now * COUNT_FACTOR + 1
+  return Math.abs(now - before) > COUNT_TOLERANCE * before
 }
