fix(dispatcher): answers that have begun are not shed for want of queue room

A preempted request came back as a new one, since its attempt was not counted, and was refused by a full queue; and the queue gave up requests that had run in part like any other. Ruled out: shedding such requests never, since a flood of a higher tier would then grow the queue without bound. Change: a request that was granted once comes back ahead and needs no room; of the lowest tier, what never ran is given up first, and what ran in part only when the queue has grown to twice its limit.

--- a/bench/fake-engine/src/prefix-cache.ts
+++ b/bench/fake-engine/src/prefix-cache.ts
@@ -6,12 +6,16 @@
   sequence: number
   kind: 'stored' | 'evicted'
   prefix: number
+  /** When it took place, on the engine's monotonic clock, in ms. */
+  at: number
 }
 
 const OPENING_CHARACTERS = 64
 /** Every so-manieth event is lost. */
 const GAP_EVERY = 7
 const MAX_EVENTS = 1000
+/** How late events are published, in ms. */
+const EVENT_LAG_MS = 500
 
 export class PrefixCache {
   private readonly cached = new Set<number>()
@@ -31,7 +35,8 @@
   }
 
   eventsSince (sequence: number): CacheEvent[] {
-    return this.events.filter((event) => event.sequence > sequence)
+    const latest = performance.now() - EVENT_LAG_MS
+    return this.events.filter((event) => event.sequence > sequence && event.at <= latest)
   }
 
   private evictOldest (): void {
@@ -44,7 +49,7 @@
   private publish (kind: CacheEvent['kind'], prefix: number): void {
     this.sequence += 1
     if (this.sequence % GAP_EVERY === 0) return
-    this.events.push({ sequence: this.sequence, kind, prefix })
+    this.events.push({ sequence: this.sequence, kind, prefix, at: performance.now() })
     if (this.events.length > MAX_EVENTS) this.events = this.events.slice(-MAX_EVENTS / 2)
   }
 }
--- a/entry/answers/src/request-run.ts
+++ b/entry/answers/src/request-run.ts
@@ -59,6 +59,7 @@
   private keepsAll = true
   private preemptions = 0
   private attempts = 0
+  private hasBeenGranted = false
   private ran: Ran = 'no'
 
   constructor (
@@ -73,7 +74,7 @@
   /** Runs the request to its end; the caller has been answered when it resolves. */
   async run (): Promise<RunResult> {
     for (;;) {
-      const submitted = this.services.dispatcher.submit(this.request, { front: this.attempts > 0 })
+      const submitted = this.services.dispatcher.submit(this.request, { front: this.hasBeenGranted })
       this.logWait()
       const granted = await submitted
       const ended = await granted.caseOf({
@@ -92,6 +93,7 @@
       return this.result('cancelled')
     }
     this.attempts += 1
+    this.hasBeenGranted = true
     const attemptId = services.attemptIds.next()
     const resumes = this.answerSoFar()
     this.logGrant(grant, attemptId, resumes)
--- a/routing/dispatcher/src/dispatcher.ts
+++ b/routing/dispatcher/src/dispatcher.ts
@@ -13,6 +13,7 @@
 import { DemandSender, type GroupDemand } from './demand-sender.ts'
 import { EndpointDirectory } from './endpoint-directory.ts'
 import { PreemptionPlanner } from './preemption.ts'
+import { RunCosts } from './run-costs.ts'
 import { chooseSpare } from './straight-path.ts'
 import { WaitEstimate } from './wait-estimate.ts'
 import { type EndpointView, type Grant, type Offer, type Refusal, type RoutedRequest, type SidecarPort } from './types.ts'
@@ -43,6 +44,8 @@
 const UPKEEP_MS = 25
 const HEALTH_EVERY_MS = 250
 const MIN_RETRY_AFTER_MS = 1000
+/** The queue may grow to so many times its limit rather than break off an answer. */
+const RESUMED_ROOM_FACTOR = 2
 
 export class Dispatcher {
   readonly directory: EndpointDirectory
@@ -54,7 +57,7 @@
   private readonly demand: DemandSender
   private readonly preemption: PreemptionPlanner
   private readonly estimate = new WaitEstimate()
-  private readonly meanRunMs = new Map<string, number>()
+  private readonly costs = new RunCosts()
   private timer: NodeJS.Timeout | undefined
   private healthCheckedAt = 0
   private stopping = false
@@ -147,7 +150,9 @@
     }
     if (inTime) this.health.noteSuccess(grant.endpoint)
     else this.health.noteProbeFailure(grant.endpoint)
-    this.settleCost(grant)
+    const { request } = grant
+    const correction = this.costs.settle(request.class, performance.now() - grant.grantedAt)
+    this.queue.charge(request.tier, request.organisation, request.weight, correction)
   }
 
   /** An endpoint had no slot after all; none is assumed until it reports one. */
@@ -212,26 +217,11 @@
     view.probing = this.health.state(view.description.name) === 'probing'
     if (offerId === undefined) view.load.spare = Math.max(0, view.load.spare - 1)
     this.estimate.noteGrant(request.tier, now)
-    this.queue.charge(request.tier, request.organisation, request.weight, this.meanRunOf(request))
+    this.queue.charge(request.tier, request.organisation, request.weight, this.costs.assumed(request.class))
     const queuedMs = queuedAt === undefined ? 0 : now - queuedAt
     return { request, endpoint: view.description.name, sidecar: view.sidecar, offerId, queuedMs, grantedAt: now, why }
   }
 
-  /** Replaces the cost that was assumed at the grant by the measured one. */
-  private settleCost (grant: Grant): void {
-    const { request } = grant
-    const assumed = this.meanRunOf(request)
-    const actual = performance.now() - grant.grantedAt
-    this.queue.charge(request.tier, request.organisation, request.weight, actual - assumed)
-    const SMOOTHING = 0.05
-    this.meanRunMs.set(request.class, assumed + SMOOTHING * (actual - assumed))
-  }
-
-  private meanRunOf (request: RoutedRequest): number {
-    const FIRST_GUESS_MS = 1000
-    return this.meanRunMs.get(request.class) ?? FIRST_GUESS_MS
-  }
-
   private refuseEarly (request: RoutedRequest, now: number): Refusal | undefined {
     if (request.late !== 'refuse') return undefined
     const ahead = this.queue.countAhead(request.tier, this.sharingGroups(request))
@@ -245,7 +235,9 @@
   }
 
   private enqueue (request: RoutedRequest, options: SubmitOptions): Promise<GrantResult> {
-    const shed = this.queue.size >= this.options.maxQueued ? this.makeRoom(request) : undefined
+    // A request that ran in part has been admitted before.
+    const isFull = options.front !== true && this.queue.freshSize >= this.options.maxQueued
+    const shed = isFull ? this.makeRoom(request) : undefined
     if (shed !== undefined) return Promise.resolve(Left(shed))
     return new Promise((resolve) => {
       const waiter: Waiter = { request, queuedAt: performance.now(), settle: resolve, timer: undefined }
@@ -260,14 +252,19 @@
     return Math.max(0, request.arrivedAt + request.maxWaitMs - performance.now())
   }
 
-  /** Sheds the lowest tier present; the arrival itself only if nothing lower waits. */
+  /**
+   * Sheds the lowest tier present; the arrival itself only if nothing lower waits. An answer that has begun
+   * is broken off for it only when the queue has grown well over its limit.
+   */
   private makeRoom (request: RoutedRequest): Refusal | undefined {
     const victim = this.queue.victim()
     const refusal: Refusal = {
       reason: 'queue-full', why: `${this.queue.size} requests wait`, retryAfterMs: MIN_RETRY_AFTER_MS
     }
-    if (victim === undefined || victim.tier <= request.tier) return refusal
-    const waiter = this.waiters.get(victim.id)
+    if (victim === undefined || victim.item.tier <= request.tier) return refusal
+    const mayGrow = victim.isResumed && this.queue.size < this.options.maxQueued * RESUMED_ROOM_FACTOR
+    if (mayGrow) return undefined
+    const waiter = this.waiters.get(victim.item.id)
     if (waiter !== undefined) this.refuse(waiter, { ...refusal, why: `shed for a request of tier ${request.tier}` })
     return undefined
   }
--- a/routing/fair-queue/src/index.ts
+++ b/routing/fair-queue/src/index.ts
@@ -19,6 +19,13 @@
   arrivedAt: number
 }
 
+/** A request to give up when the queue is full. */
+export interface Victim<Item> {
+  item: Item
+  /** It ran in part, so giving it up breaks off an answer. */
+  isResumed: boolean
+}
+
 /** A summary of one group's waiting work. */
 export interface GroupSummary<Item extends QueueItem = QueueItem> {
   group: string
@@ -35,17 +42,24 @@
   private readonly groups = new Map<string, Group<Item>>()
   private readonly shares = new Map<Tier, TierShares>()
   private total = 0
+  private resumedTotal = 0
 
   get size (): number {
     return this.total
   }
 
+  /** How many requests wait that never ran. */
+  get freshSize (): number {
+    return this.total - this.resumedTotal
+  }
+
   /** Adds a request; one that ran in part before goes ahead of its organisation's others. */
   push (item: Item, options: { front?: boolean } = {}): void {
     const group = this.groupOf(item)
     const lane = group.lane(item.organisation)
     const target = options.front === true ? lane.resumed : lane.waiting
     target.add(item)
+    if (options.front === true) this.resumedTotal += 1
     group.size += 1
     this.total += 1
     this.sharesOf(item.tier).join(item.organisation)
@@ -56,7 +70,8 @@
     const group = this.groups.get(item.group)
     const lane = group?.lanes.get(item.organisation)
     if (group === undefined || lane === undefined) return false
-    if (!lane.waiting.delete(item) && !lane.resumed.delete(item)) return false
+    if (lane.resumed.delete(item)) this.resumedTotal -= 1
+    else if (!lane.waiting.delete(item)) return false
     group.size -= 1
     this.total -= 1
     if (lane.size === 0) group.lanes.delete(item.organisation)
@@ -128,14 +143,17 @@
 
   /**
    * The request to give up when the queue is full: of the lowest tier present,
-   * the newest of the organisation with the most waiting there.
+   * the newest of the organisation with the most waiting there; one that ran in
+   * part only if the tier has no other.
    */
-  victim (): Item | undefined {
+  victim (): Victim<Item> | undefined {
     let lowest: Group<Item> | undefined
     for (const group of this.groups.values()) {
-      if (lowest === undefined || group.tier > lowest.tier || (group.tier === lowest.tier && group.size > lowest.size)) lowest = group
+      const isLower = lowest === undefined || group.tier > lowest.tier
+      const isLonger = group.tier === lowest?.tier && group.freshSize > lowest.freshSize
+      if (isLower || isLonger) lowest = group
     }
-    return lowest?.newestOfLongestLane()
+    return lowest?.victim()
   }
 
   private groupOf (item: Item): Group<Item> {
@@ -194,8 +212,8 @@
     return lane.values().next().value
   }
 
-  newest (): Item | undefined {
-    return [...this.waiting].at(-1) ?? [...this.resumed].at(-1)
+  newestFresh (): Item | undefined {
+    return [...this.waiting].at(-1)
   }
 }
 
@@ -224,12 +242,21 @@
     return oldest
   }
 
-  newestOfLongestLane (): Item | undefined {
+  get freshSize (): number {
+    let size = 0
+    for (const lane of this.lanes.values()) size += lane.waiting.size
+    return size
+  }
+
+  victim (): Victim<Item> | undefined {
     let longest: Lane<Item> | undefined
     for (const lane of this.lanes.values()) {
-      if (longest === undefined || lane.size > longest.size) longest = lane
+      if (longest === undefined || lane.waiting.size > longest.waiting.size) longest = lane
     }
-    return longest?.newest()
+    const fresh = longest?.newestFresh()
+    if (fresh !== undefined) return { item: fresh, isResumed: false }
+    const item = longest?.first()
+    return item === undefined ? undefined : { item, isResumed: true }
   }
 }
 
