refactor: one place for what stood twice, and dead code out

Cause: a read of the whole change. The path of attempts, the check for event streams, the random pick, the figures and quantiles of the benches and their connection pools each stood in two or three places; the round-trip time of links, a rate of grants and a field of the test world were used by nothing. Change: each stands once (transport.attempt, endpoint.openai, the straight path, bench.processes, endpoint.http); what nothing used is gone. No test's assertion and no bound was touched.

--- a/bench/capacity/src/control.ts
+++ b/bench/capacity/src/control.ts
@@ -4,8 +4,13 @@
 import { RevisionStore, Spreader } from '@gullwall/config.spread'
 import { ControlClient } from '@gullwall/control.client'
 import { until } from '@gullwall/bench.deployment'
-import { ProcessDeployment, readJson, type RunningProgram } from '@gullwall/bench.processes'
-import { figures } from './links.ts'
+import { figures, ProcessDeployment, quantiles, readJson, type Quantiles, type RunningProgram } from '@gullwall/bench.processes'
+
+/** Times from accepted to in force, in ms. */
+export interface SpreadTimes extends Quantiles {
+  processes: number
+  changes: number
+}
 
 export interface ControlFigures {
   claimsPerSecond: number
@@ -13,8 +18,8 @@
   leaderCpuPerClaim: number
   changesPerSecond: number
   /** From the answer `accepted` to in force at each linked process, in ms. */
-  spreadMs: { processes: number, changes: number, p50: number, p99: number, worst: number }
-  spreadUnderClaimsMs: { processes: number, changes: number, p50: number, p99: number, worst: number }
+  spreadMs: SpreadTimes
+  spreadUnderClaimsMs: SpreadTimes
   newLeaderMs: number
   recoveryMs: { changes: number, ms: number }
   controlMemoryMiB: number
@@ -75,7 +80,7 @@
   return { store, client }
 }
 
-async function measureSpread (deployment: ProcessDeployment, linked: LinkedProcess[]): Promise<ControlFigures['spreadMs']> {
+async function measureSpread (deployment: ProcessDeployment, linked: LinkedProcess[]): Promise<SpreadTimes> {
   const operator = deployment.operator()
   const times: number[] = []
   let acceptedAt = 0
@@ -177,9 +182,3 @@
   }
   throw new Error('no leader')
 }
-
-function quantiles (values: number[]): { p50: number, p99: number, worst: number } {
-  const sorted = values.sort((left, right) => left - right)
-  const at = (share: number) => sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0
-  return { p50: at(0.5), p99: at(0.99), worst: at(1) }
-}
--- a/bench/capacity/src/links.ts
+++ b/bench/capacity/src/links.ts
@@ -1,7 +1,7 @@
 /** What an entry spends on links to sidecars that have nothing to do, and on waiting work. */
 import { request } from 'undici'
 import { Deployment, type BoxPlan } from '@gullwall/bench.deployment'
-import { Child } from '@gullwall/bench.processes'
+import { Child, figures, type ProgramFigures } from '@gullwall/bench.processes'
 import { writeFileSync, mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -24,21 +24,15 @@
 const SETTLE_MS = 2000
 const MS_PER_SECOND = 1000
 
-interface Figures {
-  cpu: number
-  memory: number
-  bytes: number
-}
-
 /** Idle links of one entry process to sidecars of four engines each. */
 export async function measureLinkSlopes (): Promise<LinkSlopes> {
   const measured: Array<{ x: number, cpu: number, memory: number, bytes: number }> = []
   for (const count of LINK_COUNTS) measured.push({ x: count, ...await measureLinks(count) })
-  const fitOf = (read: (figures: Figures) => number) => fit(measured.map((point) => ({ x: point.x, y: read(point) })))
+  const fitOf = (read: (measured: ProgramFigures) => number) => fit(measured.map((point) => ({ x: point.x, y: read(point) })))
   return { cpu: fitOf(({ cpu }) => cpu), bytesPerSecond: fitOf(({ bytes }) => bytes), memory: fitOf(({ memory }) => memory) }
 }
 
-async function measureLinks (count: number): Promise<Figures> {
+async function measureLinks (count: number): Promise<ProgramFigures> {
   const boxes = Array.from({ length: count }, (_, index): BoxPlan => ({
     box: `b${index}`,
     dataCentre: 'east',
@@ -79,14 +73,3 @@
     return 0
   }
 }
-
-/** Reads processor seconds, resident bytes and link bytes from a program's metrics. */
-export async function figures (admin: string): Promise<Figures> {
-  const text = await (await request(`http://${admin}/metrics`)).body.text()
-  const read = (name: string) => Number(new RegExp(`^${name} (\\S+)$`, 'm').exec(text)?.[1] ?? 0)
-  return {
-    cpu: read('process_cpu_seconds_total'),
-    memory: read('process_resident_memory_bytes'),
-    bytes: read('gullwall_link_sent_bytes_total') + read('gullwall_link_received_bytes_total')
-  }
-}
--- a/bench/experiment/src/experiment.ts
+++ b/bench/experiment/src/experiment.ts
@@ -1,7 +1,6 @@
 /** Runs one experiment on separate processes. */
-import { figures } from '@gullwall/bench.capacity'
 import { createReport, runLoad, type LoadClass, type LoadReport, type Scenario } from '@gullwall/bench.load'
-import { ProcessDeployment } from '@gullwall/bench.processes'
+import { figures, ProcessDeployment } from '@gullwall/bench.processes'
 import { sampleDeployment, sampleKeys, sampleModel, type SampleKeys } from '@gullwall/bench.samples'
 import { type EngineSpeed } from '@gullwall/bench.fake-engine'
 import { type Experiment } from './plan.ts'
--- a/bench/latency/src/index.ts
+++ b/bench/latency/src/index.ts
@@ -1,15 +1,11 @@
 /** Measurements of one entry with its sidecars, against the stand-in engines reached directly. */
 import { setMaxListeners } from 'node:events'
-import { Pool, request } from 'undici'
+import { type Pool } from 'undici'
 import { promptText } from '@gullwall/bench.answers'
-import { ProcessDeployment } from '@gullwall/bench.processes'
+import { figures, ProcessDeployment, quantiles, type Quantiles } from '@gullwall/bench.processes'
+import { createPool } from '@gullwall/endpoint.http'
 import { newOrganisationKey, type NewKey } from '@gullwall/config.records'
 
-export interface Quantiles {
-  p50: number
-  p99: number
-}
-
 export interface AddedLatency {
   inFlight: number
   samples: number
@@ -81,7 +77,7 @@
   await deployment.start()
   const entry = deployment.entries[0]
   if (entry === undefined) throw new Error('no entry')
-  const idle = await processFigures(entry.admin)
+  const idle = await figures(entry.admin)
   const pool = createPool(entry.listen)
   const ended = new AbortController()
   setMaxListeners(0, ended.signal)
@@ -95,15 +91,15 @@
   }
   const streams = Array.from({ length: STREAMS }, async (_, index) => await stream(index))
   await pause(WARM_UP_MS)
-  const before = { ...await processFigures(entry.admin), tokens, requests, at: performance.now() }
+  const before = { ...await figures(entry.admin), tokens, requests, at: performance.now() }
   await pause(MEASURE_SECONDS * MS_PER_SECOND)
-  const after = { ...await processFigures(entry.admin), tokens, requests, at: performance.now() }
+  const after = { ...await figures(entry.admin), tokens, requests, at: performance.now() }
   ended.abort()
   await Promise.allSettled(streams)
   await pool.destroy()
   await deployment.stop()
   const seconds = (after.at - before.at) / MS_PER_SECOND
-  const cpu = after.cpuSeconds - before.cpuSeconds
+  const cpu = after.cpu - before.cpu
   return {
     streams: STREAMS,
     seconds,
@@ -111,24 +107,12 @@
     entryCpuShare: cpu / seconds,
     tokensPerCpuSecond: (after.tokens - before.tokens) / cpu,
     requestsPerSecond: (after.requests - before.requests) / seconds,
-    entryMemoryIdleMiB: idle.memoryBytes / MIB,
-    entryMemoryLoadedMiB: after.memoryBytes / MIB,
-    memoryPerStreamKiB: (after.memoryBytes - idle.memoryBytes) / STREAMS / KIB
+    entryMemoryIdleMiB: idle.memory / MIB,
+    entryMemoryLoadedMiB: after.memory / MIB,
+    memoryPerStreamKiB: (after.memory - idle.memory) / STREAMS / KIB
   }
 }
 
-/** What a program says of its own use of the machine. */
-export interface ProcessFigures {
-  cpuSeconds: number
-  memoryBytes: number
-}
-
-export async function processFigures (admin: string): Promise<ProcessFigures> {
-  const text = await (await request(`http://${admin}/metrics`)).body.text()
-  const read = (name: string) => Number(new RegExp(`^${name} (\\S+)$`, 'm').exec(text)?.[1] ?? 0)
-  return { cpuSeconds: read('process_cpu_seconds_total'), memoryBytes: read('process_resident_memory_bytes') }
-}
-
 interface DeploymentShape {
   engines: number
   stepMs: number
@@ -205,16 +189,6 @@
   }
 }
 
-function quantiles (values: readonly number[]): Quantiles {
-  const sorted = [...values].sort((left, right) => left - right)
-  const at = (share: number) => sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0
-  return { p50: at(0.5), p99: at(0.99) }
-}
-
-function createPool (address: string): Pool {
-  return new Pool(`http://${address}`, { connections: null, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
-}
-
 function pause (ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
--- a/bench/processes/src/index.ts
+++ b/bench/processes/src/index.ts
@@ -4,4 +4,5 @@
  * must have run.
  */
 export * from './child.ts'
+export * from './figures.ts'
 export * from './process-deployment.ts'
--- a/endpoint/openai/src/sse.ts
+++ b/endpoint/openai/src/sse.ts
@@ -2,6 +2,7 @@
  * Server-sent events of a chat completion, passed on without being parsed. Only
  * whole events go on to the caller, so a broken stream never shows half of one.
  */
+import { type IncomingHttpHeaders } from 'node:http'
 import { createParser } from 'eventsource-parser'
 import { z } from 'zod'
 import { type PartialAnswer } from './request-body.ts'
@@ -10,6 +11,11 @@
 const DONE_EVENT = Buffer.from('data: [DONE]\n\n')
 const END_COMMENT = ': gullwall-end '
 
+/** Whether an answer comes as events, by its headers. */
+export function isEventStream (headers: IncomingHttpHeaders): boolean {
+  return String(headers['content-type'] ?? '').startsWith('text/event-stream')
+}
+
 /** Why a sidecar ended a stream before its answer was whole. */
 export type EndReason = 'preempted' | 'engine-failed' | 'stalled'
 
--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -5,8 +5,10 @@
 import { type Ran } from '@gullwall/core.types'
 import { type AnswerReceiver } from '@gullwall/endpoint.dialect'
 import { endToEndHeaders, exchange, wasNotSent } from '@gullwall/endpoint.http'
-import { EventRelay, rewriteResumed, type AnswerSoFar } from '@gullwall/endpoint.openai'
-import { readRefusal, withoutOwnHeaders, writeHead, type AttemptHead, type AttemptRefusal, type AttemptRefused } from '@gullwall/transport.attempt'
+import { EventRelay, isEventStream, rewriteResumed, type AnswerSoFar } from '@gullwall/endpoint.openai'
+import {
+  ATTEMPT_PREFIX, readRefusal, withoutOwnHeaders, writeHead, type AttemptHead, type AttemptRefusal, type AttemptRefused
+} from '@gullwall/transport.attempt'
 import { type CallerResponse } from './caller-response.ts'
 import { type AnswerTiming } from './timing.ts'
 
@@ -41,9 +43,6 @@
   resumes: AnswerSoFar | undefined
 }
 
-/** The path under which a sidecar takes attempts. */
-const ATTEMPT_PREFIX = '/attempt'
-
 export async function runAttempt (options: AttemptOptions): Promise<AttemptOutcome> {
   const { pool, head, call, caller, move } = options
   const relay = new AnswerRelay(options)
@@ -87,7 +86,7 @@
     this.status = status
     this.headers = headers
     this.refusal = readRefusal(headers)
-    this.isStream = String(headers['content-type'] ?? '').startsWith('text/event-stream')
+    this.isStream = isEventStream(headers)
     if (this.isStream) this.options.caller.markEventStream()
   }
 
--- a/entry/answers/src/caller-response.ts
+++ b/entry/answers/src/caller-response.ts
@@ -20,6 +20,7 @@
 export class CallerResponse {
   /** Resolves when the connection is gone before the answer was whole. */
   readonly gone = new AbortController()
+  private isEventStream = false
 
   constructor (private readonly response: ServerResponse, readonly requestId: string) {
     response.once('close', () => {
@@ -62,15 +63,9 @@
     else this.response.destroy()
   }
 
-  private get isEventStream (): boolean {
-    return String(this.response.getHeader('content-type') ?? this.streamType).startsWith('text/event-stream')
-  }
-
-  /** Set by {@link markEventStream}, since `writeHead` does not keep headers that can be read back. */
-  private streamType = ''
-
+  /** Errors in what follows are events too. */
   markEventStream (): void {
-    this.streamType = 'text/event-stream'
+    this.isEventStream = true
   }
 
   private drained (): Promise<void> {
--- a/entry/program/src/sidecar-links.ts
+++ b/entry/program/src/sidecar-links.ts
@@ -17,10 +17,6 @@
   get startId (): string { return this.link.peer.startId }
   get dataCentre (): string { return this.link.peer.dataCentre }
 
-  roundTripMs (): number {
-    return this.link.roundTripMs
-  }
-
   sendDemand (rows: DemandRow[]): void {
     this.link.send({ kind: 'demand', rows })
   }
--- a/routing/dispatcher/src/dispatcher.ts
+++ b/routing/dispatcher/src/dispatcher.ts
@@ -235,7 +235,7 @@
   }
 
   private enqueue (request: RoutedRequest, options: SubmitOptions): Promise<GrantResult> {
-    // A request that ran in part has been admitted before.
+    // A request that comes back has been admitted before.
     const isFull = options.front !== true && this.queue.freshSize >= this.options.maxQueued
     const shed = isFull ? this.makeRoom(request) : undefined
     if (shed !== undefined) return Promise.resolve(Left(shed))
--- a/routing/dispatcher/src/index.ts
+++ b/routing/dispatcher/src/index.ts
@@ -2,3 +2,4 @@
 export * from './types.ts'
 export * from './dispatcher.ts'
 export * from './endpoint-directory.ts'
+export { pickOne } from './straight-path.ts'
--- a/routing/dispatcher/src/straight-path.ts
+++ b/routing/dispatcher/src/straight-path.ts
@@ -23,6 +23,7 @@
   return view.load.spare / Math.max(1, view.load.limit)
 }
 
-function pickOne<T> (items: readonly T[]): T | undefined {
+/** One of some items, at random. */
+export function pickOne<T> (items: readonly T[]): T | undefined {
   return items[Math.floor(Math.random() * items.length)]
 }
--- a/routing/dispatcher/src/types.ts
+++ b/routing/dispatcher/src/types.ts
@@ -45,7 +45,6 @@
   readonly startId: string
   readonly dataCentre: string
   readonly address: string
-  roundTripMs (): number
   sendDemand (rows: DemandRow[]): void
   sendPass (offerId: string): void
   sendPreempt (endpoint: string, className: string, tier: Tier): void
--- a/routing/dispatcher/src/wait-estimate.ts
+++ b/routing/dispatcher/src/wait-estimate.ts
@@ -6,7 +6,6 @@
 
 const BUCKET_MS = 250
 const BUCKETS = 8
-const MS_PER_SECOND = 1000
 /** Below so many grants in the window no estimate is given. */
 const MIN_GRANTS = 10
 
@@ -73,9 +72,4 @@
     const left = Math.max(granted - higher, granted * floor, 1)
     return (ahead + 1) / left * BUCKETS * BUCKET_MS
   }
-
-  /** Grants a second over the window. */
-  grantsPerSecond (now: number): number {
-    return this.grants.sum(now, () => true) * MS_PER_SECOND / (BUCKETS * BUCKET_MS)
-  }
 }
--- a/routing/dispatcher/test/world.ts
+++ b/routing/dispatcher/test/world.ts
@@ -22,7 +22,6 @@
   runs: number
   preemptedBy: number[]
   startedAt: number
-  shedWhile: string[]
 }
 
 interface Entry {
@@ -102,7 +101,7 @@
       selectors: [],
       avoid: new Set()
     }
-    const fate: Fate = { request, state: 'waiting', runs: 0, preemptedBy: [], startedAt: 0, shedWhile: [] }
+    const fate: Fate = { request, state: 'waiting', runs: 0, preemptedBy: [], startedAt: 0 }
     this.fates.push(fate)
     void this.serve(entry, fate, runMs, false)
     return fate
@@ -135,7 +134,6 @@
     const lower = [...entry.dispatcher.queuedByClass().keys()].filter((name) => {
       return (this.options.classes.find((known) => known.name === name)?.tier ?? 0) > fate.request.tier
     })
-    fate.shedWhile = lower
     if (lower.length > 0) this.violations.push(`${fate.request.class} was shed while ${lower.join()} waits`)
   }
 
@@ -229,7 +227,6 @@
       startId: `start-${name}`,
       dataCentre: 'east',
       address: name,
-      roundTripMs: () => 1,
       sendDemand: (rows) => this.later(() => {
         if (entry.ports.get(name) !== port) return
         book.update(entry.name, rows)
--- a/routing/policies/src/index.ts
+++ b/routing/policies/src/index.ts
@@ -2,7 +2,7 @@
  * Baselines that bind a request to an endpoint when it arrives. They are kept
  * to measure late binding against; see docs/decisions.
  */
-import { type EndpointView } from '@gullwall/routing.dispatcher'
+import { pickOne, type EndpointView } from '@gullwall/routing.dispatcher'
 
 export type BaselineName = 'round-robin' | 'least-reported-load' | 'power-of-two'
 
@@ -37,7 +37,3 @@
 function loadOf (view: EndpointView): number {
   return view.load.reportedInFlight + view.outstanding
 }
-
-function pickOne<T> (items: readonly T[]): T | undefined {
-  return items[Math.floor(Math.random() * items.length)]
-}
--- a/sidecar/attempts/src/runner.ts
+++ b/sidecar/attempts/src/runner.ts
@@ -6,9 +6,11 @@
 import { type LocalEndpoint } from '@gullwall/config.settings'
 import { type Endpoint } from '@gullwall/endpoint.dialect'
 import { endToEndHeaders } from '@gullwall/endpoint.http'
-import { endComment, type EndReason } from '@gullwall/endpoint.openai'
+import { endComment, isEventStream, type EndReason } from '@gullwall/endpoint.openai'
 import { type EndpointSlots } from '@gullwall/sidecar.slots'
-import { readHead, REFUSED_STATUS, withoutOwnHeaders, writeRefusal, type AttemptHead, type AttemptRefused } from '@gullwall/transport.attempt'
+import {
+  ATTEMPT_PREFIX, readHead, REFUSED_STATUS, withoutOwnHeaders, writeRefusal, type AttemptHead, type AttemptRefused
+} from '@gullwall/transport.attempt'
 import { type AttemptRegistry } from './registry.ts'
 
 /** One endpoint of this box with all that belongs to it. */
@@ -33,8 +35,6 @@
 /** A stream stalls when no token comes for so many times its target. */
 const STALL_FACTOR = 20
 const FIRST_TOKEN_STALL_FACTOR = 4
-/** The path under which entries reach endpoints: `/attempt` and then the endpoint's own path. */
-export const ATTEMPT_PREFIX = '/attempt'
 
 export class AttemptRunner {
   constructor (private readonly options: RunnerOptions) {}
@@ -145,7 +145,7 @@
 
   private relayHead (status: number, headers: IncomingHttpHeaders): void {
     const { response } = this
-    this.isStream = String(headers['content-type'] ?? '').startsWith('text/event-stream')
+    this.isStream = isEventStream(headers)
     this.context.respond = false
     response.writeHead(status, withoutOwnHeaders(endToEndHeaders(headers)))
     response.flushHeaders()
--- a/sidecar/program/src/entry-links.ts
+++ b/sidecar/program/src/entry-links.ts
@@ -1,6 +1,7 @@
 /** The links of entries to this sidecar, and the HTTP server on which their attempts arrive. */
 import { type EndpointDescription, type EndpointLoad } from '@gullwall/core.types'
-import { ATTEMPT_PREFIX, AttemptRunner } from '@gullwall/sidecar.attempts'
+import { AttemptRunner } from '@gullwall/sidecar.attempts'
+import { ATTEMPT_PREFIX } from '@gullwall/transport.attempt'
 import { HttpServer, Koa } from '@gullwall/transport.http-server'
 import { LinkAcceptor, type Link } from '@gullwall/transport.link'
 import { type Message, type MessageOf } from '@gullwall/transport.messages'
--- a/transport/attempt/src/index.ts
+++ b/transport/attempt/src/index.ts
@@ -37,6 +37,8 @@
 }
 
 export const REFUSED_STATUS = 409
+/** The path under which entries reach endpoints: `/attempt` and then the endpoint's own path. */
+export const ATTEMPT_PREFIX = '/attempt'
 
 /** Writes an attempt's head as headers. */
 export function writeHead (head: AttemptHead): Record<string, string> {
--- a/transport/link/src/link.ts
+++ b/transport/link/src/link.ts
@@ -57,8 +57,6 @@
 export class Link {
   /** Who is on the other side; known once the link is open. */
   peer: LinkIdentity
-  /** Smoothed round-trip time of requests, in ms. */
-  roundTripMs = 0
   /** Messages of kinds that this version does not know. */
   unknownMessages = 0
   private state: 'hello' | 'proof' | 'open' | 'closed' = 'hello'
@@ -102,7 +100,6 @@
   request<Kind extends MessageKind> (message: Message, expected: Kind, timeoutMs = DEFAULT_REQUEST_TIMEOUT_MS): Promise<MessageOf<Kind>> {
     if (this.state !== 'open') return Promise.reject(this.error('ERR_GULLWALL_LINK_CLOSED', message.kind, 'the link is closed'))
     const id = this.nextRequest++
-    const sentAt = performance.now()
     return new Promise<Message>((resolve, reject) => {
       const timer = setTimeout(() => {
         this.pending.delete(id)
@@ -111,7 +108,6 @@
       this.pending.set(id, { resolve, reject, timer })
       this.write({ request: id, message })
     }).then((reply) => {
-      this.noteRoundTrip(performance.now() - sentAt)
       if (reply.kind === expected) return reply as MessageOf<Kind>
       throw this.error('ERR_GULLWALL_PEER_FAILED', message.kind, reply.kind === 'failed' ? `${reply.code}: ${reply.message}` : `unexpected reply ${reply.kind}`)
     })
@@ -234,11 +230,6 @@
     this.socket.send(data)
   }
 
-  private noteRoundTrip (elapsedMs: number): void {
-    const SMOOTHING = 0.2
-    this.roundTripMs += this.roundTripMs === 0 ? elapsedMs : SMOOTHING * (elapsedMs - this.roundTripMs)
-  }
-
   private malformed (why: string): void {
     this.log('malformed', why)
     this.close(`malformed: ${why}`)
