--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -7,6 +7,8 @@
 import { z } from 'zod'
 import { checkToml, orThrow } from '@gullwall/config.checker'
 
+export * from './reload.ts'
+
 /** An address as `IP:port` or `[IPv6]:port`; names are not allowed. */
 export const addressSchema = z.string().refine(isAddress, { error: 'an IP literal and a port, as in 127.0.0.1:7000' })
 
--- a/control/program/src/peers.ts
+++ b/control/program/src/peers.ts
@@ -1,6 +1,7 @@
 /** The links of a control process to its peers: requests of the quorum, forwarded commands, known sidecars. */
 import { GullwallError } from '@gullwall/core.error'
 import { type QuorumTransport } from '@gullwall/control.quorum'
+import { type ControlSettings } from '@gullwall/config.settings'
 import { Dialer, type Link } from '@gullwall/transport.link'
 import { type Message, type MessageKind, type MessageOf } from '@gullwall/transport.messages'
 import { ownLinkAddress, seedAddresses } from './membership.ts'
@@ -17,13 +18,18 @@
 
   start (): void {
     const { settings, members } = this.services
-    this.dialAll(seedAddresses(settings))
+    this.dialSeeds(settings)
     members.onChange((change, isLocal) => {
       if (!isLocal) return
       for (const dialer of this.dialers.values()) dialer.link?.send(change)
     })
   }
 
+  /** Links to the control processes that settings name. */
+  dialSeeds (settings: ControlSettings): void {
+    this.dialAll(seedAddresses(settings))
+  }
+
   /** Links to further control processes. */
   dialAll (addresses: readonly string[]): void {
     const self = ownLinkAddress(this.services.settings)
--- a/core/kernel/src/index.ts
+++ b/core/kernel/src/index.ts
@@ -47,6 +47,11 @@
     return this
   }
 
+  /** All services by name. */
+  get services (): Services {
+    return this.container.cradle
+  }
+
   /** Gives a service by its name. */
   get<Name extends keyof Services & string> (name: Name): Services[Name] {
     return this.container.resolve(name)
--- a/core/kernel/src/program.ts
+++ b/core/kernel/src/program.ts
@@ -15,12 +15,21 @@
   }
 }
 
+/** Told of the life of a program, for its log and for what follows the start. */
+export interface ProgramWatch {
+  started: () => void
+  stopping: () => void
+}
+
 /** Starts a kernel and stops it once on SIGTERM or SIGINT; the process then ends with code 0. */
-export async function runProgram<Services extends object> (kernel: Kernel<Services>): Promise<void> {
+export async function runProgram<Services extends object> (kernel: Kernel<Services>, watch?: ProgramWatch): Promise<void> {
   let stopping = false
+  // The default for this signal ends the process, also while it still starts.
+  process.on('SIGHUP', () => {})
   const stop = () => {
     if (stopping) return
     stopping = true
+    watch?.stopping()
     kernel.stop().then(() => process.exit(0), fail)
   }
   process.on('SIGTERM', stop)
@@ -28,6 +37,7 @@
   process.on('uncaughtException', fail)
   process.on('unhandledRejection', fail)
   await kernel.start()
+  watch?.started()
 }
 
 /** Prints an error as one JSON line and ends the process. */
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -92,7 +92,7 @@
 /** Start, stop and failures of a program. */
 export interface ProcessRecord {
   channel: 'process'
-  event: 'started' | 'stopping' | 'stopped' | 'failed'
+  event: 'started' | 'stopping' | 'stopped' | 'failed' | 'reloaded' | 'reload-refused'
   why: string
   address?: string
   error?: ErrorRecord
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -1,5 +1,5 @@
 /** Links to every control process that is known: they bring the document, leases and each other's addresses. */
-import { linkAddresses } from '@gullwall/config.settings'
+import { linkAddresses, type GatewaySettings } from '@gullwall/config.settings'
 import { messageOf } from '@gullwall/core.error'
 import { Dialer, type Link } from '@gullwall/transport.link'
 import { type Message } from '@gullwall/transport.messages'
@@ -22,11 +22,15 @@
   constructor (private readonly services: GatewayServices) {}
 
   start (): void {
-    const { settings } = this.services
-    this.dialAll(linkAddresses(settings.seeds, settings.linkPort))
+    this.dialSeeds(this.services.settings)
     void this.confirmOnce()
   }
 
+  /** Links to the control processes that settings name. */
+  dialSeeds ({ seeds, linkPort }: Pick<GatewaySettings, 'seeds' | 'linkPort'>): void {
+    this.dialAll(linkAddresses(seeds, linkPort))
+  }
+
   stop (): void {
     this.stopped = true
     clearTimeout(this.timer)
