--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -1,7 +1,8 @@
 /**
  * The leases that one process knows. Control processes take them from heartbeats
  * and from each other, entries from control. Merging is commutative: the state of
- * an incarnation never goes back, and the higher sequence holds.
+ * an incarnation never goes back, and the higher sequence holds. That a lease ran
+ * out is never told to others.
  */
 import { type Logger } from '@gullwall/core.logger'
 import { type Lease } from '@gullwall/transport.messages'
@@ -76,20 +77,21 @@
     return leases.map(({ heardAt, ...lease }) => ({ ...lease, ageMs: Math.max(0, Math.round(now - heardAt)) }))
   }
 
-  /** Forgets leases that have run out. */
+  /**
+   * Forgets leases that have run out, here only: another process may have heard later heartbeats. Time counts from the
+   * latest heartbeat of any endpoint, so that nothing runs out while this process is cut off from all of them.
+   */
   sweep (): void {
     const now = this.now()
     const leaseMs = this.options.leaseMs ?? DEFAULT_LEASE_MS
-    const changed: HeldLease[] = []
+    const newest = Math.max(-Infinity, ...[...this.held.values()].map((lease) => lease.heardAt))
     for (const [incarnation, lease] of this.held) {
-      const age = now - lease.heardAt
-      if (age > TOMBSTONE_MS) this.held.delete(incarnation)
-      if (lease.state === 'gone' || age <= leaseMs) continue
+      if (now - lease.heardAt > TOMBSTONE_MS && lease.state === 'gone') this.held.delete(incarnation)
+      const silentMs = newest - lease.heardAt
+      if (lease.state === 'gone' || silentMs <= leaseMs) continue
       this.held.delete(incarnation)
-      this.log({ ...lease, state: 'gone' }, `no heartbeat for ${Math.round(age)} ms`)
-      changed.push({ ...lease, state: 'gone' })
+      this.log({ ...lease, state: 'gone' }, `no heartbeat for ${Math.round(silentMs)} ms while others were heard`)
     }
-    if (changed.length > 0) this.options.onChange?.(changed)
   }
 
   private mergeOne (lease: Lease): Merged {
--- /dev/null
+++ b/control/registry/test/lease-table.test.ts
@@ -0,0 +1,68 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { LeaseTable, type HeldLease } from '@gullwall/control.registry'
+import { silentLogger } from '@gullwall/core.logger'
+import { type Lease } from '@gullwall/transport.messages'
+
+const SEED = Number(process.env['FUZZ_SEED'] ?? 7)
+
+function lease (incarnation: string, sequence: number, state: Lease['state'] = 'ready', ageMs = 0): Lease {
+  return { incarnation, service: 'lm', address: '10.0.0.1:80', dataCentre: 'dc1', slots: 4, state, sequence, ageMs }
+}
+
+function table (leaseMs = 1000) {
+  const clock = { now: 0 }
+  const changes: HeldLease[] = []
+  const leases = new LeaseTable({ logger: silentLogger(), leaseMs, now: () => clock.now, onChange: (changed) => changes.push(...changed) })
+  return { leases, clock, changes }
+}
+
+describe('leases', () => {
+  it('ignore a heartbeat that arrives late', () => {
+    const { leases } = table()
+    leases.merge([lease('a', 5, 'draining')])
+    expect(leases.merge([lease('a', 4)])).toEqual(['stale'])
+    expect(leases.get('a')?.state).toBe('draining')
+  })
+
+  it('never go back, whatever the sequence says', () => {
+    const { leases } = table()
+    leases.merge([lease('a', 5, 'gone'), lease('a', 9)])
+    expect(leases.get('a')?.state).toBe('gone')
+  })
+
+  it('run out when others are heard, and tell nobody', () => {
+    const { leases, clock, changes } = table()
+    leases.merge([lease('a', 1), lease('b', 1)])
+    changes.length = 0
+    clock.now = 1500
+    leases.merge([lease('b', 2)])
+    leases.sweep()
+    expect(leases.get('a')).toBeUndefined()
+    expect(leases.get('b')?.state).toBe('ready')
+    expect(changes).toEqual([])
+  })
+
+  it('stay while this process hears of no endpoint at all', () => {
+    const { leases, clock } = table()
+    leases.merge([lease('a', 1), lease('b', 1)])
+    clock.now = 60_000
+    leases.sweep()
+    expect(leases.all()).toHaveLength(2)
+  })
+
+  it(`end alike in whatever order and however often messages arrive (seed ${SEED})`, () => {
+    const states = fc.constantFrom<Lease['state']>('ready', 'draining', 'gone')
+    const messages = fc.array(fc.tuple(fc.constantFrom('a', 'b'), fc.nat(6), states).map(([id, sequence, state]) => lease(id, sequence, state)))
+    fc.assert(fc.property(messages, fc.infiniteStream(fc.nat()), (sent, order) => {
+      const inOrder = table().leases
+      inOrder.merge(sent)
+      const shuffled = table().leases
+      const draws = order
+      const mixed = [...sent, ...sent].map((message) => ({ message, rank: draws.next().value })).sort((left, right) => left.rank - right.rank)
+      for (const { message } of mixed) shuffled.merge([message])
+      const view = (held: LeaseTable) => held.all().map(({ incarnation, state, sequence }) => `${incarnation} ${state} ${sequence}`).sort()
+      expect(view(shuffled)).toEqual(view(inOrder))
+    }), { seed: SEED, numRuns: 300 })
+  })
+})
