--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -8,7 +8,9 @@
 const MAX_EJECTION_MS = 4000
 const FAILURE_WEIGHT = 0.2
 /** With work under way and no byte for so long, an endpoint is taken to be silent, in ms. */
-const SILENT_MS = 1000
+const SILENT_MS = 1200
+/** Nothing arrives while prompts are read; this is far slower than any engine reads them. */
+const SLOWEST_READ_TOKENS_PER_MS = 8
 /** The share of the engine's memory that is taken to hold parts; running requests need the rest. */
 const CACHE_SHARE = 0.6
 const DEFAULT_MEMORY_TOKENS = 400_000
@@ -18,6 +20,8 @@
   readonly startedAt: number
   /** Prompt tokens that the endpoint had still to read when the attempt was sent. */
   readonly unreadTokens: number
+  /** All tokens of the prompt; none of them may be kept there after all. */
+  readonly promptTokens: number
   /** Whether the first event has arrived. */
   hasBegun: boolean
 }
@@ -58,7 +62,8 @@
   }
 
   begin (prompt: readonly PromptPart[], unreadTokens: number, now: number): Work {
-    const work: Work = { startedAt: now, unreadTokens, hasBegun: false }
+    const promptTokens = prompt.reduce((tokens, part) => tokens + part.tokens, 0)
+    const work: Work = { startedAt: now, unreadTokens, promptTokens, hasBegun: false }
     this.works.add(work)
     this.prefixes.note(prompt)
     return work
@@ -81,8 +86,12 @@
   /** Whether work waits there and nothing at all arrives. */
   isSilent (now: number): boolean {
     let oldest = Infinity
-    for (const work of this.works) oldest = Math.min(oldest, work.startedAt)
-    return now - Math.max(this.heardAt, oldest) > SILENT_MS
+    let promptTokens = 0
+    for (const work of this.works) {
+      oldest = Math.min(oldest, work.startedAt)
+      if (!work.hasBegun) promptTokens += work.promptTokens
+    }
+    return now - Math.max(this.heardAt, oldest) > SILENT_MS + promptTokens / SLOWEST_READ_TOKENS_PER_MS
   }
 
   private eject (now: number): void {
