fix(control): entries learn of control processes that join later

Cause: entries were told the control processes only when their link opened, before the last two had joined. Ruled out: heartbeats lost by the runners, whose sequences went on.

--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -9,6 +9,8 @@
 type ProcessRevision = MessageOf<'inForce'>['processes'][number]
 
 const IN_FORCE_TIMEOUT_MS = 1000
+/** How often entries are told which control processes there are, besides at every change seen here, in ms. */
+const TELL_CONTROLS_MS = 2000
 const LINK_TIMING = { heartbeatMs: 1000, silenceMs: 3000, handshakeMs: 2000 }
 
 export class ControlServer {
@@ -17,6 +19,7 @@
   /** Takes the links where they have an address of their own. */
   private readonly linkHttp: HttpServer | undefined
   private acceptor: LinkAcceptor | undefined
+  private timer: NodeJS.Timeout | undefined
   private readonly announced = new Map<Link, string>()
 
   constructor (private readonly services: ControlServices) {
@@ -38,11 +41,13 @@
       onClose: (link) => this.closed(link)
     })
     members.onChange((change) => this.toEntries((link) => link.send(change)))
+    this.timer = setInterval(() => this.tellControls(), TELL_CONTROLS_MS)
     if (settings.links !== undefined) await this.linkHttp?.listen(settings.links)
     this.address = await this.http.listen(settings.listen)
   }
 
   async stop (): Promise<void> {
+    clearInterval(this.timer)
     const closed = this.http.close()
     this.acceptor?.stop()
     await closed
