--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -106,6 +106,10 @@
       return
     }
     if (spreader.receive(link, message)) return
+    if (message.kind === 'work') {
+      this.toEntries((other) => { if (other !== link) other.send(message) })
+      return
+    }
     if (message.kind === 'announce') {
       this.announced.set(link, message.member.address)
       members.announce(message.member)
--- a/control/program/src/operator-api.ts
+++ b/control/program/src/operator-api.ts
@@ -8,7 +8,7 @@
 import { toGullwallError } from '@gullwall/core.error'
 import { type ApplyCommand, type ApplyResult } from '@gullwall/control.state'
 import { Koa, Router } from '@gullwall/transport.http-server'
-import { type MessageOf } from '@gullwall/transport.messages'
+import { leaseSchema, type MessageOf } from '@gullwall/transport.messages'
 import { readBody } from './read-body.ts'
 import { type ControlServices } from './index.ts'
 
@@ -19,6 +19,9 @@
   changes: z.array(z.strictObject({ key: z.string(), value: z.string().nullable() })).min(1)
 })
 
+/** What an endpoint says in a heartbeat. */
+const heartbeatSchema = leaseSchema.omit({ incarnation: true, ageMs: true })
+
 const newMemberSchema = z.strictObject({ name: z.string().min(1), address: addressSchema })
 
 /** Errors that are the operator's to mend; all others mean that the change was not taken, or may not have been. */
@@ -62,6 +65,18 @@
     context.body = quorum.status()
   })
 
+  router.put('/document', async (context) => await putDocument(context, services))
+  router.get('/document', async (context) => {
+    const document = await services.documents.read()
+    context.status = document === undefined ? 404 : 200
+    context.body = document ?? { type: 'failed', message: 'no document has been accepted yet' }
+  })
+  router.put('/leases/:incarnation', async (context) => await putLease(context, services))
+  router.delete('/leases/:incarnation', async (context) => {
+    await services.registrar.leave(String(context.params['incarnation']))
+    context.body = {}
+  })
+
   const app = new Koa()
   app.silent = true
   app.use(reportErrors)
@@ -84,6 +99,25 @@
   })
 }
 
+async function putDocument (context: Context, { documents }: ControlServices): Promise<void> {
+  const outcome = await documents.put(JSON.stringify(await readBody(context.req)))
+  outcome.caseOf({
+    Left: (mistakes) => badRequest(context, formatMistakes(mistakes)),
+    Right: (result) => { context.body = result }
+  })
+}
+
+async function putLease (context: Context, { registrar }: ControlServices): Promise<void> {
+  const asked = checkValue(await readBody(context.req), heartbeatSchema, { file: 'heartbeat' })
+  await asked.caseOf({
+    Left: async (mistakes) => badRequest(context, formatMistakes(mistakes)),
+    Right: async (heartbeat) => {
+      await registrar.hear({ ...heartbeat, incarnation: String(context.params['incarnation']), ageMs: 0 })
+      context.body = {}
+    }
+  })
+}
+
 function statusOf (result: ApplyResult): number {
   switch (result.type) {
     case 'accepted': return 200
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -14,6 +14,9 @@
 /** An endpoint gives up on an answer after a second. */
 const CONFIRM_TIMEOUT_MS = 800
 
+/** Stands for what this process does not know of an endpoint that it is told is gone. */
+const UNKNOWN_LEASE = { service: '', address: '', dataCentre: '', slots: 0, sequence: 0 }
+
 export class Registrar {
   private readonly refreshed = new Set<string>()
   private timer: NodeJS.Timeout | undefined
@@ -44,13 +47,11 @@
     }
   }
 
-  /** Takes word that an endpoint is gone; false if it was never known. */
-  async leave (incarnation: string): Promise<boolean> {
-    const held = this.services.leases.get(incarnation)
-    if (held === undefined) return false
-    const { heardAt: _heardAt, ...lease } = held
-    await this.hear({ ...lease, state: 'gone', sequence: lease.sequence + 1, ageMs: 0 })
-    return true
+  /** Takes word that an endpoint is gone, also of one that is not known here: its heartbeats may still arrive. */
+  async leave (incarnation: string): Promise<void> {
+    const lease = this.services.leases.get(incarnation) ?? UNKNOWN_LEASE
+    const { service, address, dataCentre, slots, sequence } = lease
+    await this.hear({ incarnation, service, address, dataCentre, slots, sequence: sequence + 1, state: 'gone', ageMs: 0 })
   }
 
   /** Passes changes on to the entries linked here. */
--- a/control/registry/test/lease-table.test.ts
+++ b/control/registry/test/lease-table.test.ts
@@ -58,8 +58,8 @@
       const inOrder = table().leases
       inOrder.merge(sent)
       const shuffled = table().leases
-      const draws = order
-      const mixed = [...sent, ...sent].map((message) => ({ message, rank: draws.next().value })).sort((left, right) => left.rank - right.rank)
+      const ranked = [...sent, ...sent].map((message) => ({ message, rank: order.next().value }))
+      const mixed = ranked.sort((left, right) => left.rank - right.rank)
       for (const { message } of mixed) shuffled.merge([message])
       const view = (held: LeaseTable) => held.all().map(({ incarnation, state, sequence }) => `${incarnation} ${state} ${sequence}`).sort()
       expect(view(shuffled)).toEqual(view(inOrder))
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -41,6 +41,13 @@
     return this.links().length
   }
 
+  /** Sends a message over one open link, in this data centre if there is one; false if no link is open. */
+  sendToOne (message: Message): boolean {
+    const links = this.links()
+    const near = links.find((link) => link.peer.dataCentre === this.services.settings.dataCentre)
+    return (near ?? links[0])?.send(message) ?? false
+  }
+
   /** Why this process should not take requests yet; undefined if it may. */
   notReady (): string | undefined {
     const { view, store } = this.services
@@ -79,6 +86,7 @@
   private receive (link: Link, message: Message): void {
     const { view, spreader } = this.services
     if (spreader.receive(link, message)) return
+    if (message.kind === 'work') this.services.workExchange.receive(message.entry, message.works)
     if (message.kind === 'leases') view.leases.merge(message.leases)
     if (message.kind !== 'controls') return
     view.entries = Math.max(1, message.entries)
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -50,6 +50,15 @@
     ))
   }
 
+  /** Every endpoint with work or a lease. */
+  all (): EndpointState[] {
+    return [...this.endpoints.values()]
+  }
+
+  get (incarnation: string): EndpointState | undefined {
+    return this.endpoints.get(incarnation)
+  }
+
   get endpointCount (): number {
     return this.endpoints.size
   }
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -15,6 +15,7 @@
 import { Ingress } from './ingress.ts'
 import { gatewayMetrics, type GatewayMetrics } from './metrics.ts'
 import { nativeDialect } from './native-dialect.ts'
+import { WorkExchange } from './work-exchange.ts'
 
 export * from './dialect.ts'
 export { nativeDialect } from './native-dialect.ts'
@@ -35,6 +36,7 @@
   view: DeploymentView
   budget: RetryBudget
   controlLinks: ControlLinks
+  workExchange: WorkExchange
   ingress: Ingress
   admin: GatewayAdmin
 }
@@ -65,6 +67,7 @@
     .service('view', (services) => new DeploymentView(services))
     .service('budget', (services) => createBudget(services))
     .service('controlLinks', (services) => new ControlLinks(services))
+    .service('workExchange', (services) => new WorkExchange(services))
     .service('admin', (services) => new GatewayAdmin(services))
     .service('ingress', (services) => new Ingress(services))
 }
--- /dev/null
+++ b/entry/gateway/test/gateway.test.ts
@@ -0,0 +1,197 @@
+import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest'
+import { request } from 'undici'
+import { until } from '@gullwall/bench.deployment'
+import { answerWell, GatewayDeployment, StandIn, type Behaviour } from './stand-in.ts'
+
+const first = new StandIn('i-first', 'app')
+const second = new StandIn('i-second', 'app')
+const both = [first, second]
+const deployment = new GatewayDeployment(both)
+
+let ids = 0
+
+interface Reply {
+  id: string
+  status: number
+  headers: Record<string, unknown>
+  text: string
+}
+
+async function call (path: string, options: { headers?: Record<string, string>, body?: string } = {}): Promise<Reply> {
+  const id = `request-${++ids}`
+  const reply = await request(deployment.url(path), {
+    method: options.body === undefined ? 'GET' : 'POST',
+    headers: { authorization: 'Bearer secret', 'x-gullwall-request-id': id, ...options.headers },
+    body: options.body
+  })
+  return { id, status: reply.statusCode, headers: reply.headers, text: await reply.body.text() }
+}
+
+function arrivals (id: string): number {
+  return both.reduce((sum, standIn) => sum + standIn.arrived.filter((arrived) => arrived === id).length, 0)
+}
+
+/** Whichever endpoint gets the first request behaves so; all later ones answer well. */
+function firstArrival (behaviour: Behaviour): void {
+  let isFirst = true
+  for (const standIn of both) {
+    standIn.behaviour = (...args) => {
+      const chosen = isFirst ? behaviour : answerWell
+      isFirst = false
+      chosen(...args)
+    }
+  }
+}
+
+const events = (from: number, to: number) => Array.from({ length: to - from + 1 }, (_, index) => `id: ${from + index}\ndata: ${from + index}\n\n`).join('')
+
+const stream = (from: number, to: number): Behaviour => (incoming, response) => {
+  response.writeHead(200, { 'content-type': 'text/event-stream', 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+  response.end(events(from, to))
+}
+
+beforeAll(async () => {
+  await deployment.start()
+  expect((await call('/look-up/1')).status).toBe(503)
+  for (const standIn of both) await deployment.register(standIn)
+  await deployment.configure(1)
+})
+afterAll(async () => await deployment.stop())
+beforeEach(() => { for (const standIn of both) standIn.behaviour = answerWell })
+
+describe('a request through the gateway', () => {
+  it('reaches the endpoint unchanged and names the incarnation, the organisation and the time that remains', async () => {
+    const reply = await call('/order/5?x=%20y', { body: 'two wheels', headers: { 'x-gullwall-wait-ms': '900', 'x-other': 'Kept' } })
+    expect(reply).toMatchObject({ status: 200, text: 'POST /order/5?x=%20y two wheels' })
+    const standIn = both.find(({ arrived }) => arrived.includes(reply.id))
+    const headers = standIn?.headers[standIn.arrived.indexOf(reply.id)] ?? {}
+    expect(headers).toMatchObject({ 'x-gullwall-incarnation': standIn?.incarnation, 'x-gullwall-organisation': 'workshop', 'x-other': 'Kept' })
+    expect(headers['authorization']).toBeUndefined()
+    expect(Number(headers['x-gullwall-wait-ms'])).toBeGreaterThan(500)
+    expect(Number(headers['x-gullwall-wait-ms'])).toBeLessThan(900)
+  })
+
+  it('is refused where no route, no key or a wrong key is given', async () => {
+    expect((await call('/nowhere/1')).status).toBe(404)
+    expect((await call('/look-up/1', { headers: { authorization: 'Bearer wrong' } })).status).toBe(401)
+    expect((await call('/open/1', { headers: { authorization: 'Bearer wrong' } })).status).toBe(200)
+  })
+
+  it('is never run twice where it runs at most once, and the log tells why it failed', async () => {
+    firstArrival((_incoming, response) => { response.destroy() })
+    const reply = await call('/order/6', { body: 'one wheel' })
+    expect(reply.status).toBe(502)
+    expect(reply.headers['retry-after']).toBeUndefined()
+    expect(arrivals(reply.id)).toBe(1)
+    expect(JSON.parse(reply.text)).toMatchObject({ error: { ran: 'unknown', requestId: reply.id } })
+    const story = deployment.story(reply.id)
+    expect(story.map((record) => record['decision'])).toEqual(['dispatch', 'fail'])
+    expect(story[1]?.['why']).toContain('502')
+  })
+
+  it('goes to another endpoint where it may be repeated', async () => {
+    firstArrival((_incoming, response) => { response.destroy() })
+    const reply = await call('/look-up/7')
+    expect(reply.status).toBe(200)
+    expect(arrivals(reply.id)).toBe(2)
+    expect(deployment.story(reply.id).map((record) => record['decision'])).toContain('retry')
+  })
+
+  it('is refused with a time to come back where the endpoint did not run it and no attempt is left', async () => {
+    for (const standIn of both) {
+      standIn.behaviour = (_incoming, response) => { response.writeHead(503, { 'x-gullwall-ran': 'no' }).end() }
+    }
+    const reply = await call('/order/8', { body: 'x' })
+    expect(reply.status).toBe(503)
+    expect(Number(reply.headers['retry-after'])).toBeGreaterThan(0)
+    expect(arrivals(reply.id)).toBeLessThanOrEqual(2)
+  })
+
+  it('is not answered with the answer to another request', async () => {
+    firstArrival((_incoming, response) => { response.writeHead(200, { 'x-gullwall-request-id': 'another' }).end('wrong') })
+    const reply = await call('/look-up/9')
+    expect(reply).toMatchObject({ status: 200, text: 'GET /look-up/9 ' })
+  })
+
+  it('ends at its time, and the endpoint sees that its caller has left', async () => {
+    for (const standIn of both) standIn.behaviour = () => {}
+    const before = first.left + second.left
+    const startedAt = performance.now()
+    const reply = await call('/order/10', { body: 'x', headers: { 'x-gullwall-wait-ms': '250' } })
+    expect(reply.status).toBe(504)
+    expect(performance.now() - startedAt).toBeLessThan(1200)
+    await until('the endpoint to be left', () => first.left + second.left > before)
+  })
+})
+
+describe('a stream through the gateway', () => {
+  it('goes on at another endpoint after its last whole event', async () => {
+    const answers: Behaviour = (incoming, response, body) => {
+      const last = Number(incoming.headers['last-event-id'] ?? 0)
+      if (last > 0) return stream(last + 1, 6)(incoming, response, body)
+      response.writeHead(200, { 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']), 'x-run': 'first' })
+      response.write(`${events(1, 3)}id: 4\nda`, () => setImmediate(() => response.destroy()))
+    }
+    for (const standIn of both) standIn.behaviour = answers
+    const reply = await call('/draft/1', { body: 'x' })
+    expect(reply).toMatchObject({ status: 200, text: events(1, 6) })
+    expect(reply.headers['x-run']).toBe('first')
+    expect(deployment.story(reply.id).map((record) => record['decision'])).toContain('resume')
+  })
+
+  it('is broken off, and not ended as if it were whole, where it may not be resumed', async () => {
+    for (const standIn of both) {
+      standIn.behaviour = (incoming, response) => {
+        response.writeHead(200, { 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+        response.write(events(1, 2), () => setImmediate(() => response.destroy()))
+      }
+    }
+    await expect(call('/scan/1', { body: 'x' })).rejects.toThrow()
+    const { requestId } = JSON.parse(deployment.lines.filter((line) => line.includes('"fail"')).at(-1) ?? '{}') as { requestId: string }
+    expect(arrivals(requestId)).toBe(1)
+  })
+
+  it('is cancelled at the endpoint when its caller leaves', async () => {
+    for (const standIn of both) {
+      standIn.behaviour = (incoming, response) => {
+        response.writeHead(200, { 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+        response.write(events(1, 1))
+      }
+    }
+    const before = first.left + second.left
+    const reply = await request(deployment.url('/draft/2'), {
+      method: 'POST', headers: { authorization: 'Bearer secret', 'x-gullwall-request-id': 'leaver' }, body: 'x'
+    })
+    reply.body.on('error', () => {})
+    reply.body.once('data', () => reply.body.destroy())
+    await until('the endpoint to be left', () => first.left + second.left > before)
+  })
+})
+
+describe('endpoints', () => {
+  it('that leave get no more, whatever arrives late', async () => {
+    await deployment.register(second, 'draining', 5)
+    await deployment.control.get('registrar').hear({
+      incarnation: second.incarnation, service: 'app', address: second.address, dataCentre: 'dc1', slots: 4, state: 'ready', sequence: 4, ageMs: 0
+    })
+    const before = second.arrived.length
+    for (let turn = 0; turn < 10; turn++) expect((await call(`/look-up/${turn}`)).status).toBe(200)
+    expect(second.arrived.length).toBe(before)
+  })
+})
+
+describe('a planned stop', () => {
+  it('finishes what is in flight and closes kept connections by asking', async () => {
+    let release: (() => void) | undefined
+    first.behaviour = (incoming, response, body) => { release = () => answerWell(incoming, response, body) }
+    const inFlight = call('/order/20', { body: 'slow' })
+    await until('the request to arrive', () => release !== undefined)
+    const stopped = deployment.gateway.get('ingress').stop()
+    expect(deployment.gateway.get('ingress').isStopping).toBe(true)
+    release?.()
+    const reply = await inFlight
+    expect(reply.status).toBe(200)
+    expect(reply.headers['connection']).toBe('close')
+    await stopped
+  })
+})
--- /dev/null
+++ b/entry/gateway/test/stand-in.ts
@@ -0,0 +1,144 @@
+/** A back end whose behaviour a test sets for each request, and a deployment of one control process and one gateway. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { type AddressInfo } from 'node:net'
+import { freeAddresses, until } from '@gullwall/bench.deployment'
+import { createControl, type ControlServices } from '@gullwall/control.program'
+import { MemoryDisk } from '@gullwall/control.storage'
+import { createGateway, type GatewayServices } from '@gullwall/entry.gateway'
+import { type Kernel } from '@gullwall/core.kernel'
+
+export type Behaviour = (request: IncomingMessage, response: ServerResponse, body: string) => void
+
+const LINK_KEY = 'a-shared-key-for-loopback'
+const ANY_ADDRESS = '127.0.0.1:0'
+
+/** Answers as the service that it stands for. */
+export const answerWell: Behaviour = (request, response, body) => {
+  response.writeHead(200, { 'x-gullwall-request-id': String(request.headers['x-gullwall-request-id'] ?? '') })
+  response.end(`${request.method} ${request.url} ${body}`)
+}
+
+export class StandIn {
+  address = ''
+  /** The ids of the requests that arrived. */
+  readonly arrived: string[] = []
+  readonly headers: IncomingMessage['headers'][] = []
+  left = 0
+  private readonly server: Server
+
+  constructor (readonly incarnation: string, readonly service: string, public behaviour: Behaviour = answerWell) {
+    this.server = createServer((request, response) => {
+      const chunks: Buffer[] = []
+      request.on('data', (chunk: Buffer) => chunks.push(chunk))
+      request.on('end', () => {
+        this.arrived.push(String(request.headers['x-gullwall-request-id']))
+        this.headers.push(request.headers)
+        response.on('close', () => { if (!response.writableFinished) this.left += 1 })
+        this.behaviour(request, response, Buffer.concat(chunks).toString())
+      })
+    })
+  }
+
+  async start (): Promise<void> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve))
+    this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  stop (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+}
+
+export class GatewayDeployment {
+  control!: Kernel<ControlServices>
+  gateway!: Kernel<GatewayServices>
+  readonly lines: string[] = []
+
+  constructor (private readonly standIns: readonly StandIn[]) {}
+
+  async start (): Promise<void> {
+    const [listen = ''] = await freeAddresses(1)
+    const common = { box: 'b1', dataCentre: 'dc1', linkKey: LINK_KEY, logLevel: 'info' as const, admin: ANY_ADDRESS }
+    this.control = await createControl({
+      ...common,
+      listen,
+      member: 'c1',
+      members: {},
+      seeds: [listen],
+      founds: true,
+      dataFolder: 'unused',
+      operatorToken: 'an-operator-token-for-loopback',
+      quorumHeartbeatMs: 50,
+      quorumElectionMs: 150
+    }, { disk: new MemoryDisk(), write: () => {} })
+    this.gateway = createGateway({
+      ...common, listen: ANY_ADDRESS, readiness: ANY_ADDRESS, seeds: [listen], graceMs: 6000, retryRatio: 1, retryWindowMs: 1000, retrySlack: 50
+    }, { write: (line) => this.lines.push(line) })
+    await this.control.start()
+    for (const standIn of this.standIns) await standIn.start()
+    await this.gateway.start()
+  }
+
+  /** Has a document accepted and waits until it is in force. */
+  async configure (version: number): Promise<void> {
+    await until('a leader', () => this.control.get('quorum').role === 'leader')
+    await this.control.get('documents').put(JSON.stringify(documentOf(version)))
+    await until('the document', () => this.gateway.get('view').table?.version === version)
+    await until('readiness', () => this.gateway.get('controlLinks').notReady() === undefined)
+  }
+
+  async register (standIn: StandIn, state: 'ready' | 'draining' = 'ready', sequence = 1): Promise<void> {
+    const { incarnation, service, address } = standIn
+    await this.control.get('registrar').hear({
+      incarnation, service, address, dataCentre: 'dc1', slots: 4, state, sequence, ageMs: 0
+    })
+    const wanted = state === 'ready'
+    const isUsable = () => (
+      this.gateway.get('view').usable(standIn.service).some(({ description }) => description.incarnation === standIn.incarnation)
+    )
+    await until(`${standIn.incarnation} ${state}`, () => isUsable() === wanted)
+  }
+
+  url (path: string): string {
+    return `http://${this.gateway.get('ingress').address}${path}`
+  }
+
+  /** The log lines of one request. */
+  story (requestId: string): Array<Record<string, unknown>> {
+    return this.lines.map((line) => JSON.parse(line) as Record<string, unknown>).filter((record) => record['requestId'] === requestId)
+  }
+
+  async stop (): Promise<void> {
+    await this.gateway.stop()
+    await this.control.stop()
+    for (const standIn of this.standIns) standIn.stop()
+  }
+}
+
+function documentOf (version: number): object {
+  const common = {
+    host: '127.0.0.1',
+    timeoutMs: 1500,
+    targetMs: 400,
+    tier: 1,
+    split: [{ service: 'app', weight: 1 }],
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: false,
+    hasPromptParts: false
+  }
+  return {
+    version,
+    routes: [
+      { ...common, name: 'look-up', prefix: '/look-up/', kind: 'repeatable' },
+      { ...common, name: 'order', prefix: '/order/', kind: 'once' },
+      { ...common, name: 'draft', prefix: '/draft/', kind: 'stream', isResumable: true },
+      { ...common, name: 'scan', prefix: '/scan/', kind: 'stream' },
+      { ...common, name: 'open', prefix: '/open/', kind: 'repeatable', isPublic: true }
+    ],
+    services: [{ name: 'app', healthPath: '/healthz', maxConnections: 20 }],
+    organisations: [{ name: 'workshop', keys: ['secret'] }],
+    limits: {}
+  }
+}
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -28,7 +28,7 @@
   readWeight: number
   /** For a short prompt at an endpoint kept for long ones, and the other way round. */
   otherSize: number
-  /** For each request of this entry that runs there. */
+  /** For each request that runs there. */
   perRunning: number
   /** For an endpoint in another data centre. */
   otherDataCentre: number
@@ -39,7 +39,7 @@
 }
 
 export const DEFAULT_WEIGHTS: ChoiceWeights = {
-  readTokensPerMs: 36, readWeight: 6, otherSize: 300, perRunning: 8, otherDataCentre: 20, failures: 400, suspect: 100_000
+  readTokensPerMs: 36, readWeight: 2, otherSize: 300, perRunning: 2, otherDataCentre: 20, failures: 400, suspect: 100_000
 }
 
 /** A candidate with its cost and what went into it. */
@@ -109,7 +109,7 @@
 
 function costOf (endpoint: EndpointState, demand: Demand, unreadTokens: number, now: number, weights: ChoiceWeights): number {
   const read = (weights.readWeight * unreadTokens + endpoint.backlogTokens) / weights.readTokensPerMs
-  const running = endpoint.inFlight * weights.perRunning
+  const running = endpoint.running * weights.perRunning
   const distance = endpoint.description.dataCentre === demand.dataCentre ? 0 : weights.otherDataCentre
   const failures = endpoint.failureShare * weights.failures
   const suspicion = endpoint.isEjected(now) || endpoint.isSilent(now) ? weights.suspect : 0
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -26,6 +26,14 @@
   hasBegun: boolean
 }
 
+/** Work of other entries at an endpoint. */
+export interface OthersWork {
+  unreadTokens: number
+  running: number
+}
+
+const NO_OTHERS: OthersWork = { unreadTokens: 0, running: 0 }
+
 export interface EndpointDescription {
   incarnation: string
   service: string
@@ -39,6 +47,8 @@
   readonly works = new Set<Work>()
   /** When any byte last arrived from the endpoint. */
   heardAt = -Infinity
+  /** What the other entries have under way there, as they last told. */
+  others: OthersWork = NO_OTHERS
   /** A moving share of failures among finished attempts. */
   failureShare = 0
   private ejectedUntil = -Infinity
@@ -52,8 +62,17 @@
     return this.works.size
   }
 
-  /** Prompt tokens that this entry has sent and that are probably not read yet. */
+  /** Requests of all entries that run there. */
+  get running (): number {
+    return this.works.size + this.others.running
+  }
+
+  /** Prompt tokens that any entry has sent and that are probably not read yet. */
   get backlogTokens (): number {
+    return this.ownBacklogTokens + this.others.unreadTokens
+  }
+
+  get ownBacklogTokens (): number {
     let tokens = 0
     for (const work of this.works) {
       if (!work.hasBegun) tokens += work.unreadTokens
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -61,6 +61,15 @@
   ageMs: z.number()
 })
 
+/** What one entry has under way at one endpoint. */
+export const workSchema = z.object({
+  incarnation: z.string(),
+  /** Prompt tokens that were sent there and are probably not read yet. */
+  unreadTokens: count,
+  /** Requests that run there. */
+  running: count
+})
+
 export const recordChangeSchema = z.object({ key: z.string(), value: z.string().nullable() })
 
 /** One entry of the replicated log. */
@@ -109,6 +118,8 @@
   controls: z.object({ kind: z.literal('controls'), addresses: z.array(z.string()), entries: count }),
   /** A control process that is not a member asks to become one. */
   join: z.object({ kind: z.literal('join'), member: z.string(), address: z.string(), incarnation: z.string() }),
+  /** What an entry has under way, all of it; control passes it on to the other entries. */
+  work: z.object({ kind: z.literal('work'), entry: z.string(), works: z.array(workSchema) }),
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
   // Among control processes: the quorum protocol. `to` is the incarnation that the sender takes the receiver for.
@@ -157,6 +168,7 @@
 export type MessageOf<Kind extends MessageKind> = z.infer<(typeof MESSAGE_SCHEMAS)[Kind]>
 export type Message = { [Kind in MessageKind]: MessageOf<Kind> }[MessageKind]
 export type Member = z.infer<typeof memberSchema>
+export type WorkSummary = z.infer<typeof workSchema>
 export type Lease = z.infer<typeof leaseSchema>
 export type DemandRow = z.infer<typeof demandRowSchema>
 export type LogEntry = z.infer<typeof logEntrySchema>
