--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -39,7 +39,7 @@
 }
 
 export const DEFAULT_WEIGHTS: ChoiceWeights = {
-  readTokensPerMs: 36, readWeight: 2, otherSize: 300, perRunning: 2, otherDataCentre: 20, failures: 400, suspect: 100_000
+  readTokensPerMs: 36, readWeight: 12, otherSize: 300, perRunning: 2, otherDataCentre: 20, failures: 400, suspect: 100_000
 }
 
 /** A candidate with its cost and what went into it. */
