fix(gateway): an answer without a length is whole only if its connection was not reset

The HTTP client ends an answer without a length on ECONNRESET as if it were whole, and a reset that arrives together with data is reported as an ordinary end. Ruled out: chunked and measured answers (the client checks those). Now the connection is written to once: one that was reset refuses it. The test failed before.

--- a/entry/gateway/src/connections.ts
+++ b/entry/gateway/src/connections.ts
@@ -1,5 +1,6 @@
 /** Connections to endpoints: one pool for each incarnation, bounded by this entry's share. */
-import { Pool, type Dispatcher } from 'undici'
+import { type Socket } from 'node:net'
+import { buildConnector, Pool, type Dispatcher } from 'undici'
 import { type EndpointDescription } from '@gullwall/routing.balancer'
 
 const KEEP_ALIVE_MS = 4000
@@ -10,6 +11,16 @@
 
 export class Connections {
   private readonly pools = new Map<string, Pool>()
+  private readonly connector = watchedConnector((check) => { this.latestEnd = check })
+  private latestEnd: Promise<boolean> = Promise.resolve(false)
+
+  /**
+   * Whether the connection that is ending in this very moment was closed by the endpoint and not reset. Asked by an
+   * answer that ends with its connection.
+   */
+  async wasClosedWell (): Promise<boolean> {
+    return await this.latestEnd
+  }
 
   /** Gives the dispatcher for one incarnation of an endpoint. */
   to ({ incarnation, address }: EndpointDescription, maxConnections: number, entries: number): Dispatcher {
@@ -23,7 +34,7 @@
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: CONNECT_TIMEOUT_MS }
+      connect: this.connector
     })
     this.pools.set(incarnation, pool)
     return pool
@@ -43,6 +54,30 @@
   }
 }
 
+/**
+ * Tells how a connection ends before the HTTP client sees it. The client takes what has arrived of an answer without a
+ * length for the whole of it also when the connection was reset, and the runtime reports a reset that arrives together
+ * with data as an ordinary end.
+ */
+function watchedConnector (onEnding: (wasClosedWell: Promise<boolean>) => void): buildConnector.connector {
+  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const socket: Socket | null = result[1]
+      socket?.prependListener('end', () => onEnding(takesBytes(socket)))
+      socket?.prependListener('error', () => onEnding(Promise.resolve(false)))
+      callback(...result)
+    })
+  }
+}
+
+/** A connection that was reset refuses a write at once; one whose other end has closed still takes it. */
+async function takesBytes (socket: Socket): Promise<boolean> {
+  return await new Promise((resolve) => {
+    socket.write('\r\n', (error) => resolve(error == null))
+  })
+}
+
 export function originOf (address: string): string {
   return `http://${address}`
 }
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -16,6 +16,8 @@
   body: Buffer | undefined
   /** How long the connection may take to be made, in ms. */
   connectMs: number
+  /** Whether the connection that is ending right now was closed and not reset. */
+  wasClosedWell: () => Promise<boolean>
 }
 
 /** Told what arrives, in order. */
@@ -35,6 +37,9 @@
   | { type: 'broken', why: string }
   | { type: 'cancelled' }
 
+/** Answers that have no body, and so no need of a length. */
+const NO_BODY = new Set([204, 304])
+
 type Handler = Required<Pick<Dispatcher.DispatchHandler,
   'onRequestStart' | 'onResponseStart' | 'onResponseData' | 'onResponseEnd' | 'onResponseError'>>
 
@@ -43,6 +48,7 @@
   private settle!: (end: ExchangeEnd) => void
   private controller: Dispatcher.DispatchController | undefined
   private isOver = false
+  private isFramed = true
   private connectTimer: NodeJS.Timeout | undefined
 
   constructor (dispatcher: Dispatcher, origin: string, request: ExchangeRequest, private readonly listener: ExchangeListener) {
@@ -52,7 +58,7 @@
     try {
       dispatcher.dispatch({
         origin, method: method as Dispatcher.HttpMethod, path, headers, body: body ?? null, headersTimeout: 0, bodyTimeout: 0, reset: false
-      }, this.handler())
+      }, this.handler(request.wasClosedWell))
     } catch (error) {
       this.end({ type: 'unsent', why: messageOf(error) })
     }
@@ -81,6 +87,11 @@
     this.controller?.resume()
   }
 
+  /** Ends an answer that has no length: it is whole only if its connection was closed and not reset. */
+  private async endWith (closedWell: Promise<boolean>): Promise<void> {
+    this.end(await closedWell ? { type: 'complete' } : { type: 'broken', why: 'the connection was reset' })
+  }
+
   private end (end: ExchangeEnd): void {
     if (this.isOver) return
     this.isOver = true
@@ -89,7 +100,7 @@
     this.settle(end)
   }
 
-  private handler (): Handler {
+  private handler (wasClosedWell: () => Promise<boolean>): Handler {
     return {
       onRequestStart: (controller) => {
         if (this.isOver) {
@@ -103,12 +114,16 @@
       onResponseStart: (_controller, status, headers) => {
         const isInterim = status < 200
         if (this.isOver || isInterim) return
+        this.isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || NO_BODY.has(status)
         if (!this.listener.onHead({ status, headers })) this.end({ type: 'broken', why: 'the head is not that of an answer to this request' })
       },
       onResponseData: (_controller, chunk) => {
         if (!this.isOver) this.listener.onData(chunk)
       },
-      onResponseEnd: () => this.end({ type: 'complete' }),
+      onResponseEnd: () => {
+        if (this.isFramed) this.end({ type: 'complete' })
+        else void this.endWith(wasClosedWell())
+      },
       onResponseError: (_controller, error) => {
         const why = messageOf(error)
         this.end(this.isSent ? { type: 'broken', why } : { type: 'unsent', why })
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -101,7 +101,12 @@
     this.logDispatch(candidate)
     const receiver = new AnswerReceiver(this, work, candidate)
     const exchange = new Exchange(dispatcher, originOf(description.address), {
-      method: call.method, path: call.path, headers: this.headersFor(description.incarnation), body: call.body, connectMs: CONNECT_MS
+      method: call.method,
+      path: call.path,
+      headers: this.headersFor(description.incarnation),
+      body: call.body,
+      connectMs: CONNECT_MS,
+      wasClosedWell: async () => await services.connections.wasClosedWell()
     }, receiver)
     this.exchange = exchange
     const watch = setInterval(() => this.watch(candidate, work), WATCH_MS)
--- a/entry/gateway/test/gateway.test.ts
+++ b/entry/gateway/test/gateway.test.ts
@@ -113,6 +113,29 @@
     expect(reply).toMatchObject({ status: 200, text: 'GET /look-up/9 ' })
   })
 
+  it.each([
+    ['without a length', '\r\n\r\nhalf an ans'],
+    ['in chunks, of which the last is missing', '\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n']
+  ])('is not answered with a part of an answer that was reset: %s', async (_what, rest) => {
+    firstArrival((incoming) => {
+      const head = `HTTP/1.1 200 OK\r\nx-gullwall-request-id: ${String(incoming.headers['x-gullwall-request-id'])}`
+      incoming.socket.write(head + rest, () => setImmediate(() => incoming.socket.resetAndDestroy()))
+    })
+    const reply = await call('/look-up/11')
+    expect(reply).toMatchObject({ status: 200, text: 'GET /look-up/11 ' })
+    expect(arrivals(reply.id)).toBe(2)
+  })
+
+  it('is answered with an answer that ends with its connection', async () => {
+    firstArrival((incoming) => {
+      const id = String(incoming.headers['x-gullwall-request-id'])
+      incoming.socket.end(`HTTP/1.1 200 OK\r\nx-gullwall-request-id: ${id}\r\n\r\na whole answer`)
+    })
+    const reply = await call('/order/12', { body: 'x' })
+    expect(reply).toMatchObject({ status: 200, text: 'a whole answer' })
+    expect(reply.headers['content-length']).toBe('14')
+  })
+
   it('ends at its time, and the endpoint sees that its caller has left', async () => {
     for (const standIn of both) standIn.behaviour = () => {}
     const before = first.left + second.left
--- a/entry/gateway/test/stand-in.ts
+++ b/entry/gateway/test/stand-in.ts
@@ -73,7 +73,14 @@
       quorumElectionMs: 150
     }, { disk: new MemoryDisk(), write: () => {} })
     this.gateway = createGateway({
-      ...common, listen: ANY_ADDRESS, readiness: ANY_ADDRESS, seeds: [listen], graceMs: 6000, retryRatio: 1, retryWindowMs: 1000, retrySlack: 50
+      ...common,
+      listen: ANY_ADDRESS,
+      readiness: ANY_ADDRESS,
+      seeds: [listen],
+      graceMs: 6000,
+      retryRatio: 1,
+      retryWindowMs: 1000,
+      retrySlack: 50
     }, { write: (line) => this.lines.push(line) })
     await this.control.start()
     for (const standIn of this.standIns) await standIn.start()
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -3,14 +3,6 @@
 import { type PromptPart } from './prefix-memory.ts'
 import { rendezvousOrder } from './rendezvous.ts'
 
-/** Prompts of at most so many tokens are short. */
-const SHORT_TOKENS = 4000
-/** The share of a service's endpoints that is kept for short prompts. */
-const SHARE_FOR_SHORT = 0.3
-const LEAST_TO_DIVIDE = 300
-/** The subject by which entries agree on the endpoints for short prompts. */
-const SHORT_PROMPTS = 'short prompts'
-
 /** What the choice must know of a request. */
 export interface Demand {
   /** The parts of the prompt, in order; none where the request has no prompt. */
@@ -26,8 +18,6 @@
   readTokensPerMs: number
   /** How many times the tokens to read count: what is read twice is lost for all. */
   readWeight: number
-  /** For a short prompt at an endpoint kept for long ones, and the other way round. */
-  otherSize: number
   /** For each request that runs there. */
   perRunning: number
   /** For an endpoint in another data centre. */
@@ -39,7 +29,7 @@
 }
 
 export const DEFAULT_WEIGHTS: ChoiceWeights = {
-  readTokensPerMs: 36, readWeight: 12, otherSize: 300, perRunning: 2, otherDataCentre: 20, failures: 400, suspect: 100_000
+  readTokensPerMs: 36, readWeight: 12, perRunning: 2, otherDataCentre: 20, failures: 400, suspect: 100_000
 }
 
 /** A candidate with its cost and what went into it. */
@@ -62,13 +52,11 @@
 
 /** Gives the cost of every endpoint that may have the request. */
 export function weigh (demand: Demand, endpoints: readonly EndpointState[], now: number, weights = DEFAULT_WEIGHTS): Candidate[] {
-  const { alike, others } = bySize(demand, endpoints)
-  const home = homeOf(demand, alike)
+  const home = homeOf(demand, endpoints)
   return endpoints.filter((endpoint) => !demand.excluded.has(endpoint.description.incarnation)).map((endpoint) => {
     const isHome = endpoint === home
     const unreadTokens = unreadAt(endpoint, demand, isHome)
-    const size = others.has(endpoint) ? weights.otherSize : 0
-    return { endpoint, isHome, unreadTokens, cost: size + costOf(endpoint, demand, unreadTokens, now, weights) }
+    return { endpoint, isHome, unreadTokens, cost: costOf(endpoint, demand, unreadTokens, now, weights) }
   })
 }
 
@@ -77,19 +65,6 @@
   return (prompt.at(-2) ?? prompt.at(-1))?.id
 }
 
-/**
- * Divides the endpoints into those for prompts of this size and the others: while a long prompt is read, the tokens of
- * everything beside it wait. All entries divide alike.
- */
-function bySize ({ prompt }: Demand, endpoints: readonly EndpointState[]): { alike: readonly EndpointState[], others: ReadonlySet<EndpointState> } {
-  if (prompt.length === 0 || endpoints.length < LEAST_TO_DIVIDE) return { alike: endpoints, others: new Set() }
-  const ordered = rendezvousOrder(SHORT_PROMPTS, endpoints, (endpoint) => endpoint.description.incarnation)
-  const forShort = Math.max(1, Math.round(endpoints.length * SHARE_FOR_SHORT))
-  const short = ordered.slice(0, forShort)
-  const long = ordered.slice(forShort)
-  return tokensOf(prompt) <= SHORT_TOKENS ? { alike: short, others: new Set(long) } : { alike: long, others: new Set(short) }
-}
-
 function tokensOf (prompt: readonly PromptPart[]): number {
   return prompt.reduce((tokens, part) => tokens + part.tokens, 0)
 }
