--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -20,7 +20,7 @@
 /** After a stop was asked for, new connections still come for so long, until the balancer has seen it, in ms. */
 const TAKE_ON_MS = 2500
 /** What is kept of the time for a stop, to end in good order, in ms. */
-const STOP_RESERVE_MS = 600
+const STOP_RESERVE_MS = 1200
 const POLL_MS = 25
 
 export class Ingress {
