fix(gateway): a process that stops takes nothing more on kept connections

An answer that began before SIGTERM did not ask for its connection to be closed; 5.5 s later the next request came on it, was passed on, and was cut off at the end of the stop. Ruled out: new connections (the listener was closed after 2.5 s). From 2.5 s on such a request is refused unread by any endpoint, and connections are closed as their answers end. The test failed before with 200.

--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -22,10 +22,14 @@
 /** What is kept of the time for a stop, to end in good order, in ms. */
 const STOP_RESERVE_MS = 1200
 const POLL_MS = 25
+/** Another process takes the request at once; a new connection has to be made. In ms. */
+const ELSEWHERE_MS = 20
 
 export class Ingress {
   address = ''
   isStopping = false
+  /** Once the balancer knows of a stop, what still comes on kept connections is told to go elsewhere. */
+  private takesNothing = false
   private server: Server | undefined
   private inFlight = 0
 
@@ -56,6 +60,7 @@
     const endsAt = startedAt + settings.graceMs - STOP_RESERVE_MS
     this.isStopping = true
     await this.until(() => false, Math.min(startedAt + TAKE_ON_MS, endsAt))
+    this.takesNothing = true
     this.server?.close()
     this.server?.closeIdleConnections()
     await this.until(() => this.inFlight === 0, endsAt)
@@ -86,6 +91,8 @@
       answer.error({ status: 500, code: 'ERR_GULLWALL_UNEXPECTED', message: 'unexpected error', ran: 'unknown' })
     } finally {
       this.inFlight -= 1
+      // An answer that began before the stop did not ask for its connection to be closed.
+      if (this.takesNothing) response.once('close', () => setImmediate(() => this.server?.closeIdleConnections()))
     }
   }
 
@@ -93,6 +100,11 @@
     const { view, dialect, controlLinks } = this.services
     const body = await readBody(request, view.table?.document.limits.maxBodyBytes ?? MAX_BODY_BYTES)
     if (body === 'left') return
+    if (this.takesNothing) {
+      const error: ErrorAnswer = { status: 503, code: 'ERR_GULLWALL_STOPPING', message: 'this process stops', ran: 'no', retryAfterMs: ELSEWHERE_MS }
+      this.refuse(answer, requestId, error)
+      return
+    }
     await this.readyWithin(arrivedAt + NOT_READY_WAIT_MS)
     const table = view.table
     const notReady = controlLinks.notReady()
--- a/entry/gateway/test/gateway.test.ts
+++ b/entry/gateway/test/gateway.test.ts
@@ -1,5 +1,6 @@
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest'
-import { request } from 'undici'
+import { type ServerResponse } from 'node:http'
+import { Client, request } from 'undici'
 import { until } from '@gullwall/bench.deployment'
 import { answerWell, GatewayDeployment, StandIn, type Behaviour } from './stand-in.ts'
 
@@ -209,12 +210,33 @@
     first.behaviour = (incoming, response, body) => { release = () => answerWell(incoming, response, body) }
     const inFlight = call('/order/20', { body: 'slow' })
     await until('the request to arrive', () => release !== undefined)
-    const stopped = deployment.gateway.get('ingress').stop()
-    expect(deployment.gateway.get('ingress').isStopping).toBe(true)
+    const ingress = deployment.gateway.get('ingress')
+    const kept = new Client(deployment.url(''))
+    let begun: ServerResponse | undefined
+    first.behaviour = (incoming, response) => {
+      response.writeHead(200, { 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+      response.write(events(1, 1))
+      begun = response
+    }
+    const headers = { authorization: 'Bearer secret', 'x-gullwall-request-id': 'begun-before' }
+    const streamed = await kept.request({ path: '/long/3', method: 'POST', headers, body: 'x' })
+    first.behaviour = answerWell
+    const stopped = ingress.stop()
+    expect(ingress.isStopping).toBe(true)
     release?.()
     const reply = await inFlight
     expect(reply.status).toBe(200)
     expect(reply.headers['connection']).toBe('close')
+    // The stream began before the stop: its connection is kept, and the next request on it comes late.
+    await until('the listener to be closed', async () => await call('/look-up/21').then(() => false, () => true))
+    const before = first.arrived.length
+    const late = kept.request({ path: '/look-up/22', method: 'GET', headers: { ...headers, 'x-gullwall-request-id': 'late' } })
+      .then((answer) => answer.statusCode, () => 'closed unread')
+    begun?.end(events(2, 2))
+    expect(await streamed.body.text()).toBe(events(1, 2))
+    expect([503, 'closed unread']).toContain(await late)
+    expect(first.arrived.length).toBe(before)
+    await kept.destroy()
     await stopped
   })
 })
--- a/entry/gateway/test/stand-in.ts
+++ b/entry/gateway/test/stand-in.ts
@@ -143,6 +143,7 @@
       { ...common, name: 'order', prefix: '/order/', kind: 'once' },
       { ...common, name: 'draft', prefix: '/draft/', kind: 'stream', isResumable: true },
       { ...common, name: 'scan', prefix: '/scan/', kind: 'stream' },
+      { ...common, name: 'long', prefix: '/long/', kind: 'stream', timeoutMs: 8000 },
       { ...common, name: 'open', prefix: '/open/', kind: 'repeatable', isPublic: true }
     ],
     services: [{ name: 'app', healthPath: '/healthz', maxConnections: 20 }],
