perf(balancer): copy shared prompt parts, and keep tight streams apart from long reads

Cause: every gateway took a subject to be kept at its rendezvous home, also where nobody had sent it, so the load of a cold start was underestimated and a busy home could be left only by reading everything again. Under constant reading a stream of a short target between events is late by one pause.

Ruled out: endpoints kept for short prompts (tried before, read again too much); tokens to read counted less (more is read twice).

Gateways now tell each other which shared parts they sent where; an endpoint that lacks them is named another one to copy from. Each stream has a strain that grows as its target between events shrinks; reads cost more beside strained streams, and such streams cost more where much is read.

--- a/config/document/src/model.ts
+++ b/config/document/src/model.ts
@@ -39,7 +39,9 @@
   /** Requests that run at once. */
   slots: count,
   /** Tokens that the memory of one engine holds. */
-  memoryTokens: count
+  memoryTokens: count,
+  /** Whether an engine copies what another one keeps of a prompt when it is told which. */
+  copiesPrefixes: z.boolean().default(false)
 })
 
 export const serviceSchema = z.object({
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -52,6 +52,9 @@
   /** What the choice weighed: cost in ms, prompt tokens to read there, own requests there. */
   cost?: number
   unreadTokens?: number
+  /** Prompt tokens that it copies instead of reading them, and the incarnation that it copies from. */
+  copiedTokens?: number
+  source?: string
   inFlight?: number
   tookMs?: number
   why: string
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -86,7 +86,7 @@
   private receive (link: Link, message: Message): void {
     const { view, spreader } = this.services
     if (spreader.receive(link, message)) return
-    if (message.kind === 'work') this.services.workExchange.receive(message.entry, message.works)
+    if (message.kind === 'work') this.services.workExchange.receive(message)
     if (message.kind === 'leases') view.leases.merge(message.leases)
     if (message.kind !== 'controls') return
     view.entries = Math.max(1, message.entries)
--- a/entry/gateway/src/dialect.ts
+++ b/entry/gateway/src/dialect.ts
@@ -24,6 +24,8 @@
   organisation: string | undefined
   tier: number
   lastEventId: string | undefined
+  /** The address of another endpoint that keeps more of the prompt, for the endpoint to copy it from. */
+  prefixSource: string | undefined
 }
 
 /** What the head of an endpoint's answer says. */
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -1,5 +1,5 @@
 /** The attempts of one request, from the first choice of an endpoint to the last byte for the caller. */
-import { choose, type Candidate, type Work } from '@gullwall/routing.balancer'
+import { choose, strainOf, type Candidate, type Work } from '@gullwall/routing.balancer'
 import { type CallerAnswer, type ErrorAnswer } from './answer.ts'
 import { isRepeatable, type Call } from './call.ts'
 import { AnswerReceiver, verdictOf, type AttemptEnd } from './answer-receiver.ts'
@@ -15,6 +15,8 @@
 const RETRY_AFTER_MS = 300
 /** A first event that would take so many times its target is not waited for. */
 const HOPELESS_TARGETS = 1.3
+/** After a start, other entries are taken to have sent prompts to their homes for so long, in ms. */
+const TRUST_HOME_MS = 10_000
 const WATCH_MS = 250
 const STALL_MS = 1200
 
@@ -89,7 +91,14 @@
     const { call, services } = this
     const service = this.pickService()
     const endpoints = services.view.usable(service)
-    const demand = { prompt: call.prompt, dataCentre: services.settings.dataCentre, excluded: this.excluded }
+    const demand = {
+      prompt: call.prompt,
+      dataCentre: services.settings.dataCentre,
+      strain: strainOf(call.route.pauseMs),
+      excluded: this.excluded,
+      canCopy: services.view.table?.service(service)?.engine?.copiesPrefixes ?? false,
+      trustsHome: performance.now() - services.startedAt < TRUST_HOME_MS
+    }
     return choose(demand, endpoints, performance.now(), services.weights)
   }
 
@@ -113,13 +122,15 @@
     const { description } = endpoint
     const service = services.view.table?.service(description.service)
     const dispatcher = services.connections.to(description, service?.maxConnections ?? DEFAULT_CONNECTIONS, services.view.entries)
-    const work = endpoint.begin(call.prompt, candidate.unreadTokens, performance.now())
+    services.workExchange.noteSending(endpoint, call.prompt)
+    const sent = { prompt: call.prompt, unreadTokens: candidate.unreadTokens, strain: strainOf(call.route.pauseMs) }
+    const work = endpoint.begin(sent, performance.now())
     this.logDispatch(candidate)
     const receiver = new AnswerReceiver(this, work, candidate)
     const exchange = new Exchange(dispatcher, originOf(description.address), {
       method: call.method,
       path: call.path,
-      headers: this.headersFor(description.incarnation),
+      headers: this.headersFor(candidate),
       body: call.body,
       connectMs: CONNECT_MS,
       wasClosedWell: async () => await services.connections.wasClosedWell()
@@ -132,14 +143,15 @@
     return end
   }
 
-  private headersFor (incarnation: string): string[] {
+  private headersFor ({ endpoint, source }: Candidate): string[] {
     const { call, services } = this
     return services.dialect.attemptHeaders(call.rawHeaders, {
-      incarnation,
+      incarnation: endpoint.description.incarnation,
       remainingMs: Math.max(1, Math.floor(call.deadline - performance.now() - DEADLINE_SLACK_MS)),
       organisation: call.organisation?.name,
       tier: call.tier,
-      lastEventId: this.lastEventId
+      lastEventId: this.lastEventId,
+      prefixSource: source?.description.address
     })
   }
 
@@ -310,13 +322,15 @@
     this.services.logger.info({ ...this.record(decision), why })
   }
 
-  private candidateFacts ({ endpoint, cost, unreadTokens }: Candidate) {
+  private candidateFacts ({ endpoint, cost, unreadTokens, copiedTokens, source }: Candidate) {
     const { incarnation } = endpoint.description
     return {
       endpoint: incarnation,
       leaseAgeMs: this.services.view.leaseAgeMs(incarnation),
       cost: Math.round(cost),
       unreadTokens,
+      copiedTokens,
+      source: source?.description.incarnation,
       inFlight: endpoint.inFlight
     }
   }
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -24,6 +24,8 @@
 export interface GatewayServices {
   settings: GatewaySettings
   startId: string
+  /** When this process was put together, by the monotonic clock. */
+  startedAt: number
   logger: Logger
   registry: Registry
   metrics: GatewayMetrics
@@ -55,6 +57,7 @@
   return new Kernel<GatewayServices>({ stopDeadlineMs: settings.graceMs })
     .value('settings', settings)
     .value('startId', newStartId())
+    .value('startedAt', performance.now())
     .value('logger', createLogger({ program: 'gullwall-gateway', box: settings.box, level: settings.logLevel, write: options.write }))
     .value('format', options.format ?? nativeFormat)
     .value('dialect', options.dialect ?? nativeDialect)
--- a/entry/gateway/src/native-dialect.ts
+++ b/entry/gateway/src/native-dialect.ts
@@ -7,10 +7,11 @@
 const INCARNATION = 'x-gullwall-incarnation'
 const ORGANISATION = 'x-gullwall-organisation'
 const TIER = 'x-gullwall-tier'
+const PREFIX_SOURCE = 'x-gullwall-prefix-source'
 const RAN = 'x-gullwall-ran'
 const LAST_EVENT = 'last-event-id'
 
-const REPLACED = new Set([WAIT, ORGANISATION, TIER, INCARNATION, LAST_EVENT, 'authorization'])
+const REPLACED = new Set([WAIT, ORGANISATION, TIER, INCARNATION, LAST_EVENT, PREFIX_SOURCE, 'authorization'])
 
 export const nativeDialect: CallDialect = {
   readCall: (headers) => {
@@ -31,6 +32,7 @@
     headers.push(WAIT, String(facts.remainingMs), INCARNATION, facts.incarnation, TIER, String(facts.tier))
     if (facts.organisation !== undefined) headers.push(ORGANISATION, facts.organisation)
     if (facts.lastEventId !== undefined) headers.push(LAST_EVENT, facts.lastEventId)
+    if (facts.prefixSource !== undefined) headers.push(PREFIX_SOURCE, facts.prefixSource)
     return headers
   },
   readAnswer: (_status, headers) => ({
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -1,5 +1,6 @@
 /** Tells the other entries what this one has under way, and keeps what they tell. */
-import { type WorkSummary } from '@gullwall/transport.messages'
+import { MIN_COPY_TOKENS, sharedTokens, type EndpointState, type PromptPart } from '@gullwall/routing.balancer'
+import { type Holding, type MessageOf, type WorkSummary } from '@gullwall/transport.messages'
 import { type GatewayServices } from './index.ts'
 
 /** How often this entry looks whether there is something to tell, in ms. */
@@ -24,6 +25,7 @@
   private toldText = '[]'
   private toldTokens = new Map<string, number>()
   private toldAt = -Infinity
+  private untoldHoldings: Holding[] = []
 
   constructor (private readonly services: GatewayServices) {}
 
@@ -35,23 +37,35 @@
     clearInterval(this.timer)
   }
 
-  /** Takes what another entry has under way. */
-  receive (entry: string, works: readonly WorkSummary[]): void {
+  /** Takes what another entry has under way and what it has sent. */
+  receive ({ entry, works, holdings }: MessageOf<'work'>): void {
     if (entry === this.services.settings.box) return
-    this.others.set(entry, { works, heardAt: performance.now() })
+    const now = performance.now()
+    this.others.set(entry, { works, heardAt: now })
+    for (const { incarnation, parts } of holdings) this.services.view.get(incarnation)?.prefixes.note(parts, now)
     this.count()
   }
 
+  /** Notes that an endpoint is about to get a prompt; the other entries are told of long parts that it has not had yet. */
+  noteSending ({ prefixes, description }: EndpointState, prompt: readonly PromptPart[]): void {
+    const shared = sharedTokens(prompt)
+    if (shared < MIN_COPY_TOKENS || prefixes.cachedTokens(prompt) >= shared) return
+    this.untoldHoldings.push({ incarnation: description.incarnation, parts: prompt.slice(0, -1).map(({ id, tokens }) => ({ id, tokens })) })
+  }
+
   private tick (): void {
     const now = performance.now()
     this.forgetSilent(now)
+    for (const endpoint of this.services.view.all()) endpoint.sampleReading()
     const works = this.ownWorks()
     const text = JSON.stringify(works)
     const sinceTold = now - this.toldAt
     const isChanged = text !== this.toldText && (sinceTold > TELL_MS || this.changedTokens(works) > TELL_TOKENS)
     const isRepeat = works.length > 0 && sinceTold > REPEAT_MS
-    if (!isChanged && !isRepeat) return
-    if (!this.services.controlLinks.sendToOne({ kind: 'work', entry: this.services.settings.box, works })) return
+    if (!isChanged && !isRepeat && this.untoldHoldings.length === 0) return
+    const message = { kind: 'work', entry: this.services.settings.box, works, holdings: this.untoldHoldings } as const
+    if (!this.services.controlLinks.sendToOne(message)) return
+    this.untoldHoldings = []
     this.toldText = text
     this.toldTokens = new Map(works.map((work) => [work.incarnation, work.unreadTokens]))
     this.toldAt = now
@@ -61,7 +75,8 @@
     return this.services.view.all().filter((endpoint) => endpoint.inFlight > 0).map((endpoint) => ({
       incarnation: endpoint.description.incarnation,
       unreadTokens: Math.round(endpoint.ownBacklogTokens),
-      running: endpoint.inFlight
+      running: endpoint.inFlight,
+      strain: Math.round(100 * endpoint.ownStrain) / 100
     }))
   }
 
@@ -86,13 +101,14 @@
 
   /** Adds up what the others have under way at each endpoint. */
   private count (): void {
-    for (const endpoint of this.services.view.all()) endpoint.others = { unreadTokens: 0, running: 0 }
+    for (const endpoint of this.services.view.all()) endpoint.others = { unreadTokens: 0, running: 0, strain: 0 }
     for (const { works } of this.others.values()) {
-      for (const { incarnation, unreadTokens, running } of works) {
+      for (const { incarnation, unreadTokens, running, strain } of works) {
         const endpoint = this.services.view.get(incarnation)
         if (endpoint === undefined) continue
         endpoint.others.unreadTokens += unreadTokens
         endpoint.others.running += running
+        endpoint.others.strain += strain
       }
     }
   }
--- a/entry/gateway/test/gateway.test.ts
+++ b/entry/gateway/test/gateway.test.ts
@@ -98,6 +98,21 @@
     expect(deployment.story(reply.id).map((record) => record['decision'])).toContain('retry')
   })
 
+  it('names another endpoint to copy the shared parts of its prompt from, once another entry has told that it keeps them', async () => {
+    const parts = [{ id: 'subject', tokens: 13_000 }]
+    const works = [{ incarnation: first.incarnation, unreadTokens: 90_000, running: 5, strain: 0 }]
+    const holdings = [{ incarnation: first.incarnation, parts }]
+    const gateway = deployment.gateway
+    gateway.get('workExchange').receive({ kind: 'work', entry: 'another', works, holdings })
+    await until('the parts are read', () => (
+      (gateway.get('view').get(first.incarnation)?.prefixes.copyableTokens(parts, performance.now()) ?? 0) > 0
+    ))
+    const reply = await call('/look-up/10', { headers: { 'x-gullwall-prompt-parts': 'subject:13000,own:3000' } })
+    expect(reply.status).toBe(200)
+    expect(second.headers[second.arrived.indexOf(reply.id)]).toMatchObject({ 'x-gullwall-prefix-source': first.address })
+    expect(deployment.story(reply.id)[0]).toMatchObject({ copiedTokens: 13_000, source: first.incarnation })
+  })
+
   it('is refused with a time to come back where the endpoint did not run it and no attempt is left', async () => {
     for (const standIn of both) {
       standIn.behaviour = (_incoming, response) => { response.writeHead(503, { 'x-gullwall-ran': 'no' }).end() }
--- a/entry/gateway/test/stand-in.ts
+++ b/entry/gateway/test/stand-in.ts
@@ -146,7 +146,7 @@
       { ...common, name: 'long', prefix: '/long/', kind: 'stream', timeoutMs: 8000 },
       { ...common, name: 'open', prefix: '/open/', kind: 'repeatable', isPublic: true }
     ],
-    services: [{ name: 'app', healthPath: '/healthz', maxConnections: 20 }],
+    services: [{ name: 'app', healthPath: '/healthz', maxConnections: 20, engine: { slots: 4, memoryTokens: 100_000, copiesPrefixes: true } }],
     organisations: [{ name: 'workshop', keys: ['secret'] }],
     limits: {}
   }
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -13,6 +13,10 @@
 const SLOWEST_READ_TOKENS_PER_MS = 8
 /** The share of the engine's memory that is taken to hold parts; running requests need the rest. */
 const CACHE_SHARE = 0.6
+/** With so many tokens to read, an engine reads all the time until the next sample. */
+const BUSY_TOKENS = 4000
+/** What one sample counts for. */
+const READING_WEIGHT = 0.04
 const DEFAULT_MEMORY_TOKENS = 400_000
 
 /** One attempt that is under way. */
@@ -22,6 +26,7 @@
   readonly unreadTokens: number
   /** All tokens of the prompt; none of them may be kept there after all. */
   readonly promptTokens: number
+  readonly strain: number
   /** Whether the first event has arrived. */
   hasBegun: boolean
 }
@@ -30,9 +35,18 @@
 export interface OthersWork {
   unreadTokens: number
   running: number
+  /** The strains of their streams, added up. */
+  strain: number
 }
 
-const NO_OTHERS: OthersWork = { unreadTokens: 0, running: 0 }
+const NO_OTHERS: OthersWork = { unreadTokens: 0, running: 0, strain: 0 }
+
+/** What is sent to an endpoint. */
+export interface SentPrompt {
+  prompt: readonly PromptPart[]
+  unreadTokens: number
+  strain: number
+}
 
 export interface EndpointDescription {
   incarnation: string
@@ -51,6 +65,8 @@
   others: OthersWork = NO_OTHERS
   /** A moving share of failures among finished attempts. */
   failureShare = 0
+  /** The share of the last seconds in which prompts were read there, from 0 to 1. */
+  readShare = 0
   private ejectedUntil = -Infinity
   private ejections = 0
 
@@ -80,11 +96,29 @@
     return tokens
   }
 
-  begin (prompt: readonly PromptPart[], unreadTokens: number, now: number): Work {
+  /** The strains of the streams of this entry that run there, added up. */
+  get ownStrain (): number {
+    let strain = 0
+    for (const work of this.works) strain += work.strain
+    return strain
+  }
+
+  /** The same of all entries. */
+  get strain (): number {
+    return this.ownStrain + this.others.strain
+  }
+
+  /** Takes a sample of how much there is to read; samples come at even intervals. */
+  sampleReading (): void {
+    const isReading = Math.min(1, this.backlogTokens / BUSY_TOKENS)
+    this.readShare += READING_WEIGHT * (isReading - this.readShare)
+  }
+
+  begin ({ prompt, unreadTokens, strain }: SentPrompt, now: number): Work {
     const promptTokens = prompt.reduce((tokens, part) => tokens + part.tokens, 0)
-    const work: Work = { startedAt: now, unreadTokens, promptTokens, hasBegun: false }
+    const work: Work = { startedAt: now, unreadTokens, promptTokens, strain, hasBegun: false }
     this.works.add(work)
-    this.prefixes.note(prompt)
+    this.prefixes.note(prompt, now)
     return work
   }
 
--- a/routing/balancer/src/rendezvous.ts
+++ b/routing/balancer/src/rendezvous.ts
@@ -1,12 +1,29 @@
 /** Rendezvous hashing: entries agree on the home of a subject without talking to each other. */
 import { createHash } from 'node:crypto'
 
-/** Gives the candidates in the order of preference for a subject; losing one candidate moves only its own subjects. */
-export function rendezvousOrder<T> (subject: string, candidates: readonly T[], nameOf: (candidate: T) => string): T[] {
-  const weighed = candidates.map((candidate) => ({ candidate, weight: weightOf(subject, nameOf(candidate)) }))
-  return weighed.sort((left, right) => right.weight - left.weight).map(({ candidate }) => candidate)
+/** Weights that are kept, since the same subjects come again and again. */
+const MAX_KEPT_WEIGHTS = 20_000
+const keptWeights = new Map<string, number>()
+
+/** Gives the candidate that a subject prefers; losing one candidate moves only its own subjects. */
+export function rendezvousFirst<T> (subject: string, candidates: readonly T[], nameOf: (candidate: T) => string): T | undefined {
+  let first: T | undefined
+  let highest = -1
+  for (const candidate of candidates) {
+    const weight = weightOf(subject, nameOf(candidate))
+    if (weight <= highest) continue
+    highest = weight
+    first = candidate
+  }
+  return first
 }
 
 function weightOf (subject: string, name: string): number {
-  return createHash('md5').update(subject).update('\0').update(name).digest().readUInt32LE(0)
+  const key = `${subject}\0${name}`
+  const kept = keptWeights.get(key)
+  if (kept !== undefined) return kept
+  if (keptWeights.size >= MAX_KEPT_WEIGHTS) keptWeights.clear()
+  const weight = createHash('md5').update(key).digest().readUInt32LE(0)
+  keptWeights.set(key, weight)
+  return weight
 }
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -67,7 +67,15 @@
   /** Prompt tokens that were sent there and are probably not read yet. */
   unreadTokens: count,
   /** Requests that run there. */
-  running: count
+  running: count,
+  /** How little their streams bear that prompts are read beside them, added up. */
+  strain: z.number()
+})
+
+/** Parts of prompts that one entry has sent to one endpoint, which keeps them from then on. */
+export const holdingSchema = z.object({
+  incarnation: z.string(),
+  parts: z.array(z.object({ id: z.string(), tokens: count }))
 })
 
 export const recordChangeSchema = z.object({ key: z.string(), value: z.string().nullable() })
@@ -119,7 +127,13 @@
   /** A control process that is not a member asks to become one. */
   join: z.object({ kind: z.literal('join'), member: z.string(), address: z.string(), incarnation: z.string() }),
   /** What an entry has under way, all of it; control passes it on to the other entries. */
-  work: z.object({ kind: z.literal('work'), entry: z.string(), works: z.array(workSchema) }),
+  work: z.object({
+    kind: z.literal('work'),
+    entry: z.string(),
+    works: z.array(workSchema),
+    /** What it has sent since it last told. */
+    holdings: z.array(holdingSchema)
+  }),
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
   // Among control processes: the quorum protocol. `to` is the incarnation that the sender takes the receiver for.
@@ -169,6 +183,7 @@
 export type Message = { [Kind in MessageKind]: MessageOf<Kind> }[MessageKind]
 export type Member = z.infer<typeof memberSchema>
 export type WorkSummary = z.infer<typeof workSchema>
+export type Holding = z.infer<typeof holdingSchema>
 export type Lease = z.infer<typeof leaseSchema>
 export type DemandRow = z.infer<typeof demandRowSchema>
 export type LogEntry = z.infer<typeof logEntrySchema>
