perf(balancer): short reads go first at an engine, and waits count what goes before

Cause: most organisations have a tier of their own, which goes before a route's, so nearly all requests had the same rank at an engine and a short prompt waited behind long ones; the choice and the refusal of late first events counted all that waits.

Ruled out: holding long prompts back in the gateway; the engine's own order does it without another queue.

A rank has three levels within a tier, by the tokens to read; a resumed stream is of the first. Entries tell what they have unread by rank.

--- a/entry/gateway/src/dialect.ts
+++ b/entry/gateway/src/dialect.ts
@@ -22,7 +22,8 @@
   remainingMs: number
   /** The organisation of the key, if one was needed. */
   organisation: string | undefined
-  tier: number
+  /** In which order the endpoint takes what it has; 0 goes first. */
+  urgency: number
   lastEventId: string | undefined
   /** The address of another endpoint that keeps more of the prompt, for the endpoint to copy it from. */
   prefixSource: string | undefined
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -93,6 +93,8 @@
     const endpoints = services.view.usable(service)
     const demand = {
       prompt: call.prompt,
+      tier: call.tier,
+      isResumed: this.isResumed,
       dataCentre: services.settings.dataCentre,
       strain: strainOf(call.route.pauseMs),
       excluded: this.excluded,
@@ -123,7 +125,8 @@
     const service = services.view.table?.service(description.service)
     const dispatcher = services.connections.to(description, service?.maxConnections ?? DEFAULT_CONNECTIONS, services.view.entries)
     services.workExchange.noteSending(endpoint, call.prompt)
-    const sent = { prompt: call.prompt, unreadTokens: candidate.unreadTokens, strain: strainOf(call.route.pauseMs) }
+    const { unreadTokens, urgency } = candidate
+    const sent = { prompt: call.prompt, unreadTokens, urgency, strain: strainOf(call.route.pauseMs) }
     const work = endpoint.begin(sent, performance.now())
     this.logDispatch(candidate)
     const receiver = new AnswerReceiver(this, work, candidate)
@@ -143,13 +146,13 @@
     return end
   }
 
-  private headersFor ({ endpoint, source }: Candidate): string[] {
+  private headersFor ({ endpoint, source, urgency }: Candidate): string[] {
     const { call, services } = this
     return services.dialect.attemptHeaders(call.rawHeaders, {
       incarnation: endpoint.description.incarnation,
       remainingMs: Math.max(1, Math.floor(call.deadline - performance.now() - DEADLINE_SLACK_MS)),
       organisation: call.organisation?.name,
-      tier: call.tier,
+      urgency,
       lastEventId: this.lastEventId,
       prefixSource: source?.description.address
     })
@@ -191,12 +194,17 @@
     }
   }
 
+  /** Whether the caller has had a part of its stream from an earlier attempt. */
+  private get isResumed (): boolean {
+    return this.lastEventId !== this.call.lastEventId
+  }
+
   /** Sends once more if attempts and budget allow it; else ends as told. */
   private sendAgain (candidate: Candidate, why: string, otherwise: () => void): boolean {
     const { call, services } = this
     const isAllowed = this.sends < call.route.maxAttempts
     if (isAllowed && services.budget.take()) {
-      this.log(this.lastEventId === call.lastEventId ? 'retry' : 'resume', candidate, `${why}; budget left ${services.budget.left.toFixed(1)}`)
+      this.log(this.isResumed ? 'resume' : 'retry', candidate, `${why}; budget left ${services.budget.left.toFixed(1)}`)
       return true
     }
     this.log('stop', candidate, `${why}; ${isAllowed ? 'no retry budget left' : `${this.sends} of ${call.route.maxAttempts} attempts made`}`)
--- a/entry/gateway/src/native-dialect.ts
+++ b/entry/gateway/src/native-dialect.ts
@@ -6,12 +6,12 @@
 const PROMPT = 'x-gullwall-prompt-parts'
 const INCARNATION = 'x-gullwall-incarnation'
 const ORGANISATION = 'x-gullwall-organisation'
-const TIER = 'x-gullwall-tier'
+const URGENCY = 'x-gullwall-urgency'
 const PREFIX_SOURCE = 'x-gullwall-prefix-source'
 const RAN = 'x-gullwall-ran'
 const LAST_EVENT = 'last-event-id'
 
-const REPLACED = new Set([WAIT, ORGANISATION, TIER, INCARNATION, LAST_EVENT, PREFIX_SOURCE, 'authorization'])
+const REPLACED = new Set([WAIT, ORGANISATION, URGENCY, INCARNATION, LAST_EVENT, PREFIX_SOURCE, 'authorization'])
 
 export const nativeDialect: CallDialect = {
   readCall: (headers) => {
@@ -29,7 +29,7 @@
   },
   attemptHeaders: (rawHeaders, facts) => {
     const headers = passedOn(rawHeaders, REPLACED)
-    headers.push(WAIT, String(facts.remainingMs), INCARNATION, facts.incarnation, TIER, String(facts.tier))
+    headers.push(WAIT, String(facts.remainingMs), INCARNATION, facts.incarnation, URGENCY, String(facts.urgency))
     if (facts.organisation !== undefined) headers.push(ORGANISATION, facts.organisation)
     if (facts.lastEventId !== undefined) headers.push(LAST_EVENT, facts.lastEventId)
     if (facts.prefixSource !== undefined) headers.push(PREFIX_SOURCE, facts.prefixSource)
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -67,14 +67,14 @@
     if (!this.services.controlLinks.sendToOne(message)) return
     this.untoldHoldings = []
     this.toldText = text
-    this.toldTokens = new Map(works.map((work) => [work.incarnation, work.unreadTokens]))
+    this.toldTokens = tokensOf(works)
     this.toldAt = now
   }
 
   private ownWorks (): WorkSummary[] {
     return this.services.view.all().filter((endpoint) => endpoint.inFlight > 0).map((endpoint) => ({
       incarnation: endpoint.description.incarnation,
-      unreadTokens: Math.round(endpoint.ownBacklogTokens),
+      unread: endpoint.ownUnread(),
       running: endpoint.inFlight,
       strain: Math.round(100 * endpoint.ownStrain) / 100
     }))
@@ -82,7 +82,7 @@
 
   /** The largest change, at any endpoint, since this entry last told. */
   private changedTokens (works: readonly WorkSummary[]): number {
-    const now = new Map(works.map((work) => [work.incarnation, work.unreadTokens]))
+    const now = tokensOf(works)
     const incarnations = new Set([...now.keys(), ...this.toldTokens.keys()])
     return Math.max(0, ...[...incarnations].map((incarnation) => (
       Math.abs((now.get(incarnation) ?? 0) - (this.toldTokens.get(incarnation) ?? 0))
@@ -101,15 +101,20 @@
 
   /** Adds up what the others have under way at each endpoint. */
   private count (): void {
-    for (const endpoint of this.services.view.all()) endpoint.others = { unreadTokens: 0, running: 0, strain: 0 }
+    for (const endpoint of this.services.view.all()) endpoint.others = { unread: [], running: 0, strain: 0 }
     for (const { works } of this.others.values()) {
-      for (const { incarnation, unreadTokens, running, strain } of works) {
+      for (const { incarnation, unread, running, strain } of works) {
         const endpoint = this.services.view.get(incarnation)
         if (endpoint === undefined) continue
-        endpoint.others.unreadTokens += unreadTokens
+        endpoint.others.unread.push(...unread)
         endpoint.others.running += running
         endpoint.others.strain += strain
       }
     }
   }
 }
+
+/** Prompt tokens still to be read, by endpoint. */
+function tokensOf (works: readonly WorkSummary[]): Map<string, number> {
+  return new Map(works.map(({ incarnation, unread }) => [incarnation, unread.reduce((sum, { tokens }) => sum + tokens, 0)]))
+}
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -2,12 +2,16 @@
 import { type EndpointState } from './endpoint-state.ts'
 import { type PromptPart } from './prefix-memory.ts'
 import { rendezvousFirst } from './rendezvous.ts'
+import { urgencyOf } from './urgency.ts'
 
 /** What the choice must know of a request. */
 export interface Demand {
   /** The parts of the prompt, in order; none where the request has no prompt. */
   prompt: readonly PromptPart[]
   dataCentre: string
+  tier: number
+  /** Whether the caller has had a part of its stream already. */
+  isResumed: boolean
   /** How little its stream bears that prompts are read beside it; see `strainOf`. */
   strain: number
   /** Endpoints that have had this request already. */
@@ -66,11 +70,13 @@
   endpoint: EndpointState
   cost: number
   unreadTokens: number
+  /** Its rank at the endpoint. */
+  urgency: number
   /** Tokens that the endpoint copies from `source` instead of reading them. */
   copiedTokens: number
   /** Another endpoint that is known to keep more of the prompt. */
   source: EndpointState | undefined
-  /** How long the first event will probably take: what waits there is read first. In ms. */
+  /** How long the first event will probably take: what waits there and is as urgent is read first. In ms. */
   waitMs: number
   isHome: boolean
 }
@@ -105,13 +111,15 @@
     const source = best !== undefined && best.endpoint !== endpoint && best.tokens >= tokens + MIN_COPY_TOKENS ? best : undefined
     const copiedTokens = Math.max(0, (source?.tokens ?? 0) - kept)
     const unreadTokens = total - kept - copiedTokens
-    const waitMs = (unreadTokens + endpoint.backlogTokens) / weights.readTokensPerMs
+    const urgency = urgencyOf({ tier: demand.tier, unreadTokens, isResumed: demand.isResumed })
+    const aheadMs = endpoint.tokensAhead(urgency) / weights.readTokensPerMs
+    const waitMs = unreadTokens / weights.readTokensPerMs + aheadMs
     const cost = weights.readWeight * unreadTokens / weights.readTokensPerMs +
       weights.copyWeight * copiedTokens / weights.readTokensPerMs +
       (isHome || tokens > 0 ? 0 : weights.notHome) +
       weights.readBesideStreams * endpoint.strain * unreadTokens / weights.readTokensPerMs +
-      loadCost(endpoint, demand, now, weights)
-    return { endpoint, isHome, unreadTokens, copiedTokens, source: source?.endpoint, waitMs, cost }
+      aheadMs + loadCost(endpoint, demand, now, weights)
+    return { endpoint, isHome, unreadTokens, urgency, copiedTokens, source: source?.endpoint, waitMs, cost }
   })
 }
 
@@ -156,12 +164,11 @@
   return endpoint.isEjected(now) || endpoint.isSilent(now)
 }
 
-/** The cost of an endpoint whatever the prompt. */
+/** The cost of an endpoint whatever the prompt, but for what waits there. */
 function loadCost (endpoint: EndpointState, demand: Demand, now: number, weights: ChoiceWeights): number {
-  const backlog = endpoint.backlogTokens / weights.readTokensPerMs
   const running = endpoint.running * weights.perRunning + demand.strain * endpoint.readShare * weights.streamBesideReads
   const distance = endpoint.description.dataCentre === demand.dataCentre ? 0 : weights.otherDataCentre
   const failures = endpoint.failureShare * weights.failures
   const suspicion = isSuspect(endpoint, now) ? weights.suspect : 0
-  return backlog + running + distance + failures + suspicion
+  return running + distance + failures + suspicion
 }
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -24,6 +24,8 @@
   readonly startedAt: number
   /** Prompt tokens that the endpoint had still to read when the attempt was sent. */
   readonly unreadTokens: number
+  /** Its rank at the endpoint; what has a lower one is read first. */
+  readonly urgency: number
   /** All tokens of the prompt; none of them may be kept there after all. */
   readonly promptTokens: number
   readonly strain: number
@@ -31,20 +33,27 @@
   hasBegun: boolean
 }
 
+/** Prompt tokens of one urgency that are probably not read yet. */
+export interface UnreadTokens {
+  urgency: number
+  tokens: number
+}
+
 /** Work of other entries at an endpoint. */
 export interface OthersWork {
-  unreadTokens: number
+  unread: UnreadTokens[]
   running: number
   /** The strains of their streams, added up. */
   strain: number
 }
 
-const NO_OTHERS: OthersWork = { unreadTokens: 0, running: 0, strain: 0 }
+const NO_OTHERS: OthersWork = { unread: [], running: 0, strain: 0 }
 
 /** What is sent to an endpoint. */
 export interface SentPrompt {
   prompt: readonly PromptPart[]
   unreadTokens: number
+  urgency: number
   strain: number
 }
 
@@ -85,17 +94,30 @@
 
   /** Prompt tokens that any entry has sent and that are probably not read yet. */
   get backlogTokens (): number {
-    return this.ownBacklogTokens + this.others.unreadTokens
+    return this.tokensAhead(Infinity)
   }
 
-  get ownBacklogTokens (): number {
+  /** Those of them that are read before or with a request of some urgency. */
+  tokensAhead (urgency: number): number {
     let tokens = 0
     for (const work of this.works) {
-      if (!work.hasBegun) tokens += work.unreadTokens
+      if (!work.hasBegun && work.urgency <= urgency) tokens += work.unreadTokens
+    }
+    for (const unread of this.others.unread) {
+      if (unread.urgency <= urgency) tokens += unread.tokens
     }
     return tokens
   }
 
+  /** What this entry has sent and what is probably not read yet. */
+  ownUnread (): UnreadTokens[] {
+    const byUrgency = new Map<number, number>()
+    for (const { hasBegun, urgency, unreadTokens } of this.works) {
+      if (!hasBegun) byUrgency.set(urgency, (byUrgency.get(urgency) ?? 0) + unreadTokens)
+    }
+    return [...byUrgency].map(([urgency, tokens]) => ({ urgency, tokens }))
+  }
+
   /** The strains of the streams of this entry that run there, added up. */
   get ownStrain (): number {
     let strain = 0
@@ -114,9 +136,9 @@
     this.readShare += READING_WEIGHT * (isReading - this.readShare)
   }
 
-  begin ({ prompt, unreadTokens, strain }: SentPrompt, now: number): Work {
+  begin ({ prompt, unreadTokens, urgency, strain }: SentPrompt, now: number): Work {
     const promptTokens = prompt.reduce((tokens, part) => tokens + part.tokens, 0)
-    const work: Work = { startedAt: now, unreadTokens, promptTokens, strain, hasBegun: false }
+    const work: Work = { startedAt: now, unreadTokens, urgency, promptTokens, strain, hasBegun: false }
     this.works.add(work)
     this.prefixes.note(prompt, now)
     return work
--- a/routing/balancer/test/choose.test.ts
+++ b/routing/balancer/test/choose.test.ts
@@ -3,7 +3,7 @@
 
 const LATER = 10_000
 const prompt: PromptPart[] = [{ id: 'subject', tokens: 13_000 }, { id: 'own', tokens: 3000 }]
-const demand: Demand = { prompt, dataCentre: 'dc1', strain: 0, excluded: new Set(), canCopy: true, trustsHome: false }
+const demand: Demand = { prompt, dataCentre: 'dc1', tier: 1, isResumed: false, strain: 0, excluded: new Set(), canCopy: true, trustsHome: false }
 const SHORT: PromptPart[] = [{ id: 'own', tokens: 800 }]
 
 function endpoints (count = 3): EndpointState[] {
@@ -19,7 +19,7 @@
 }
 
 function busyWith (endpoint: EndpointState, unreadTokens: number): void {
-  endpoint.begin({ prompt: [{ id: `other-${unreadTokens}`, tokens: unreadTokens }], unreadTokens, strain: 0 }, LATER)
+  endpoint.begin({ prompt: [{ id: `other-${unreadTokens}`, tokens: unreadTokens }], unreadTokens, urgency: 0, strain: 0 }, LATER)
 }
 
 describe('the choice of an endpoint', () => {
@@ -69,12 +69,23 @@
   it('keeps long reads away from engines with such streams', () => {
     const all = endpoints(2)
     for (let stream = 0; stream < 5; stream++) {
-      at(all, 0).begin({ prompt: [], unreadTokens: 0, strain: strainOf(300) }, LATER).hasBegun = true
-      at(all, 1).begin({ prompt: [], unreadTokens: 0, strain: strainOf(1200) }, LATER).hasBegun = true
+      at(all, 0).begin({ prompt: [], unreadTokens: 0, urgency: 0, strain: strainOf(300) }, LATER).hasBegun = true
+      at(all, 1).begin({ prompt: [], unreadTokens: 0, urgency: 0, strain: strainOf(1200) }, LATER).hasBegun = true
     }
     expect(choose({ ...demand, strain: strainOf(1200) }, all, LATER)?.endpoint).toBe(at(all, 1))
   })
 
+  it('counts as ahead only what is as urgent', () => {
+    const all = endpoints(1)
+    at(all, 0).begin({ prompt: [{ id: 'long', tokens: 36_000 }], unreadTokens: 36_000, urgency: 5, strain: 0 }, LATER)
+    const [short] = weigh({ ...demand, prompt: SHORT }, all, LATER)
+    const [long] = weigh({ ...demand, prompt: [{ id: 'own', tokens: 9000 }] }, all, LATER)
+    expect(short).toMatchObject({ urgency: 3 })
+    expect(short?.waitMs).toBeLessThan(100)
+    expect(long).toMatchObject({ urgency: 5 })
+    expect(long?.waitMs).toBeGreaterThan(1000)
+  })
+
   it('does not fall on one that was excluded', () => {
     expect(choose({ ...demand, excluded: new Set(['i-0']) }, endpoints(1), LATER)).toBeUndefined()
   })
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -64,8 +64,8 @@
 /** What one entry has under way at one endpoint. */
 export const workSchema = z.object({
   incarnation: z.string(),
-  /** Prompt tokens that were sent there and are probably not read yet. */
-  unreadTokens: count,
+  /** Prompt tokens that were sent there and are probably not read yet, by urgency. */
+  unread: z.array(z.object({ urgency: count, tokens: count })),
   /** Requests that run there. */
   running: count,
   /** How little their streams bear that prompts are read beside them, added up. */
@@ -183,6 +183,7 @@
 export type Message = { [Kind in MessageKind]: MessageOf<Kind> }[MessageKind]
 export type Member = z.infer<typeof memberSchema>
 export type WorkSummary = z.infer<typeof workSchema>
+export type UnreadTokens = WorkSummary['unread'][number]
 export type Holding = z.infer<typeof holdingSchema>
 export type Lease = z.infer<typeof leaseSchema>
 export type DemandRow = z.infer<typeof demandRowSchema>
