fix(gateway): what did not run does not count as sent, and a 421 ends an incarnation

Ruled out: load (the requests were answered within 30 ms).

A 421 takes the incarnation out for good; what certainly did not run is tried elsewhere up to five times within the retry budget; a repeatable request runs once more at an endpoint that has had it, since a route bounds endpoints. The attempts of a request are counted in a module of their own. A fail line names its endpoint, and histograms tell the time before the first attempt and the longest pause.

--- a/entry/gateway/src/answer-receiver.ts
+++ b/entry/gateway/src/answer-receiver.ts
@@ -59,7 +59,7 @@
     if (end.type === 'cancelled') return { type: 'cancelled' }
     if (end.type === 'unsent') return { type: 'unsent', why: end.why }
     if (this.isNotRun && head !== undefined) {
-      return { type: 'not-run', why: `the endpoint answered ${head.status}, not run`, verdict: head.status === MISDIRECTED ? 'unreachable' : 'shed' }
+      return { type: 'not-run', why: `the endpoint answered ${head.status}, not run`, verdict: head.status === MISDIRECTED ? 'ended' : 'shed' }
     }
     if (end.type === 'broken' || head === undefined) return { type: 'broken', why: end.type === 'broken' ? end.why : 'no head' }
     if (head.status >= SERVER_ERROR) return { type: 'failed', head, body: Buffer.concat(this.chunks) }
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -45,8 +45,8 @@
 
   /** The endpoints of a service that take new work. */
   usable (service: string): EndpointState[] {
-    return [...this.endpoints.values()].filter(({ description }) => (
-      description.service === service && this.leases.get(description.incarnation)?.state === 'ready'
+    return [...this.endpoints.values()].filter(({ description, hasEnded }) => (
+      description.service === service && !hasEnded && this.leases.get(description.incarnation)?.state === 'ready'
     ))
   }
 
--- /dev/null
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -0,0 +1,49 @@
+/** Puts the choice of an endpoint for one request: which endpoints it may have, and what the policy must know. */
+import { choose, strainOf, type Candidate } from '@gullwall/routing.balancer'
+import { type AttemptHistory } from './attempt-history.ts'
+import { type Call } from './call.ts'
+import { type GatewayServices } from './index.ts'
+
+/** After a start, other entries are taken to have sent prompts to their homes for so long, in ms. */
+const TRUST_HOME_MS = 10_000
+
+export interface EndpointChoiceOptions {
+  services: GatewayServices
+  call: Call
+  history: AttemptHistory
+  /** Whether the caller has had a part of its stream already. */
+  isResumed: boolean
+}
+
+/** Chooses the endpoint for the next attempt; none if no endpoint takes it. */
+export function chooseEndpoint ({ services, call, history, isResumed }: EndpointChoiceOptions): Candidate | undefined {
+  const { view, settings, weights, startedAt } = services
+  const service = pickService(services, call)
+  const usable = view.usable(service)
+  const endpoints = history.isBoundToKnown ? usable.filter(({ description }) => history.hasRunAt(description.incarnation)) : usable
+  const canCopy = view.table?.service(service)?.engine?.copiesPrefixes === true
+  const now = performance.now()
+  return choose({
+    prompt: call.prompt,
+    tier: call.tier,
+    isResumed,
+    dataCentre: settings.dataCentre,
+    strain: strainOf(call.route.pauseMs),
+    excluded: history.excluded,
+    sources: canCopy ? usable : [],
+    trustsHome: now - startedAt < TRUST_HOME_MS
+  }, endpoints, now, weights)
+}
+
+/** One of the route's services by weight; one without endpoints gives way to the others. */
+function pickService ({ view }: GatewayServices, { route }: Call): string {
+  const weighed = route.split.filter((part) => part.weight > 0)
+  const able = weighed.filter((part) => view.usable(part.service).length > 0)
+  const parts = able.length > 0 ? able : weighed
+  let draw = Math.random() * parts.reduce((sum, part) => sum + part.weight, 0)
+  for (const part of parts) {
+    draw -= part.weight
+    if (draw < 0) return part.service
+  }
+  return parts[0]?.service ?? ''
+}
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -1,38 +1,38 @@
 /** The attempts of one request, from the first choice of an endpoint to the last byte for the caller. */
-import { choose, strainOf, type Candidate, type Work } from '@gullwall/routing.balancer'
+import { strainOf, type Candidate, type Work } from '@gullwall/routing.balancer'
 import { type CallerAnswer, type ErrorAnswer } from './answer.ts'
+import { AttemptHistory } from './attempt-history.ts'
 import { isRepeatable, type Call } from './call.ts'
 import { AnswerReceiver, verdictOf, type AttemptEnd } from './answer-receiver.ts'
+import { chooseEndpoint } from './endpoint-choice.ts'
 import { Exchange, type ExchangeHead } from './exchange.ts'
 import { originOf } from './connections.ts'
 import { type GatewayServices } from './index.ts'
 
 const CONNECT_MS = 350
 const DEFAULT_CONNECTIONS = 100
-const MAX_UNSENT = 5
 /** Clock slack so that an endpoint does not go on past the caller's deadline, in ms. */
 const DEADLINE_SLACK_MS = 4
 const RETRY_AFTER_MS = 300
 /** A first event that would take so many times its target is not waited for. */
 const HOPELESS_TARGETS = 1.3
-/** After a start, other entries are taken to have sent prompts to their homes for so long, in ms. */
-const TRUST_HOME_MS = 10_000
 const WATCH_MS = 250
 const STALL_MS = 1200
 
 export class Forwarding {
-  private readonly excluded = new Set<string>()
-  private sends = 0
-  private unsent = 0
-  private mayHaveRun = false
+  private readonly history: AttemptHistory
   private lastEventId: string | undefined
   private exchange: Exchange | undefined
+  /** The endpoint of the latest attempt. */
+  private latest: Candidate | undefined
   private isOver = false
   private lastProgressAt = -Infinity
   private firstEventAt: number | undefined
+  private longestPauseMs = 0
   private deadlineTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: GatewayServices, private readonly call: Call, private readonly answer: CallerAnswer) {
+    this.history = new AttemptHistory(call)
     this.lastEventId = call.lastEventId
   }
 
@@ -71,7 +71,7 @@
     const { call } = this
     const patience = Math.min(call.deadline, call.arrivedAt + call.route.targetMs / 4)
     for (;;) {
-      const candidate = this.choose()
+      const candidate = chooseEndpoint({ services: this.services, call, history: this.history, isResumed: this.isResumed })
       const left = patience - performance.now()
       if (candidate !== undefined || left <= 0 || this.isOver) return candidate
       await this.services.view.changeWithin(left)
@@ -84,44 +84,15 @@
    */
   private isHopeless ({ waitMs }: Candidate): boolean {
     const { call } = this
-    return this.sends === 0 && call.prompt.length > 0 && call.tier > 0 && waitMs > HOPELESS_TARGETS * call.route.targetMs
-  }
-
-  private choose (): Candidate | undefined {
-    const { call, services } = this
-    const service = this.pickService()
-    const endpoints = services.view.usable(service)
-    const demand = {
-      prompt: call.prompt,
-      tier: call.tier,
-      isResumed: this.isResumed,
-      dataCentre: services.settings.dataCentre,
-      strain: strainOf(call.route.pauseMs),
-      excluded: this.excluded,
-      canCopy: services.view.table?.service(service)?.engine?.copiesPrefixes ?? false,
-      trustsHome: performance.now() - services.startedAt < TRUST_HOME_MS
-    }
-    return choose(demand, endpoints, performance.now(), services.weights)
-  }
-
-  /** One of the route's services by weight; one without endpoints gives way to the others. */
-  private pickService (): string {
-    const { split } = this.call.route
-    const weighed = split.filter((part) => part.weight > 0)
-    const able = weighed.filter((part) => this.services.view.usable(part.service).length > 0)
-    const parts = able.length > 0 ? able : weighed
-    let draw = Math.random() * parts.reduce((sum, part) => sum + part.weight, 0)
-    for (const part of parts) {
-      draw -= part.weight
-      if (draw < 0) return part.service
-    }
-    return parts[0]?.service ?? ''
+    return !this.history.mayHaveRun && call.prompt.length > 0 && call.tier > 0 && waitMs > HOPELESS_TARGETS * call.route.targetMs
   }
 
   private async attempt (candidate: Candidate): Promise<AttemptEnd> {
     const { call, services } = this
     const { endpoint } = candidate
     const { description } = endpoint
+    if (this.history.isFirst) this.services.metrics.queued.observe({ route: call.route.name }, (performance.now() - call.arrivedAt) / 1000)
+    this.latest = candidate
     const service = services.view.table?.service(description.service)
     const dispatcher = services.connections.to(description, service?.maxConnections ?? DEFAULT_CONNECTIONS, services.view.entries)
     services.workExchange.noteSending(endpoint, call.prompt)
@@ -166,26 +137,18 @@
       case 'cancelled':
         return false
       case 'unsent':
-        this.excluded.add(incarnation)
-        this.unsent += 1
+        this.history.noteNotRun(incarnation)
         this.log('retry', candidate, `not sent: ${end.why}`)
-        if (this.unsent < MAX_UNSENT) return true
-        this.refuse(`not sent ${this.unsent} times: ${end.why}`)
-        return false
+        return this.triesElsewhere(end.why)
       case 'not-run':
-        this.excluded.add(incarnation)
-        this.sends += 1
-        return this.sendAgain(candidate, end.why, () => this.refuse(end.why))
+        this.history.noteNotRun(incarnation)
+        return this.triesElsewhere(end.why) && this.sendAgain(candidate, end.why, () => this.refuse(end.why))
       case 'failed':
-        this.excluded.add(incarnation)
-        this.sends += 1
-        this.mayHaveRun = true
+        this.history.noteRun(incarnation)
         if (!isRepeatable(this.call)) return this.passFailure(candidate, end)
         return this.sendAgain(candidate, `answered ${end.head.status}`, () => this.passFailure(candidate, end))
       case 'broken':
-        this.excluded.add(incarnation)
-        this.sends += 1
-        this.mayHaveRun = true
+        this.history.noteRun(incarnation)
         if (!isRepeatable(this.call)) {
           this.fail(502, 'ERR_GULLWALL_UNKNOWN_OUTCOME', end.why)
           return false
@@ -199,15 +162,22 @@
     return this.lastEventId !== this.call.lastEventId
   }
 
+  /** Whether an attempt that did not run is followed by another; else the request is refused. */
+  private triesElsewhere (why: string): boolean {
+    if (this.history.mayBeTriedElsewhere) return true
+    this.refuse(`not run ${this.history.notRun} times: ${why}`)
+    return false
+  }
+
   /** Sends once more if attempts and budget allow it; else ends as told. */
   private sendAgain (candidate: Candidate, why: string, otherwise: () => void): boolean {
     const { call, services } = this
-    const isAllowed = this.sends < call.route.maxAttempts
+    const isAllowed = this.history.mayRunAgain
     if (isAllowed && services.budget.take()) {
       this.log(this.isResumed ? 'resume' : 'retry', candidate, `${why}; budget left ${services.budget.left.toFixed(1)}`)
       return true
     }
-    this.log('stop', candidate, `${why}; ${isAllowed ? 'no retry budget left' : `${this.sends} of ${call.route.maxAttempts} attempts made`}`)
+    this.log('stop', candidate, `${why}; ${isAllowed ? 'no retry budget left' : `${this.history.sends} of ${call.route.maxAttempts} attempts made`}`)
     otherwise()
     return false
   }
@@ -221,7 +191,7 @@
   /** Moves a stream or a repeatable request away from an endpoint that has gone silent. */
   private watch (candidate: Candidate, work: Work): void {
     const { call, exchange } = this
-    if (this.isOver || exchange === undefined || !isRepeatable(call) || this.sends + 1 >= call.route.maxAttempts) return
+    if (this.isOver || exchange === undefined || !isRepeatable(call) || this.history.attempt >= call.route.maxAttempts) return
     const now = performance.now()
     const waited = now - Math.max(work.startedAt, this.lastProgressAt)
     const isSlow = call.route.kind === 'repeatable'
@@ -229,7 +199,7 @@
       : waited > STALL_MS && candidate.endpoint.isSilent(now)
     if (!isSlow || this.services.budget.left < 1) return
     const others = this.services.view.usable(candidate.endpoint.description.service)
-    if (others.every((other) => other === candidate.endpoint || this.excluded.has(other.description.incarnation))) return
+    if (others.every((other) => other === candidate.endpoint || this.history.excluded.has(other.description.incarnation))) return
     this.log('stop', candidate, `nothing for ${Math.round(waited)} ms`)
     exchange.giveUp(`nothing for ${Math.round(waited)} ms`)
   }
@@ -244,6 +214,7 @@
   /** Notes whole events that were passed on. */
   noteEvents (lastId: string | undefined): void {
     const now = performance.now()
+    if (this.firstEventAt !== undefined) this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastProgressAt)
     this.lastProgressAt = now
     if (lastId !== undefined) this.lastEventId = lastId
     if (this.firstEventAt !== undefined) return
@@ -265,7 +236,7 @@
 
   private deadlinePassed (): void {
     if (this.isOver) return
-    const wasSent = this.mayHaveRun || this.exchange?.isSent === true
+    const wasSent = this.history.mayHaveRun || this.exchange?.isSent === true
     this.exchange?.cancel()
     if (wasSent) this.fail(504, 'ERR_GULLWALL_DEADLINE', 'the time of the request has passed')
     else this.refuse('the time of the request has passed before it was sent')
@@ -274,7 +245,7 @@
   /** Refuses a request that has not run; says so where it is certain. */
   private refuse (why: string, afterMs = 0): void {
     const retryAfterMs = Math.round(Math.max(RETRY_AFTER_MS, afterMs))
-    if (this.mayHaveRun) this.fail(502, 'ERR_GULLWALL_BROKEN', why)
+    if (this.history.mayHaveRun) this.fail(502, 'ERR_GULLWALL_BROKEN', why)
     else this.end({ status: 503, code: 'ERR_GULLWALL_REFUSED', message: why, ran: 'no', retryAfterMs }, 'refused')
   }
 
@@ -296,6 +267,7 @@
     const tookMs = performance.now() - arrivedAt
     this.services.metrics.requests.inc({ route: route.name, outcome })
     this.services.metrics.duration.observe({ route: route.name }, tookMs / 1000)
+    if (this.firstEventAt !== undefined) this.services.metrics.longestPause.observe({ route: route.name }, this.longestPauseMs / 1000)
     if (outcome !== 'answered') return
     this.services.logger.sampled('finish', { ...this.record('finish'), endpoint, tookMs: Math.round(tookMs), why: 'answered' })
   }
@@ -309,7 +281,7 @@
       route: call.route.name,
       organisation: call.organisation?.name ?? '',
       tier: call.tier,
-      attempt: this.sends + 1,
+      attempt: this.history.attempt,
       documentVersion: call.documentVersion,
       documentAgeMs: services.view.documentAgeMs,
       elapsedMs: Math.round(performance.now() - call.arrivedAt)
@@ -318,16 +290,18 @@
 
   private logDispatch (candidate: Candidate): void {
     const record = { ...this.record('dispatch'), ...this.candidateFacts(candidate), why: candidate.isHome ? 'home of its prompt' : 'least cost' }
-    if (this.sends + this.unsent > 0) this.services.logger.info(record)
-    else this.services.logger.sampled('dispatch', record)
+    if (this.history.isFirst) this.services.logger.sampled('dispatch', record)
+    else this.services.logger.info(record)
   }
 
   private log (decision: 'retry' | 'resume' | 'stop', candidate: Candidate, why: string): void {
     this.services.logger.info({ ...this.record(decision), ...this.candidateFacts(candidate), why })
   }
 
+  /** Names the endpoint of the latest attempt, if there was one. */
   private logEnd (decision: 'refuse' | 'fail' | 'cancel', why: string): void {
-    this.services.logger.info({ ...this.record(decision), why })
+    const facts = this.latest === undefined ? {} : this.candidateFacts(this.latest)
+    this.services.logger.info({ ...this.record(decision), ...facts, why })
   }
 
   private candidateFacts ({ endpoint, cost, unreadTokens, copiedTokens, source }: Candidate) {
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -7,13 +7,17 @@
   requests: Counter<'route' | 'outcome'>
   duration: Histogram<'route'>
   firstEvent: Histogram<'route'>
+  longestPause: Histogram<'route'>
+  queued: Histogram<'route'>
 }
 
 export function gatewayMetrics (registry: Registry): GatewayMetrics {
   return {
     requests: counter(registry, 'gullwall_requests_total', 'Requests by route and outcome', ['route', 'outcome']),
     duration: durationHistogram(registry, 'gullwall_request_seconds', 'From the arrival of a request to the end of its answer', ['route']),
-    firstEvent: durationHistogram(registry, 'gullwall_first_event_seconds', 'From the arrival of a request to its first event', ['route'])
+    firstEvent: durationHistogram(registry, 'gullwall_first_event_seconds', 'From the arrival of a request to its first event', ['route']),
+    longestPause: durationHistogram(registry, 'gullwall_longest_pause_seconds', 'The longest time between two events of a stream', ['route']),
+    queued: durationHistogram(registry, 'gullwall_queued_seconds', 'From the arrival of a request to its first attempt', ['route'])
   }
 }
 
--- a/entry/gateway/test/gateway.test.ts
+++ b/entry/gateway/test/gateway.test.ts
@@ -88,6 +88,7 @@
     const story = deployment.story(reply.id)
     expect(story.map((record) => record['decision'])).toEqual(['dispatch', 'fail'])
     expect(story[1]?.['why']).toContain('502')
+    expect(story[1]?.['endpoint']).toBe(story[0]?.['endpoint'])
   })
 
   it('goes to another endpoint where it may be repeated', async () => {
@@ -123,6 +124,34 @@
     expect(arrivals(reply.id)).toBeLessThanOrEqual(2)
   })
 
+  it('goes on where an endpoint has ended and another process has its address, also if it may be sent once only', async () => {
+    const ended = new StandIn('i-ended', 'app', (_incoming, response) => { response.writeHead(421).end() })
+    await ended.start()
+    await deployment.register(ended)
+    try {
+      const replies = []
+      for (let order = 0; order < 12; order++) replies.push(await call(`/order/${order}`, { body: 'x' }))
+      expect(replies.map(({ status }) => status)).toEqual(replies.map(() => 200))
+      expect(ended.arrived.length).toBe(1)
+    } finally {
+      await deployment.register(ended, 'draining', 2)
+      ended.stop()
+    }
+  })
+
+  it('runs once more at an endpoint that has had it, where all that its route allows have failed', async () => {
+    let failures = 0
+    for (const standIn of both) {
+      standIn.behaviour = (incoming, response, body) => {
+        if (++failures > 2) return answerWell(incoming, response, body)
+        response.writeHead(500, { 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) }).end('failed')
+      }
+    }
+    const reply = await call('/look-up/11')
+    expect(reply.status).toBe(200)
+    expect(arrivals(reply.id)).toBe(3)
+  })
+
   it('is not answered with the answer to another request', async () => {
     firstArrival((_incoming, response) => { response.writeHead(200, { 'x-gullwall-request-id': 'another' }).end('wrong') })
     const reply = await call('/look-up/9')
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -16,8 +16,8 @@
   strain: number
   /** Endpoints that have had this request already. */
   excluded: ReadonlySet<string>
-  /** Whether an endpoint copies what another one keeps of the prompt. */
-  canCopy: boolean
+  /** Endpoints that others can copy parts of prompts from. */
+  sources: readonly EndpointState[]
   /**
    * Whether the home of a subject is taken to keep it although nobody has told so: an entry that has just started knows
    * nothing of what was sent before.
@@ -99,10 +99,10 @@
 
 /** Gives the cost of every endpoint that may have the request. */
 export function weigh (demand: Demand, endpoints: readonly EndpointState[], now: number, weights = DEFAULT_WEIGHTS): Candidate[] {
-  const { prompt, canCopy, trustsHome } = demand
+  const { prompt, sources, trustsHome } = demand
   const home = homeOf(prompt, endpoints)
   const holdings = endpoints.map((endpoint) => ({ endpoint, tokens: endpoint.prefixes.cachedTokens(prompt) }))
-  const best = canCopy ? bestSource(prompt, endpoints, now) : undefined
+  const best = bestSource(prompt, sources, now)
   const shared = sharedTokens(prompt)
   const total = tokensOf(prompt)
   return holdings.filter(({ endpoint }) => !demand.excluded.has(endpoint.description.incarnation)).map(({ endpoint, tokens }) => {
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -2,7 +2,7 @@
 import { PrefixMemory, type PromptPart } from './prefix-memory.ts'
 
 /** How an attempt ended, as far as it tells something of the endpoint. */
-export type AttemptVerdict = 'good' | 'failed' | 'shed' | 'unreachable' | 'neutral'
+export type AttemptVerdict = 'good' | 'failed' | 'shed' | 'unreachable' | 'ended' | 'neutral'
 
 const FIRST_EJECTION_MS = 500
 const MAX_EJECTION_MS = 4000
@@ -76,6 +76,8 @@
   failureShare = 0
   /** The share of the last seconds in which prompts were read there, from 0 to 1. */
   readShare = 0
+  /** Whether another process has answered at its address: this incarnation has ended for good. */
+  hasEnded = false
   private ejectedUntil = -Infinity
   private ejections = 0
 
@@ -150,6 +152,7 @@
     const failed = verdict === 'good' ? 0 : 1
     this.failureShare += FAILURE_WEIGHT * (failed - this.failureShare)
     if (verdict === 'unreachable') this.eject(now)
+    if (verdict === 'ended') this.hasEnded = true
     if (verdict === 'good') this.ejections = 0
   }
 
--- a/routing/balancer/test/choose.test.ts
+++ b/routing/balancer/test/choose.test.ts
@@ -3,7 +3,7 @@
 
 const LATER = 10_000
 const prompt: PromptPart[] = [{ id: 'subject', tokens: 13_000 }, { id: 'own', tokens: 3000 }]
-const demand: Demand = { prompt, dataCentre: 'dc1', tier: 1, isResumed: false, strain: 0, excluded: new Set(), canCopy: true, trustsHome: false }
+const demand: Demand = { prompt, dataCentre: 'dc1', tier: 1, isResumed: false, strain: 0, excluded: new Set(), sources: [], trustsHome: false }
 const SHORT: PromptPart[] = [{ id: 'own', tokens: 800 }]
 
 function endpoints (count = 3): EndpointState[] {
@@ -33,7 +33,7 @@
     const all = endpoints()
     at(all, 1).prefixes.note(prompt.slice(0, 1), 0)
     busyWith(at(all, 1), 60_000)
-    const chosen = choose(demand, all, LATER)
+    const chosen = choose({ ...demand, sources: all }, all, LATER)
     expect(chosen?.endpoint).not.toBe(at(all, 1))
     expect(chosen).toMatchObject({ source: at(all, 1), copiedTokens: 13_000, unreadTokens: 3000 })
   })
@@ -41,12 +41,19 @@
   it('does not copy where engines cannot, nor from one that has just been sent the parts, nor from a silent one', () => {
     const all = endpoints()
     at(all, 1).prefixes.note(prompt.slice(0, 1), LATER - 100)
-    const sources = (changed: Partial<Demand>, now: number) => weigh({ ...demand, ...changed }, all, now).map(({ source }) => source)
-    expect(sources({}, LATER)).toEqual([undefined, undefined, undefined])
-    expect(sources({ canCopy: false }, 2 * LATER)).toEqual([undefined, undefined, undefined])
-    expect(sources({}, 2 * LATER)).toEqual([at(all, 1), undefined, at(all, 1)])
+    const sources = (sources: EndpointState[], now: number) => weigh({ ...demand, sources }, all, now).map(({ source }) => source)
+    expect(sources(all, LATER)).toEqual([undefined, undefined, undefined])
+    expect(sources([], 2 * LATER)).toEqual([undefined, undefined, undefined])
+    expect(sources(all, 2 * LATER)).toEqual([at(all, 1), undefined, at(all, 1)])
     busyWith(at(all, 1), 1000)
-    expect(sources({}, 3 * LATER)).toEqual([undefined, undefined, undefined])
+    expect(sources(all, 3 * LATER)).toEqual([undefined, undefined, undefined])
+  })
+
+  it('copies also from one that leaves and takes no new work', () => {
+    const [staying, leaving] = endpoints(2)
+    if (staying === undefined || leaving === undefined) throw new Error('no endpoints')
+    leaving.prefixes.note(prompt.slice(0, 1), 0)
+    expect(choose({ ...demand, sources: [staying, leaving] }, [staying], LATER)).toMatchObject({ endpoint: staying, source: leaving })
   })
 
   it('takes all entries to the same endpoint for a subject that nobody keeps', () => {
