perf(control): word of work and refreshed leases cross to a data centre once

Work is relayed to one control process of each other data centre, which tells the entries near it; a refresh is told by the control process near the entry, and by all each third round; field names stand once in a message (611 to 351 bytes for one with six endpoints); entries tell less often the more of them there are.

Ruled out: fewer words of work at today's size, where load must be known soon.

--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -102,12 +102,13 @@
     const { spreader, members } = this.services
     if (link.peer.role === 'control') {
       if (message.kind === 'members') members.learn(link.peer.name, message)
-      if (message.kind === 'leases') this.services.leases.merge(message.leases)
+      if (message.kind === 'leases') this.services.registrar.learn(message.leases)
+      if (message.kind === 'work') this.toEntries((entry) => { if (this.isNear(entry)) entry.send(message) })
       return
     }
     if (spreader.receive(link, message)) return
     if (message.kind === 'work') {
-      this.toEntries((other) => { if (other !== link) other.send(message) })
+      this.passWorkOn(link, message)
       return
     }
     if (message.kind === 'announce') {
@@ -116,6 +117,26 @@
     }
   }
 
+  /**
+   * Passes word of work on so that it crosses to each other data centre once: to one control process there, which passes
+   * it on to the entries near it. Entries that have none near them get it from here.
+   */
+  private passWorkOn (from: Link, message: MessageOf<'work'>): void {
+    const relays = new Map<string, Link>()
+    for (const peer of this.services.peers.links()) {
+      if (!this.isNear(peer) && !relays.has(peer.peer.dataCentre)) relays.set(peer.peer.dataCentre, peer)
+    }
+    for (const relay of relays.values()) relay.send(message)
+    this.toEntries((entry) => {
+      if (entry !== from && !relays.has(entry.peer.dataCentre)) entry.send(message)
+    })
+  }
+
+  /** Whether a process is in this data centre. */
+  isNear (link: Link): boolean {
+    return link.peer.dataCentre === this.services.settings.dataCentre
+  }
+
   private async answer (link: Link, message: Message): Promise<Message> {
     const { proposer, quorum } = this.services
     switch (message.kind) {
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -11,6 +11,8 @@
 
 /** Refreshed leases are passed on together, so often, in ms. */
 const REFRESH_MS = 3000
+/** Entries in other data centres hear of refreshes from a process near them; every so many rounds from here too. */
+const ROUNDS_TO_ALL = 3
 /** An endpoint gives up on an answer after a second. */
 const CONFIRM_TIMEOUT_MS = 800
 
@@ -20,6 +22,7 @@
 export class Registrar {
   private readonly refreshed = new Set<string>()
   private timer: NodeJS.Timeout | undefined
+  private rounds = 0
 
   constructor (private readonly services: ControlServices) {}
 
@@ -60,6 +63,25 @@
     this.services.server.toEntries((link) => link.send(message))
   }
 
+  /** Takes leases that a peer has told; those that are merely refreshed go on to the entries near here. */
+  learn (told: readonly Lease[]): void {
+    const { leases } = this.services
+    const outcomes = leases.merge(told)
+    this.tellNear(told.filter((_lease, index) => outcomes[index] === 'refreshed').map(({ incarnation }) => incarnation))
+  }
+
+  private tellNear (incarnations: readonly string[]): void {
+    if (incarnations.length === 0) return
+    const { server } = this.services
+    const message = { kind: 'leases', leases: this.wire(incarnations) } as const
+    server.toEntries((link) => { if (server.isNear(link)) link.send(message) })
+  }
+
+  private wire (incarnations: Iterable<string>): Lease[] {
+    const { leases } = this.services
+    return leases.toWire([...incarnations].flatMap((incarnation) => leases.get(incarnation) ?? []))
+  }
+
   /** Tells all leases on a link that has just opened. */
   tellAll (link: Link): void {
     link.send({ kind: 'leases', leases: this.services.leases.toWire() })
@@ -79,17 +101,22 @@
   }
 
   private tellPeers (incarnations: readonly string[]): void {
-    const { leases, peers } = this.services
-    const held = incarnations.flatMap((incarnation) => leases.get(incarnation) ?? [])
-    for (const link of peers.links()) link.send({ kind: 'leases', leases: leases.toWire(held) })
+    const message = { kind: 'leases', leases: this.wire(incarnations) } as const
+    for (const link of this.services.peers.links()) link.send(message)
   }
 
   private passRefreshes (): void {
     if (this.refreshed.size === 0) return
-    const held = [...this.refreshed].flatMap((incarnation) => this.services.leases.get(incarnation) ?? [])
-    this.tellPeers([...this.refreshed])
+    const incarnations = [...this.refreshed]
     this.refreshed.clear()
-    this.changed(held)
+    this.rounds += 1
+    this.tellPeers(incarnations)
+    if (this.rounds % ROUNDS_TO_ALL !== 0) {
+      this.tellNear(incarnations)
+      return
+    }
+    const message = { kind: 'leases', leases: this.wire(incarnations) } as const
+    this.services.server.toEntries((link) => link.send(message))
   }
 }
 
--- /dev/null
+++ b/control/program/test/control-processes.ts
@@ -0,0 +1,45 @@
+/** Control processes that tests start, by their addresses. */
+import { createControl, type ControlServices } from '@gullwall/control.program'
+import { MemoryDisk } from '@gullwall/control.storage'
+import { type Kernel } from '@gullwall/core.kernel'
+
+export type Control = Kernel<ControlServices>
+
+export const running = new Map<string, Control>()
+
+export interface StartOptions {
+  address: string
+  seeds: string[]
+  founds?: boolean
+  disk?: MemoryDisk
+  dataCentre?: string
+}
+
+export async function start ({ address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1' }: StartOptions): Promise<Control> {
+  const control = await createControl({
+    box: `box-${address.split(':')[1] ?? ''}`,
+    dataCentre,
+    listen: address,
+    admin: '127.0.0.1:0',
+    linkKey: 'a-shared-key-for-loopback',
+    logLevel: 'info',
+    member: `m-${address.split(':')[1] ?? ''}`,
+    members: {},
+    seeds,
+    founds,
+    tolerance: 2,
+    dataFolder: 'unused',
+    operatorToken: 'an-operator-token-for-loopback',
+    quorumHeartbeatMs: 40,
+    quorumElectionMs: 200,
+    firstElectionShare: 0.4
+  }, { disk, write: () => {} })
+  await control.start()
+  running.set(address, control)
+  return control
+}
+
+export async function stopAll (): Promise<void> {
+  await Promise.all([...running.values()].map(async (control) => await control.stop()))
+  running.clear()
+}
--- a/control/program/test/joining.test.ts
+++ b/control/program/test/joining.test.ts
@@ -1,43 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { freeAddresses, until } from '@gullwall/bench.deployment'
-import { createControl, type ControlServices } from '@gullwall/control.program'
-import { MemoryDisk } from '@gullwall/control.storage'
-import { type Kernel } from '@gullwall/core.kernel'
-
-type Control = Kernel<ControlServices>
-
-const running = new Map<string, Control>()
-
-interface StartOptions {
-  address: string
-  seeds: string[]
-  founds?: boolean
-  disk?: MemoryDisk
-}
-
-async function start ({ address, seeds, founds = true, disk = new MemoryDisk() }: StartOptions): Promise<Control> {
-  const control = await createControl({
-    box: `box-${address.split(':')[1] ?? ''}`,
-    dataCentre: 'dc1',
-    listen: address,
-    admin: '127.0.0.1:0',
-    linkKey: 'a-shared-key-for-loopback',
-    logLevel: 'info',
-    member: `m-${address.split(':')[1] ?? ''}`,
-    members: {},
-    seeds,
-    founds,
-    tolerance: 2,
-    dataFolder: 'unused',
-    operatorToken: 'an-operator-token-for-loopback',
-    quorumHeartbeatMs: 40,
-    quorumElectionMs: 200,
-    firstElectionShare: 0.4
-  }, { disk, write: () => {} })
-  await control.start()
-  running.set(address, control)
-  return control
-}
+import { running, start, stopAll, type Control } from './control-processes.ts'
 
 function voters (control: Control): number {
   return control.get('quorum').status().voters.length
@@ -74,10 +37,7 @@
   }
 }
 
-afterEach(async () => {
-  await Promise.all([...running.values()].map(async (control) => await control.stop()))
-  running.clear()
-})
+afterEach(stopAll)
 
 async function five (): Promise<{ addresses: string[], seeds: string[] }> {
   const addresses = await freeAddresses(5)
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -9,6 +9,8 @@
 const TELL_TOKENS = 2500
 /** Smaller changes are told together, at most so often, in ms. */
 const TELL_MS = 250
+/** With more entries than this, each tells the less often the more there are: what all of them hear stays bounded. */
+const ENTRIES_AT_FULL_PACE = 8
 /** What has not changed is told again after this time, in ms. */
 const REPEAT_MS = 1500
 /** What another entry told counts for so long, in ms. */
@@ -60,7 +62,9 @@
     const works = this.ownWorks()
     const text = JSON.stringify(works)
     const sinceTold = now - this.toldAt
-    const isChanged = text !== this.toldText && (sinceTold > TELL_MS || this.changedTokens(works) > TELL_TOKENS)
+    const slowdown = Math.max(1, this.services.view.entries / ENTRIES_AT_FULL_PACE)
+    if (sinceTold < (slowdown - 1) * LOOK_MS) return
+    const isChanged = text !== this.toldText && (sinceTold > TELL_MS * slowdown || this.changedTokens(works) > TELL_TOKENS)
     const isRepeat = works.length > 0 && sinceTold > REPEAT_MS
     if (!isChanged && !isRepeat && this.untoldHoldings.length === 0) return
     const message = { kind: 'work', entry: this.services.settings.box, works, holdings: this.untoldHoldings } as const
--- a/transport/link/src/link.ts
+++ b/transport/link/src/link.ts
@@ -52,7 +52,8 @@
 /** Bytes and messages of all links of this process since its start. */
 export const linkTotals = { bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0 }
 
-const packr = new Packr({ useRecords: false })
+/** Field names stand once in a message, however many objects of a shape it holds; plain maps are read as well. */
+const packr = new Packr({ useRecords: true, mapsAsObjects: true })
 
 export class Link {
   /** Who is on the other side; known once the link is open. */
