perf(link): long messages between processes are deflated

Messages from 1 kB on are deflated at the fastest level; a message may not become longer than the limit once it is inflated.

--- a/transport/link/src/link.ts
+++ b/transport/link/src/link.ts
@@ -1,10 +1,10 @@
 /** One link: handshake, heartbeats, messages, requests with replies, bounded send queue. */
-import { Packr } from 'msgpackr'
 import { type WebSocket } from 'ws'
 import { GullwallError } from '@gullwall/core.error'
 import { type Logger } from '@gullwall/core.logger'
 import { parseMessage, type Message, type MessageKind, type MessageOf } from '@gullwall/transport.messages'
 import { identitySchema, newIdentity, PROTOCOL_VERSION, proofMatches, proofOf, proofSchema, type LinkIdentity, type LocalIdentity } from './handshake.ts'
+import { decode, encode } from './codec.ts'
 
 /** What a link is told by its owner, on either end. */
 export interface LinkOptions {
@@ -52,9 +52,6 @@
 /** Bytes and messages of all links of this process since its start. */
 export const linkTotals = { bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0 }
 
-/** Field names stand once in a message, however many objects of a shape it holds; plain maps are read as well. */
-const packr = new Packr({ useRecords: true, mapsAsObjects: true })
-
 export class Link {
   /** Who is on the other side; known once the link is open. */
   peer: LinkIdentity
@@ -128,7 +125,7 @@
     linkTotals.messagesReceived += 1
     let value: unknown
     try {
-      value = packr.unpack(data)
+      value = decode(data, MAX_MESSAGE_BYTES)
     } catch {
       this.malformed('bytes that are not msgpack')
       return
@@ -225,7 +222,7 @@
       this.close('send queue full')
       return
     }
-    const data = packr.pack(value)
+    const data = encode(value)
     linkTotals.bytesSent += data.length
     linkTotals.messagesSent += 1
     this.socket.send(data)
