--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -20,7 +20,6 @@
   const { view, settings, weights, startedAt } = services
   const service = pickService(services, call)
   const usable = view.usable(service)
-  const endpoints = history.isBoundToKnown ? usable.filter(({ description }) => history.hasRunAt(description.incarnation)) : usable
   const canCopy = view.table?.service(service)?.engine?.copiesPrefixes === true
   const now = performance.now()
   return choose({
@@ -32,7 +31,7 @@
     excluded: history.excluded,
     sources: canCopy ? usable : [],
     trustsHome: now - startedAt < TRUST_HOME_MS
-  }, endpoints, now, weights)
+  }, usable, now, weights)
 }
 
 /** One of the route's services by weight; one without endpoints gives way to the others. */
