feat(cli): explain a request from log lines

Cause: the lines of several processes had to be put in order by hand, and what a process believed of an endpoint or a link stood in other lines than the request's.

Each of the four kinds of failed request of docs/OPERATIONS.md is made by a test that finds its cause in the lines alone.

--- a/cli/gullwall/src/commands/status.ts
+++ b/cli/gullwall/src/commands/status.ts
@@ -1,5 +1,5 @@
 /** Commands that show what the system does. */
-import { command, flag, option, number, positional, string } from 'cmd-ts'
+import { command, flag, option, number } from 'cmd-ts'
 import { request } from 'undici'
 import { messageOf } from '@gullwall/core.error'
 import { adminAddresses, admins, connection, print, withClient, type ConnectionArgs } from '../options.ts'
@@ -61,21 +61,6 @@
   }
 })
 
-export const explainCommand = command({
-  name: 'explain',
-  description: 'Shows the decisions on one request, across processes.\nExample: gullwall explain r-0011aabb-1 --admin 10.0.0.9:7001',
-  args: { request: positional({ type: string, displayName: 'REQUEST' }), admin: admins },
-  handler: async ({ request: requestId, admin }) => {
-    const decisions: Array<{ time: string, decision: string, endpoint?: string, why: string, ran?: string }> = []
-    for (const address of adminAddresses(admin)) {
-      decisions.push(...await readJson<typeof decisions>(address, `/explain?request=${encodeURIComponent(requestId)}`))
-    }
-    decisions.sort((left, right) => left.time.localeCompare(right.time))
-    for (const { time, decision, endpoint, why, ran } of decisions) print(`${time}  ${decision.padEnd(8)} ${endpoint ?? '-'}  ${why}  (ran: ${ran ?? 'no'})`)
-    if (decisions.length === 0) print('no process remembers this request; its log lines may still tell')
-  }
-})
-
 async function readStatus (args: ConnectionArgs, addresses: string[]): Promise<WholeStatus> {
   const control = await withClient(args, async (client) => ({ status: await client.status(), inForce: await client.inForce() }))
   const processes: ProcessStatus[] = []
--- a/cli/gullwall/src/main.ts
+++ b/cli/gullwall/src/main.ts
@@ -4,9 +4,10 @@
 import { applyCommand, checkCommand, deleteCommand, drainCommand, getCommand, labelCommand, undrainCommand } from './commands/records.ts'
 import { controlCommands } from './commands/control.ts'
 import { devCommand } from './commands/dev.ts'
+import { explainCommand } from './commands/explain.ts'
 import { diffCommand, exportCommand, historyCommand, restoreCommand } from './commands/history.ts'
 import { keyCommand } from './commands/key.ts'
-import { explainCommand, statusCommand } from './commands/status.ts'
+import { statusCommand } from './commands/status.ts'
 
 const program = subcommands({
   name: 'gullwall',
--- /dev/null
+++ b/cli/story/test/story.test.ts
@@ -0,0 +1,101 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { request } from 'undici'
+import { formatStoryLine, readLines, tellStory, type StoryLine } from '@gullwall/cli.story'
+import { GatewayDeployment, StandIn, type Behaviour } from '../../../entry/gateway/test/stand-in.ts'
+
+const first = new StandIn('i-first', 'app')
+const second = new StandIn('i-second', 'app')
+const deployment = new GatewayDeployment([first, second])
+
+let ids = 0
+
+interface Told {
+  status: number
+  story: StoryLine[]
+}
+
+/** Sends a request and gives its status with its story, from the lines alone. */
+async function storyOf (path: string, headers: Record<string, string> = {}, body?: string): Promise<Told> {
+  const id = `story-${++ids}`
+  const reply = await request(deployment.url(path), {
+    method: body === undefined ? 'GET' : 'POST',
+    headers: { authorization: 'Bearer secret', 'x-gullwall-request-id': id, ...headers },
+    body
+  })
+  await reply.body.text().catch(() => '')
+  return { status: reply.statusCode, story: tellStory(readLines(deployment.lines.join('\n')).lines, id) }
+}
+
+function behave (behaviour: Behaviour): void {
+  first.behaviour = behaviour
+  second.behaviour = behaviour
+}
+
+const own = (story: readonly StoryLine[]) => story.filter(({ isOwn }) => isOwn)
+
+beforeAll(async () => {
+  await deployment.start()
+  for (const standIn of [first, second]) await deployment.register(standIn)
+  await deployment.configure(1)
+})
+afterAll(async () => await deployment.stop())
+
+describe('the cause of a failed request, from the lines alone', () => {
+  it('an answer that was lost, to a call that may not be repeated', async () => {
+    behave((_incoming, response) => { response.destroy() })
+    const { status, story } = await storyOf('/order/1', {}, 'x')
+    expect(status).toBe(502)
+    expect(own(story).map(({ what }) => what)).toEqual(['dispatch', 'fail'])
+    const [dispatch, failure] = own(story)
+    const endpoint = /endpoint (i-\w+)/.exec(dispatch?.why ?? '')?.[1] ?? 'none'
+    expect(failure?.why).toContain('ERR_GULLWALL_UNKNOWN_OUTCOME')
+    expect(failure?.why).toContain(endpoint)
+    // What was believed of that endpoint stands before it.
+    expect(story.some(({ isOwn, what, why, sinceMs }) => !isOwn && what === 'endpoint up' && why.includes(endpoint) && sinceMs <= 0)).toBe(true)
+  })
+
+  it('a refusal, with the wait that was foreseen', async () => {
+    const works = [first, second].map(({ incarnation }) => ({
+      incarnation, unread: [{ urgency: 0, tokens: 900_000 }], running: 9, strain: 0
+    }))
+    deployment.gateway.get('workExchange').receive({ kind: 'work', entry: 'another', works, holdings: [] })
+    const { status, story } = await storyOf('/draft/1', { 'x-gullwall-prompt-parts': 'subject:5000,own:900' })
+    expect(status).toBe(503)
+    expect(own(story).at(-1)).toMatchObject({ what: 'refuse' })
+    expect(own(story).at(-1)?.why).toMatch(/the first event would take \d+ ms of 400/)
+    deployment.gateway.get('workExchange').receive({ kind: 'work', entry: 'another', works: [], holdings: [] })
+  })
+
+  it('a stream that broke off and could not go on', async () => {
+    behave((incoming, response) => {
+      response.writeHead(200, { 'content-type': 'text/event-stream', 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+      response.write('id: 1\ndata: 1\n\n', () => response.destroy())
+    })
+    const { story } = await storyOf('/draft/2')
+    expect(own(story).map(({ what }) => what)).toEqual(['dispatch', 'resume', 'dispatch', 'stop', 'fail'])
+    expect(own(story).at(-2)?.why).toContain('2 of 2 attempts made')
+  })
+
+  it('a belief that is old: the document, the word of the endpoint, and a link that was lost', async () => {
+    await deployment.control.stop()
+    behave((_incoming, response) => { response.destroy() })
+    const { story } = await storyOf('/order/2', {}, 'x')
+    expect(own(story)[0]?.why).toMatch(/document 1 in force for \d+ ms; endpoint i-\w+, heard \d+ ms ago/)
+    expect(story.some(({ what }) => what === 'link closed')).toBe(true)
+  })
+})
+
+describe('reading of lines', () => {
+  it('passes over what a collector puts before a line, and counts what is no line', () => {
+    const text = ' 12.3 edge-1 {"time":"2026-01-01T00:00:00.000Z","box":"edge-1","channel":"process","event":"started","why":"x"}\nno line\n{"a":1}\n\n'
+    const { lines, skipped } = readLines(text)
+    expect(lines).toHaveLength(1)
+    expect(skipped).toBe(2)
+  })
+
+  it('gives nothing for a request that no line names, and lines that a person can read', () => {
+    expect(tellStory([], 'r-1')).toEqual([])
+    const line = { time: '2026-01-01T00:00:00.000Z', box: 'edge-1', sinceMs: 5, isOwn: true, what: 'fail', why: '502' }
+    expect(formatStoryLine(line)).toMatch(/\+5 ms {2}\* edge-1 +fail +502$/)
+  })
+})
