--- a/entry/gateway/src/attempt-history.ts
+++ b/entry/gateway/src/attempt-history.ts
@@ -18,6 +18,7 @@
     return this.sends + 1
   }
 
+  /** Whether nothing has been tried yet. */
   get isFirst (): boolean {
     return this.sends + this.notRun === 0
   }
@@ -26,20 +27,24 @@
     return this.sends > 0
   }
 
+  /** Notes an attempt that certainly did not run. */
   noteNotRun (incarnation: string): void {
     this.tried.add(incarnation)
     this.notRun += 1
   }
 
+  /** Notes an attempt that ran or may have run. */
   noteRun (incarnation: string): void {
     this.tried.add(incarnation)
     this.sends += 1
   }
 
+  /** Whether a request that did not run may be tried at one more endpoint. */
   get mayBeTriedElsewhere (): boolean {
     return this.notRun < MAX_NOT_RUN
   }
 
+  /** Whether the route allows one more endpoint to run it. */
   get mayRunAgain (): boolean {
     return this.sends < this.call.route.maxAttempts
   }
--- a/transport/link/src/codec.ts
+++ b/transport/link/src/codec.ts
@@ -10,6 +10,7 @@
 const MIN_COMPRESSED_BYTES = 1024
 const FASTEST = 1
 
+/** Gives the bytes of a message. */
 export function encode (value: unknown): Buffer {
   const data = packr.pack(value)
   if (data.length < MIN_COMPRESSED_BYTES) return data
@@ -18,6 +19,7 @@
 }
 
 /**
+ * Gives the message of bytes.
  * @param maxBytes the longest message that is taken, once decompressed
  * @throws if the bytes are no message
  */
