--- a/control/program/test/relay.test.ts
+++ b/control/program/test/relay.test.ts
@@ -85,3 +85,14 @@
   expect(toldOfRefresh(entries[0])).toEqual([near])
   expect(toldOfRefresh(entries[2])).toEqual([far])
 })
+
+it('entries learn of a control process that joins later', async () => {
+  const [early = '', late = ''] = await freeAddresses(2)
+  await start({ address: early, seeds: [early] })
+  const entry = new Entry('entry-0', 'dc1', [early])
+  await until('the link', () => entry.isLinked)
+  await start({ address: late, seeds: [early], founds: false })
+  await until('word of the late one', () => entry.received.some(({ message }) => (
+    message.kind === 'controls' && message.addresses.includes(late)
+  )))
+})
--- /dev/null
+++ b/routing/balancer/test/endpoint-state.test.ts
@@ -0,0 +1,75 @@
+import { describe, expect, it } from 'vitest'
+import { EndpointState, type SentPrompt } from '@gullwall/routing.balancer'
+
+const endpoint = () => new EndpointState({ incarnation: 'i-1', service: 'lm', address: '127.0.0.1:9000', dataCentre: 'dc1', slots: 64 })
+
+function prompt (tokens: number, urgency = 0): SentPrompt {
+  return { prompt: [{ id: `p-${tokens}`, tokens }], unreadTokens: tokens, urgency, strain: 0 }
+}
+
+describe('an endpoint that is silent', () => {
+  it('is one with work from which nothing has arrived for over a second', () => {
+    const state = endpoint()
+    expect(state.isSilent(10_000)).toBe(false)
+    state.begin(prompt(0), 10_000)
+    expect(state.isSilent(11_000)).toBe(false)
+    expect(state.isSilent(11_300)).toBe(true)
+    state.heardAt = 11_300
+    expect(state.isSilent(12_000)).toBe(false)
+  })
+
+  it('is given the time to read the prompts that it was sent', () => {
+    const state = endpoint()
+    const long = state.begin(prompt(40_000), 0)
+    expect(state.isSilent(5000)).toBe(false)
+    expect(state.isSilent(6500)).toBe(true)
+    long.hasBegun = true
+    state.heardAt = 5000
+    expect(state.isSilent(6500)).toBe(true)
+  })
+})
+
+describe('what attempts tell of an endpoint', () => {
+  it('puts aside one that was unreachable, longer each time, until one attempt went well', () => {
+    const state = endpoint()
+    const fail = (now: number) => state.end(state.begin(prompt(0), now), 'unreachable', now)
+    fail(0)
+    expect([state.isEjected(400), state.isEjected(600)]).toEqual([true, false])
+    fail(1000)
+    expect([state.isEjected(1900), state.isEjected(2100)]).toEqual([true, false])
+    state.end(state.begin(prompt(0), 3000), 'good', 3000)
+    fail(4000)
+    expect([state.isEjected(4400), state.isEjected(4600)]).toEqual([true, false])
+  })
+
+  it('takes out for good one whose address another process has', () => {
+    const state = endpoint()
+    state.end(state.begin(prompt(0), 0), 'ended', 0)
+    expect(state.hasEnded).toBe(true)
+  })
+
+  it('counts failures with a weight for the newest', () => {
+    const state = endpoint()
+    state.end(state.begin(prompt(0), 0), 'failed', 0)
+    expect(state.failureShare).toBeCloseTo(0.2)
+    state.end(state.begin(prompt(0), 0), 'neutral', 0)
+    expect(state.failureShare).toBeCloseTo(0.2)
+    state.end(state.begin(prompt(0), 0), 'good', 0)
+    expect(state.failureShare).toBeCloseTo(0.16)
+  })
+})
+
+describe('what waits at an endpoint', () => {
+  it('is the work of all entries that goes before or beside a request', () => {
+    const state = endpoint()
+    state.begin(prompt(1000, 1), 0)
+    state.begin(prompt(2000, 4), 0)
+    const begun = state.begin(prompt(4000, 1), 0)
+    begun.hasBegun = true
+    state.others = { unread: [{ urgency: 1, tokens: 500 }, { urgency: 7, tokens: 9000 }], running: 3, strain: 0.5 }
+    expect([state.tokensAhead(0), state.tokensAhead(1), state.tokensAhead(5), state.backlogTokens]).toEqual([0, 1500, 3500, 12_500])
+    expect(state.ownUnread()).toEqual([{ urgency: 1, tokens: 1000 }, { urgency: 4, tokens: 2000 }])
+    expect(state.running).toBe(6)
+    expect(state.strain).toBe(0.5)
+  })
+})
