fix(platform): orders to engines that a caller sends never reach an engine

Cause: X-Kv-Retention, X-Pin-Ms, X-Kv-Backup and Kv-From of a caller were passed on. Engines refuse a lease or a copy that they don't know, so that such a request was tried at up to six engines, drew on the retry budget and ended as refused; where it ran, the rule UNASKED was broken. A Connection header could also name X-Attempt-Id or X-Model, and the gateway dropped them as hop-by-hop. Ruled out: that engines were short of memory; 395 refusals came while they were idle.

--- a/entry/gateway/src/dialect.ts
+++ b/entry/gateway/src/dialect.ts
@@ -51,17 +51,31 @@
   'content-length', 'expect'
 ])
 
-/** The pairs that may be passed on, without those whose lower-case names are dropped. */
-export function passedOn (rawHeaders: readonly string[], dropped: ReadonlySet<string>): string[] {
+/** Which of a caller's headers an endpoint gets; names in lower case. */
+export interface HeaderRules {
+  /** Never passed on, in any spelling that some server takes for the same name. */
+  dropped: ReadonlySet<string>
+  /** Passed on also where the caller's Connection header names them, so that a caller can't take them away. */
+  kept: ReadonlySet<string>
+}
+
+/** The pairs that may be passed on, in their order. */
+export function passedOn (rawHeaders: readonly string[], { dropped, kept }: HeaderRules): string[] {
   const named = connectionOptions(rawHeaders)
-  const kept: string[] = []
+  const passed: string[] = []
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] ?? ''
-    const lower = name.toLowerCase()
-    if (HOP_BY_HOP.has(lower) || dropped.has(lower) || named.has(lower)) continue
-    kept.push(name, rawHeaders[index + 1] ?? '')
+    const canonical = canonicalName(name)
+    if (HOP_BY_HOP.has(canonical) || dropped.has(canonical)) continue
+    if (named.has(name.toLowerCase()) && !kept.has(canonical)) continue
+    passed.push(name, rawHeaders[index + 1] ?? '')
   }
-  return kept
+  return passed
+}
+
+/** Some servers take an underscore in a header's name for a hyphen. */
+function canonicalName (name: string): string {
+  return name.trim().toLowerCase().replaceAll('_', '-')
 }
 
 /** The headers that a Connection header names. */
--- a/entry/gateway/src/native-dialect.ts
+++ b/entry/gateway/src/native-dialect.ts
@@ -1,5 +1,5 @@
 /** The product's own headers. */
-import { headerOf, passedOn, type CallDialect } from './dialect.ts'
+import { headerOf, passedOn, type CallDialect, type HeaderRules } from './dialect.ts'
 
 const REQUEST_ID = 'x-gullwall-request-id'
 const WAIT = 'x-gullwall-wait-ms'
@@ -11,7 +11,10 @@
 const RAN = 'x-gullwall-ran'
 const LAST_EVENT = 'last-event-id'
 
-const REPLACED = new Set([WAIT, ORGANISATION, URGENCY, INCARNATION, LAST_EVENT, PREFIX_SOURCE, 'authorization'])
+const HEADER_RULES: HeaderRules = {
+  dropped: new Set([WAIT, ORGANISATION, URGENCY, INCARNATION, LAST_EVENT, PREFIX_SOURCE, 'authorization']),
+  kept: new Set([REQUEST_ID, PROMPT, 'host', 'content-type'])
+}
 
 export const nativeDialect: CallDialect = {
   readCall: (headers) => {
@@ -28,7 +31,7 @@
     }
   },
   attemptHeaders: (rawHeaders, facts) => {
-    const headers = passedOn(rawHeaders, REPLACED)
+    const headers = passedOn(rawHeaders, HEADER_RULES)
     headers.push(WAIT, String(facts.remainingMs), INCARNATION, facts.incarnation, URGENCY, String(facts.urgency))
     if (facts.organisation !== undefined) headers.push(ORGANISATION, facts.organisation)
     if (facts.lastEventId !== undefined) headers.push(LAST_EVENT, facts.lastEventId)
