refactor(gateway): decisions on a request apart from carrying them out and telling them

Cause: forward.ts held which attempt follows, timers, log lines and metrics together, so that no policy could be changed or tested alone. Change: attempt-policy.ts decides (sent or refused, what follows an attempt, when an endpoint that says nothing is left), request-recorder.ts tells (lines, figures), forward.ts carries out. A fail line says why no further attempt was made; an endpoint's own failure has its line; the end of a request tells the time to its first event and its longest pause, and late answers are never sampled out. Tests: attempt-policy.test.ts; the gateway's own tests unchanged.

--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -56,7 +56,10 @@
   copiedTokens?: number
   source?: string
   inFlight?: number
+  /** At the end of a request: all of its time, that to its first event, and the longest between two events. */
   tookMs?: number
+  firstEventMs?: number
+  longestPauseMs?: number
   why: string
 }
 
--- a/entry/gateway/src/answer-receiver.ts
+++ b/entry/gateway/src/answer-receiver.ts
@@ -70,11 +70,11 @@
     const { answer } = this.forwarding.facts
     if (this.isStream) {
       this.begin(head)
-      this.forwarding.finish('answered', this.candidate.endpoint.description.incarnation)
+      this.forwarding.noteAnswered()
       answer.endStream(this.cutter.remainder())
     } else {
       if (this.bytes > MAX_WHOLE_BYTES) return { type: 'broken', why: 'the answer is too large' }
-      this.forwarding.finish('answered', this.candidate.endpoint.description.incarnation)
+      this.forwarding.noteAnswered()
       answer.whole(head.status, head.headers, Buffer.concat(this.chunks))
     }
     return { type: 'answered' }
--- /dev/null
+++ b/entry/gateway/src/attempt-policy.ts
@@ -0,0 +1,122 @@
+/**
+ * What is decided about one request: whether it is sent at all, what follows each attempt, and when an endpoint that says
+ * nothing is given up. Decisions only; `forward.ts` carries them out.
+ */
+import { type Candidate, type RetryBudget, type Work } from '@gullwall/routing.balancer'
+import { type AttemptEnd } from './answer-receiver.ts'
+import { type AttemptHistory } from './attempt-history.ts'
+import { isRepeatable, type Call } from './call.ts'
+import { type ExchangeHead } from './exchange.ts'
+
+/** A first event that would take so many times its target is not waited for: measured best of 1, 1.3 and 2. */
+const HOPELESS_TARGETS = 1.3
+/** A repeatable call without an answer after so many times its target is tried elsewhere. */
+const SLOW_TARGETS = 1.5
+/** No call is taken to be slow before this time; it is also how often an attempt is looked at. In ms. */
+export const WATCH_MS = 250
+/** A stream without an event for so long is given up if its endpoint says nothing to anybody, in ms. */
+const STALL_MS = 1200
+
+/** Whether a request is sent to the best candidate, or had better come back. */
+export type Admission =
+  | { type: 'send' }
+  | { type: 'refuse', why: string, afterMs: number }
+
+/** What follows an attempt. */
+export type NextStep =
+  /** The caller has its answer, or has left. */
+  | { type: 'over' }
+  | { type: 'again', why: string, budgetLeft: number }
+  /** It has not run and is not tried again. */
+  | { type: 'refuse', why: string }
+  /** The endpoint's own failure goes to the caller. */
+  | { type: 'pass-failure', head: ExchangeHead, body: Buffer, why: string }
+  /** It may have run and has no answer. */
+  | { type: 'fail', code: string, why: string }
+
+export interface RequestState {
+  call: Call
+  history: AttemptHistory
+  budget: RetryBudget
+}
+
+/**
+ * Refuses what has not been sent and would be late by so much that it had better come back: served late it earns little
+ * and makes those behind it late too. The most urgent are never refused so.
+ */
+export function admit ({ call, history }: RequestState, { waitMs }: Candidate): Admission {
+  const { tier, prompt, route } = call
+  const isBound = history.mayHaveRun || prompt.length === 0 || tier === 0
+  if (isBound || waitMs <= HOPELESS_TARGETS * route.targetMs) return { type: 'send' }
+  return { type: 'refuse', why: `the first event would take ${Math.round(waitMs)} ms of ${route.targetMs}`, afterMs: waitMs - route.targetMs }
+}
+
+/** Decides what follows an attempt, and notes it in the history of the request. */
+export function nextStep (state: RequestState, incarnation: string, end: AttemptEnd): NextStep {
+  const { call, history } = state
+  switch (end.type) {
+    case 'answered':
+    case 'cancelled':
+      return { type: 'over' }
+    case 'unsent':
+      history.noteNotRun(incarnation)
+      return afterUnsent(state, end.why)
+    case 'not-run':
+      history.noteNotRun(incarnation)
+      return afterNotRun(state, end.why)
+    case 'failed':
+      history.noteRun(incarnation)
+      return isRepeatable(call)
+        ? sendAgain(state, `answered ${end.head.status}`, (why) => ({ type: 'pass-failure', head: end.head, body: end.body, why }))
+        : { type: 'pass-failure', head: end.head, body: end.body, why: 'it runs at most once' }
+    case 'broken':
+      history.noteRun(incarnation)
+      return isRepeatable(call)
+        ? sendAgain(state, end.why, (why) => ({ type: 'fail', code: 'ERR_GULLWALL_BROKEN', why }))
+        : { type: 'fail', code: 'ERR_GULLWALL_UNKNOWN_OUTCOME', why: end.why }
+  }
+}
+
+/** Nothing has reached an endpoint, so that another attempt is no repeat and costs no budget. */
+function afterUnsent ({ history, budget }: RequestState, why: string): NextStep {
+  if (!history.mayBeTriedElsewhere) return refusal(history, why)
+  return { type: 'again', why: `not sent: ${why}`, budgetLeft: budget.left }
+}
+
+function afterNotRun (state: RequestState, why: string): NextStep {
+  const { history } = state
+  if (!history.mayBeTriedElsewhere) return refusal(history, why)
+  return sendAgain(state, why, (told) => ({ type: 'refuse', why: told }))
+}
+
+function refusal (history: AttemptHistory, why: string): NextStep {
+  return { type: 'refuse', why: `not run ${history.notRun} times: ${why}` }
+}
+
+/** Sends once more if attempts and budget allow it; else ends as told, with the reason. */
+function sendAgain ({ call, history, budget }: RequestState, why: string, otherwise: (why: string) => NextStep): NextStep {
+  if (!history.mayRunAgain) return otherwise(`${why}; ${history.sends} of ${call.route.maxAttempts} attempts made`)
+  if (!budget.take()) return otherwise(`${why}; no retry budget left`)
+  return { type: 'again', why, budgetLeft: budget.left }
+}
+
+export interface RunningAttempt extends RequestState {
+  candidate: Candidate
+  work: Work
+  /** When an event of this request last arrived. */
+  lastProgressAt: number
+  /** Whether another endpoint could take it. */
+  hasAlternative: () => boolean
+}
+
+/** Why a stream or a repeatable request is moved away from an endpoint that says nothing; undefined if it stays. */
+export function silenceOf (running: RunningAttempt, now: number): string | undefined {
+  const { call, history, budget, candidate, work, lastProgressAt } = running
+  if (!isRepeatable(call) || history.attempt >= call.route.maxAttempts) return undefined
+  const waitedMs = now - Math.max(work.startedAt, lastProgressAt)
+  const isSlow = call.route.kind === 'repeatable'
+    ? waitedMs > Math.max(WATCH_MS, SLOW_TARGETS * call.route.targetMs)
+    : waitedMs > STALL_MS && candidate.endpoint.isSilent(now)
+  if (!isSlow || budget.left < 1 || !running.hasAlternative()) return undefined
+  return `nothing for ${Math.round(waitedMs)} ms`
+}
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -1,38 +1,38 @@
-/** The attempts of one request, from the first choice of an endpoint to the last byte for the caller. */
+/** Carries one request: chooses endpoints, sends attempts one after the other, and ends the caller's answer. */
 import { strainOf, type Candidate, type Work } from '@gullwall/routing.balancer'
 import { type CallerAnswer, type ErrorAnswer } from './answer.ts'
-import { AttemptHistory } from './attempt-history.ts'
-import { isRepeatable, type Call } from './call.ts'
 import { AnswerReceiver, verdictOf, type AttemptEnd } from './answer-receiver.ts'
-import { chooseEndpoint } from './endpoint-choice.ts'
-import { Exchange, type ExchangeHead } from './exchange.ts'
+import { AttemptHistory } from './attempt-history.ts'
+import { admit, nextStep, silenceOf, WATCH_MS, type NextStep, type RequestState } from './attempt-policy.ts'
+import { type Call } from './call.ts'
 import { originOf } from './connections.ts'
+import { chooseEndpoint } from './endpoint-choice.ts'
+import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
+import { RequestRecorder } from './request-recorder.ts'
 
+/** An address that takes no connection for so long is left, in ms: many round trips between data centres of one region. */
 const CONNECT_MS = 350
+/** Connections to an endpoint whose service is not in the document. */
 const DEFAULT_CONNECTIONS = 100
 /** Clock slack so that an endpoint does not go on past the caller's deadline, in ms. */
 const DEADLINE_SLACK_MS = 4
+/** The shortest time after which a refused caller is asked to come back, in ms. */
 const RETRY_AFTER_MS = 300
-/** A first event that would take so many times its target is not waited for. */
-const HOPELESS_TARGETS = 1.3
-const WATCH_MS = 250
-const STALL_MS = 1200
+/** The share of its target that a request waits for an endpoint to be known. */
+const PATIENCE_SHARE = 0.25
 
 export class Forwarding {
   private readonly history: AttemptHistory
+  private readonly recorder: RequestRecorder
   private lastEventId: string | undefined
   private exchange: Exchange | undefined
-  /** The endpoint of the latest attempt. */
-  private latest: Candidate | undefined
   private isOver = false
-  private lastProgressAt = -Infinity
-  private firstEventAt: number | undefined
-  private longestPauseMs = 0
   private deadlineTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: GatewayServices, private readonly call: Call, private readonly answer: CallerAnswer) {
     this.history = new AttemptHistory(call)
+    this.recorder = new RequestRecorder(services, call, this.history)
     this.lastEventId = call.lastEventId
   }
 
@@ -49,7 +49,6 @@
   }
 
   private async attempts (): Promise<void> {
-    const { call } = this
     while (!this.isOver) {
       const candidate = await this.nextCandidate()
       if (this.isOver) return
@@ -57,19 +56,25 @@
         this.refuse('no endpoint takes work')
         return
       }
-      if (this.isHopeless(candidate)) {
-        this.refuse(`the first event would take ${Math.round(candidate.waitMs)} ms of ${call.route.targetMs}`, candidate.waitMs - call.route.targetMs)
+      const admission = admit(this.state, candidate)
+      if (admission.type === 'refuse') {
+        this.refuse(admission.why, admission.afterMs)
         return
       }
       const end = await this.attempt(candidate)
-      if (this.isOver || !this.goesOn(candidate, end)) return
+      if (this.isOver) return
+      this.follow(nextStep(this.state, candidate.endpoint.description.incarnation, end))
     }
   }
 
+  private get state (): RequestState {
+    return { call: this.call, history: this.history, budget: this.services.budget }
+  }
+
   /** Chooses an endpoint, and waits a little for one where none is known. */
   private async nextCandidate (): Promise<Candidate | undefined> {
     const { call } = this
-    const patience = Math.min(call.deadline, call.arrivedAt + call.route.targetMs / 4)
+    const patience = Math.min(call.deadline, call.arrivedAt + PATIENCE_SHARE * call.route.targetMs)
     for (;;) {
       const candidate = chooseEndpoint({ services: this.services, call, history: this.history, isResumed: this.isResumed })
       const left = patience - performance.now()
@@ -78,30 +83,29 @@
     }
   }
 
-  /**
-   * Whether a request that has not been sent yet would be late by so much that it had better come back: served late it
-   * earns little and makes those behind it late too. The most urgent are never refused so.
-   */
-  private isHopeless ({ waitMs }: Candidate): boolean {
-    const { call } = this
-    return !this.history.mayHaveRun && call.prompt.length > 0 && call.tier > 0 && waitMs > HOPELESS_TARGETS * call.route.targetMs
-  }
-
   private async attempt (candidate: Candidate): Promise<AttemptEnd> {
     const { call, services } = this
-    const { endpoint } = candidate
-    const { description } = endpoint
-    if (this.history.isFirst) this.services.metrics.queued.observe({ route: call.route.name }, (performance.now() - call.arrivedAt) / 1000)
-    this.latest = candidate
-    const service = services.view.table?.service(description.service)
-    const dispatcher = services.connections.to(description, service?.maxConnections ?? DEFAULT_CONNECTIONS, services.view.entries)
+    const { endpoint, unreadTokens, urgency } = candidate
     services.workExchange.noteSending(endpoint, call.prompt)
-    const { unreadTokens, urgency } = candidate
     const sent = { prompt: call.prompt, unreadTokens, urgency, strain: strainOf(call.route.pauseMs) }
     const work = endpoint.begin(sent, performance.now())
-    this.logDispatch(candidate)
+    this.recorder.dispatched(candidate)
     const receiver = new AnswerReceiver(this, work, candidate)
-    const exchange = new Exchange(dispatcher, originOf(description.address), {
+    const exchange = this.send(candidate, receiver)
+    this.exchange = exchange
+    const watch = setInterval(() => this.watch(candidate, work), WATCH_MS)
+    const end = receiver.endOf(await exchange.ended)
+    clearInterval(watch)
+    endpoint.end(work, verdictOf(end), performance.now())
+    return end
+  }
+
+  private send (candidate: Candidate, receiver: AnswerReceiver): Exchange {
+    const { call, services } = this
+    const { description } = candidate.endpoint
+    const service = services.view.table?.service(description.service)
+    const dispatcher = services.connections.to(description, service?.maxConnections ?? DEFAULT_CONNECTIONS, services.view.entries)
+    return new Exchange(dispatcher, originOf(description.address), {
       method: call.method,
       path: call.path,
       headers: this.headersFor(candidate),
@@ -109,12 +113,6 @@
       connectMs: CONNECT_MS,
       wasClosedWell: async () => await services.connections.wasClosedWell()
     }, receiver)
-    this.exchange = exchange
-    const watch = setInterval(() => this.watch(candidate, work), WATCH_MS)
-    const end = receiver.endOf(await exchange.ended)
-    clearInterval(watch)
-    endpoint.end(work, verdictOf(end), performance.now())
-    return end
   }
 
   private headersFor ({ endpoint, source, urgency }: Candidate): string[] {
@@ -129,31 +127,26 @@
     })
   }
 
-  /** Decides what follows an attempt; true if there is another. */
-  private goesOn (candidate: Candidate, end: AttemptEnd): boolean {
-    const { incarnation } = candidate.endpoint.description
-    switch (end.type) {
-      case 'answered':
-      case 'cancelled':
-        return false
-      case 'unsent':
-        this.history.noteNotRun(incarnation)
-        this.log('retry', candidate, `not sent: ${end.why}`)
-        return this.triesElsewhere(end.why)
-      case 'not-run':
-        this.history.noteNotRun(incarnation)
-        return this.triesElsewhere(end.why) && this.sendAgain(candidate, end.why, () => this.refuse(end.why))
-      case 'failed':
-        this.history.noteRun(incarnation)
-        if (!isRepeatable(this.call)) return this.passFailure(candidate, end)
-        return this.sendAgain(candidate, `answered ${end.head.status}`, () => this.passFailure(candidate, end))
-      case 'broken':
-        this.history.noteRun(incarnation)
-        if (!isRepeatable(this.call)) {
-          this.fail(502, 'ERR_GULLWALL_UNKNOWN_OUTCOME', end.why)
-          return false
-        }
-        return this.sendAgain(candidate, end.why, () => this.fail(502, 'ERR_GULLWALL_BROKEN', end.why))
+  /** Carries out what was decided after an attempt. */
+  private follow (step: NextStep): void {
+    switch (step.type) {
+      case 'over':
+        this.isOver = true
+        break
+      case 'again':
+        this.recorder.decided(this.isResumed ? 'resume' : 'retry', `${step.why}; budget left ${step.budgetLeft.toFixed(1)}`)
+        break
+      case 'refuse':
+        this.refuse(step.why)
+        break
+      case 'pass-failure':
+        this.isOver = true
+        this.recorder.ended('fail', `failed-${step.head.status}`, `the endpoint answered ${step.head.status}: ${step.why}`)
+        this.answer.whole(step.head.status, step.head.headers, step.body)
+        break
+      case 'fail':
+        this.fail(502, step.code, step.why)
+        break
     }
   }
 
@@ -162,46 +155,16 @@
     return this.lastEventId !== this.call.lastEventId
   }
 
-  /** Whether an attempt that did not run is followed by another; else the request is refused. */
-  private triesElsewhere (why: string): boolean {
-    if (this.history.mayBeTriedElsewhere) return true
-    this.refuse(`not run ${this.history.notRun} times: ${why}`)
-    return false
-  }
-
-  /** Sends once more if attempts and budget allow it; else ends as told. */
-  private sendAgain (candidate: Candidate, why: string, otherwise: () => void): boolean {
-    const { call, services } = this
-    const isAllowed = this.history.mayRunAgain
-    if (isAllowed && services.budget.take()) {
-      this.log(this.isResumed ? 'resume' : 'retry', candidate, `${why}; budget left ${services.budget.left.toFixed(1)}`)
-      return true
-    }
-    this.log('stop', candidate, `${why}; ${isAllowed ? 'no retry budget left' : `${this.history.sends} of ${call.route.maxAttempts} attempts made`}`)
-    otherwise()
-    return false
-  }
-
-  private passFailure (candidate: Candidate, { head, body }: { head: ExchangeHead, body: Buffer }): false {
-    this.finish(`failed-${head.status}`, candidate.endpoint.description.incarnation)
-    this.answer.whole(head.status, head.headers, body)
-    return false
-  }
-
-  /** Moves a stream or a repeatable request away from an endpoint that has gone silent. */
   private watch (candidate: Candidate, work: Work): void {
-    const { call, exchange } = this
-    if (this.isOver || exchange === undefined || !isRepeatable(call) || this.history.attempt >= call.route.maxAttempts) return
-    const now = performance.now()
-    const waited = now - Math.max(work.startedAt, this.lastProgressAt)
-    const isSlow = call.route.kind === 'repeatable'
-      ? waited > Math.max(WATCH_MS, 1.5 * call.route.targetMs)
-      : waited > STALL_MS && candidate.endpoint.isSilent(now)
-    if (!isSlow || this.services.budget.left < 1) return
-    const others = this.services.view.usable(candidate.endpoint.description.service)
-    if (others.every((other) => other === candidate.endpoint || this.history.excluded.has(other.description.incarnation))) return
-    this.log('stop', candidate, `nothing for ${Math.round(waited)} ms`)
-    exchange.giveUp(`nothing for ${Math.round(waited)} ms`)
+    const { exchange, recorder } = this
+    if (this.isOver || exchange === undefined) return
+    const hasAlternative = () => this.services.view.usable(candidate.endpoint.description.service).some((other) => (
+      other !== candidate.endpoint && !this.history.excluded.has(other.description.incarnation)
+    ))
+    const why = silenceOf({ ...this.state, candidate, work, lastProgressAt: recorder.latestEventAt, hasAlternative }, performance.now())
+    if (why === undefined) return
+    recorder.decided('stop', why)
+    exchange.giveUp(why)
   }
 
   /** Lets the endpoint wait while the caller reads too slowly. */
@@ -213,13 +176,14 @@
 
   /** Notes whole events that were passed on. */
   noteEvents (lastId: string | undefined): void {
-    const now = performance.now()
-    if (this.firstEventAt !== undefined) this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastProgressAt)
-    this.lastProgressAt = now
+    this.recorder.passedEvents()
     if (lastId !== undefined) this.lastEventId = lastId
-    if (this.firstEventAt !== undefined) return
-    this.firstEventAt = now
-    this.services.metrics.firstEvent.observe({ route: this.call.route.name }, (now - this.call.arrivedAt) / 1000)
+  }
+
+  /** Notes that the caller's answer is whole. */
+  noteAnswered (): void {
+    this.isOver = true
+    this.recorder.answered()
   }
 
   get facts (): { call: Call, answer: CallerAnswer, services: GatewayServices } {
@@ -230,8 +194,7 @@
     if (this.isOver) return
     this.isOver = true
     this.exchange?.cancel()
-    this.finish('left', undefined)
-    this.logEnd('cancel', 'the caller left')
+    this.recorder.ended('cancel', 'left', 'the caller left')
   }
 
   private deadlinePassed (): void {
@@ -246,74 +209,17 @@
   private refuse (why: string, afterMs = 0): void {
     const retryAfterMs = Math.round(Math.max(RETRY_AFTER_MS, afterMs))
     if (this.history.mayHaveRun) this.fail(502, 'ERR_GULLWALL_BROKEN', why)
-    else this.end({ status: 503, code: 'ERR_GULLWALL_REFUSED', message: why, ran: 'no', retryAfterMs }, 'refused')
+    else this.end({ status: 503, code: 'ERR_GULLWALL_REFUSED', message: why, ran: 'no', retryAfterMs }, 'refuse')
   }
 
   private fail (status: number, code: string, why: string): void {
-    this.end({ status, code, message: why, ran: this.answer.hasBegun ? 'partly' : 'unknown' }, `error-${status}`)
+    this.end({ status, code, message: why, ran: this.answer.hasBegun ? 'partly' : 'unknown' }, 'fail')
   }
 
-  private end (answer: ErrorAnswer, outcome: string): void {
+  private end (answer: ErrorAnswer, decision: 'refuse' | 'fail'): void {
     this.isOver = true
-    this.finish(outcome, undefined)
-    this.logEnd(answer.status === 503 ? 'refuse' : 'fail', `${answer.status} ${answer.code}: ${answer.message}`)
+    const outcome = decision === 'refuse' ? 'refused' : `error-${answer.status}`
+    this.recorder.ended(decision, outcome, `${answer.status} ${answer.code}: ${answer.message}`)
     this.answer.error(answer)
   }
-
-  /** Counts the end of the request. */
-  finish (outcome: string, endpoint: string | undefined): void {
-    const { route, arrivedAt } = this.call
-    this.isOver = true
-    const tookMs = performance.now() - arrivedAt
-    this.services.metrics.requests.inc({ route: route.name, outcome })
-    this.services.metrics.duration.observe({ route: route.name }, tookMs / 1000)
-    if (this.firstEventAt !== undefined) this.services.metrics.longestPause.observe({ route: route.name }, this.longestPauseMs / 1000)
-    if (outcome !== 'answered') return
-    this.services.logger.sampled('finish', { ...this.record('finish'), endpoint, tookMs: Math.round(tookMs), why: 'answered' })
-  }
-
-  private record (decision: 'dispatch' | 'retry' | 'resume' | 'stop' | 'refuse' | 'fail' | 'cancel' | 'finish') {
-    const { call, services } = this
-    return {
-      channel: 'forward' as const,
-      decision,
-      requestId: call.requestId,
-      route: call.route.name,
-      organisation: call.organisation?.name ?? '',
-      tier: call.tier,
-      attempt: this.history.attempt,
-      documentVersion: call.documentVersion,
-      documentAgeMs: services.view.documentAgeMs,
-      elapsedMs: Math.round(performance.now() - call.arrivedAt)
-    }
-  }
-
-  private logDispatch (candidate: Candidate): void {
-    const record = { ...this.record('dispatch'), ...this.candidateFacts(candidate), why: candidate.isHome ? 'home of its prompt' : 'least cost' }
-    if (this.history.isFirst) this.services.logger.sampled('dispatch', record)
-    else this.services.logger.info(record)
-  }
-
-  private log (decision: 'retry' | 'resume' | 'stop', candidate: Candidate, why: string): void {
-    this.services.logger.info({ ...this.record(decision), ...this.candidateFacts(candidate), why })
-  }
-
-  /** Names the endpoint of the latest attempt, if there was one. */
-  private logEnd (decision: 'refuse' | 'fail' | 'cancel', why: string): void {
-    const facts = this.latest === undefined ? {} : this.candidateFacts(this.latest)
-    this.services.logger.info({ ...this.record(decision), ...facts, why })
-  }
-
-  private candidateFacts ({ endpoint, cost, unreadTokens, copiedTokens, source }: Candidate) {
-    const { incarnation } = endpoint.description
-    return {
-      endpoint: incarnation,
-      leaseAgeMs: this.services.view.leaseAgeMs(incarnation),
-      cost: Math.round(cost),
-      unreadTokens,
-      copiedTokens,
-      source: source?.description.incarnation,
-      inFlight: endpoint.inFlight
-    }
-  }
 }
--- /dev/null
+++ b/entry/gateway/src/request-recorder.ts
@@ -0,0 +1,124 @@
+/** What one request leaves behind for operators: log lines and figures. */
+import { type ForwardRecord } from '@gullwall/core.logger'
+import { type Candidate } from '@gullwall/routing.balancer'
+import { type AttemptHistory } from './attempt-history.ts'
+import { type Call } from './call.ts'
+import { type GatewayServices } from './index.ts'
+
+type Decision = ForwardRecord['decision']
+
+export class RequestRecorder {
+  /** When whole events were last passed on. */
+  latestEventAt = -Infinity
+  private firstEventAt: number | undefined
+  private longestPauseMs = 0
+  /** The endpoint of the latest attempt. */
+  private latest: Candidate | undefined
+
+  constructor (private readonly services: GatewayServices, private readonly call: Call, private readonly history: AttemptHistory) {}
+
+  /** Notes that an attempt is about to be sent. */
+  dispatched (candidate: Candidate): void {
+    const { call, history, services } = this
+    this.latest = candidate
+    const record = { ...this.record('dispatch'), why: candidate.isHome ? 'home of its prompt' : 'least cost' }
+    if (history.isFirst) {
+      services.metrics.queued.observe({ route: call.route.name }, this.elapsedMs / 1000)
+      services.logger.sampled('dispatch', record)
+    } else {
+      services.logger.info(record)
+    }
+  }
+
+  /** Notes whole events that were passed on. */
+  passedEvents (): void {
+    const now = performance.now()
+    if (this.firstEventAt === undefined) {
+      this.firstEventAt = now
+      this.services.metrics.firstEvent.observe({ route: this.call.route.name }, this.elapsedMs / 1000)
+    } else {
+      this.longestPauseMs = Math.max(this.longestPauseMs, now - this.latestEventAt)
+    }
+    this.latestEventAt = now
+  }
+
+  /** Notes what was decided between two attempts. */
+  decided (decision: 'retry' | 'resume' | 'stop', why: string): void {
+    this.services.logger.info({ ...this.record(decision), why })
+  }
+
+  /** Notes that the caller has its answer. Answers in time are sampled; each late one has its line. */
+  answered (): void {
+    this.count('answered')
+    const lateness = this.lateness()
+    const record: ForwardRecord = { ...this.record('finish'), ...this.timing(), why: lateness ?? 'answered' }
+    if (lateness === undefined) this.services.logger.sampled('finish', record)
+    else this.services.logger.info(record)
+  }
+
+  /** Notes an end without a whole answer. */
+  ended (decision: 'refuse' | 'fail' | 'cancel', outcome: string, why: string): void {
+    this.count(outcome)
+    this.services.logger.info({ ...this.record(decision), ...this.timing(), why })
+  }
+
+  private count (outcome: string): void {
+    const { metrics } = this.services
+    const { name: route } = this.call.route
+    metrics.requests.inc({ route, outcome })
+    metrics.duration.observe({ route }, this.elapsedMs / 1000)
+    if (this.firstEventAt !== undefined) metrics.longestPause.observe({ route }, this.longestPauseMs / 1000)
+  }
+
+  /** In what an answer missed its targets; undefined if it was in time. */
+  private lateness (): string | undefined {
+    const { route, arrivedAt } = this.call
+    const firstMs = (this.firstEventAt ?? performance.now()) - arrivedAt
+    if (route.targetMs > 0 && firstMs > route.targetMs) return `late: first after ${Math.round(firstMs)} ms of ${route.targetMs}`
+    if (route.pauseMs === undefined || this.longestPauseMs <= route.pauseMs) return undefined
+    return `late: a pause of ${Math.round(this.longestPauseMs)} ms of ${route.pauseMs}`
+  }
+
+  private timing (): Pick<ForwardRecord, 'firstEventMs' | 'longestPauseMs' | 'tookMs'> {
+    const { firstEventAt, call } = this
+    return {
+      tookMs: Math.round(this.elapsedMs),
+      firstEventMs: firstEventAt === undefined ? undefined : Math.round(firstEventAt - call.arrivedAt),
+      longestPauseMs: firstEventAt === undefined ? undefined : Math.round(this.longestPauseMs)
+    }
+  }
+
+  private get elapsedMs (): number {
+    return performance.now() - this.call.arrivedAt
+  }
+
+  private record (decision: Decision): Omit<ForwardRecord, 'why'> {
+    const { call, services, history, latest } = this
+    return {
+      channel: 'forward',
+      decision,
+      requestId: call.requestId,
+      route: call.route.name,
+      organisation: call.organisation?.name ?? '',
+      tier: call.tier,
+      attempt: history.attempt,
+      documentVersion: call.documentVersion,
+      documentAgeMs: services.view.documentAgeMs,
+      elapsedMs: Math.round(this.elapsedMs),
+      ...(latest === undefined ? {} : this.factsOf(latest))
+    }
+  }
+
+  private factsOf ({ endpoint, cost, unreadTokens, copiedTokens, source }: Candidate) {
+    const { incarnation } = endpoint.description
+    return {
+      endpoint: incarnation,
+      leaseAgeMs: this.services.view.leaseAgeMs(incarnation),
+      cost: Math.round(cost),
+      unreadTokens,
+      copiedTokens,
+      source: source?.description.incarnation,
+      inFlight: endpoint.inFlight
+    }
+  }
+}
--- /dev/null
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -0,0 +1,127 @@
+import { describe, expect, it } from 'vitest'
+import { EndpointState, RetryBudget, type Candidate } from '@gullwall/routing.balancer'
+import { type AttemptEnd } from '../src/answer-receiver.ts'
+import { AttemptHistory } from '../src/attempt-history.ts'
+import { admit, nextStep, silenceOf, type RequestState } from '../src/attempt-policy.ts'
+import { type Call } from '../src/call.ts'
+
+const TARGET_MS = 600
+
+interface StateOptions {
+  kind?: 'stream' | 'repeatable' | 'once'
+  isResumable?: boolean
+  tier?: number
+  maxAttempts?: number
+  slack?: number
+}
+
+function stateOf ({ kind = 'stream', isResumable = true, tier = 1, maxAttempts = 2, slack = 100 }: StateOptions = {}): RequestState {
+  const route = {
+    name: 'r',
+    host: 'h',
+    prefix: '/',
+    kind,
+    timeoutMs: 6000,
+    targetMs: TARGET_MS,
+    tier,
+    split: [{ service: 's', weight: 1 }],
+    maxAttempts,
+    isPublic: true,
+    isResumable,
+    hasPromptParts: true
+  }
+  const call: Call = {
+    requestId: 'a',
+    waitMs: undefined,
+    lastEventId: undefined,
+    prompt: [{ id: 'p', tokens: 1000 }],
+    key: undefined,
+    method: 'POST',
+    path: '/',
+    rawHeaders: [],
+    body: undefined,
+    route,
+    organisation: undefined,
+    tier,
+    arrivedAt: 0,
+    deadline: 6000,
+    documentVersion: 1
+  }
+  const budget = new RetryBudget({ ratio: 0, windowMs: 10_000, slack, entries: () => 1 })
+  return { call, history: new AttemptHistory(call), budget }
+}
+
+const endpoint = new EndpointState({ incarnation: 'i-1', service: 's', address: '127.0.0.1:1', dataCentre: 'east', slots: 4 })
+const candidate: Candidate = {
+  endpoint,
+  cost: 0,
+  unreadTokens: 1000,
+  urgency: 0,
+  copiedTokens: 0,
+  source: undefined,
+  waitMs: 0,
+  isHome: true
+}
+const broken: AttemptEnd = { type: 'broken', why: 'reset' }
+const failed: AttemptEnd = { type: 'failed', head: { status: 500, headers: {} }, body: Buffer.alloc(0) }
+const notRun: AttemptEnd = { type: 'not-run', why: 'full', verdict: 'shed' }
+const unsent: AttemptEnd = { type: 'unsent', why: 'no connection' }
+
+describe('admission', () => {
+  it('refuses what would be far too late, with the time to come back after', () => {
+    expect(admit(stateOf(), { ...candidate, waitMs: 3 * TARGET_MS })).toMatchObject({ type: 'refuse', afterMs: 2 * TARGET_MS })
+    expect(admit(stateOf(), { ...candidate, waitMs: TARGET_MS / 2 })).toEqual({ type: 'send' })
+  })
+
+  it('refuses neither the most urgent nor what may have run already', () => {
+    expect(admit(stateOf({ tier: 0 }), { ...candidate, waitMs: 3 * TARGET_MS })).toEqual({ type: 'send' })
+    const state = stateOf()
+    state.history.noteRun('i-1')
+    expect(admit(state, { ...candidate, waitMs: 3 * TARGET_MS })).toEqual({ type: 'send' })
+  })
+})
+
+describe('what follows an attempt', () => {
+  it('is nothing after an answer or after the caller has left', () => {
+    expect(nextStep(stateOf(), 'i-1', { type: 'answered' })).toEqual({ type: 'over' })
+    expect(nextStep(stateOf(), 'i-1', { type: 'cancelled' })).toEqual({ type: 'over' })
+  })
+
+  it('is another attempt for what may be repeated, as often as the route allows', () => {
+    const state = stateOf({ maxAttempts: 2 })
+    expect(nextStep(state, 'i-1', broken)).toMatchObject({ type: 'again' })
+    expect(nextStep(state, 'i-2', broken)).toMatchObject({ type: 'fail', code: 'ERR_GULLWALL_BROKEN', why: 'reset; 2 of 2 attempts made' })
+    expect([...state.history.excluded]).toEqual(['i-1', 'i-2'])
+  })
+
+  it('is the failure for what runs at most once', () => {
+    expect(nextStep(stateOf({ kind: 'once' }), 'i-1', broken)).toMatchObject({ type: 'fail', code: 'ERR_GULLWALL_UNKNOWN_OUTCOME' })
+    expect(nextStep(stateOf({ isResumable: false }), 'i-1', broken)).toMatchObject({ type: 'fail', code: 'ERR_GULLWALL_UNKNOWN_OUTCOME' })
+    expect(nextStep(stateOf({ kind: 'once' }), 'i-1', failed)).toMatchObject({ type: 'pass-failure', head: { status: 500 } })
+  })
+
+  it('costs the retry budget once an endpoint was reached, and ends with it', () => {
+    const state = stateOf({ kind: 'once', slack: 3 })
+    expect(nextStep(state, 'i-1', unsent)).toMatchObject({ type: 'again', budgetLeft: state.budget.left })
+    expect(nextStep(state, 'i-2', notRun)).toMatchObject({ type: 'again' })
+    expect(nextStep(state, 'i-3', notRun)).toMatchObject({ type: 'refuse', why: 'full; no retry budget left' })
+  })
+})
+
+describe('an endpoint that says nothing', () => {
+  const work = { startedAt: 0, unreadTokens: 0, urgency: 0, promptTokens: 0, strain: 0, hasBegun: true }
+  const running = (state: RequestState, hasAlternative = true) => ({
+    ...state, candidate, work, lastProgressAt: 0, hasAlternative: () => hasAlternative
+  })
+
+  it('loses a repeatable request after more than its target, where another could take it', () => {
+    const state = stateOf({ kind: 'repeatable' })
+    expect(silenceOf(running(state), TARGET_MS)).toBeUndefined()
+    expect(silenceOf(running(state), 2 * TARGET_MS)).toBe(`nothing for ${2 * TARGET_MS} ms`)
+    expect(silenceOf(running(state, false), 2 * TARGET_MS)).toBeUndefined()
+  })
+
+  it('keeps what runs at most once', () => {
+    expect(silenceOf(running(stateOf({ kind: 'once' })), 100 * TARGET_MS)).toBeUndefined()
+  })
+})
