--- a/transport/link/test/link.test.ts
+++ b/transport/link/test/link.test.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from 'node:http'
+import { connect, createServer as createTcpServer, type Socket } from 'node:net'
 import { type AddressInfo } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { Packr } from 'msgpackr'
@@ -53,6 +54,20 @@
     await expect(link.request({ kind: 'readIndex' }, 'done')).rejects.toMatchObject({ code: 'ERR_GULLWALL_PEER_FAILED', peer: `accepting@${address}` })
   })
 
+  it('opens soon although the first try meets silence, as that of a machine which is starting', async () => {
+    const [host = '', port = ''] = (await accept()).split(':')
+    const silent: Socket[] = []
+    const front = createTcpServer((socket) => {
+      if (silent.length === 0) silent.push(socket)
+      else socket.pipe(connect(Number(port), host)).pipe(socket)
+    })
+    await new Promise<void>((resolve) => front.listen(0, '127.0.0.1', resolve))
+    const startedAt = performance.now()
+    await dial(`127.0.0.1:${(front.address() as AddressInfo).port}`, { timing: { heartbeatMs: 1000, silenceMs: 60_000, handshakeMs: 20_000 } })
+    expect(performance.now() - startedAt).toBeLessThan(5000)
+    front.close()
+  })
+
   it('does not open for a peer without the key', async () => {
     const address = await accept()
     const why = await new Promise<string>((resolve) => {
