feat(cli): losses tells from log lines what requests missed, and why

In story.test.ts the reason of a stream that could not go on is looked for in its fail line, where it stands since.

--- a/cli/gullwall/src/commands/explain.ts
+++ b/cli/gullwall/src/commands/explain.ts
@@ -1,13 +1,10 @@
 /** Tells what happened to one request: from processes that still remember it, or from log lines. */
-import { readFileSync } from 'node:fs'
-import { array, command, multioption, positional, string } from 'cmd-ts'
+import { command, positional, string } from 'cmd-ts'
 import { request } from 'undici'
-import { formatStoryLine, readLines, tellStory, type LogLine } from '@gullwall/cli.story'
-import { GullwallError, messageOf } from '@gullwall/core.error'
+import { formatStoryLine, tellStory } from '@gullwall/cli.story'
+import { logFiles, readLogs, skippedLines } from '../logs.ts'
 import { adminAddresses, admins, missing, print } from '../options.ts'
 
-const STANDARD_INPUT = '-'
-
 interface RememberedDecision {
   time: string
   decision: string
@@ -24,7 +21,7 @@
   args: {
     request: positional({ type: string, displayName: 'REQUEST' }),
     admin: admins,
-    logs: multioption({ type: array(string), long: 'logs', description: 'file with log lines, - for standard input; may be repeated' })
+    logs: logFiles
   },
   handler: async ({ request: requestId, admin, logs }) => {
     if (logs.length > 0) explainFromLogs(requestId, logs)
@@ -33,22 +30,11 @@
 })
 
 function explainFromLogs (requestId: string, files: readonly string[]): void {
-  const read = files.map((file) => readLines(readLog(file)))
-  const lines = read.flatMap((part): LogLine[] => part.lines)
-  const skipped = read.reduce((sum, part) => sum + part.skipped, 0)
+  const { lines, skipped } = readLogs(files)
   const story = tellStory(lines, requestId)
   for (const line of story) print(formatStoryLine(line))
   if (story.length === 0) print(`none of ${lines.length} lines names ${requestId}; successes are sampled, see docs/reference/logs.md`)
-  if (skipped > 0) print(`${skipped} lines were no log lines`)
-}
-
-/** @throws ERR_GULLWALL_BAD_CONFIGURATION if a file can't be read */
-function readLog (file: string): string {
-  try {
-    return readFileSync(file === STANDARD_INPUT ? 0 : file, 'utf8')
-  } catch (error) {
-    throw new GullwallError('ERR_GULLWALL_BAD_CONFIGURATION', `can't read ${file}: ${messageOf(error)}`, { step: 'read logs', peer: file })
-  }
+  if (skipped > 0) print(skippedLines(skipped))
 }
 
 async function explainFromProcesses (requestId: string, addresses: readonly string[]): Promise<void> {
--- a/cli/gullwall/src/main.ts
+++ b/cli/gullwall/src/main.ts
@@ -7,6 +7,7 @@
 import { explainCommand } from './commands/explain.ts'
 import { diffCommand, exportCommand, historyCommand, restoreCommand } from './commands/history.ts'
 import { keyCommand } from './commands/key.ts'
+import { lossesCommand } from './commands/losses.ts'
 import { statusCommand } from './commands/status.ts'
 
 const program = subcommands({
@@ -22,6 +23,7 @@
     undrain: undrainCommand,
     status: statusCommand,
     explain: explainCommand,
+    losses: lossesCommand,
     history: historyCommand,
     diff: diffCommand,
     export: exportCommand,
--- a/cli/story/src/index.ts
+++ b/cli/story/src/index.ts
@@ -1,6 +1,7 @@
 /** The story of one request, from the log lines of any number of processes. */
 import { type LogLine } from './read-lines.ts'
 
+export { formatLosses, tellLosses, type Loss, type LossOptions, type LossTable, type RouteLosses } from './losses.ts'
 export { readLines, type LogLine, type ReadLines } from './read-lines.ts'
 
 /** What happened to an endpoint or a process so long before or after the request is a part of its story, in ms. */
--- a/cli/story/test/story.test.ts
+++ b/cli/story/test/story.test.ts
@@ -54,15 +54,16 @@
     expect(story.some(({ isOwn, what, why, sinceMs }) => !isOwn && what === 'endpoint up' && why.includes(endpoint) && sinceMs <= 0)).toBe(true)
   })
 
-  it('a refusal, with the wait that was foreseen', async () => {
-    const works = [first, second].map(({ incarnation }) => ({
-      incarnation, unread: [{ urgency: 0, tokens: 900_000 }], running: 9, strain: 0
-    }))
+  it.each([
+    ['the wait that was foreseen', { tokens: 900_000, running: 1 }, /the first event would take \d+ ms of 400/],
+    ['that all slots are taken', { tokens: 0, running: 9 }, /the slots of all endpoints are taken/]
+  ])('a refusal, with %s', async (_what, { tokens, running }, why) => {
+    const works = [first, second].map(({ incarnation }) => ({ incarnation, unread: [{ urgency: 0, tokens }], running, strain: 0 }))
     deployment.gateway.get('workExchange').receive({ kind: 'work', entry: 'another', works, holdings: [] })
     const { status, story } = await storyOf('/draft/1', { 'x-gullwall-prompt-parts': 'subject:5000,own:900' })
     expect(status).toBe(503)
     expect(own(story).at(-1)).toMatchObject({ what: 'refuse' })
-    expect(own(story).at(-1)?.why).toMatch(/the first event would take \d+ ms of 400/)
+    expect(own(story).at(-1)?.why).toMatch(why)
     deployment.gateway.get('workExchange').receive({ kind: 'work', entry: 'another', works: [], holdings: [] })
   })
 
@@ -72,8 +73,8 @@
       response.write('id: 1\ndata: 1\n\n', () => response.destroy())
     })
     const { story } = await storyOf('/draft/2')
-    expect(own(story).map(({ what }) => what)).toEqual(['dispatch', 'resume', 'dispatch', 'stop', 'fail'])
-    expect(own(story).at(-2)?.why).toContain('2 of 2 attempts made')
+    expect(own(story).map(({ what }) => what)).toEqual(['dispatch', 'resume', 'dispatch', 'fail'])
+    expect(own(story).at(-1)?.why).toContain('2 of 2 attempts made')
   })
 
   it('a belief that is old: the document, the word of the endpoint, and a link that was lost', async () => {
