perf: a leader and ready entries sooner after everything was down

Gateways asked for the newest revision each 150 ms, and a request that came meanwhile was refused with a second to wait.

--- a/control/quorum/src/quorum-node.ts
+++ b/control/quorum/src/quorum-node.ts
@@ -9,6 +9,7 @@
 import { type Message, type MessageOf } from '@gullwall/transport.messages'
 import { DurableVote } from './durable-vote.ts'
 import { campaign } from './election.ts'
+import { ElectionTimer } from './election-timer.ts'
 import { commandData, parseData } from './entry-data.ts'
 import { found } from './founding.ts'
 import { Leader } from './leader.ts'
@@ -46,7 +47,7 @@
   private appliedIndex = 0
   private leader: Leader | undefined
   private heardFromLeaderAt = -Infinity
-  private electionTimer: NodeJS.Timeout | undefined
+  private readonly electionTimer: ElectionTimer
   private installing = ''
   private readonly snapshots: SnapshotTrigger
   private diskFailedAt = -Infinity
@@ -56,6 +57,7 @@
 
   constructor (readonly options: QuorumOptions) {
     this.timing = { ...DEFAULT_QUORUM_TIMING, ...options.timing }
+    this.electionTimer = new ElectionTimer(this.timing, () => { this.electionDue().catch((error) => this.diskFailed(error)) })
     this.snapshots = new SnapshotTrigger(options)
   }
 
@@ -84,7 +86,7 @@
     this.commitIndex = snapshot.index
     this.appliedIndex = snapshot.index
     this.record('recovered', `${log.lastIndex} entries, snapshot at ${snapshot.index}`)
-    this.armElection(this.timing.firstElectionShare)
+    this.armElection()
     found(this).catch((error) => this.diskFailed(error))
   }
 
@@ -98,7 +100,7 @@
   /** Stops at once, as a crash would. */
   kill (): void {
     this.stopped = true
-    clearTimeout(this.electionTimer)
+    this.electionTimer.stop()
     this.leader?.end('stopped')
     this.leader = undefined
   }
@@ -212,13 +214,10 @@
   }
 
   /** Starts the wait for the next election anew. */
-  armElection (share = 1): void {
-    clearTimeout(this.electionTimer)
+  armElection (): void {
     if (this.stopped) return
-    const wait = share * this.timing.electionMs * (1 + Math.random())
-    this.electionTimer = setTimeout(() => {
-      this.electionDue().catch((error) => { this.diskFailed(error) })
-    }, wait)
+    if (this.role !== 'follower' || this.leaderName !== undefined) this.electionTimer.settle()
+    this.electionTimer.arm()
   }
 
   private async electionDue (): Promise<void> {
@@ -267,6 +266,7 @@
     const isHigher = message.term > this.vote.term
     await this.vote.set(message.term, message.candidate)
     if (isHigher) this.stepDown('voted in a higher term')
+    this.electionTimer.settle()
     this.armElection()
   }
 
--- a/control/quorum/src/types.ts
+++ b/control/quorum/src/types.ts
@@ -51,8 +51,8 @@
   /** An election starts after between one and two times this without word from a leader. */
   electionMs: number
   /**
-   * The first election after a start comes after this share of the usual time: when all members start at once nobody
-   * leads, and where somebody does, the prevote keeps it.
+   * Until a leader or an election with effect has been seen after a start, elections come after this share of the
+   * usual time: when all members start at once nobody leads, and where somebody does, the prevote keeps it.
    */
   firstElectionShare: number
   /** How long a request to a peer may take. */
--- a/control/quorum/test/cluster.ts
+++ b/control/quorum/test/cluster.ts
@@ -42,7 +42,7 @@
   private readonly random: () => number
   private proposed = 0
 
-  constructor (readonly names: readonly string[], seed: number) {
+  constructor (readonly names: readonly string[], seed: number, private readonly firstElectionShare = 1) {
     const generator = xoroshiro128plus(seed)
     this.random = () => uniformFloat64(generator)
     vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
@@ -145,8 +145,9 @@
   private async boot (name: string, disk: MemoryDisk): Promise<void> {
     const machine = new ListMachine()
     const founding = { self: name, addresses: this.names, mayFound: true }
+    const timing = { firstElectionShare: this.firstElectionShare }
     const node = new QuorumNode({
-      member: name, founding, disk, machine, transport: this.transport(name), logger: silentLogger(), snapshotEvery: 12
+      member: name, founding, disk, machine, transport: this.transport(name), logger: silentLogger(), snapshotEvery: 12, timing
     })
     const started = node.start()
     await this.advance(1)
--- a/control/quorum/test/fuzz.ts
+++ b/control/quorum/test/fuzz.ts
@@ -37,6 +37,8 @@
   seed: number
   /** Bends the code under test, to show that the oracle sees it. */
   mutate?: () => void
+  /** See `QuorumTiming`; 1 unless given. */
+  firstElectionShare?: number
 }
 
 /** Gives the report of fast-check: the seed, and the shrunk sequence if one failed. */
@@ -48,8 +50,8 @@
   return await fc.check(property, { numRuns: options.runs, seed: options.seed, endOnFailure: options.mutate !== undefined })
 }
 
-export async function runSteps (steps: readonly Step[], seed: number, options: Pick<FuzzOptions, 'mutate'> = {}): Promise<string | undefined> {
-  const cluster = new Cluster(NAMES, seed)
+export async function runSteps (steps: readonly Step[], seed: number, options: Pick<FuzzOptions, 'mutate' | 'firstElectionShare'> = {}): Promise<string | undefined> {
+  const cluster = new Cluster(NAMES, seed, options.firstElectionShare)
   let failure: string | undefined
   const note = (found: string | undefined) => { failure ??= found }
   try {
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -8,7 +8,10 @@
 const MAX_BACKOFF_MS = 500
 const TIMING = { heartbeatMs: 1000, silenceMs: 2500, handshakeMs: 1000 }
 const CONFIRM_TIMEOUT_MS = 1000
-const CONFIRM_RETRY_MS = 150
+/** The first question for the newest revision is asked again soon, since a quorum may just be forming; later ones more rarely. In ms. */
+const FIRST_CONFIRM_RETRY_MS = 25
+const MAX_CONFIRM_RETRY_MS = 200
+const CONFIRM_BACKOFF_FACTOR = 1.5
 /** Without a quorum, what a single control process tells is used after this time: it may be older, but never undone later. */
 const UNCONFIRMED_AFTER_MS = 2500
 
@@ -18,6 +21,7 @@
   private readonly startedAt = performance.now()
   private stopped = false
   private timer: NodeJS.Timeout | undefined
+  private confirmRetryMs = FIRST_CONFIRM_RETRY_MS
 
   constructor (private readonly services: GatewayServices) {}
 
@@ -105,6 +109,8 @@
         this.services.logger.debug({ channel: 'link', event: 'refused', peer: link.address, why: messageOf(error) })
       }
     }
-    if (!this.stopped) this.timer = setTimeout(() => { void this.confirmOnce() }, CONFIRM_RETRY_MS)
+    if (this.stopped) return
+    this.timer = setTimeout(() => { void this.confirmOnce() }, this.confirmRetryMs)
+    this.confirmRetryMs = Math.min(MAX_CONFIRM_RETRY_MS, CONFIRM_BACKOFF_FACTOR * this.confirmRetryMs)
   }
 }
--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -13,10 +13,12 @@
 /** The longest body that is read before a document says how long one may be. */
 const MAX_BODY_BYTES = 4 * 1024 * 1024
 const CHECK_MS = 1000
-/** A process that has just started is ready after about so long, in ms. */
-const NOT_READY_RETRY_MS = 1000
-/** A request waits so long for a process that is about to be ready, in ms. */
-const NOT_READY_WAIT_MS = 200
+/** When a caller is asked to come back to a process that is not ready, in ms: another one may be ready by then. */
+const NOT_READY_RETRY_MS = 300
+/** A process that has just started is ready after about so long, in ms (measured: 150 to 450); a request waits for it. */
+const START_UP_MS = 800
+/** So long at most, in ms. */
+const NOT_READY_WAIT_MS = 500
 /** After a stop was asked for, new connections still come for so long, until the balancer has seen it, in ms. */
 const TAKE_ON_MS = 2500
 /** What is kept of the time for a stop, to end in good order, in ms. */
@@ -105,7 +107,7 @@
       this.refuse(answer, requestId, error)
       return
     }
-    await this.readyWithin(arrivedAt + NOT_READY_WAIT_MS)
+    await this.readyWithin(Math.min(arrivedAt + NOT_READY_WAIT_MS, this.services.startedAt + START_UP_MS))
     const table = view.table
     const notReady = controlLinks.notReady()
     if (table === undefined || notReady !== undefined) {
--- a/tools/lean-libraries.mjs
+++ b/tools/lean-libraries.mjs
@@ -1,6 +1,7 @@
 /**
  * Leaves out of bundles what the programs never use of their libraries, since a process that starts again pays for all
- * that it loads: the HTTP client but for its pools, messages of the checker in other languages, rare media types.
+ * that it loads: the HTTP client but for its pools, messages of the checker in other languages, rare media types, the
+ * container's search for modules in folders, and the codec's native helper, which a bundle does not carry.
  */
 
 const MEDIA_TYPES = {
@@ -16,6 +17,9 @@
     build.onLoad({ filter: /node_modules\/undici\/index\.js$/ }, () => ({
       contents: "module.exports = { Pool: require('./lib/dispatcher/pool'), buildConnector: require('./lib/core/connect') }"
     }))
+    build.onLoad({ filter: /node_modules\/(fast-glob\/out|msgpackr-extract)\/index\.js$/ }, () => ({
+      contents: 'module.exports = undefined'
+    }))
     build.onLoad({ filter: /node_modules\/zod\/v4\/locales\/index\.js$/ }, () => ({
       contents: "export { default as en } from './en.js'"
     }))
