perf(balancer): long reads and tight streams part by what engines show

Streams and reads were weighed against each other linearly and with a fixed 200 ms, so that all engines ended up doing both.

--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -49,8 +49,9 @@
   /** The incarnation of the endpoint, and how old this process's word of it is. */
   endpoint?: string
   leaseAgeMs?: number
-  /** What the choice weighed: cost in ms, prompt tokens to read there, own requests there. */
+  /** What the choice weighed: cost in ms, foreseen time to the first event, prompt tokens to read there, own requests there. */
   cost?: number
+  waitMs?: number
   unreadTokens?: number
   /** Prompt tokens that it copies instead of reading them, and the incarnation that it copies from. */
   copiedTokens?: number
--- a/entry/gateway/src/answer-receiver.ts
+++ b/entry/gateway/src/answer-receiver.ts
@@ -89,7 +89,7 @@
     const events = this.cutter.take(chunk)
     if (events === undefined || this.head === undefined) return
     const { answer } = this.forwarding.facts
-    this.work.hasBegun = true
+    this.candidate.endpoint.noteEvents(this.work, performance.now())
     this.begin(this.head)
     this.forwarding.noteEvents(events.lastId)
     if (!answer.events(events.bytes)) this.forwarding.holdUntilDrained()
--- a/entry/gateway/src/attempt-policy.ts
+++ b/entry/gateway/src/attempt-policy.ts
@@ -8,8 +8,8 @@
 import { isRepeatable, type Call } from './call.ts'
 import { type ExchangeHead } from './exchange.ts'
 
-/** A first event that would take so many times its target is not waited for: measured best of 1, 1.3 and 2. */
-const HOPELESS_TARGETS = 1.3
+/** A first event that would take so many times its target is not waited for; rounds p and q of docs/measurements/worth.md. */
+const HOPELESS_TARGETS = 1
 /** A repeatable call without an answer after so many times its target is tried elsewhere. */
 const SLOW_TARGETS = 1.5
 /** No call is taken to be slow before this time; it is also how often an attempt is looked at. In ms. */
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -132,7 +132,8 @@
     }
   }
 
-  private wake (): void {
+  /** Has whoever waits for a change look again. */
+  wake (): void {
     for (const waiter of [...this.waiters]) waiter()
   }
 }
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -1,5 +1,5 @@
 /** Puts the choice of an endpoint for one request: which endpoints it may have, and what the policy must know. */
-import { choose, strainOf, type Candidate } from '@gullwall/routing.balancer'
+import { choose, type Candidate } from '@gullwall/routing.balancer'
 import { type AttemptHistory } from './attempt-history.ts'
 import { type Call } from './call.ts'
 import { type GatewayServices } from './index.ts'
@@ -20,20 +20,29 @@
   const { view, settings, weights, startedAt } = services
   const service = pickService(services, call)
   const usable = view.usable(service)
-  const canCopy = view.table?.service(service)?.engine?.copiesPrefixes === true
+  const engine = view.table?.service(service)?.engine
   const now = performance.now()
   return choose({
     prompt: call.prompt,
     tier: call.tier,
     isResumed,
+    needsSlot: engine !== undefined,
     dataCentre: settings.dataCentre,
-    strain: strainOf(call.route.pauseMs),
+    targetMs: call.route.targetMs,
+    pauseMs: call.route.pauseMs,
     excluded: history.excluded,
-    sources: canCopy ? usable : [],
+    sources: engine?.copiesPrefixes === true ? usable : [],
     trustsHome: now - startedAt < TRUST_HOME_MS
   }, usable, now, weights)
 }
 
+/** Why no endpoint was chosen. */
+export function whyNone ({ services: { view }, call, history }: EndpointChoiceOptions): string {
+  const usable = call.route.split.flatMap(({ service }) => view.usable(service))
+  const isUntried = usable.some(({ description }) => !history.excluded.has(description.incarnation))
+  return isUntried ? 'the slots of all endpoints are taken' : 'no endpoint takes work'
+}
+
 /** One of the route's services by weight; one without endpoints gives way to the others. */
 function pickService ({ view }: GatewayServices, { route }: Call): string {
   const weighed = route.split.filter((part) => part.weight > 0)
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -6,7 +6,7 @@
 import { admit, nextStep, silenceOf, WATCH_MS, type NextStep, type RequestState } from './attempt-policy.ts'
 import { type Call } from './call.ts'
 import { originOf } from './connections.ts'
-import { chooseEndpoint } from './endpoint-choice.ts'
+import { chooseEndpoint, whyNone, type EndpointChoiceOptions } from './endpoint-choice.ts'
 import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
 import { RequestRecorder } from './request-recorder.ts'
@@ -53,7 +53,7 @@
       const candidate = await this.nextCandidate()
       if (this.isOver) return
       if (candidate === undefined) {
-        this.refuse('no endpoint takes work')
+        this.refuse(whyNone(this.choiceOptions))
         return
       }
       const admission = admit(this.state, candidate)
@@ -71,12 +71,16 @@
     return { call: this.call, history: this.history, budget: this.services.budget }
   }
 
-  /** Chooses an endpoint, and waits a little for one where none is known. */
+  private get choiceOptions (): EndpointChoiceOptions {
+    return { services: this.services, call: this.call, history: this.history, isResumed: this.isResumed }
+  }
+
+  /** Chooses an endpoint, and waits a little for one where none is known or has room. */
   private async nextCandidate (): Promise<Candidate | undefined> {
     const { call } = this
     const patience = Math.min(call.deadline, call.arrivedAt + PATIENCE_SHARE * call.route.targetMs)
     for (;;) {
-      const candidate = chooseEndpoint({ services: this.services, call, history: this.history, isResumed: this.isResumed })
+      const candidate = chooseEndpoint(this.choiceOptions)
       const left = patience - performance.now()
       if (candidate !== undefined || left <= 0 || this.isOver) return candidate
       await this.services.view.changeWithin(left)
@@ -87,8 +91,9 @@
     const { call, services } = this
     const { endpoint, unreadTokens, urgency } = candidate
     services.workExchange.noteSending(endpoint, call.prompt)
-    const sent = { prompt: call.prompt, unreadTokens, urgency, strain: strainOf(call.route.pauseMs) }
+    const sent = { prompt: call.prompt, unreadTokens, urgency, strain: strainOf(call.route.pauseMs, endpoint.reading.pauseMs) }
     const work = endpoint.begin(sent, performance.now())
+    services.workExchange.noteSent(unreadTokens)
     this.recorder.dispatched(candidate)
     const receiver = new AnswerReceiver(this, work, candidate)
     const exchange = this.send(candidate, receiver)
@@ -97,6 +102,7 @@
     const end = receiver.endOf(await exchange.ended)
     clearInterval(watch)
     endpoint.end(work, verdictOf(end), performance.now())
+    services.view.wake()
     return end
   }
 
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -109,12 +109,13 @@
     }
   }
 
-  private factsOf ({ endpoint, cost, unreadTokens, copiedTokens, source }: Candidate) {
+  private factsOf ({ endpoint, cost, waitMs, unreadTokens, copiedTokens, source }: Candidate) {
     const { incarnation } = endpoint.description
     return {
       endpoint: incarnation,
       leaseAgeMs: this.services.view.leaseAgeMs(incarnation),
       cost: Math.round(cost),
+      waitMs: Math.round(waitMs),
       unreadTokens,
       copiedTokens,
       source: source?.description.incarnation,
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -7,6 +7,10 @@
 const LOOK_MS = 60
 /** A change of the tokens to be read by more than this is told at the next look. */
 const TELL_TOKENS = 2500
+/** A prompt with more tokens to read is told at once, so that others do not send theirs to the same endpoint meanwhile. */
+const TELL_AT_ONCE_TOKENS = 1500
+/** Though not more often than this, in ms. */
+const AT_ONCE_SPACING_MS = 20
 /** Smaller changes are told together, at most so often, in ms. */
 const TELL_MS = 250
 /** With more entries than this, each tells the less often the more there are: what all of them hear stays bounded. */
@@ -55,10 +59,22 @@
     this.untoldHoldings.push({ incarnation: description.incarnation, parts: prompt.slice(0, -1).map(({ id, tokens }) => ({ id, tokens })) })
   }
 
+  /** Notes that a prompt was sent. */
+  noteSent (unreadTokens: number): void {
+    if (unreadTokens > TELL_AT_ONCE_TOKENS) setImmediate(() => this.tellAfter(AT_ONCE_SPACING_MS))
+  }
+
   private tick (): void {
     const now = performance.now()
     this.forgetSilent(now)
-    for (const endpoint of this.services.view.all()) endpoint.sampleReading()
+    for (const endpoint of this.services.view.all()) endpoint.sampleReading(now)
+    this.tellAfter(0)
+  }
+
+  /** Tells what has changed, unless something was told less than this time ago. */
+  private tellAfter (spacingMs: number): void {
+    const now = performance.now()
+    if (now - this.toldAt < spacingMs) return
     const works = this.ownWorks()
     const text = JSON.stringify(works)
     const sinceTold = now - this.toldAt
@@ -115,6 +131,7 @@
         endpoint.others.strain += strain
       }
     }
+    this.services.view.wake()
   }
 }
 
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -2,6 +2,7 @@
 import { type EndpointState } from './endpoint-state.ts'
 import { type PromptPart } from './prefix-memory.ts'
 import { rendezvousFirst } from './rendezvous.ts'
+import { spoiltShare, strainOf } from './strain.ts'
 import { urgencyOf } from './urgency.ts'
 
 /** What the choice must know of a request. */
@@ -12,8 +13,12 @@
   tier: number
   /** Whether the caller has had a part of its stream already. */
   isResumed: boolean
-  /** How little its stream bears that prompts are read beside it; see `strainOf`. */
-  strain: number
+  /** Whether the endpoints are engines, which put requests back for more urgent ones once their slots are taken. */
+  needsSlot: boolean
+  /** When its first event is due, in ms. */
+  targetMs: number
+  /** The longest pause between events that it bears, in ms; none where the route sets none. */
+  pauseMs: number | undefined
   /** Endpoints that have had this request already. */
   excluded: ReadonlySet<string>
   /** Endpoints that others can copy parts of prompts from. */
@@ -25,22 +30,26 @@
   trustsHome: boolean
 }
 
-/** The weights of the costs, in ms unless the name says otherwise. */
+/** The weights of the costs, in ms unless the name says otherwise. Measured in rounds, see docs/measurements/worth.md. */
 export interface ChoiceWeights {
-  /** How fast an engine reads prompts. */
-  readTokensPerMs: number
-  /** How many times the tokens to read count: what is read twice is lost for all. */
+  /** How many times the time to read counts: what is read twice is lost for all. */
   readWeight: number
   /** How many times the tokens to copy count, against tokens read once. */
   copyWeight: number
   /** For an endpoint that is not the home of a subject that nobody keeps. */
   notHome: number
+  /** For a first event that will probably be late. */
+  late: number
   /** For each request that runs there. */
   perRunning: number
-  /** How many times the time to read a prompt counts for each strain of the streams that run there. */
-  readBesideStreams: number
-  /** For a stream of strain 1 at an engine that always reads. */
+  /** For a stream of strain 1 that the reading of this prompt spoils. */
+  spoiltStream: number
+  /** For a stream of strain 1 at an engine that reads all the time. */
   streamBesideReads: number
+  /** What a strained stream prefers an engine for each strain that streams there have already: they go together. */
+  streamBesideStreams: number
+  /** For an engine all of whose slots are taken. */
+  full: number
   /** For an endpoint in another data centre. */
   otherDataCentre: number
   /** For a share of failures of 1. */
@@ -50,18 +59,33 @@
 }
 
 export const DEFAULT_WEIGHTS: ChoiceWeights = {
-  readTokensPerMs: 36,
   readWeight: 12,
   copyWeight: 2,
   notHome: 200,
+  late: 1500,
   perRunning: 2,
-  readBesideStreams: 1,
-  streamBesideReads: 1000,
+  spoiltStream: 300,
+  streamBesideReads: 2000,
+  streamBesideStreams: 12,
+  full: 3000,
   otherDataCentre: 20,
   failures: 400,
   suspect: 100_000
 }
 
+/** From this share of its target on, a first event is the likelier to be late the longer it will take. */
+const LATE_FROM_TARGETS = 0.6
+/** From here on it is taken to be late: predictions are too short where many send at once. */
+const LATE_AT_TARGETS = 1.2
+/** Streams of less strain are left where they are; they need no company. */
+const STRAINED = 0.3
+/** From this share of its slots on, an engine is avoided: what others send meanwhile comes on top. */
+const CROWDED_SLOTS = 0.6
+/** The share of an engine's slots that is used; beyond them it would put requests back for more urgent ones. */
+const USABLE_SLOTS = 0.95
+/** A prompt with so few tokens to read is read within one step, beside which streams go on. */
+const HARMLESS_TOKENS = 1000
+
 /** Fewer shared tokens are not worth a copy, nor word of where they are kept. */
 export const MIN_COPY_TOKENS = 1000
 
@@ -105,30 +129,43 @@
   const best = bestSource(prompt, sources, now)
   const shared = sharedTokens(prompt)
   const total = tokensOf(prompt)
-  return holdings.filter(({ endpoint }) => !demand.excluded.has(endpoint.description.incarnation)).map(({ endpoint, tokens }) => {
+  return holdings.filter(({ endpoint }) => mayHave(demand, endpoint)).map(({ endpoint, tokens }) => {
     const isHome = endpoint === home
     const kept = Math.max(tokens, isHome && trustsHome ? shared : 0)
     const source = best !== undefined && best.endpoint !== endpoint && best.tokens >= tokens + MIN_COPY_TOKENS ? best : undefined
     const copiedTokens = Math.max(0, (source?.tokens ?? 0) - kept)
     const unreadTokens = total - kept - copiedTokens
     const urgency = urgencyOf({ tier: demand.tier, unreadTokens, isResumed: demand.isResumed })
-    const aheadMs = endpoint.tokensAhead(urgency) / weights.readTokensPerMs
-    const waitMs = unreadTokens / weights.readTokensPerMs + aheadMs
-    const cost = weights.readWeight * unreadTokens / weights.readTokensPerMs +
-      weights.copyWeight * copiedTokens / weights.readTokensPerMs +
+    const { tokensPerMs } = endpoint.reading
+    const aheadMs = endpoint.tokensAhead(urgency) / tokensPerMs
+    const waitMs = unreadTokens / tokensPerMs + aheadMs
+    const cost = weights.readWeight * unreadTokens / tokensPerMs +
+      weights.copyWeight * copiedTokens / tokensPerMs +
       (isHome || tokens > 0 ? 0 : weights.notHome) +
-      weights.readBesideStreams * endpoint.strain * unreadTokens / weights.readTokensPerMs +
-      aheadMs + loadCost(endpoint, demand, now, weights)
+      aheadMs + weights.late * lateShare(waitMs, demand.targetMs) +
+      weights.spoiltStream * spoiltStreams(endpoint, unreadTokens) +
+      loadCost(endpoint, demand, now, weights)
     return { endpoint, isHome, unreadTokens, urgency, copiedTokens, source: source?.endpoint, waitMs, cost }
   })
 }
 
-/** A stream with this target for its pauses has a strain of 1, in ms. */
-const STRAIN_PAUSE_MS = 200
+/** Whether an endpoint may have the request: it has not had it, and an engine has room for it. */
+function mayHave ({ excluded, needsSlot, tier, isResumed }: Demand, { description, running }: EndpointState): boolean {
+  if (excluded.has(description.incarnation)) return false
+  const goesFirst = tier === 0 || isResumed
+  return !needsSlot || goesFirst || running < USABLE_SLOTS * description.slots
+}
+
+/** How likely a first event is late that will probably take so long; from 0 to 1. */
+function lateShare (waitMs: number, targetMs: number): number {
+  if (targetMs <= 0) return 0
+  return Math.min(1, Math.max(0, (waitMs / targetMs - LATE_FROM_TARGETS) / (LATE_AT_TARGETS - LATE_FROM_TARGETS)))
+}
 
-/** The strain of a stream: 0 where pauses don't matter, and the more the shorter they must be. */
-export function strainOf (pauseMs: number | undefined): number {
-  return pauseMs === undefined ? 0 : (STRAIN_PAUSE_MS / pauseMs) ** 2
+/** How many streams of strain 1 the reading of so many tokens spoils, with what waits to be read before and after it. */
+function spoiltStreams ({ strain, reading, backlogTokens }: EndpointState, unreadTokens: number): number {
+  const readMs = (backlogTokens + unreadTokens) / reading.tokensPerMs
+  return strain * spoiltShare(readMs) * Math.min(1, unreadTokens / HARMLESS_TOKENS)
 }
 
 /** The subject of a prompt: its deepest part that other requests share. */
@@ -166,9 +203,22 @@
 
 /** The cost of an endpoint whatever the prompt, but for what waits there. */
 function loadCost (endpoint: EndpointState, demand: Demand, now: number, weights: ChoiceWeights): number {
-  const running = endpoint.running * weights.perRunning + demand.strain * endpoint.readShare * weights.streamBesideReads
   const distance = endpoint.description.dataCentre === demand.dataCentre ? 0 : weights.otherDataCentre
   const failures = endpoint.failureShare * weights.failures
   const suspicion = isSuspect(endpoint, now) ? weights.suspect : 0
-  return running + distance + failures + suspicion
+  return weights.perRunning * endpoint.running + streamCost(endpoint, demand, weights) + crowdingCost(endpoint, weights) +
+    distance + failures + suspicion
+}
+
+/** Strained streams go where little is read, and together, so that the other engines can read. */
+function streamCost ({ reading, strain: strainThere }: EndpointState, { pauseMs }: Demand, weights: ChoiceWeights): number {
+  const strain = strainOf(pauseMs, reading.pauseMs)
+  const company = strain > STRAINED ? weights.streamBesideStreams * strainThere : 0
+  return weights.streamBesideReads * strain * reading.share - company
+}
+
+/** Rises with the square of the taken slots, up to the weight where all are taken. */
+function crowdingCost ({ running, description }: EndpointState, weights: ChoiceWeights): number {
+  const crowding = Math.max(0, (running / description.slots - CROWDED_SLOTS) / (1 - CROWDED_SLOTS))
+  return weights.full * crowding ** 2
 }
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -1,5 +1,6 @@
 /** What one entry has seen of one incarnation of an endpoint. */
 import { PrefixMemory, type PromptPart } from './prefix-memory.ts'
+import { ReadingObserver } from './reading-observer.ts'
 
 /** How an attempt ended, as far as it tells something of the endpoint. */
 export type AttemptVerdict = 'good' | 'failed' | 'shed' | 'unreachable' | 'ended' | 'neutral'
@@ -13,10 +14,6 @@
 const SLOWEST_READ_TOKENS_PER_MS = 8
 /** The share of the engine's memory that is taken to hold parts; running requests need the rest. */
 const CACHE_SHARE = 0.6
-/** With so many tokens to read, an engine reads all the time until the next sample. */
-const BUSY_TOKENS = 4000
-/** What one sample counts for. */
-const READING_WEIGHT = 0.04
 const DEFAULT_MEMORY_TOKENS = 400_000
 
 /** One attempt that is under way. */
@@ -29,8 +26,12 @@
   /** All tokens of the prompt; none of them may be kept there after all. */
   readonly promptTokens: number
   readonly strain: number
+  /** Prompt tokens that were to be read there before it. */
+  readonly aheadTokens: number
   /** Whether the first event has arrived. */
   hasBegun: boolean
+  /** When events last arrived, or the attempt was sent. */
+  eventAt: number
 }
 
 /** Prompt tokens of one urgency that are probably not read yet. */
@@ -67,6 +68,7 @@
 
 export class EndpointState {
   readonly prefixes: PrefixMemory
+  readonly reading = new ReadingObserver()
   readonly works = new Set<Work>()
   /** When any byte last arrived from the endpoint. */
   heardAt = -Infinity
@@ -74,8 +76,6 @@
   others: OthersWork = NO_OTHERS
   /** A moving share of failures among finished attempts. */
   failureShare = 0
-  /** The share of the last seconds in which prompts were read there, from 0 to 1. */
-  readShare = 0
   /** Whether another process has answered at its address: this incarnation has ended for good. */
   hasEnded = false
   private ejectedUntil = -Infinity
@@ -133,19 +133,28 @@
   }
 
   /** Takes a sample of how much there is to read; samples come at even intervals. */
-  sampleReading (): void {
-    const isReading = Math.min(1, this.backlogTokens / BUSY_TOKENS)
-    this.readShare += READING_WEIGHT * (isReading - this.readShare)
+  sampleReading (now: number): void {
+    this.reading.sample(this.backlogTokens, now)
   }
 
   begin ({ prompt, unreadTokens, urgency, strain }: SentPrompt, now: number): Work {
     const promptTokens = prompt.reduce((tokens, part) => tokens + part.tokens, 0)
-    const work: Work = { startedAt: now, unreadTokens, urgency, promptTokens, strain, hasBegun: false }
+    const aheadTokens = this.tokensAhead(urgency)
+    const work: Work = { startedAt: now, unreadTokens, urgency, promptTokens, strain, aheadTokens, hasBegun: false, eventAt: now }
     this.works.add(work)
     this.prefixes.note(prompt, now)
     return work
   }
 
+  /** Notes that events of an attempt have arrived. */
+  noteEvents (work: Work, now: number): void {
+    const sinceLast = now - work.eventAt
+    if (work.hasBegun) this.reading.notePause(sinceLast, work.eventAt)
+    else this.reading.noteRead({ tokens: work.unreadTokens, aheadTokens: work.aheadTokens, tookMs: sinceLast })
+    work.hasBegun = true
+    work.eventAt = now
+  }
+
   end (work: Work, verdict: AttemptVerdict, now: number): void {
     this.works.delete(work)
     if (verdict === 'neutral') return
--- a/routing/balancer/test/choose.test.ts
+++ b/routing/balancer/test/choose.test.ts
@@ -1,9 +1,13 @@
 import { describe, expect, it } from 'vitest'
-import { choose, EndpointState, strainOf, weigh, type Demand, type PromptPart } from '@gullwall/routing.balancer'
+import { choose, EndpointState, strainOf, weigh, DEFAULT_WEIGHTS, type Demand, type PromptPart } from '@gullwall/routing.balancer'
 
 const LATER = 10_000
 const prompt: PromptPart[] = [{ id: 'subject', tokens: 13_000 }, { id: 'own', tokens: 3000 }]
-const demand: Demand = { prompt, dataCentre: 'dc1', tier: 1, isResumed: false, strain: 0, excluded: new Set(), sources: [], trustsHome: false }
+const demand: Demand = {
+  prompt, dataCentre: 'dc1', tier: 1, isResumed: false, needsSlot: true, targetMs: 2000, pauseMs: undefined, excluded: new Set(), sources: [], trustsHome: false
+}
+/** What streams pause for while an engine reads that has not been observed, in ms. */
+const READING_PAUSE_MS = 200
 const SHORT: PromptPart[] = [{ id: 'own', tokens: 800 }]
 
 function endpoints (count = 3): EndpointState[] {
@@ -18,6 +22,13 @@
   return endpoint
 }
 
+/** Lets streams run that bear a pause of so many ms. */
+function runStreams (endpoint: EndpointState, count: number, pauseMs: number): void {
+  for (let stream = 0; stream < count; stream++) {
+    endpoint.begin({ prompt: [], unreadTokens: 0, urgency: 0, strain: strainOf(pauseMs, READING_PAUSE_MS) }, LATER).hasBegun = true
+  }
+}
+
 function busyWith (endpoint: EndpointState, unreadTokens: number): void {
   endpoint.begin({ prompt: [{ id: `other-${unreadTokens}`, tokens: unreadTokens }], unreadTokens, urgency: 0, strain: 0 }, LATER)
 }
@@ -66,20 +77,60 @@
     const reading = at(all, 0)
     for (let sample = 0; sample < 100; sample++) {
       busyWith(reading, 8000)
-      reading.sampleReading()
+      reading.sampleReading(LATER)
     }
     for (const work of reading.works) work.hasBegun = true
-    const tight = { ...demand, prompt: SHORT, strain: strainOf(300) }
+    const tight = { ...demand, prompt: SHORT, pauseMs: 200 }
     expect(choose(tight, all, LATER)?.endpoint).toBe(at(all, 1))
   })
 
   it('keeps long reads away from engines with such streams', () => {
     const all = endpoints(2)
-    for (let stream = 0; stream < 5; stream++) {
-      at(all, 0).begin({ prompt: [], unreadTokens: 0, urgency: 0, strain: strainOf(300) }, LATER).hasBegun = true
-      at(all, 1).begin({ prompt: [], unreadTokens: 0, urgency: 0, strain: strainOf(1200) }, LATER).hasBegun = true
-    }
-    expect(choose({ ...demand, strain: strainOf(1200) }, all, LATER)?.endpoint).toBe(at(all, 1))
+    runStreams(at(all, 0), 5, 200)
+    runStreams(at(all, 1), 5, 1200)
+    expect(choose({ ...demand, pauseMs: 1200 }, all, LATER)?.endpoint).toBe(at(all, 1))
+  })
+
+  it('takes a short read to the engine with such streams all the same, since streams bear it', () => {
+    const all = endpoints(2)
+    runStreams(at(all, 0), 5, 200)
+    at(all, 0).prefixes.note(prompt.slice(0, 1), 0)
+    const nearlyKept: PromptPart[] = [{ id: 'subject', tokens: 13_000 }, { id: 'own', tokens: 900 }]
+    expect(choose({ ...demand, prompt: nearlyKept }, all, LATER)?.endpoint).toBe(at(all, 0))
+  })
+
+  it('takes streams with short pauses together, so that other engines can read', () => {
+    const all = endpoints(3)
+    runStreams(at(all, 2), 10, 200)
+    expect(choose({ ...demand, prompt: [], pauseMs: 200 }, all, LATER)?.endpoint).toBe(at(all, 2))
+    const apart = { ...DEFAULT_WEIGHTS, streamBesideStreams: 0 }
+    expect(choose({ ...demand, prompt: [], pauseMs: 200 }, all, LATER, apart)?.endpoint).not.toBe(at(all, 2))
+  })
+
+  it('leaves the engine that keeps the prompt where its first event would be late there', () => {
+    const all = endpoints(2)
+    at(all, 0).prefixes.note(prompt.slice(0, 1), 0)
+    busyWith(at(all, 0), 18_000)
+    const hurried = { ...demand, targetMs: 500, sources: all }
+    expect(choose(hurried, all, LATER)?.endpoint).toBe(at(all, 1))
+    expect(choose(hurried, all, LATER, { ...DEFAULT_WEIGHTS, late: 0 })?.endpoint).toBe(at(all, 0))
+  })
+
+  it('takes no more to an engine than its slots, but for what is most urgent or has begun', () => {
+    const all = endpoints(1)
+    at(all, 0).others = { unread: [], running: 62, strain: 0 }
+    expect(choose(demand, all, LATER)).toBeUndefined()
+    expect(choose({ ...demand, tier: 0 }, all, LATER)).toBeDefined()
+    expect(choose({ ...demand, isResumed: true }, all, LATER)).toBeDefined()
+    expect(choose({ ...demand, needsSlot: false }, all, LATER)).toBeDefined()
+  })
+
+  it('leaves an engine before its slots are taken', () => {
+    const all = endpoints(2)
+    at(all, 0).prefixes.note(SHORT, 0)
+    at(all, 0).others = { unread: [], running: 55, strain: 0 }
+    expect(choose({ ...demand, prompt: SHORT }, all, LATER)?.endpoint).toBe(at(all, 1))
+    expect(choose({ ...demand, prompt: SHORT }, all, LATER, { ...DEFAULT_WEIGHTS, full: 0 })?.endpoint).toBe(at(all, 0))
   })
 
   it('counts as ahead only what is as urgent', () => {
