fix(balancer): an endpoint that does not say its slots is not bounded by them

Ruled out: that the deployments so far are touched; all of them tell 6, 32 or 64. Comments say where two constants come from. Test: choose.test.ts, fails before the change.

--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -77,7 +77,7 @@
 const LATE_FROM_TARGETS = 0.6
 /** From here on it is taken to be late: predictions are too short where many send at once. */
 const LATE_AT_TARGETS = 1.2
-/** Streams of less strain are left where they are; they need no company. */
+/** Streams of less strain are not taken together: reading does little to them. */
 const STRAINED = 0.3
 /** From this share of its slots on, an engine is avoided: what others send meanwhile comes on top. */
 const CROWDED_SLOTS = 0.6
@@ -150,10 +150,15 @@
 }
 
 /** Whether an endpoint may have the request: it has not had it, and an engine has room for it. */
-function mayHave ({ excluded, needsSlot, tier, isResumed }: Demand, { description, running }: EndpointState): boolean {
-  if (excluded.has(description.incarnation)) return false
+function mayHave ({ excluded, needsSlot, tier, isResumed }: Demand, endpoint: EndpointState): boolean {
+  if (excluded.has(endpoint.description.incarnation)) return false
   const goesFirst = tier === 0 || isResumed
-  return !needsSlot || goesFirst || running < USABLE_SLOTS * description.slots
+  return !needsSlot || goesFirst || takenSlots(endpoint) < USABLE_SLOTS
+}
+
+/** The share of its slots that is taken; 0 where an endpoint does not say how many it has. */
+function takenSlots ({ description: { slots }, running }: EndpointState): number {
+  return slots > 0 ? running / slots : 0
 }
 
 /** How likely a first event is late that will probably take so long; from 0 to 1. */
@@ -218,7 +223,7 @@
 }
 
 /** Rises with the square of the taken slots, up to the weight where all are taken. */
-function crowdingCost ({ running, description }: EndpointState, weights: ChoiceWeights): number {
-  const crowding = Math.max(0, (running / description.slots - CROWDED_SLOTS) / (1 - CROWDED_SLOTS))
+function crowdingCost (endpoint: EndpointState, weights: ChoiceWeights): number {
+  const crowding = Math.max(0, (takenSlots(endpoint) - CROWDED_SLOTS) / (1 - CROWDED_SLOTS))
   return weights.full * crowding ** 2
 }
--- a/routing/balancer/src/strain.ts
+++ b/routing/balancer/src/strain.ts
@@ -3,7 +3,7 @@
  * prompt, and a stream whose target for its pauses is shorter than that is spoilt by it for good.
  */
 
-/** How fast the strain falls with the target: a stream that bears twice the pause counts an eighth. */
+/** How fast the strain falls with the target: a stream that bears twice the pause counts an eighth. Best of 2, 3 and 8. */
 const STRAIN_EXPONENT = 3
 /** A stream can't be spoilt more than once; that much is kept for those that are spoilt for certain. */
 const MAX_STRAIN = 1.5
@@ -19,9 +19,9 @@
   return targetPauseMs === undefined ? 0 : Math.min(MAX_STRAIN, (readingPauseMs / targetPauseMs) ** STRAIN_EXPONENT)
 }
 
-/** Reading for less than this leaves streams alone, in ms: between two events there is more time than that. */
+/** Reading for less than this leaves streams alone, in ms: half of the shortest target for pauses that was met. */
 const HARMLESS_READ_MS = 100
-/** Reading for so long makes the longest pause that it can, in ms: an event's worth of tokens beside full reads. */
+/** Reading for so long makes the longest pause that it can, in ms: the tokens of one event, each beside a full step. */
 const FULL_READ_MS = 200
 
 /** Which share of the streams of an engine is spoilt if it reads for so long without a break; from 0 to 1. */
--- a/routing/balancer/test/choose.test.ts
+++ b/routing/balancer/test/choose.test.ts
@@ -119,6 +119,14 @@
     expect(choose({ ...demand, needsSlot: false }, all, LATER)).toBeDefined()
   })
 
+  it('bounds nothing where an engine does not say how many slots it has', () => {
+    const [silent] = endpoints(1)
+    if (silent === undefined) throw new Error('no endpoint')
+    silent.description = { ...silent.description, slots: 0 }
+    silent.others = { unread: [], running: 5, strain: 0 }
+    expect(choose(demand, [silent], LATER)?.cost).toBeGreaterThan(0)
+  })
+
   it('leaves an engine before its slots are taken', () => {
     const all = endpoints(2)
     at(all, 0).prefixes.note(SHORT, 0)
