fix(control): a sidecar that came back through another control process is not told to be gone

The sidecar had been linked to c3 before. Its lease at c3 ended after it had announced itself to c1, and c3 told the entries that it was gone without looking at what its peers know; an entry whose link was not up again by then dropped the address for good. So beside load, where a start takes about as long as the lease, the endpoint was lost until the next whole list. Change: MemberTable tells entries only what no way knows any more, whichever way it learnt of it; peers are told what is linked here, each adds up by itself.

--- a/control/program/src/member-table.ts
+++ b/control/program/src/member-table.ts
@@ -13,12 +13,19 @@
   private readonly local = new Map<string, Member>()
   private readonly remote = new Map<string, Map<string, Member>>()
   private readonly leases = new Map<string, NodeJS.Timeout>()
-  private readonly listeners: Array<(change: MemberChange, isLocal: boolean) => void> = []
+  private readonly listeners: Array<(change: MemberChange) => void> = []
+  private readonly localListeners: Array<(change: MemberChange) => void> = []
 
-  onChange (listener: (change: MemberChange, isLocal: boolean) => void): void {
+  /** Calls back at each change of what is known by any way. */
+  onChange (listener: (change: MemberChange) => void): void {
     this.listeners.push(listener)
   }
 
+  /** Calls back at each change of what is linked here, for peers. */
+  onLocalChange (listener: (change: MemberChange) => void): void {
+    this.localListeners.push(listener)
+  }
+
   /** All sidecars known, by any way; what is linked here counts most. */
   all (): Member[] {
     const known = new Map<string, Member>()
@@ -38,7 +45,7 @@
     clearTimeout(this.leases.get(member.address))
     this.leases.delete(member.address)
     this.local.set(member.address, member)
-    this.changed({ kind: 'members', whole: false, present: [member], gone: [] }, true)
+    this.localChanged({ kind: 'members', whole: false, present: [member], gone: [] })
   }
 
   /** The link of a sidecar has closed; it is forgotten when its lease ends. */
@@ -48,7 +55,7 @@
     const timer = setTimeout(() => {
       this.leases.delete(address)
       this.local.delete(address)
-      this.changed({ kind: 'members', whole: false, present: [], gone: [address] }, true)
+      this.localChanged({ kind: 'members', whole: false, present: [], gone: [address] })
     }, LEASE_MS)
     this.leases.set(address, timer)
   }
@@ -59,8 +66,7 @@
     for (const member of message.present) known.set(member.address, member)
     for (const address of message.gone) known.delete(address)
     this.remote.set(peer, known)
-    const gone = message.gone.filter((address) => !this.isKnown(address))
-    this.changed({ kind: 'members', whole: false, present: message.present, gone }, false)
+    this.changed({ kind: 'members', whole: false, present: message.present, gone: message.gone })
   }
 
   stop (): void {
@@ -71,7 +77,14 @@
     return this.local.has(address) || [...this.remote.values()].some((members) => members.has(address))
   }
 
-  private changed (change: MemberChange, isLocal: boolean): void {
-    for (const listener of this.listeners) listener(change, isLocal)
+  private localChanged (change: MemberChange): void {
+    for (const listener of this.localListeners) listener(change)
+    this.changed(change)
+  }
+
+  /** What is gone here may have come back through a peer, and the other way round. */
+  private changed (change: MemberChange): void {
+    const gone = change.gone.filter((address) => !this.isKnown(address))
+    for (const listener of this.listeners) listener({ ...change, gone })
   }
 }
--- a/control/program/src/peers.ts
+++ b/control/program/src/peers.ts
@@ -19,8 +19,7 @@
   start (): void {
     const { settings, members } = this.services
     this.dialSeeds(settings)
-    members.onChange((change, isLocal) => {
-      if (!isLocal) return
+    members.onLocalChange((change) => {
       for (const dialer of this.dialers.values()) dialer.link?.send(change)
     })
   }
