--- a/cli/gullwall/src/options.ts
+++ b/cli/gullwall/src/options.ts
@@ -47,9 +47,6 @@
   return new GullwallError('ERR_GULLWALL_BAD_CONFIGURATION', message, { step: 'arguments', hint })
 }
 
-// Whoever reads the output, such as `head`, may have had enough of it.
-process.stdout.on('error', (error: NodeJS.ErrnoException) => process.exit(error.code === 'EPIPE' ? 0 : 1))
-
 export function print (text: string): void {
   process.stdout.write(`${text}\n`)
 }
