fix(control): a control process links to every member, not only to those it has called

Cause: "give the place of a voter that stays away to one that joins" failed once beside load: read(joined) was undefined. The read is forwarded to the leader over a link that a process began only at its first call to that peer, and that first call failed at once (ERR_GULLWALL_LINK_CLOSED: no link to the peer). The same holds for processes that are no seeds: their peers had no link to them, so leases and word of work did not go there.

Change: members of the log are dialled each 400 ms.

--- a/control/program/src/peers.ts
+++ b/control/program/src/peers.ts
@@ -4,21 +4,25 @@
 import { type ControlSettings } from '@gullwall/config.settings'
 import { Dialer, type Link } from '@gullwall/transport.link'
 import { type Message, type MessageKind, type MessageOf } from '@gullwall/transport.messages'
-import { ownLinkAddress, seedAddresses } from './membership.ts'
+import { memberAddresses, ownLinkAddress, seedAddresses } from './membership.ts'
 import { type ControlServices } from './index.ts'
 
 const MAX_BACKOFF_MS = 300
+/** How often links to members that are new are begun, in ms: a process that has just joined knows some of them only by the log. */
+const DIAL_MEMBERS_MS = 400
 /** A peer that is frozen or cut off is found sooner than other kinds of process, since it may lead. */
 const PEER_TIMING = { heartbeatMs: 1000, silenceMs: 2500, handshakeMs: 1000 }
 
 export class ControlPeers implements QuorumTransport {
   private readonly dialers = new Map<string, Dialer>()
+  private timer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: ControlServices) {}
 
   start (): void {
     const { settings, members } = this.services
     this.dialSeeds(settings)
+    this.timer = setInterval(() => this.dialAll(memberAddresses(this.services.quorum)), DIAL_MEMBERS_MS)
     members.onLocalChange((change) => {
       for (const dialer of this.dialers.values()) dialer.link?.send(change)
     })
@@ -38,6 +42,7 @@
   }
 
   stop (): void {
+    clearInterval(this.timer)
     for (const dialer of this.dialers.values()) dialer.stop()
   }
 
