perf(balancer): the home of a subject without a table of digests

Cause: the weight of each subject and endpoint was an MD5 digest, kept in a table of 20,000. With 84 endpoints and about 3,000 subjects there are 260,000 pairs: the table was cleared again and again, and each choice made up to 84 digests.

Change: FNV-1a over both names with the finalizer of MurmurHash3; nothing is kept. Homes move once with this version; word of what is kept where goes first anyway.

--- a/routing/balancer/src/rendezvous.ts
+++ b/routing/balancer/src/rendezvous.ts
@@ -1,16 +1,16 @@
 /** Rendezvous hashing: entries agree on the home of a subject without talking to each other. */
-import { createHash } from 'node:crypto'
 
-/** Weights that are kept, since the same subjects come again and again. */
-const MAX_KEPT_WEIGHTS = 20_000
-const keptWeights = new Map<string, number>()
+/** FNV-1a over 32 bits: where it starts, and what each character multiplies by. */
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
 
 /** Gives the candidate that a subject prefers; losing one candidate moves only its own subjects. */
 export function rendezvousFirst<T> (subject: string, candidates: readonly T[], nameOf: (candidate: T) => string): T | undefined {
+  const seed = fnv1a(subject, FNV_OFFSET)
   let first: T | undefined
   let highest = -1
   for (const candidate of candidates) {
-    const weight = weightOf(subject, nameOf(candidate))
+    const weight = mixed(fnv1a(nameOf(candidate), seed))
     if (weight <= highest) continue
     highest = weight
     first = candidate
@@ -18,12 +18,15 @@
   return first
 }
 
-function weightOf (subject: string, name: string): number {
-  const key = `${subject}\0${name}`
-  const kept = keptWeights.get(key)
-  if (kept !== undefined) return kept
-  if (keptWeights.size >= MAX_KEPT_WEIGHTS) keptWeights.clear()
-  const weight = createHash('md5').update(key).digest().readUInt32LE(0)
-  keptWeights.set(key, weight)
-  return weight
+function fnv1a (text: string, start: number): number {
+  let hash = start
+  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
+  return hash
+}
+
+/** The finalizer of MurmurHash3: names that differ in their last character only get weights that have nothing in common. */
+function mixed (hash: number): number {
+  let bits = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  bits = Math.imul(bits ^ (bits >>> 13), 0xc2b2ae35)
+  return (bits ^ (bits >>> 16)) >>> 0
 }
