perf: what a gateway hears of the others no longer grows with their number

Cause: each word of work went through control to each gateway: at 68 gateways each heard 67 others, decoded and checked their lists, and added up all gateways times all endpoints at every word, while each could speak only each 450 ms. When all started at once, each start was told to all others by each control process, and each endpoint's first heartbeat as a message of its own.

Change: control adds up what entries tell (control/workload, WorkRelay), tells peers the sums of its entries and each entry the sums of all others, changes of 40 ms together and nothing where only its own work changed. Word of control processes and changed leases is paced likewise (PacedAction).

--- a/cli/story/test/story.test.ts
+++ b/cli/story/test/story.test.ts
@@ -59,12 +59,12 @@
     ['that all slots are taken', { tokens: 0, running: 9 }, /the slots of all endpoints are taken/]
   ])('a refusal, with %s', async (_what, { tokens, running }, why) => {
     const works = [first, second].map(({ incarnation }) => ({ incarnation, unread: [{ urgency: 0, tokens }], running, strain: 0 }))
-    deployment.gateway.get('workExchange').receive({ kind: 'work', entry: 'another', works, holdings: [] })
+    deployment.gateway.get('workExchange').receive({ kind: 'workSums', whole: false, works, holdings: [] })
     const { status, story } = await storyOf('/draft/1', { 'x-gullwall-prompt-parts': 'subject:5000,own:900' })
     expect(status).toBe(503)
     expect(own(story).at(-1)).toMatchObject({ what: 'refuse' })
     expect(own(story).at(-1)?.why).toMatch(why)
-    deployment.gateway.get('workExchange').receive({ kind: 'work', entry: 'another', works: [], holdings: [] })
+    deployment.gateway.get('workExchange').receive({ kind: 'workSums', whole: true, works: [], holdings: [] })
   })
 
   it('a stream that broke off and could not go on', async () => {
--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -5,12 +5,18 @@
 import { memberAddresses, ownLinkAddress } from './membership.ts'
 import { createOperatorApi } from './operator-api.ts'
 import { type ControlServices } from './index.ts'
+import { PacedAction } from './paced-action.ts'
 
 type ProcessRevision = MessageOf<'inForce'>['processes'][number]
 
 const IN_FORCE_TIMEOUT_MS = 1000
 /** How often entries are told which control processes there are, besides at every change seen here, in ms. */
 const TELL_CONTROLS_MS = 2000
+/**
+ * After entries have come or gone all are told together, so often at most, in ms: when all of them start at once, each
+ * would otherwise hear of each other one.
+ */
+const COUNT_SPACING_MS = 100
 const LINK_TIMING = { heartbeatMs: 1000, silenceMs: 3000, handshakeMs: 2000 }
 
 export class ControlServer {
@@ -20,6 +26,7 @@
   private readonly linkHttp: HttpServer | undefined
   private acceptor: LinkAcceptor | undefined
   private timer: NodeJS.Timeout | undefined
+  private readonly counting = new PacedAction(COUNT_SPACING_MS, () => this.tellControls())
   private readonly announced = new Map<Link, string>()
 
   constructor (private readonly services: ControlServices) {
@@ -48,6 +55,7 @@
 
   async stop (): Promise<void> {
     clearInterval(this.timer)
+    this.counting.stop()
     const closed = this.http.close()
     this.acceptor?.stop()
     await closed
@@ -77,20 +85,27 @@
     if (link.peer.role !== 'entry') return
     link.send({ kind: 'members', whole: true, present: this.services.members.all(), gone: [] })
     this.services.registrar.tellAll(link)
-    this.tellControls()
+    link.send(this.controls())
+    this.counting.request()
   }
 
   /** Tells the entries which control processes there are, and how many entries share the budgets. */
-  tellControls (): void {
+  private tellControls (): void {
+    const message = this.controls()
+    this.toEntries((link) => link.send(message))
+  }
+
+  private controls (): MessageOf<'controls'> {
     const { quorum, settings } = this.services
     const addresses = [...new Set([ownLinkAddress(settings), ...memberAddresses(quorum)])]
     const entries = new Set([...this.acceptor?.links ?? []].filter((link) => link.peer.role === 'entry').map((link) => link.peer.name)).size
-    this.toEntries((link) => link.send({ kind: 'controls', addresses, entries }))
+    return { kind: 'controls', addresses, entries }
   }
 
   private closed (link: Link): void {
     this.services.spreader.closed(link)
-    if (link.peer.role === 'entry') this.tellControls()
+    this.services.workRelay.closed(link)
+    if (link.peer.role === 'entry') this.counting.request()
     const address = this.announced.get(link)
     if (address === undefined) return
     this.announced.delete(link)
@@ -103,12 +118,12 @@
     if (link.peer.role === 'control') {
       if (message.kind === 'members') members.learn(link.peer.name, message)
       if (message.kind === 'leases') this.services.registrar.learn(message.leases)
-      if (message.kind === 'work') this.toEntries((entry) => { if (this.isNear(entry)) entry.send(message) })
+      if (message.kind === 'workSums') this.services.workRelay.fromPeer(link, message)
       return
     }
     if (spreader.receive(link, message)) return
     if (message.kind === 'work') {
-      this.passWorkOn(link, message)
+      this.services.workRelay.fromEntry(link, message)
       return
     }
     if (message.kind === 'announce') {
@@ -117,21 +132,6 @@
     }
   }
 
-  /**
-   * Passes word of work on so that it crosses to each other data centre once: to one control process there, which passes
-   * it on to the entries near it. Entries that have none near them get it from here.
-   */
-  private passWorkOn (from: Link, message: MessageOf<'work'>): void {
-    const relays = new Map<string, Link>()
-    for (const peer of this.services.peers.links()) {
-      if (!this.isNear(peer) && !relays.has(peer.peer.dataCentre)) relays.set(peer.peer.dataCentre, peer)
-    }
-    for (const relay of relays.values()) relay.send(message)
-    this.toEntries((entry) => {
-      if (entry !== from && !relays.has(entry.peer.dataCentre)) entry.send(message)
-    })
-  }
-
   /** Whether a process is in this data centre. */
   isNear (link: Link): boolean {
     return link.peer.dataCentre === this.services.settings.dataCentre
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -20,6 +20,7 @@
 import { MemberTable } from './member-table.ts'
 import { ControlPeers } from './peers.ts'
 import { Proposer } from './proposer.ts'
+import { WorkRelay } from './work-relay.ts'
 
 /** How long a push to an entry in another data centre waits for the entry to have the same from nearer by, in ms. */
 const FARTHER_PUSH_MS = 250
@@ -38,6 +39,7 @@
   proposer: Proposer
   leases: LeaseTable
   registrar: Registrar
+  workRelay: WorkRelay
   documents: Documents
   joiner: Joiner
   server: ControlServer
@@ -76,6 +78,7 @@
     .value('api', options.api)
     .service('leases', createLeases)
     .service('registrar', (services) => new Registrar(services))
+    .service('workRelay', (services) => new WorkRelay(services))
     .service('documents', (services) => new Documents(services))
     .service('server', (services) => new ControlServer(services))
     .service('quorum', createQuorum)
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -8,9 +8,17 @@
 import { type Link } from '@gullwall/transport.link'
 import { type Lease } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
+import { PacedAction } from './paced-action.ts'
 
 /** Refreshed leases are passed on together, so often, in ms. */
 const REFRESH_MS = 3000
+/**
+ * Changed leases go to the entries near here together, so often at most, in ms; the first after a pause goes at once. After
+ * everything was dark each endpoint is news within a second or so, and each control process tells each of them.
+ */
+const CHANGES_NEAR_MS = 20
+/** The same for the entries of other data centres, which hear from a process near them unless that is cut off. */
+const CHANGES_FAR_MS = 200
 /** Entries in other data centres hear of refreshes from a process near them; every so many rounds from here too. */
 const ROUNDS_TO_ALL = 3
 /** An endpoint gives up on an answer after a second. */
@@ -23,6 +31,10 @@
   private readonly refreshed = new Set<string>()
   private timer: NodeJS.Timeout | undefined
   private rounds = 0
+  private readonly untoldNear = new Set<string>()
+  private readonly untoldFar = new Set<string>()
+  private readonly tellingNear = new PacedAction(CHANGES_NEAR_MS, () => this.tellNear(drain(this.untoldNear)))
+  private readonly tellingFar = new PacedAction(CHANGES_FAR_MS, () => this.tellFar(drain(this.untoldFar)))
 
   constructor (private readonly services: ControlServices) {}
 
@@ -32,6 +44,8 @@
 
   stop (): void {
     clearInterval(this.timer)
+    this.tellingNear.stop()
+    this.tellingFar.stop()
   }
 
   /**
@@ -59,8 +73,12 @@
 
   /** Passes changes on to the entries linked here. */
   changed (changed: readonly HeldLease[]): void {
-    const message = { kind: 'leases', leases: this.services.leases.toWire(changed) } as const
-    this.services.server.toEntries((link) => link.send(message))
+    for (const { incarnation } of changed) {
+      this.untoldNear.add(incarnation)
+      this.untoldFar.add(incarnation)
+    }
+    this.tellingNear.request()
+    this.tellingFar.request()
   }
 
   /** Takes leases that a peer has told; those that are merely refreshed go on to the entries near here. */
@@ -71,10 +89,17 @@
   }
 
   private tellNear (incarnations: readonly string[]): void {
+    this.tellEntries(incarnations, (link) => this.services.server.isNear(link))
+  }
+
+  private tellFar (incarnations: readonly string[]): void {
+    this.tellEntries(incarnations, (link) => !this.services.server.isNear(link))
+  }
+
+  private tellEntries (incarnations: readonly string[], isMeant: (link: Link) => boolean): void {
     if (incarnations.length === 0) return
-    const { server } = this.services
     const message = { kind: 'leases', leases: this.wire(incarnations) } as const
-    server.toEntries((link) => { if (server.isNear(link)) link.send(message) })
+    this.services.server.toEntries((link) => { if (isMeant(link)) link.send(message) })
   }
 
   private wire (incarnations: Iterable<string>): Lease[] {
@@ -111,15 +136,18 @@
     this.refreshed.clear()
     this.rounds += 1
     this.tellPeers(incarnations)
-    if (this.rounds % ROUNDS_TO_ALL !== 0) {
-      this.tellNear(incarnations)
-      return
-    }
-    const message = { kind: 'leases', leases: this.wire(incarnations) } as const
-    this.services.server.toEntries((link) => link.send(message))
+    const isForAll = this.rounds % ROUNDS_TO_ALL === 0
+    this.tellEntries(incarnations, (link) => isForAll || this.services.server.isNear(link))
   }
 }
 
+/** Empties a set and gives what was in it. */
+function drain (set: Set<string>): string[] {
+  const members = [...set]
+  set.clear()
+  return members
+}
+
 /** True as soon as enough of the calls have succeeded, false once they no longer can. */
 async function atLeast (calls: Array<Promise<unknown>>, needed: number): Promise<boolean> {
   if (needed <= 0) return true
--- /dev/null
+++ b/control/program/src/work-relay.ts
@@ -0,0 +1,162 @@
+/**
+ * Tells each entry what all others have under way. An entry tells one control process and hears from that one; control
+ * processes tell each other the sums of their entries. What an entry sends and hears is bounded by its own work and by the
+ * endpoints that have any, at any number of entries.
+ */
+import { WorkloadTable } from '@gullwall/control.workload'
+import { type Link } from '@gullwall/transport.link'
+import { type Holding, type MessageOf } from '@gullwall/transport.messages'
+import { type ControlServices } from './index.ts'
+import { PacedAction } from './paced-action.ts'
+
+/**
+ * Changes that arrive within this time are told together, in ms; the first after a pause is told at once. A word passes two
+ * control processes at most, so that it is no older than twice this and the way.
+ */
+const SPACING_MS = 40
+/** An entry that has told nothing for so long has nothing under way any more, and is told nothing, in ms. */
+const ENTRY_VALID_MS = 2500
+/** An entry hears something at least so often, and so knows that what it was told still holds, in ms. */
+const REPEAT_MS = 1000
+
+interface ListeningEntry {
+  heardAt: number
+  toldAt: number
+}
+
+/** A holding and the link that told of it, which need not hear of it again. */
+interface UntoldHolding {
+  holding: Holding
+  from: Link
+}
+
+/** What has come since the last word: endpoints at which something changed, with those who told of it, and holdings. */
+interface News {
+  changed: ReadonlyArray<[string, ReadonlySet<Link>]>
+  untold: readonly UntoldHolding[]
+}
+
+/** Which sources a sum is of. */
+type Counts = (source: Link) => boolean
+
+export class WorkRelay {
+  private readonly table = new WorkloadTable<Link>()
+  /** The entries that tell this process, by their links. */
+  private readonly entries = new Map<Link, ListeningEntry>()
+  /** Endpoints at which something has changed that was not told yet, with those who told of it. */
+  private readonly changed = new Map<string, Set<Link>>()
+  private untold: UntoldHolding[] = []
+  private readonly telling = new PacedAction(SPACING_MS, () => this.tell())
+  private repeatTimer: NodeJS.Timeout | undefined
+
+  constructor (private readonly services: Pick<ControlServices, 'peers'>) {}
+
+  start (): void {
+    this.repeatTimer = setInterval(() => this.repeat(), REPEAT_MS)
+  }
+
+  stop (): void {
+    clearInterval(this.repeatTimer)
+    this.telling.stop()
+  }
+
+  /** Takes what an entry has under way. */
+  fromEntry (link: Link, { works, holdings, listens }: MessageOf<'work'>): void {
+    if (!listens) {
+      this.forgetEntry(link)
+      return
+    }
+    const now = performance.now()
+    const known = this.entries.get(link)
+    if (known === undefined) this.welcome(link, now)
+    else known.heardAt = now
+    this.note(link, this.table.replace(link, works))
+    this.noteHoldings(link, holdings)
+  }
+
+  /** Takes the sums of a peer's entries. */
+  fromPeer (link: Link, { whole, works, holdings }: MessageOf<'workSums'>): void {
+    this.note(link, whole ? this.table.replace(link, works) : this.table.update(link, works))
+    this.noteHoldings(link, holdings)
+  }
+
+  /** Gives a peer whose link has just opened the sums of the entries here. */
+  tellWhole (peer: Link): void {
+    peer.send(this.wholeOf(isEntry))
+  }
+
+  /** Forgets what came over a link that has closed. */
+  closed (link: Link): void {
+    if (this.entries.has(link)) this.forgetEntry(link)
+    else this.note(link, this.table.remove(link))
+  }
+
+  private forgetEntry (link: Link): void {
+    this.entries.delete(link)
+    this.note(link, this.table.remove(link))
+  }
+
+  /** Takes in an entry that tells this process for the first time; an older link of the same entry counts no more. */
+  private welcome (link: Link, now: number): void {
+    for (const other of [...this.entries.keys()]) {
+      if (other.peer.name === link.peer.name) this.forgetEntry(other)
+    }
+    this.entries.set(link, { heardAt: now, toldAt: now })
+    link.send(this.wholeOf((source) => source !== link))
+  }
+
+  private note (from: Link, incarnations: readonly string[]): void {
+    for (const incarnation of incarnations) {
+      const sources = this.changed.get(incarnation) ?? new Set<Link>()
+      this.changed.set(incarnation, sources.add(from))
+    }
+    if (incarnations.length > 0) this.telling.request()
+  }
+
+  private noteHoldings (from: Link, holdings: readonly Holding[]): void {
+    for (const holding of holdings) this.untold.push({ holding, from })
+    if (holdings.length > 0) this.telling.request()
+  }
+
+  private tell (): void {
+    const now = performance.now()
+    const news: News = { changed: [...this.changed], untold: this.untold }
+    this.changed.clear()
+    this.untold = []
+    const toPeers = this.wordOf(news, isEntry)
+    if (toPeers !== undefined) for (const peer of this.services.peers.links()) peer.send(toPeers)
+    for (const [link, entry] of this.entries) {
+      const word = this.wordOf(news, (source) => source !== link)
+      if (word === undefined) continue
+      entry.toldAt = now
+      link.send(word)
+    }
+  }
+
+  /** What some of the sources have told, added up; undefined where the news is not of them. */
+  private wordOf ({ changed, untold }: News, counts: Counts): MessageOf<'workSums'> | undefined {
+    const works = changed.filter(([, sources]) => [...sources].some(counts)).map(([incarnation]) => this.table.sumAt(incarnation, counts))
+    const holdings = untold.filter(({ from }) => counts(from)).map(({ holding }) => holding)
+    return works.length + holdings.length === 0 ? undefined : { kind: 'workSums', whole: false, works, holdings }
+  }
+
+  /** All that some of the sources have under way. */
+  private wholeOf (counts: Counts): MessageOf<'workSums'> {
+    const works = this.table.endpoints(counts).map((incarnation) => this.table.sumAt(incarnation, counts))
+    return { kind: 'workSums', whole: true, works, holdings: [] }
+  }
+
+  /** Forgets entries that have fallen silent, and tells those that have heard nothing for long. */
+  private repeat (): void {
+    const now = performance.now()
+    for (const [link, { heardAt, toldAt }] of this.entries) {
+      if (now - heardAt > ENTRY_VALID_MS) this.forgetEntry(link)
+      else if (now - toldAt >= REPEAT_MS) link.send({ kind: 'workSums', whole: false, works: [], holdings: [] })
+    }
+  }
+}
+
+/** Entries tell of themselves, peers of their entries. */
+function isEntry (source: Link): boolean {
+  return source.peer.role === 'entry'
+}
--- /dev/null
+++ b/control/program/test/work-relay.test.ts
@@ -0,0 +1,91 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { type Link } from '@gullwall/transport.link'
+import { type Message, type MessageOf } from '@gullwall/transport.messages'
+import { WorkRelay } from '../src/work-relay.ts'
+
+const ENTRIES = 60
+/** Longer than the time within which changes are told together, in ms. */
+const AFTER_SPACING_MS = 50
+
+class FakeLink {
+  readonly told: Array<MessageOf<'workSums'>> = []
+  readonly peer: { name: string, role: string }
+
+  constructor (name: string, role = 'entry') {
+    this.peer = { name, role }
+  }
+
+  send (message: Message): boolean {
+    if (message.kind === 'workSums') this.told.push(message)
+    return true
+  }
+
+  get asLink (): Link {
+    return this as unknown as Link
+  }
+}
+
+function workAt (incarnation: string): MessageOf<'work'> {
+  return { kind: 'work', works: [{ incarnation, unread: [], running: 1, strain: 0 }], holdings: [], listens: true }
+}
+
+describe('what an entry hears of the others', () => {
+  const peer = new FakeLink('control-2', 'control')
+  let relay: WorkRelay
+  let entries: FakeLink[]
+
+  beforeEach(() => {
+    vi.useFakeTimers()
+    peer.told.length = 0
+    relay = new WorkRelay({ peers: { links: () => [peer.asLink] } as never })
+    relay.start()
+    entries = Array.from({ length: ENTRIES }, (_unused, index) => new FakeLink(`entry-${index}`))
+    for (const entry of entries) relay.fromEntry(entry.asLink, { ...workAt('i-0'), works: [] })
+    for (const entry of entries) entry.told.length = 0
+  })
+
+  afterEach(() => {
+    relay.stop()
+    vi.useRealTimers()
+  })
+
+  it('does not grow with their number: what they tell at about the same time comes as one word', () => {
+    for (const entry of entries) relay.fromEntry(entry.asLink, workAt('i-1'))
+    vi.advanceTimersByTime(AFTER_SPACING_MS)
+    for (const entry of entries) {
+      expect(entry.told.map(({ works }) => works)).toEqual([[{ incarnation: 'i-1', unread: [], running: ENTRIES - 1, strain: 0 }]])
+    }
+    expect(peer.told.map(({ works }) => works)).toEqual([[{ incarnation: 'i-1', unread: [], running: ENTRIES, strain: 0 }]])
+  })
+
+  it('comes at once after a pause, and then within the spacing', () => {
+    vi.advanceTimersByTime(AFTER_SPACING_MS)
+    relay.fromEntry((entries[0] as FakeLink).asLink, workAt('i-1'))
+    vi.advanceTimersByTime(1)
+    expect(entries[1]?.told).toHaveLength(1)
+    relay.fromEntry((entries[2] as FakeLink).asLink, workAt('i-1'))
+    vi.advanceTimersByTime(1)
+    expect(entries[1]?.told).toHaveLength(1)
+    vi.advanceTimersByTime(AFTER_SPACING_MS)
+    expect(entries[1]?.told).toHaveLength(2)
+  })
+
+  it('is nothing where only its own work has changed', () => {
+    relay.fromEntry((entries[0] as FakeLink).asLink, workAt('i-1'))
+    vi.advanceTimersByTime(AFTER_SPACING_MS)
+    expect(entries[0]?.told).toEqual([])
+    expect(entries[1]?.told).toHaveLength(1)
+  })
+
+  it('forgets an entry that tells nothing any more, and goes on telling those that do', () => {
+    relay.fromEntry((entries[0] as FakeLink).asLink, workAt('i-1'))
+    for (let second = 0; second < 4; second += 1) {
+      vi.advanceTimersByTime(1000)
+      for (const entry of entries.slice(1)) relay.fromEntry(entry.asLink, { ...workAt('i-0'), works: [] })
+    }
+    vi.advanceTimersByTime(AFTER_SPACING_MS)
+    expect(entries[1]?.told.flatMap(({ works }) => works).at(-1)).toMatchObject({ incarnation: 'i-1', running: 0 })
+    expect(entries[1]?.told.length).toBeGreaterThanOrEqual(4)
+    expect(entries[0]?.told.length).toBeLessThanOrEqual(4)
+  })
+})
--- /dev/null
+++ b/control/workload/test/workload-table.test.ts
@@ -0,0 +1,57 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { type WorkSummary } from '@gullwall/transport.messages'
+import { WorkloadTable } from '../src/index.ts'
+
+const SEED = Number(process.env['FUZZ_SEED'] ?? 11)
+console.log(`workload table: FUZZ_SEED=${SEED}`)
+
+const all = () => true
+const unreadArbitrary = fc.record({ urgency: fc.nat(2), tokens: fc.integer({ min: 1, max: 9 }) })
+const workArbitrary: fc.Arbitrary<WorkSummary> = fc.record({
+  incarnation: fc.constantFrom('i-1', 'i-2', 'i-3'),
+  running: fc.nat(3),
+  strain: fc.constantFrom(0, 0.5, 1),
+  unread: fc.uniqueArray(unreadArbitrary, { selector: ({ urgency }) => urgency, maxLength: 2 })
+})
+const worksArbitrary = fc.uniqueArray(workArbitrary, { selector: ({ incarnation }) => incarnation })
+const stepArbitrary = fc.record({
+  source: fc.constantFrom('a', 'b', 'c'), how: fc.constantFrom('replace', 'update', 'remove'), works: worksArbitrary
+})
+
+describe('the workload table', () => {
+  it('gives the sums of what each source last told, and names each endpoint whose sum has changed', () => {
+    fc.assert(fc.property(fc.array(stepArbitrary), (steps) => {
+      const table = new WorkloadTable<string>()
+      const model = new Map<string, Map<string, WorkSummary>>()
+      for (const { source, how, works } of steps) {
+        const before = table.sumAt('i-1', all)
+        const known = how === 'update' ? model.get(source) ?? new Map<string, WorkSummary>() : new Map<string, WorkSummary>()
+        if (how !== 'remove') for (const work of works) known.set(work.incarnation, work)
+        model.set(source, known)
+        const changed = how === 'replace' ? table.replace(source, works) : how === 'update' ? table.update(source, works) : table.remove(source)
+        const after = table.sumAt('i-1', all)
+        if (JSON.stringify(before) !== JSON.stringify(after)) expect(changed).toContain('i-1')
+        const told = [...model.values()].flatMap((rows) => rows.get('i-1') ?? [])
+        expect(after.running).toBe(told.reduce((sum, { running }) => sum + running, 0))
+        expect(after.strain).toBe(told.reduce((sum, { strain }) => sum + strain, 0))
+        expect(tokensOf([after])).toBe(tokensOf(told))
+      }
+    }), { seed: SEED })
+  })
+
+  it('leaves out what does not count, and forgets endpoints where nothing is under way', () => {
+    const table = new WorkloadTable<string>()
+    table.replace('a', [{ incarnation: 'i-1', running: 1, strain: 0, unread: [] }])
+    table.replace('b', [{ incarnation: 'i-1', running: 2, strain: 0, unread: [] }, { incarnation: 'i-2', running: 4, strain: 0, unread: [] }])
+    expect(table.sumAt('i-1', (source) => source !== 'a').running).toBe(2)
+    expect(table.endpoints((source) => source === 'a')).toEqual(['i-1'])
+    expect(table.replace('b', [])).toEqual(['i-1', 'i-2'])
+    expect(table.endpoints(all)).toEqual(['i-1'])
+    expect(table.replace('a', [{ incarnation: 'i-1', running: 1, strain: 0, unread: [] }])).toEqual([])
+  })
+})
+
+function tokensOf (works: readonly WorkSummary[]): number {
+  return works.flatMap(({ unread }) => unread).reduce((sum, { tokens }) => sum + tokens, 0)
+}
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -2,7 +2,7 @@
 import { linkAddresses, type GatewaySettings } from '@gullwall/config.settings'
 import { messageOf } from '@gullwall/core.error'
 import { Dialer, type Link } from '@gullwall/transport.link'
-import { type Message } from '@gullwall/transport.messages'
+import { type Holding, type Message, type WorkSummary } from '@gullwall/transport.messages'
 import { type GatewayServices } from './index.ts'
 
 const MAX_BACKOFF_MS = 500
@@ -21,6 +21,8 @@
   private readonly startedAt = performance.now()
   private stopped = false
   private timer: NodeJS.Timeout | undefined
+  /** The link over which this entry tells of its work and hears of the others'. */
+  private listensTo: Link | undefined
   private confirmRetryMs = FIRST_CONFIRM_RETRY_MS
 
   constructor (private readonly services: GatewayServices) {}
@@ -45,11 +47,17 @@
     return this.links().length
   }
 
-  /** Sends a message over one open link, in this data centre if there is one; false if no link is open. */
-  sendToOne (message: Message): boolean {
+  /**
+   * Tells one control process what this entry has under way, one in this data centre if there is one; false if no link is
+   * open. From then on that process tells what the others have.
+   */
+  tellWork (works: WorkSummary[], holdings: Holding[]): boolean {
     const links = this.links()
     const near = links.find((link) => link.peer.dataCentre === this.services.settings.dataCentre)
-    return (near ?? links[0])?.send(message) ?? false
+    const chosen = near ?? links[0]
+    if (chosen !== this.listensTo) this.listensTo?.send({ kind: 'work', works: [], holdings: [], listens: false })
+    this.listensTo = chosen
+    return chosen?.send({ kind: 'work', works, holdings, listens: true }) ?? false
   }
 
   /** Why this process should not take requests yet; undefined if it may. */
@@ -90,7 +98,7 @@
   private receive (link: Link, message: Message): void {
     const { view, spreader } = this.services
     if (spreader.receive(link, message)) return
-    if (message.kind === 'work') this.services.workExchange.receive(message)
+    if (message.kind === 'workSums' && link === this.listensTo) this.services.workExchange.receive(message)
     if (message.kind === 'leases') view.leases.merge(message.leases)
     if (message.kind !== 'controls') return
     view.entries = Math.max(1, message.entries)
--- a/entry/gateway/test/work-exchange.test.ts
+++ b/entry/gateway/test/work-exchange.test.ts
@@ -1,16 +1,21 @@
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import { describe, expect, it } from 'vitest'
 import { EndpointState } from '@gullwall/routing.balancer'
-import { type Message } from '@gullwall/transport.messages'
+import { type Holding, type WorkSummary } from '@gullwall/transport.messages'
 import { type GatewayServices } from '../src/index.ts'
 import { WorkExchange } from '../src/work-exchange.ts'
 
-function exchangeWith (endpoint: EndpointState): { exchange: WorkExchange, told: Message[] } {
-  const told: Message[] = []
+interface Told {
+  works: WorkSummary[]
+  holdings: Holding[]
+}
+
+function exchangeWith (endpoint: EndpointState): { exchange: WorkExchange, told: Told[] } {
+  const told: Told[] = []
   const services = {
     settings: { box: 'edge-1' },
-    view: { all: () => [endpoint], get: () => endpoint, entries: 1, wake: () => {} },
-    controlLinks: { sendToOne: (message: Message) => { told.push(message); return true } }
+    view: { all: () => [endpoint], get: (incarnation: string) => incarnation === 'i' ? endpoint : undefined, wake: () => {} },
+    controlLinks: { tellWork: (works: WorkSummary[], holdings: Holding[]) => { told.push({ works, holdings }); return true } }
   } as unknown as GatewayServices
   return { exchange: new WorkExchange(services), told }
 }
@@ -24,7 +29,7 @@
     state.begin({ prompt: [], unreadTokens: 5000, urgency: 3, strain: 0 }, performance.now())
     exchange.noteSent(5000)
     await nextTurn()
-    expect(told).toMatchObject([{ kind: 'work', works: [{ incarnation: 'i', unread: [{ urgency: 3, tokens: 5000 }], running: 1 }] }])
+    expect(told).toMatchObject([{ works: [{ incarnation: 'i', unread: [{ urgency: 3, tokens: 5000 }], running: 1 }] }])
   })
 
   it('waits for the next look for a short one', async () => {
@@ -35,4 +40,17 @@
     await nextTurn()
     expect(told).toEqual([])
   })
+
+  it('takes the sums of the others as they are told, until a whole word leaves an endpoint out', () => {
+    const state = endpoint()
+    const { exchange } = exchangeWith(state)
+    const work = { incarnation: 'i', unread: [{ urgency: 3, tokens: 700 }], running: 5, strain: 1.5 }
+    exchange.receive({ kind: 'workSums', whole: false, works: [work], holdings: [{ incarnation: 'i', parts: [{ id: 'subject', tokens: 9 }] }] })
+    expect([state.running, state.backlogTokens, state.strain]).toEqual([5, 700, 1.5])
+    expect(state.prefixes.cachedTokens([{ id: 'subject', tokens: 9 }])).toBe(9)
+    exchange.receive({ kind: 'workSums', whole: false, works: [], holdings: [] })
+    expect(state.running).toBe(5)
+    exchange.receive({ kind: 'workSums', whole: true, works: [], holdings: [] })
+    expect(state.running).toBe(0)
+  })
 })
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -42,13 +42,13 @@
 
 /** Work of other entries at an endpoint. */
 export interface OthersWork {
-  unread: UnreadTokens[]
-  running: number
+  readonly unread: readonly UnreadTokens[]
+  readonly running: number
   /** The strains of their streams, added up. */
-  strain: number
+  readonly strain: number
 }
 
-const NO_OTHERS: OthersWork = { unread: [], running: 0, strain: 0 }
+export const NO_OTHERS: OthersWork = { unread: [], running: 0, strain: 0 }
 
 /** What is sent to an endpoint. */
 export interface SentPrompt {
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -61,7 +61,7 @@
   ageMs: z.number()
 })
 
-/** What one entry has under way at one endpoint. */
+/** What one entry, or several together, have under way at one endpoint. */
 export const workSchema = z.object({
   incarnation: z.string(),
   /** Prompt tokens that were sent there and are probably not read yet, by urgency. */
@@ -126,12 +126,23 @@
   controls: z.object({ kind: z.literal('controls'), addresses: z.array(z.string()), entries: count }),
   /** A control process that is not a member asks to become one. */
   join: z.object({ kind: z.literal('join'), member: z.string(), address: z.string(), incarnation: z.string() }),
-  /** What an entry has under way, all of it; control passes it on to the other entries. */
+  /** What an entry has under way, all of it. Told to one control process, which tells it what the others have. */
   work: z.object({
     kind: z.literal('work'),
-    entry: z.string(),
     works: z.array(workSchema),
     /** What it has sent since it last told. */
+    holdings: z.array(holdingSchema),
+    /** False where it tells another control process from now on. */
+    listens: z.boolean()
+  }),
+  /**
+   * Work added up by endpoint: to a peer that of the entries which tell the sender, to an entry that of all others. What is
+   * not named has not changed, but for a whole word.
+   */
+  workSums: z.object({
+    kind: z.literal('workSums'),
+    whole: z.boolean(),
+    works: z.array(workSchema),
     holdings: z.array(holdingSchema)
   }),
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
