perf(control): the endpoints are known again right after a restart

Cause: leases were soft state only. After a loss of power everywhere an endpoint was unknown until its next heartbeat (1.2 s apart), so that entries, ready after half a second, refused, or sent all they had to the few endpoints heard first.

Ruled out: holding requests longer at the start (waits and tells nobody why), a disk at entries (they have none).

That an endpoint began to leave within the last half a second before the loss may be missing: it then gets work for 2.5 s at most.

--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -15,6 +15,7 @@
 import { ControlServer } from './control-server.ts'
 import { Documents } from './documents.ts'
 import { Joiner } from './joiner.ts'
+import { LeaseStore } from './lease-store.ts'
 import { foundingOf, targetVoters } from './membership.ts'
 import { Registrar } from './registrar.ts'
 import { MemberTable } from './member-table.ts'
@@ -38,6 +39,7 @@
   quorum: QuorumNode
   proposer: Proposer
   leases: LeaseTable
+  leaseStore: LeaseStore
   registrar: Registrar
   workRelay: WorkRelay
   documents: Documents
@@ -78,6 +80,7 @@
     .value('api', options.api)
     .service('leases', createLeases)
     .service('registrar', (services) => new Registrar(services))
+    .service('leaseStore', (services) => new LeaseStore(services))
     .service('workRelay', (services) => new WorkRelay(services))
     .service('documents', (services) => new Documents(services))
     .service('server', (services) => new ControlServer(services))
@@ -102,7 +105,13 @@
 }
 
 function createLeases (services: ControlServices): LeaseTable {
-  return new LeaseTable({ logger: services.logger, onChange: (changed) => services.registrar.changed(changed) })
+  return new LeaseTable({
+    logger: services.logger,
+    onChange: (changed) => {
+      services.registrar.changed(changed)
+      services.leaseStore.changed()
+    }
+  })
 }
 
 function createQuorum ({ settings, disk, peers, state, logger }: ControlServices): QuorumNode {
--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -71,6 +71,15 @@
     return outcomes
   }
 
+  /**
+   * Takes leases that were kept over a restart. Each runs out after `validMs` unless it is refreshed, by the rule for all:
+   * only while other endpoints are heard.
+   */
+  restore (leases: readonly Lease[], validMs: number): void {
+    const ageMs = (this.options.leaseMs ?? DEFAULT_LEASE_MS) - validMs
+    this.merge(leases.map((lease) => ({ ...lease, ageMs })))
+  }
+
   /** Leases for the wire, with their age instead of a local time. */
   toWire (leases: readonly HeldLease[] = this.all()): Lease[] {
     const now = this.now()
--- a/control/registry/test/lease-table.test.ts
+++ b/control/registry/test/lease-table.test.ts
@@ -31,6 +31,20 @@
     expect(leases.get('a')?.state).toBe('gone')
   })
 
+  it('that were kept over a restart hold for a short time, and longer once a heartbeat comes', () => {
+    const { leases, clock } = table()
+    leases.restore([lease('a', 5), lease('b', 5), lease('c', 5, 'draining')], 300)
+    expect(['a', 'b', 'c'].map((name) => leases.get(name)?.state)).toEqual(['ready', 'ready', 'draining'])
+    clock.now = 200
+    expect(leases.merge([lease('b', 6), lease('c', 6)])).toEqual(['refreshed', 'refreshed'])
+    leases.sweep()
+    expect(leases.get('a')?.state).toBe('ready')
+    clock.now = 400
+    leases.merge([lease('b', 7)])
+    leases.sweep()
+    expect(['a', 'b', 'c'].map((name) => leases.get(name)?.state)).toEqual([undefined, 'ready', 'draining'])
+  })
+
   it('run out when others are heard, and tell nobody', () => {
     const { leases, clock, changes } = table()
     leases.merge([lease('a', 1), lease('b', 1)])
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -99,7 +99,7 @@
 /** Start, stop and failures of a program. */
 export interface ProcessRecord {
   channel: 'process'
-  event: 'started' | 'stopping' | 'stopped' | 'failed' | 'reloaded' | 'reload-refused' | 'lines-dropped'
+  event: 'started' | 'restored' | 'stopping' | 'stopped' | 'failed' | 'reloaded' | 'reload-refused' | 'lines-dropped'
   why: string
   address?: string
   error?: ErrorRecord
