perf: requests go past endpoints that are dead, and one entry's failed connection spares the others theirs

A dead engine has no backlog, so it is the cheapest; each of 68 gateways had to find out for itself, and each try counted as one of five although not a byte had been written.

Ruled out: the retry budget (not drawn on by what was not sent), slots (engines that lived were half empty).

Change: what was not sent goes on past any number of endpoints until its target has passed, past four in any case. Entries tell control which endpoints they could not connect to; the share of others that can't costs 10,000 ms at most, against their running requests, so that what only a few can't reach is kept. Nothing is copied from there.

Tests: 30 dead endpoints; the target; the home that others can't reach (fails before: chosen); the same with many others at work there (kept); told at once.

--- a/cli/story/test/story.test.ts
+++ b/cli/story/test/story.test.ts
@@ -58,7 +58,8 @@
     ['the wait that was foreseen', { tokens: 900_000, running: 1 }, /the first event would take \d+ ms of 400/],
     ['that all slots are taken', { tokens: 0, running: 9 }, /the slots of all endpoints are taken/]
   ])('a refusal, with %s', async (_what, { tokens, running }, why) => {
-    const works = [first, second].map(({ incarnation }) => ({ incarnation, unread: [{ urgency: 0, tokens }], running, strain: 0 }))
+    const unread = [{ urgency: 0, tokens }]
+    const works = [first, second].map(({ incarnation }) => ({ incarnation, unread, running, strain: 0, unreachable: 0 }))
     deployment.gateway.get('workExchange').receive({ kind: 'workSums', whole: false, works, holdings: [] })
     const { status, story } = await storyOf('/draft/1', { 'x-gullwall-prompt-parts': 'subject:5000,own:900' })
     expect(status).toBe(503)
--- a/control/workload/src/workload-table.ts
+++ b/control/workload/src/workload-table.ts
@@ -34,12 +34,13 @@
 
   /** The sum over some of the sources at one endpoint. */
   sumAt (incarnation: string, counts: (source: Source) => boolean): WorkSummary {
-    const sum = { running: 0, strain: 0 }
+    const sum = { running: 0, strain: 0, unreachable: 0 }
     const unread = new Map<number, number>()
     for (const [source, work] of this.byEndpoint.get(incarnation) ?? []) {
       if (!counts(source)) continue
       sum.running += work.running
       sum.strain += work.strain
+      sum.unreachable += work.unreachable
       for (const { urgency, tokens } of work.unread) unread.set(urgency, (unread.get(urgency) ?? 0) + tokens)
     }
     return { incarnation, ...sum, unread: [...unread].map(([urgency, tokens]) => ({ urgency, tokens })) }
@@ -68,15 +69,15 @@
 }
 
 function idleAt (incarnation: string): WorkSummary {
-  return { incarnation, running: 0, strain: 0, unread: [] }
+  return { incarnation, running: 0, strain: 0, unreachable: 0, unread: [] }
 }
 
-function isIdle ({ running, strain, unread }: WorkSummary): boolean {
-  return running === 0 && strain === 0 && unread.length === 0
+function isIdle (work: WorkSummary): boolean {
+  return isSame(work, idleAt(work.incarnation))
 }
 
 function isSame (left: WorkSummary, right: WorkSummary): boolean {
-  return left.running === right.running && left.strain === right.strain &&
+  return left.running === right.running && left.strain === right.strain && left.unreachable === right.unreachable &&
     left.unread.length === right.unread.length && left.unread.every((part, index) => isSameUnread(part, right.unread[index]))
 }
 
--- a/entry/gateway/src/attempt-history.ts
+++ b/entry/gateway/src/attempt-history.ts
@@ -1,14 +1,16 @@
 /** What became of the attempts of one request so far, and whether another one is allowed. */
 import { type Call } from './call.ts'
 
-/** So many attempts that did not run are made; they do not count as sent. */
+/** So many attempts that the endpoint answers without running them are made; they do not count as sent. */
 const MAX_NOT_RUN = 5
 
 export class AttemptHistory {
   /** Attempts that may have run. */
   sends = 0
-  /** Attempts that certainly did not run. */
+  /** Attempts that the endpoint answered without running them. */
   notRun = 0
+  /** Attempts of which not a byte was written, since the endpoint could not be connected to. */
+  unsent = 0
   private readonly tried = new Set<string>()
 
   constructor (private readonly call: Call) {}
@@ -20,7 +22,7 @@
 
   /** Whether nothing has been tried yet. */
   get isFirst (): boolean {
-    return this.sends + this.notRun === 0
+    return this.sends + this.notRun + this.unsent === 0
   }
 
   get mayHaveRun (): boolean {
@@ -33,6 +35,12 @@
     this.notRun += 1
   }
 
+  /** Notes an attempt that did not even reach its endpoint. */
+  noteUnsent (incarnation: string): void {
+    this.tried.add(incarnation)
+    this.unsent += 1
+  }
+
   /** Notes an attempt that ran or may have run. */
   noteRun (incarnation: string): void {
     this.tried.add(incarnation)
--- a/entry/gateway/src/attempt-policy.ts
+++ b/entry/gateway/src/attempt-policy.ts
@@ -10,6 +10,10 @@
 
 /** A first event that would take so many times its target is not waited for; rounds p and q of docs/measurements/worth.md. */
 const HOPELESS_TARGETS = 1
+/** So many endpoints that can't be connected to are left for others in any case. */
+const MIN_UNSENT = 5
+/** Further ones for so many times the target of the request; a caller who is refused then still has time to ask again. */
+const UNSENT_TARGETS = 1
 /** A repeatable call without an answer after so many times its target is tried elsewhere. */
 const SLOW_TARGETS = 1.5
 /** No call is taken to be slow before this time; it is also how often an attempt is looked at. In ms. */
@@ -52,15 +56,15 @@
 }
 
 /** Decides what follows an attempt, and notes it in the history of the request. */
-export function nextStep (state: RequestState, incarnation: string, end: AttemptEnd): NextStep {
+export function nextStep (state: RequestState, incarnation: string, end: AttemptEnd, now = performance.now()): NextStep {
   const { call, history } = state
   switch (end.type) {
     case 'answered':
     case 'cancelled':
       return { type: 'over' }
     case 'unsent':
-      history.noteNotRun(incarnation)
-      return afterUnsent(state, end.why)
+      history.noteUnsent(incarnation)
+      return afterUnsent(state, end.why, now)
     case 'not-run':
       history.noteNotRun(incarnation)
       return afterNotRun(state, end.why)
@@ -77,22 +81,22 @@
   }
 }
 
-/** Nothing has reached an endpoint, so that another attempt is no repeat and costs no budget. */
-function afterUnsent ({ history, budget }: RequestState, why: string): NextStep {
-  if (!history.mayBeTriedElsewhere) return refusal(history, why)
+/**
+ * Nothing has reached an endpoint, so that another attempt is no repeat and costs no budget. Where many endpoints have died
+ * at once, several in a row may be dead before one that lives.
+ */
+function afterUnsent ({ call, history, budget }: RequestState, why: string, now: number): NextStep {
+  const isLate = now - call.arrivedAt >= UNSENT_TARGETS * call.route.targetMs
+  if (history.unsent >= MIN_UNSENT && isLate) return { type: 'refuse', why: `${history.unsent} endpoints could not be reached: ${why}` }
   return { type: 'again', why: `not sent: ${why}`, budgetLeft: budget.left }
 }
 
 function afterNotRun (state: RequestState, why: string): NextStep {
   const { history } = state
-  if (!history.mayBeTriedElsewhere) return refusal(history, why)
+  if (!history.mayBeTriedElsewhere) return { type: 'refuse', why: `not run ${history.notRun} times: ${why}` }
   return sendAgain(state, why, (told) => ({ type: 'refuse', why: told }))
 }
 
-function refusal (history: AttemptHistory, why: string): NextStep {
-  return { type: 'refuse', why: `not run ${history.notRun} times: ${why}` }
-}
-
 /** Sends once more if attempts and budget allow it; else ends as told, with the reason. */
 function sendAgain ({ call, history, budget }: RequestState, why: string, otherwise: (why: string) => NextStep): NextStep {
   if (!history.mayRunAgain) return otherwise(`${why}; ${history.sends} of ${call.route.maxAttempts} attempts made`)
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -101,7 +101,9 @@
     const watch = setInterval(() => this.watch(candidate, work), WATCH_MS)
     const end = receiver.endOf(await exchange.ended)
     clearInterval(watch)
-    endpoint.end(work, verdictOf(end), performance.now())
+    const verdict = verdictOf(end)
+    endpoint.end(work, verdict, performance.now())
+    if (verdict === 'unreachable') services.workExchange.noteUnreachable()
     services.view.wake()
     return end
   }
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -57,7 +57,16 @@
 
   /** Notes that a prompt was sent. */
   noteSent (unreadTokens: number): void {
-    if (unreadTokens > TELL_AT_ONCE_TOKENS) setImmediate(() => this.tellAfter(AT_ONCE_SPACING_MS))
+    if (unreadTokens > TELL_AT_ONCE_TOKENS) this.tellSoon()
+  }
+
+  /** Notes that an endpoint could not be connected to, which spares the others the same try. */
+  noteUnreachable (): void {
+    this.tellSoon()
+  }
+
+  private tellSoon (): void {
+    setImmediate(() => this.tellAfter(AT_ONCE_SPACING_MS))
   }
 
   private tick (): void {
@@ -90,11 +99,13 @@
   }
 
   private ownWorks (): WorkSummary[] {
-    return this.services.view.all().filter((endpoint) => endpoint.inFlight > 0).map((endpoint) => ({
+    const now = performance.now()
+    return this.services.view.all().filter((endpoint) => endpoint.inFlight > 0 || endpoint.isEjected(now)).map((endpoint) => ({
       incarnation: endpoint.description.incarnation,
       unread: endpoint.ownUnread(),
       running: endpoint.inFlight,
-      strain: Math.round(100 * endpoint.ownStrain) / 100
+      strain: Math.round(100 * endpoint.ownStrain) / 100,
+      unreachable: endpoint.isEjected(now) ? 1 : 0
     }))
   }
 }
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -106,6 +106,20 @@
     expect(nextStep(state, 'i-2', notRun)).toMatchObject({ type: 'again' })
     expect(nextStep(state, 'i-3', notRun)).toMatchObject({ type: 'refuse', why: 'full; no retry budget left' })
   })
+
+  it('goes past any number of dead endpoints until the target has passed, and then tells the caller', () => {
+    const state = stateOf()
+    for (let dead = 0; dead < 30; dead += 1) {
+      expect(nextStep(state, `i-${dead}`, unsent, TARGET_MS / 2)).toMatchObject({ type: 'again' })
+    }
+    expect(nextStep(state, 'i-30', unsent, TARGET_MS)).toMatchObject({ type: 'refuse', why: '31 endpoints could not be reached: no connection' })
+  })
+
+  it('goes past a few dead endpoints also after the target', () => {
+    const state = stateOf()
+    const steps = Array.from({ length: 5 }, (_unused, dead) => nextStep(state, `i-${dead}`, unsent, 2 * TARGET_MS).type)
+    expect(steps).toEqual(['again', 'again', 'again', 'again', 'refuse'])
+  })
 })
 
 describe('an endpoint that says nothing', () => {
--- a/entry/gateway/test/work-exchange.test.ts
+++ b/entry/gateway/test/work-exchange.test.ts
@@ -32,6 +32,16 @@
     expect(told).toMatchObject([{ works: [{ incarnation: 'i', unread: [{ urgency: 3, tokens: 5000 }], running: 1 }] }])
   })
 
+  it('goes out at once for an endpoint that could not be connected to', async () => {
+    const state = endpoint()
+    const { exchange, told } = exchangeWith(state)
+    const work = state.begin({ prompt: [], unreadTokens: 500, urgency: 3, strain: 0 }, performance.now())
+    state.end(work, 'unreachable', performance.now())
+    exchange.noteUnreachable()
+    await nextTurn()
+    expect(told).toMatchObject([{ works: [{ incarnation: 'i', running: 0, unreachable: 1 }] }])
+  })
+
   it('waits for the next look for a short one', async () => {
     const state = endpoint()
     const { exchange, told } = exchangeWith(state)
@@ -44,7 +54,7 @@
   it('takes the sums of the others as they are told, until a whole word leaves an endpoint out', () => {
     const state = endpoint()
     const { exchange } = exchangeWith(state)
-    const work = { incarnation: 'i', unread: [{ urgency: 3, tokens: 700 }], running: 5, strain: 1.5 }
+    const work = { incarnation: 'i', unread: [{ urgency: 3, tokens: 700 }], running: 5, strain: 1.5, unreachable: 0 }
     exchange.receive({ kind: 'workSums', whole: false, works: [work], holdings: [{ incarnation: 'i', parts: [{ id: 'subject', tokens: 9 }] }] })
     expect([state.running, state.backlogTokens, state.strain]).toEqual([5, 700, 1.5])
     expect(state.prefixes.cachedTokens([{ id: 'subject', tokens: 9 }])).toBe(9)
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -54,6 +54,8 @@
   otherDataCentre: number
   /** For a share of failures of 1. */
   failures: number
+  /** For an endpoint that no other entry can connect to; more than the reading of most prompts, which it could not do. */
+  unreachable: number
   /** For an endpoint that is silent or was unreachable; higher than anything else. */
   suspect: number
 }
@@ -70,6 +72,7 @@
   full: 3000,
   otherDataCentre: 20,
   failures: 400,
+  unreachable: 10_000,
   suspect: 100_000
 }
 
@@ -197,7 +200,8 @@
   let best: Holding | undefined
   for (const endpoint of endpoints) {
     const tokens = endpoint.prefixes.copyableTokens(prompt, now)
-    if (tokens > (best?.tokens ?? 0) && !isSuspect(endpoint, now)) best = { endpoint, tokens }
+    const answers = !isSuspect(endpoint, now) && endpoint.others.unreachable === 0
+    if (answers && tokens > (best?.tokens ?? 0)) best = { endpoint, tokens }
   }
   return best
 }
@@ -209,7 +213,7 @@
 /** The cost of an endpoint whatever the prompt, but for what waits there. */
 function loadCost (endpoint: EndpointState, demand: Demand, now: number, weights: ChoiceWeights): number {
   const distance = endpoint.description.dataCentre === demand.dataCentre ? 0 : weights.otherDataCentre
-  const failures = endpoint.failureShare * weights.failures
+  const failures = endpoint.failureShare * weights.failures + endpoint.unreachableShare * weights.unreachable
   const suspicion = isSuspect(endpoint, now) ? weights.suspect : 0
   return weights.perRunning * endpoint.running + streamCost(endpoint, demand, weights) + crowdingCost(endpoint, weights) +
     distance + failures + suspicion
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -46,9 +46,11 @@
   readonly running: number
   /** The strains of their streams, added up. */
   readonly strain: number
+  /** How many of them could not connect there lately. */
+  readonly unreachable: number
 }
 
-export const NO_OTHERS: OthersWork = { unread: [], running: 0, strain: 0 }
+export const NO_OTHERS: OthersWork = { unread: [], running: 0, strain: 0, unreachable: 0 }
 
 /** What is sent to an endpoint. */
 export interface SentPrompt {
@@ -170,6 +172,12 @@
     return now < this.ejectedUntil
   }
 
+  /** The share of other entries that could not connect there, among those that lately could not or have work there. */
+  get unreachableShare (): number {
+    const { unreachable, running } = this.others
+    return unreachable / (unreachable + running + 1)
+  }
+
   /** Whether work waits there and nothing at all arrives. */
   isSilent (now: number): boolean {
     let oldest = Infinity
--- a/routing/balancer/test/choose.test.ts
+++ b/routing/balancer/test/choose.test.ts
@@ -40,6 +40,22 @@
     expect(choose(demand, all, LATER)).toMatchObject({ endpoint: at(all, 1), unreadTokens: 0, source: undefined })
   })
 
+  it('leaves the home of its prompt where other entries can not connect to it, and copies nothing from there', () => {
+    const all = endpoints()
+    at(all, 1).prefixes.note(prompt.slice(0, 1), 0)
+    at(all, 1).others = { unread: [], running: 0, strain: 0, unreachable: 1 }
+    const chosen = choose({ ...demand, sources: all }, all, LATER)
+    expect(chosen?.endpoint).not.toBe(at(all, 1))
+    expect(chosen?.source).toBeUndefined()
+  })
+
+  it('keeps to it where many others have work there: what a few can not reach may be cut off from these alone', () => {
+    const all = endpoints()
+    at(all, 1).prefixes.note(prompt.slice(0, 1), 0)
+    at(all, 1).others = { unread: [], running: 12, strain: 0, unreachable: 1 }
+    expect(choose(demand, all, LATER)?.endpoint).toBe(at(all, 1))
+  })
+
   it('moves away from a long backlog and names where to copy from', () => {
     const all = endpoints()
     at(all, 1).prefixes.note(prompt.slice(0, 1), 0)
@@ -112,7 +128,7 @@
 
   it('takes no more to an engine than its slots, but for what is most urgent or has begun', () => {
     const all = endpoints(1)
-    at(all, 0).others = { unread: [], running: 62, strain: 0 }
+    at(all, 0).others = { unread: [], running: 62, strain: 0, unreachable: 0 }
     expect(choose(demand, all, LATER)).toBeUndefined()
     expect(choose({ ...demand, tier: 0 }, all, LATER)).toBeDefined()
     expect(choose({ ...demand, isResumed: true }, all, LATER)).toBeDefined()
@@ -123,14 +139,14 @@
     const [silent] = endpoints(1)
     if (silent === undefined) throw new Error('no endpoint')
     silent.description = { ...silent.description, slots: 0 }
-    silent.others = { unread: [], running: 5, strain: 0 }
+    silent.others = { unread: [], running: 5, strain: 0, unreachable: 0 }
     expect(choose(demand, [silent], LATER)?.cost).toBeGreaterThan(0)
   })
 
   it('leaves an engine before its slots are taken', () => {
     const all = endpoints(2)
     at(all, 0).prefixes.note(SHORT, 0)
-    at(all, 0).others = { unread: [], running: 55, strain: 0 }
+    at(all, 0).others = { unread: [], running: 55, strain: 0, unreachable: 0 }
     expect(choose({ ...demand, prompt: SHORT }, all, LATER)?.endpoint).toBe(at(all, 1))
     expect(choose({ ...demand, prompt: SHORT }, all, LATER, { ...DEFAULT_WEIGHTS, full: 0 })?.endpoint).toBe(at(all, 0))
   })
--- a/routing/balancer/test/endpoint-state.test.ts
+++ b/routing/balancer/test/endpoint-state.test.ts
@@ -66,7 +66,7 @@
     state.begin(prompt(2000, 4), 0)
     const begun = state.begin(prompt(4000, 1), 0)
     begun.hasBegun = true
-    state.others = { unread: [{ urgency: 1, tokens: 500 }, { urgency: 7, tokens: 9000 }], running: 3, strain: 0.5 }
+    state.others = { unread: [{ urgency: 1, tokens: 500 }, { urgency: 7, tokens: 9000 }], running: 3, strain: 0.5, unreachable: 0 }
     expect([state.tokensAhead(0), state.tokensAhead(1), state.tokensAhead(5), state.backlogTokens]).toEqual([0, 1500, 3500, 12_500])
     expect(state.ownUnread()).toEqual([{ urgency: 1, tokens: 1000 }, { urgency: 4, tokens: 2000 }])
     expect(state.running).toBe(6)
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -69,7 +69,9 @@
   /** Requests that run there. */
   running: count,
   /** How little their streams bear that prompts are read beside them, added up. */
-  strain: z.number()
+  strain: z.number(),
+  /** Entries that could not connect there lately. */
+  unreachable: count
 })
 
 /** Parts of prompts that one entry has sent to one endpoint, which keeps them from then on. */
