perf(registry): an endpoint gets nothing more once its successor is heard at its address

Ruled out: that engines were full (their 503s were 7), a larger budget (the rule bounds it), a shorter lease (heartbeats may be seconds late).

Change: the incarnation last heard at an address holds it; others there are not used. Only a ready lease claims an address, and later words win, so that a late heartbeat of the dead one is put right by the next of its successor. A gateway that met another process at an address tells it like one it could not connect to.

Tests: successor, late heartbeat, word in any order, one that is gone; told at once.

--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -34,6 +34,8 @@
 
 export class LeaseTable {
   private readonly held = new Map<string, HeldLease>()
+  /** The incarnation that was last heard at each address. */
+  private readonly holders = new Map<string, string>()
   private readonly now: () => number
   private timer: NodeJS.Timeout | undefined
 
@@ -53,6 +55,15 @@
     return this.held.get(incarnation)
   }
 
+  /**
+   * Whether an endpoint takes new work: it is ready, and no other incarnation was heard at its address since. An endpoint
+   * that crashes says nothing; its successor at the same address shows that it has ended.
+   */
+  isUsable (incarnation: string): boolean {
+    const lease = this.held.get(incarnation)
+    return lease?.state === 'ready' && this.holders.get(lease.address) === incarnation
+  }
+
   /** Every lease, those that are gone included. */
   all (): HeldLease[] {
     return [...this.held.values()]
@@ -64,6 +75,7 @@
     const outcomes = leases.map((lease) => {
       const outcome = this.mergeOne(lease)
       const held = this.held.get(lease.incarnation)
+      if (held !== undefined && outcome !== 'stale') this.noteHolder(held)
       if (outcome === 'changed' && held !== undefined) changed.push(held)
       return outcome
     })
@@ -99,6 +111,7 @@
       const silentMs = newest - lease.heardAt
       if (lease.state === 'gone' || silentMs <= leaseMs) continue
       this.held.delete(incarnation)
+      if (this.holders.get(lease.address) === incarnation) this.holders.delete(lease.address)
       this.log({ ...lease, state: 'gone' }, `no heartbeat for ${Math.round(silentMs)} ms while others were heard`)
     }
   }
@@ -125,6 +138,12 @@
     return 'changed'
   }
 
+  /** Later words win, so that a heartbeat that arrives late is put right by the next one of the successor. */
+  private noteHolder ({ incarnation, address, state, heardAt }: HeldLease): void {
+    const holder = this.held.get(this.holders.get(address) ?? '')
+    if (state === 'ready' && (holder === undefined || holder.heardAt <= heardAt)) this.holders.set(address, incarnation)
+  }
+
   private log (lease: Pick<Lease, 'incarnation' | 'state' | 'address' | 'service'>, why: string): void {
     const event = lease.state === 'ready' ? 'up' : lease.state === 'draining' ? 'leaving' : 'down'
     this.options.logger.info({
--- a/control/registry/test/lease-table.test.ts
+++ b/control/registry/test/lease-table.test.ts
@@ -45,6 +45,36 @@
     expect(['a', 'b', 'c'].map((name) => leases.get(name)?.state)).toEqual([undefined, 'ready', 'draining'])
   })
 
+  it('of an endpoint are not used once another incarnation is heard at its address', () => {
+    const { leases, clock } = table()
+    leases.merge([lease('a', 5), { ...lease('c', 1), address: '10.0.0.2:80' }])
+    clock.now = 200
+    leases.merge([lease('b', 1)])
+    expect(['a', 'b', 'c'].map((name) => leases.isUsable(name))).toEqual([false, true, true])
+    // The last heartbeat of the first one arrives late.
+    clock.now = 300
+    leases.merge([lease('a', 6)])
+    clock.now = 400
+    leases.merge([lease('b', 2)])
+    expect(['a', 'b'].map((name) => leases.isUsable(name))).toEqual([false, true])
+    // That the first one is gone says nothing of the second.
+    leases.merge([lease('a', 7, 'gone')])
+    expect(leases.isUsable('b')).toBe(true)
+  })
+
+  it('of successors are used once those before them have run out, also where words come in any order', () => {
+    const { leases, clock } = table()
+    leases.merge([lease('b', 1, 'ready', 100), lease('a', 5, 'ready', 600)])
+    expect(['a', 'b'].map((name) => leases.isUsable(name))).toEqual([false, true])
+    leases.merge([lease('b', 2, 'draining')])
+    expect(leases.isUsable('b')).toBe(false)
+    clock.now = 2000
+    leases.merge([{ ...lease('c', 1), address: '10.0.0.2:80' }])
+    leases.sweep()
+    leases.merge([lease('d', 1)])
+    expect(leases.isUsable('d')).toBe(true)
+  })
+
   it('run out when others are heard, and tell nobody', () => {
     const { leases, clock, changes } = table()
     leases.merge([lease('a', 1), lease('b', 1)])
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -46,7 +46,7 @@
   /** The endpoints of a service that take new work. */
   usable (service: string): EndpointState[] {
     return [...this.endpoints.values()].filter(({ description, hasEnded }) => (
-      description.service === service && !hasEnded && this.leases.get(description.incarnation)?.state === 'ready'
+      description.service === service && !hasEnded && this.leases.isUsable(description.incarnation)
     ))
   }
 
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -103,7 +103,7 @@
     clearInterval(watch)
     const verdict = verdictOf(end)
     endpoint.end(work, verdict, performance.now())
-    if (verdict === 'unreachable') services.workExchange.noteUnreachable()
+    if (verdict === 'unreachable' || verdict === 'ended') services.workExchange.noteUnreachable()
     services.view.wake()
     return end
   }
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -60,7 +60,7 @@
     if (unreadTokens > TELL_AT_ONCE_TOKENS) this.tellSoon()
   }
 
-  /** Notes that an endpoint could not be connected to, which spares the others the same try. */
+  /** Notes that an endpoint could not be connected to or has ended, which spares the others the same try. */
   noteUnreachable (): void {
     this.tellSoon()
   }
@@ -100,12 +100,12 @@
 
   private ownWorks (): WorkSummary[] {
     const now = performance.now()
-    return this.services.view.all().filter((endpoint) => endpoint.inFlight > 0 || endpoint.isEjected(now)).map((endpoint) => ({
+    return this.services.view.all().filter((endpoint) => endpoint.inFlight > 0 || endpoint.isDead(now)).map((endpoint) => ({
       incarnation: endpoint.description.incarnation,
       unread: endpoint.ownUnread(),
       running: endpoint.inFlight,
       strain: Math.round(100 * endpoint.ownStrain) / 100,
-      unreachable: endpoint.isEjected(now) ? 1 : 0
+      unreachable: endpoint.isDead(now) ? 1 : 0
     }))
   }
 }
--- a/entry/gateway/test/work-exchange.test.ts
+++ b/entry/gateway/test/work-exchange.test.ts
@@ -32,11 +32,11 @@
     expect(told).toMatchObject([{ works: [{ incarnation: 'i', unread: [{ urgency: 3, tokens: 5000 }], running: 1 }] }])
   })
 
-  it('goes out at once for an endpoint that could not be connected to', async () => {
+  it.each(['unreachable', 'ended'] as const)('goes out at once for an endpoint that is %s', async (verdict) => {
     const state = endpoint()
     const { exchange, told } = exchangeWith(state)
     const work = state.begin({ prompt: [], unreadTokens: 500, urgency: 3, strain: 0 }, performance.now())
-    state.end(work, 'unreachable', performance.now())
+    state.end(work, verdict, performance.now())
     exchange.noteUnreachable()
     await nextTurn()
     expect(told).toMatchObject([{ works: [{ incarnation: 'i', running: 0, unreachable: 1 }] }])
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -46,7 +46,7 @@
   readonly running: number
   /** The strains of their streams, added up. */
   readonly strain: number
-  /** How many of them could not connect there lately. */
+  /** How many of them could not connect there lately, or met another process at its address. */
   readonly unreachable: number
 }
 
@@ -172,6 +172,11 @@
     return now < this.ejectedUntil
   }
 
+  /** Whether this entry can't reach the endpoint: a connection failed a short while ago, or another process has its address. */
+  isDead (now: number): boolean {
+    return this.hasEnded || this.isEjected(now)
+  }
+
   /** The share of other entries that could not connect there, among those that lately could not or have work there. */
   get unreachableShare (): number {
     const { unreachable, running } = this.others
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -70,7 +70,7 @@
   running: count,
   /** How little their streams bear that prompts are read beside them, added up. */
   strain: z.number(),
-  /** Entries that could not connect there lately. */
+  /** Entries that could not connect there lately, or met another process at its address. */
   unreachable: count
 })
 
