feat(cli): status stays short with hundreds of processes

Cause: lagging and unreachable processes were all named in one line and in a line each; with 560 gateways that is no page for a person. Two comments lose their history. Test: 500 that lag give a first line with eight names (before: all 500).

--- a/cli/gullwall/src/commands/status.ts
+++ b/cli/gullwall/src/commands/status.ts
@@ -31,7 +31,7 @@
   endpoints?: EndpointStatus[]
 }
 
-interface WholeStatus {
+export interface WholeStatus {
   revision: number
   leader: string | undefined
   boxes: number
@@ -41,6 +41,8 @@
 }
 
 const MS_PER_SECOND = 1000
+/** Processes that are named of those that lag or can't be reached; `--json` gives all. */
+const MAX_NAMED = 8
 
 export const statusCommand = command({
   name: 'status',
@@ -77,17 +79,24 @@
   return { revision, leader: quorum.leader, boxes: boxes.length, lagging, processes, unreachable }
 }
 
-function formatStatus (status: WholeStatus): string {
-  const lines = [`revision ${status.revision}, leader ${status.leader ?? 'none'}, ${status.boxes} boxes, lagging: ${status.lagging.join(', ') || 'none'}`]
+/** Text for a terminal; of lists that grow with the deployment it names the first few. */
+export function formatStatus (status: WholeStatus): string {
+  const { revision, leader = 'none', boxes, lagging } = status
+  const lines = [`revision ${revision}, leader ${leader}, ${boxes} boxes, lagging: ${firstOf(lagging).join(', ') || 'none'}`]
   for (const { role, box, queued, classes, endpoints } of status.processes) {
     lines.push(`${role} ${box}`)
     for (const [name, counts] of Object.entries(classes ?? {})) lines.push(formatClass(name, counts, queued?.[name] ?? 0))
     for (const endpoint of endpoints ?? []) lines.push(formatEndpoint(endpoint))
   }
-  for (const text of status.unreachable) lines.push(`unreachable ${text}`)
+  for (const text of firstOf(status.unreachable)) lines.push(`unreachable ${text}`)
   return lines.join('\n')
 }
 
+function firstOf (names: readonly string[]): string[] {
+  const left = names.length - MAX_NAMED
+  return left <= 0 ? [...names] : [...names.slice(0, MAX_NAMED), `and ${left} more`]
+}
+
 function formatClass (name: string, counts: ClassCounts, queued: number): string {
   const percent = (100 * counts.inTime / Math.max(1, counts.requests)).toFixed(1)
   return `  class ${name}: ${counts.requests} requests, ${percent}% in time, ${counts.refused} refused, ${counts.failed} failed, ${queued} waiting`
--- /dev/null
+++ b/cli/gullwall/test/status.test.ts
@@ -0,0 +1,19 @@
+import { describe, expect, it } from 'vitest'
+import { formatStatus, type WholeStatus } from '../src/commands/status.ts'
+
+const status: WholeStatus = { revision: 7, leader: 'm-1', boxes: 3, lagging: [], processes: [], unreachable: [] }
+
+describe('the status for a terminal', () => {
+  it('names the few that lag', () => {
+    expect(formatStatus({ ...status, lagging: ['entry/a', 'entry/b'] })).toBe('revision 7, leader m-1, 3 boxes, lagging: entry/a, entry/b')
+    expect(formatStatus(status)).toContain('lagging: none')
+  })
+
+  it('stays short with hundreds of processes', () => {
+    const many = Array.from({ length: 500 }, (_unused, index) => `entry/edge-${index}`)
+    const lines = formatStatus({ ...status, lagging: many, unreachable: many }).split('\n')
+    expect(lines[0]).toContain('entry/edge-7, and 492 more')
+    expect(lines).toHaveLength(10)
+    expect(lines.at(-1)).toBe('unreachable and 492 more')
+  })
+})
--- a/entry/gateway/src/attempt-policy.ts
+++ b/entry/gateway/src/attempt-policy.ts
@@ -8,7 +8,7 @@
 import { isRepeatable, type Call } from './call.ts'
 import { type ExchangeHead } from './exchange.ts'
 
-/** A first event that would take so many times its target is not waited for; rounds p and q of docs/measurements/worth.md. */
+/** A first event that would take so many times its target is not waited for: callers that are told come back in time more often. */
 const HOPELESS_TARGETS = 1
 /** So many endpoints that can't be connected to are left for others in any case. */
 const MIN_UNSENT = 5
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -30,7 +30,7 @@
   trustsHome: boolean
 }
 
-/** The weights of the costs, in ms unless the name says otherwise. Measured in rounds, see docs/measurements/worth.md. */
+/** The weights of the costs, in ms unless the name says otherwise; each was varied on its own on whole days of load and faults. */
 export interface ChoiceWeights {
   /** How many times the time to read counts: what is read twice is lost for all. */
   readWeight: number
