--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -29,13 +29,15 @@
   onChange?: (changed: HeldLease[]) => void
 }
 
-/** What became of a lease that was told: a change of state, a refresh, or nothing new. */
+/** What became of a lease that was told: something others must hear at once, a refresh, or nothing new. */
 export type Merged = 'changed' | 'refreshed' | 'stale'
 
 export class LeaseTable {
   private readonly held = new Map<string, HeldLease>()
   /** The incarnation that was last heard at each address. */
   private readonly holders = new Map<string, string>()
+  /** Leases from before a restart that no heartbeat has confirmed yet. */
+  private readonly unconfirmed = new Set<string>()
   private readonly now: () => number
   private timer: NodeJS.Timeout | undefined
 
@@ -85,11 +87,12 @@
 
   /**
    * Takes leases that were kept over a restart. Each runs out after `validMs` unless it is refreshed, by the rule for all:
-   * only while other endpoints are heard.
+   * only while other endpoints are heard. The first refresh counts as a change, so that it is told before that.
    */
   restore (leases: readonly Lease[], validMs: number): void {
     const ageMs = (this.options.leaseMs ?? DEFAULT_LEASE_MS) - validMs
     this.merge(leases.map((lease) => ({ ...lease, ageMs })))
+    for (const { incarnation } of leases) this.unconfirmed.add(incarnation)
   }
 
   /** Leases for the wire, with their age instead of a local time. */
@@ -111,6 +114,7 @@
       const silentMs = newest - lease.heardAt
       if (lease.state === 'gone' || silentMs <= leaseMs) continue
       this.held.delete(incarnation)
+      this.unconfirmed.delete(incarnation)
       if (this.holders.get(lease.address) === incarnation) this.holders.delete(lease.address)
       this.log({ ...lease, state: 'gone' }, `no heartbeat for ${Math.round(silentMs)} ms while others were heard`)
     }
@@ -133,7 +137,8 @@
     this.held.set(lease.incarnation, {
       ...(isNewer ? rest : known), state, sequence: Math.max(lease.sequence, known.sequence), heardAt: Math.max(heardAt, known.heardAt)
     })
-    if (!goesOn) return 'refreshed'
+    const isFirstWord = this.unconfirmed.delete(lease.incarnation)
+    if (!goesOn) return isFirstWord ? 'changed' : 'refreshed'
     this.log({ ...lease, state }, `sequence ${lease.sequence}, was ${known.state}`)
     return 'changed'
   }
