fix(gateway): a gateway does not listen to a control process that is cut off from most others

Cause (by reading the new code against the users' disruptions): sums of work pass between control processes. Where one is cut off from the others its gateways would hear only of each other for as long as the cut lasts, and choose the same engines; before, all words went to all again once the silent links had closed (2.5 s).

Ruled out: telling all control processes (five times the words, over data centres).

Change: each word says from how many peers its sender heard within 2.2 s. A gateway goes to another control process while its own hears no majority, and back after 3 s.

Tests: listening-choice.test.ts, work-relay.test.ts, relay.test.ts.

--- a/cli/story/test/story.test.ts
+++ b/cli/story/test/story.test.ts
@@ -60,12 +60,12 @@
   ])('a refusal, with %s', async (_what, { tokens, running }, why) => {
     const unread = [{ urgency: 0, tokens }]
     const works = [first, second].map(({ incarnation }) => ({ incarnation, unread, running, strain: 0, unreachable: 0 }))
-    deployment.gateway.get('workExchange').receive({ kind: 'workSums', whole: false, works, holdings: [] })
+    deployment.gateway.get('workExchange').receive({ kind: 'workSums', whole: false, peers: 0, works, holdings: [] })
     const { status, story } = await storyOf('/draft/1', { 'x-gullwall-prompt-parts': 'subject:5000,own:900' })
     expect(status).toBe(503)
     expect(own(story).at(-1)).toMatchObject({ what: 'refuse' })
     expect(own(story).at(-1)?.why).toMatch(why)
-    deployment.gateway.get('workExchange').receive({ kind: 'workSums', whole: true, works: [], holdings: [] })
+    deployment.gateway.get('workExchange').receive({ kind: 'workSums', whole: true, peers: 0, works: [], holdings: [] })
   })
 
   it('a stream that broke off and could not go on', async () => {
--- a/control/program/src/work-relay.ts
+++ b/control/program/src/work-relay.ts
@@ -5,7 +5,7 @@
  */
 import { ReadingTable, WorkloadTable } from '@gullwall/control.workload'
 import { type Link } from '@gullwall/transport.link'
-import { type Holding, type MessageOf } from '@gullwall/transport.messages'
+import { type Holding, type MessageOf, type WorkSummary } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
 import { PacedAction } from './paced-action.ts'
 
@@ -16,7 +16,9 @@
 const SPACING_MS = 40
 /** An entry that has told nothing for so long has nothing under way any more, and is told nothing, in ms. */
 const ENTRY_VALID_MS = 2500
-/** An entry hears something at least so often, and so knows that what it was told still holds, in ms. */
+/** A peer that was not heard for so long is taken to be cut off, in ms: one repeated word may be missing. */
+const PEER_VALID_MS = 2200
+/** Entries and peers hear something at least so often, and so know that what they were told still holds, in ms. */
 const REPEAT_MS = 1000
 /** What was learnt of how engines read is told so often at most, in ms. */
 const READINGS_MS = 250
@@ -45,6 +47,8 @@
   private readonly table = new WorkloadTable<Link>()
   /** The entries that tell this process, by their links. */
   private readonly entries = new Map<Link, ListeningEntry>()
+  /** When each peer was last heard, by the links that the peers keep. */
+  private readonly peerHeardAt = new Map<Link, number>()
   /** Endpoints at which something has changed that was not told yet, with those who told of it. */
   private readonly changed = new Map<string, Set<Link>>()
   private untold: UntoldHolding[] = []
@@ -83,6 +87,7 @@
 
   /** Takes the sums of a peer's entries. */
   fromPeer (link: Link, { whole, works, holdings }: MessageOf<'workSums'>): void {
+    this.peerHeardAt.set(link, performance.now())
     this.note(link, whole ? this.table.replace(link, works) : this.table.update(link, works))
     this.noteHoldings(link, holdings)
   }
@@ -94,6 +99,7 @@
 
   /** Forgets what came over a link that has closed. */
   closed (link: Link): void {
+    this.peerHeardAt.delete(link)
     if (this.entries.has(link)) this.forgetEntry(link)
     else this.note(link, this.table.remove(link))
   }
@@ -151,13 +157,19 @@
   private wordOf ({ changed, untold }: News, counts: Counts): MessageOf<'workSums'> | undefined {
     const works = changed.filter(([, sources]) => [...sources].some(counts)).map(([incarnation]) => this.table.sumAt(incarnation, counts))
     const holdings = untold.filter(({ from }) => counts(from)).map(({ holding }) => holding)
-    return works.length + holdings.length === 0 ? undefined : { kind: 'workSums', whole: false, works, holdings }
+    return works.length + holdings.length === 0 ? undefined : this.word(works, holdings)
+  }
+
+  private word (works: WorkSummary[], holdings: Holding[] = []): MessageOf<'workSums'> {
+    const since = performance.now() - PEER_VALID_MS
+    const peers = new Set([...this.peerHeardAt].filter(([, heardAt]) => heardAt > since).map(([link]) => link.peer.name)).size
+    return { kind: 'workSums', whole: false, peers, works, holdings }
   }
 
   /** All that some of the sources have under way. */
   private wholeOf (counts: Counts): MessageOf<'workSums'> {
     const works = this.table.endpoints(counts).map((incarnation) => this.table.sumAt(incarnation, counts))
-    return { kind: 'workSums', whole: true, works, holdings: [] }
+    return { ...this.word(works), whole: true }
   }
 
   /** Forgets entries that have fallen silent, and tells those that have heard nothing for long. */
@@ -166,8 +178,9 @@
     this.readings.forgetOld(now)
     for (const [link, { heardAt, toldAt }] of this.entries) {
       if (now - heardAt > ENTRY_VALID_MS) this.forgetEntry(link)
-      else if (now - toldAt >= REPEAT_MS) link.send({ kind: 'workSums', whole: false, works: [], holdings: [] })
+      else if (now - toldAt >= REPEAT_MS) link.send(this.word([]))
     }
+    for (const peer of this.services.peers.links()) peer.send(this.word([]))
   }
 }
 
--- a/control/program/test/relay.test.ts
+++ b/control/program/test/relay.test.ts
@@ -78,6 +78,11 @@
   ))
 }
 
+/** From how many peers the control process of an entry hears, by its latest word. */
+function peersTold (entry: Entry): number {
+  return entry.received.flatMap(({ message }) => message.kind === 'workSums' ? [message.peers] : []).at(-1) ?? -1
+}
+
 async function untilTold (entry: Entry | undefined, running: number): Promise<void> {
   await until(`${entry?.name ?? ''} is told of ${running}`, () => sumsAt(entry).at(-1)?.running === running)
 }
@@ -93,6 +98,7 @@
     await untilTold(three, 1011)
     await untilTold(four, 111)
     expect(sumsAt(one).at(-1)?.tokens).toBe(300)
+    await until('peers are heard', () => entries.every((entry) => peersTold(entry) === 1))
     for (const [entry, address] of tells) expect(new Set(sumsAt(entry).map(({ from }) => from))).toEqual(new Set([address]))
   })
 
--- a/control/program/test/work-relay.test.ts
+++ b/control/program/test/work-relay.test.ts
@@ -72,6 +72,19 @@
     expect(entries[1]?.told).toHaveLength(2)
   })
 
+  it('tells from how many peers its control process hears, and of none that has fallen silent', () => {
+    relay.fromPeer(peer.asLink, { kind: 'workSums', whole: true, peers: 0, works: [], holdings: [] })
+    relay.fromEntry((entries[0] as FakeLink).asLink, workAt('i-1'))
+    vi.advanceTimersByTime(AFTER_SPACING_MS)
+    expect(entries[1]?.told.at(-1)?.peers).toBe(1)
+    for (let second = 0; second < 4; second += 1) {
+      vi.advanceTimersByTime(1000)
+      for (const entry of entries) relay.fromEntry(entry.asLink, { ...workAt('i-0'), works: [] })
+    }
+    expect(entries[1]?.told.at(-1)?.peers).toBe(0)
+    expect(peer.told.length).toBeGreaterThanOrEqual(4)
+  })
+
   it('is nothing where only its own work has changed', () => {
     relay.fromEntry((entries[0] as FakeLink).asLink, workAt('i-1'))
     vi.advanceTimersByTime(AFTER_SPACING_MS)
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -4,6 +4,7 @@
 import { Dialer, type Link } from '@gullwall/transport.link'
 import { type Message, type MessageOf } from '@gullwall/transport.messages'
 import { type GatewayServices } from './index.ts'
+import { ListeningChoice } from './listening-choice.ts'
 
 const MAX_BACKOFF_MS = 500
 const TIMING = { heartbeatMs: 1000, silenceMs: 2500, handshakeMs: 1000 }
@@ -18,6 +19,8 @@
 /** What an entry tells of its work. */
 export type WorkWord = Pick<MessageOf<'work'>, 'works' | 'holdings' | 'observations'>
 
+const FAREWELL: MessageOf<'work'> = { kind: 'work', works: [], holdings: [], observations: [], listens: false }
+
 export class ControlLinks {
   private readonly dialers = new Map<string, Dialer>()
   private confirmedRevision: number | undefined
@@ -26,9 +29,12 @@
   private timer: NodeJS.Timeout | undefined
   /** The link over which this entry tells of its work and hears of the others'. */
   private listensTo: Link | undefined
+  private readonly listening: ListeningChoice
   private confirmRetryMs = FIRST_CONFIRM_RETRY_MS
 
-  constructor (private readonly services: GatewayServices) {}
+  constructor (private readonly services: GatewayServices) {
+    this.listening = new ListeningChoice(services.settings.dataCentre)
+  }
 
   start (): void {
     this.dialSeeds(this.services.settings)
@@ -51,14 +57,12 @@
   }
 
   /**
-   * Tells one control process what this entry has under way, one in this data centre if there is one; false if no link is
-   * open. From then on that process tells what the others have.
+   * Tells one control process what this entry has under way; false if no link is open. From then on that process tells
+   * what the others have.
    */
   tellWork (word: WorkWord): boolean {
-    const links = this.links()
-    const near = links.find((link) => link.peer.dataCentre === this.services.settings.dataCentre)
-    const chosen = near ?? links[0]
-    if (chosen !== this.listensTo) this.listensTo?.send({ kind: 'work', works: [], holdings: [], observations: [], listens: false })
+    const chosen = this.listening.choose(this.links(), this.dialers.size, performance.now())
+    if (chosen !== this.listensTo) this.listensTo?.send(FAREWELL)
     this.listensTo = chosen
     return chosen?.send({ kind: 'work', ...word, listens: true }) ?? false
   }
@@ -93,7 +97,10 @@
         revision: () => store.revision,
         onOpen: (link) => spreader.opened(link),
         onMessage: (link, message) => this.receive(link, message),
-        onClose: (link) => spreader.closed(link)
+        onClose: (link) => {
+          spreader.closed(link)
+          this.listening.forget(link)
+        }
       }))
     }
   }
@@ -101,7 +108,7 @@
   private receive (link: Link, message: Message): void {
     const { view, spreader } = this.services
     if (spreader.receive(link, message)) return
-    if (message.kind === 'workSums' && link === this.listensTo) this.services.workExchange.receive(message)
+    if (message.kind === 'workSums' && link === this.listensTo) this.receiveWork(link, message)
     if (message.kind === 'readings') this.services.workExchange.learn(message)
     if (message.kind === 'leases') view.leases.merge(message.leases)
     if (message.kind !== 'controls') return
@@ -109,6 +116,11 @@
     this.dialAll(message.addresses)
   }
 
+  private receiveWork (link: Link, message: MessageOf<'workSums'>): void {
+    this.listening.note(link, message.peers, performance.now())
+    this.services.workExchange.receive(message)
+  }
+
   /** Asks until a quorum has said which revision is the newest; from then on the links keep this process up to date. */
   private async confirmOnce (): Promise<void> {
     for (const link of this.links()) {
--- /dev/null
+++ b/entry/gateway/src/listening-choice.ts
@@ -0,0 +1,41 @@
+/**
+ * Which control process an entry tells its work and hears the others' from. One that is cut off from its peers knows only
+ * the entries that tell it, so that all who hear from it would send to the same engines.
+ */
+import { type Link } from '@gullwall/transport.link'
+
+/** What a control process said of its peers counts for so long, in ms: the cut may have healed. */
+const VALID_MS = 3000
+
+interface Coverage {
+  peers: number
+  toldAt: number
+}
+
+export class ListeningChoice {
+  private readonly coverage = new Map<Link, Coverage>()
+
+  constructor (private readonly dataCentre: string) {}
+
+  /** Notes from how many of its peers a control process hears. */
+  note (link: Link, peers: number, now: number): void {
+    this.coverage.set(link, { peers, toldAt: now })
+  }
+
+  forget (link: Link): void {
+    this.coverage.delete(link)
+  }
+
+  /** The link to one that is not known to be cut off from most of its peers; among those, one in this data centre. */
+  choose (links: readonly Link[], controls: number, now: number): Link | undefined {
+    const sound = links.filter((link) => !this.isCutOff(link, controls, now))
+    const able = sound.length > 0 ? sound : links
+    return able.find((link) => link.peer.dataCentre === this.dataCentre) ?? able[0]
+  }
+
+  private isCutOff (link: Link, controls: number, now: number): boolean {
+    const known = this.coverage.get(link)
+    if (known === undefined || now - known.toldAt > VALID_MS) return false
+    return known.peers + 1 <= controls / 2
+  }
+}
--- a/entry/gateway/test/gateway.test.ts
+++ b/entry/gateway/test/gateway.test.ts
@@ -104,7 +104,7 @@
     const works = [{ incarnation: first.incarnation, unread: [{ urgency: 0, tokens: 90_000 }], running: 1, strain: 0, unreachable: 0 }]
     const holdings = [{ incarnation: first.incarnation, parts }]
     const gateway = deployment.gateway
-    gateway.get('workExchange').receive({ kind: 'workSums', whole: false, works, holdings })
+    gateway.get('workExchange').receive({ kind: 'workSums', whole: false, peers: 0, works, holdings })
     await until('the parts are read', () => (
       (gateway.get('view').get(first.incarnation)?.prefixes.copyableTokens(parts, performance.now()) ?? 0) > 0
     ))
--- /dev/null
+++ b/entry/gateway/test/listening-choice.test.ts
@@ -0,0 +1,38 @@
+import { describe, expect, it } from 'vitest'
+import { type Link } from '@gullwall/transport.link'
+import { ListeningChoice } from '../src/listening-choice.ts'
+
+function linkTo (dataCentre: string): Link {
+  return { peer: { dataCentre } } as unknown as Link
+}
+
+describe('the control process that an entry listens to', () => {
+  const [far, near, farther] = ['dc2', 'dc1', 'dc3'].map(linkTo) as [Link, Link, Link]
+  const links = [far, near, farther]
+
+  it('is one in its data centre, or any', () => {
+    const choice = new ListeningChoice('dc1')
+    expect(choice.choose(links, 3, 0)).toBe(near)
+    expect(choice.choose([far, farther], 3, 0)).toBe(far)
+    expect(choice.choose([], 3, 0)).toBeUndefined()
+  })
+
+  it('is another while that one is cut off from most of its peers, for as long as that is known', () => {
+    const choice = new ListeningChoice('dc1')
+    choice.note(near, 0, 1000)
+    expect(choice.choose(links, 3, 1100)).toBe(far)
+    choice.note(far, 0, 1200)
+    expect(choice.choose(links, 3, 1300)).toBe(farther)
+    choice.note(farther, 0, 1400)
+    expect(choice.choose(links, 3, 1500)).toBe(near)
+    expect(choice.choose(links, 3, 10_000)).toBe(near)
+  })
+
+  it('stays where a minority is missing, and where there are no others', () => {
+    const choice = new ListeningChoice('dc1')
+    choice.note(near, 2, 0)
+    expect(choice.choose(links, 5, 100)).toBe(near)
+    choice.note(near, 0, 0)
+    expect(choice.choose(links, 1, 100)).toBe(near)
+  })
+})
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -157,6 +157,8 @@
   workSums: z.object({
     kind: z.literal('workSums'),
     whole: z.boolean(),
+    /** From how many peers the sender has heard lately; their entries are in the sums. */
+    peers: count,
     works: z.array(workSchema),
     holdings: z.array(holdingSchema)
   }),
