fix(gateway): word that can't be told is kept within a bound

Change: the newest 1,000 are kept; idle rows are dropped. Test: work-exchange.test.ts, 1,500 untold give 1,000 (before: 1,500).

--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -14,6 +14,9 @@
 /** What was heard of the others counts for so long after the last word, in ms; words come each second at least. */
 const VALID_MS = 2500
 
+/** What was sent where is kept so often at most while no control process can be told; the oldest gives way, as at the engines. */
+const MAX_UNTOLD_HOLDINGS = 1000
+
 export class WorkExchange {
   /** What the others have under way, by endpoint; also at endpoints that are not known here yet. */
   private readonly others = new Map<string, WorkSummary>()
@@ -39,20 +42,24 @@
     const now = performance.now()
     this.heardAt = now
     if (whole) this.forgetOthers()
-    for (const work of works) {
-      this.others.set(work.incarnation, work)
-      const endpoint = view.get(work.incarnation)
-      if (endpoint !== undefined) endpoint.others = work
-    }
+    for (const work of works) this.noteOthers(work)
     for (const { incarnation, parts } of holdings) view.get(incarnation)?.noteKept(parts, now)
     view.wake()
   }
 
+  private noteOthers (work: WorkSummary): void {
+    if (work.running + work.unread.length + work.unreachable > 0) this.others.set(work.incarnation, work)
+    else this.others.delete(work.incarnation)
+    const endpoint = this.services.view.get(work.incarnation)
+    if (endpoint !== undefined) endpoint.others = work
+  }
+
   /** Notes that an endpoint is about to get a prompt; the other entries are told of long parts that it has not had yet. */
   noteSending ({ prefixes, description }: EndpointState, prompt: readonly PromptPart[]): void {
     const shared = sharedTokens(prompt)
     if (shared < MIN_COPY_TOKENS || prefixes.cachedTokens(prompt) >= shared) return
     this.untoldHoldings.push({ incarnation: description.incarnation, parts: prompt.slice(0, -1).map(({ id, tokens }) => ({ id, tokens })) })
+    if (this.untoldHoldings.length > MAX_UNTOLD_HOLDINGS) this.untoldHoldings.shift()
   }
 
   /** Notes that a prompt was sent. */
--- a/entry/gateway/test/work-exchange.test.ts
+++ b/entry/gateway/test/work-exchange.test.ts
@@ -59,6 +59,18 @@
     expect(state.reading).toMatchObject({ tokensPerMs: 20, pauseMs: 330 })
   })
 
+  it('keeps a bounded number of holdings while nobody can be told', async () => {
+    const state = endpoint()
+    const { exchange, told } = exchangeWith(state)
+    for (let sent = 0; sent < 1500; sent += 1) {
+      exchange.noteSending(state, [{ id: `subject-${sent}`, tokens: 13_000 }, { id: 'own', tokens: 10 }])
+    }
+    exchange.noteUnreachable()
+    await nextTurn()
+    expect(told[0]?.holdings).toHaveLength(1000)
+    expect(told[0]?.holdings.at(-1)?.parts[0]?.id).toBe('subject-1499')
+  })
+
   it('takes the sums of the others as they are told, until a whole word leaves an endpoint out', () => {
     const state = endpoint()
     const { exchange } = exchangeWith(state)
