perf(control): few gateways hear of each other almost at once

Cause: changes were told together each 40 ms at any number of gateways, at two control processes in a row; with five gateways, words used to go on at once.

Change: 2.5 ms for each gateway, 40 ms at most. From 16 gateways on nothing changes.

Test: work-relay.test.ts, "is told the sooner the fewer they are" (before: one word of three within 18 ms).

--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -26,7 +26,7 @@
   private readonly linkHttp: HttpServer | undefined
   private acceptor: LinkAcceptor | undefined
   private timer: NodeJS.Timeout | undefined
-  private readonly counting = new PacedAction(COUNT_SPACING_MS, () => this.tellControls())
+  private readonly counting = new PacedAction(() => COUNT_SPACING_MS, () => this.tellControls())
   private readonly announced = new Map<Link, string>()
 
   constructor (private readonly services: ControlServices) {
--- a/control/program/src/lease-store.ts
+++ b/control/program/src/lease-store.ts
@@ -22,7 +22,7 @@
 const fileSchema = z.array(leaseSchema)
 
 export class LeaseStore {
-  private readonly saving = new PacedAction(SAVE_SPACING_MS, () => { void this.save() })
+  private readonly saving = new PacedAction(() => SAVE_SPACING_MS, () => { void this.save() })
   private isSaving = false
   private isStopped = false
 
--- a/control/program/src/paced-action.ts
+++ b/control/program/src/paced-action.ts
@@ -5,14 +5,14 @@
   private ranAt = -Infinity
 
   /**
-   * @param spacingMs the shortest time between two runs; the first after a pause comes in the next turn of the event loop
+   * @param spacingMs gives the shortest time between two runs; the first after a pause comes in the next turn of the event loop
    */
-  constructor (private readonly spacingMs: number, private readonly run: () => void) {}
+  constructor (private readonly spacingMs: () => number, private readonly run: () => void) {}
 
   /** Has the action run soon; what asks for it until then is served by the same run. */
   request (): void {
     if (this.timer !== undefined) return
-    const waitMs = Math.max(0, this.ranAt + this.spacingMs - performance.now())
+    const waitMs = Math.max(0, this.ranAt + this.spacingMs() - performance.now())
     this.timer = setTimeout(() => this.runNow(), waitMs)
   }
 
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -33,8 +33,8 @@
   private rounds = 0
   private readonly untoldNear = new Set<string>()
   private readonly untoldFar = new Set<string>()
-  private readonly tellingNear = new PacedAction(CHANGES_NEAR_MS, () => this.tellNear(drain(this.untoldNear)))
-  private readonly tellingFar = new PacedAction(CHANGES_FAR_MS, () => this.tellFar(drain(this.untoldFar)))
+  private readonly tellingNear = new PacedAction(() => CHANGES_NEAR_MS, () => this.tellNear(drain(this.untoldNear)))
+  private readonly tellingFar = new PacedAction(() => CHANGES_FAR_MS, () => this.tellFar(drain(this.untoldFar)))
 
   constructor (private readonly services: ControlServices) {}
 
--- a/control/program/src/work-relay.ts
+++ b/control/program/src/work-relay.ts
@@ -10,10 +10,12 @@
 import { PacedAction } from './paced-action.ts'
 
 /**
- * Changes that arrive within this time are told together, in ms; the first after a pause is told at once. A word passes two
- * control processes at most, so that it is no older than twice this and the way.
+ * Changes that arrive within this time for each entry are told together, in ms; the first after a pause is told at once. An
+ * entry then hears no more words than the others tell, and a few entries hear of each other almost at once.
  */
-const SPACING_MS = 40
+const SPACING_PER_ENTRY_MS = 2.5
+/** With many entries the time grows no further: an entry hears 25 words a second at most. */
+const MAX_SPACING_MS = 40
 /** An entry that has told nothing for so long has nothing under way any more, and is told nothing, in ms. */
 const ENTRY_VALID_MS = 2500
 /** A peer that was not heard for so long is taken to be cut off, in ms: one repeated word may be missing. */
@@ -52,9 +54,9 @@
   /** Endpoints at which something has changed that was not told yet, with those who told of it. */
   private readonly changed = new Map<string, Set<Link>>()
   private untold: UntoldHolding[] = []
-  private readonly telling = new PacedAction(SPACING_MS, () => this.tell())
+  private readonly telling = new PacedAction(() => this.spacingMs, () => this.tell())
   private readonly readings = new ReadingTable()
-  private readonly tellingReadings = new PacedAction(READINGS_MS, () => this.tellReadings())
+  private readonly tellingReadings = new PacedAction(() => READINGS_MS, () => this.tellReadings())
   private repeatTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: Pick<ControlServices, 'peers'>) {}
@@ -161,9 +163,17 @@
   }
 
   private word (works: WorkSummary[], holdings: Holding[] = []): MessageOf<'workSums'> {
+    return { kind: 'workSums', whole: false, peers: this.peersHeard, works, holdings }
+  }
+
+  private get peersHeard (): number {
     const since = performance.now() - PEER_VALID_MS
-    const peers = new Set([...this.peerHeardAt].filter(([, heardAt]) => heardAt > since).map(([link]) => link.peer.name)).size
-    return { kind: 'workSums', whole: false, peers, works, holdings }
+    return new Set([...this.peerHeardAt].filter(([, heardAt]) => heardAt > since).map(([link]) => link.peer.name)).size
+  }
+
+  /** Peers are taken to have as many entries as this process. */
+  private get spacingMs (): number {
+    return Math.min(MAX_SPACING_MS, SPACING_PER_ENTRY_MS * this.entries.size * (1 + this.peersHeard))
   }
 
   /** All that some of the sources have under way. */
--- a/control/program/test/paced-action.test.ts
+++ b/control/program/test/paced-action.test.ts
@@ -8,7 +8,7 @@
 
 it('runs soon after a pause, once for all requests, and keeps its spacing', () => {
   let runs = 0
-  const action = new PacedAction(SPACING_MS, () => { runs += 1 })
+  const action = new PacedAction(() => SPACING_MS, () => { runs += 1 })
   for (let request = 0; request < 5; request += 1) action.request()
   vi.advanceTimersByTime(1)
   expect(runs).toBe(1)
--- a/control/program/test/work-relay.test.ts
+++ b/control/program/test/work-relay.test.ts
@@ -85,6 +85,19 @@
     expect(peer.told.length).toBeGreaterThanOrEqual(4)
   })
 
+  it('is told the sooner the fewer they are', () => {
+    const few = new WorkRelay({ peers: { links: () => [] } as never })
+    const [one, two] = [new FakeLink('one'), new FakeLink('two')]
+    for (const entry of [one, two]) few.fromEntry(entry.asLink, { ...workAt('i-0'), works: [] })
+    one.told.length = 0
+    for (let word = 1; word <= 3; word += 1) {
+      few.fromEntry(two.asLink, workAt(`i-${word}`))
+      vi.advanceTimersByTime(6)
+      expect(one.told).toHaveLength(word)
+    }
+    few.stop()
+  })
+
   it('is nothing where only its own work has changed', () => {
     relay.fromEntry((entries[0] as FakeLink).asLink, workAt('i-1'))
     vi.advanceTimersByTime(AFTER_SPACING_MS)
