--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -1,7 +1,7 @@
 /**
  * One HTTP exchange by undici, given to a receiver as it comes. Bytes go
  * straight from the connection to the receiver, without a readable stream between
- * them; see docs/measurements/latency.md for what that saves.
+ * them, which would cost a turn of the event loop and a buffer for each chunk.
  */
 import { type Dispatcher, type Pool } from 'undici'
 import { type AnswerReceiver } from '@gullwall/endpoint.dialect'
