feat(control): usage of each window is reported once, under a lease with a fence

Ruled out: a lease record of its own in the log. The leader of the quorum holds a lease already: its term is on a majority's disks before it is used and never repeats, so the term is the fencing token; a new leader waits for lease_ms, and a leader acts within half of it after a majority has confirmed it. Change: entries tell control totals by window and organisation each second; the holder gathers them from all control processes, has the report decided in the log before it is sent, and sends it until it is taken or overdue. A token that was refused acts no more.

--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -70,7 +70,9 @@
   retryRatio: z.number().min(0).default(0.2),
   retryWindowMs: z.number().int().positive().default(DEFAULT_RETRY_WINDOW_MS),
   /** Repeats allowed beyond the ratio, over all entries together. */
-  retrySlack: z.number().min(0).default(20)
+  retrySlack: z.number().min(0).default(20),
+  /** The length of the windows in which requests are counted for reports of usage, in ms; nothing is counted without it. */
+  usageWindowMs: z.number().int().positive().optional()
 })
 
 export const localEndpointSchema = z.strictObject({
@@ -96,6 +98,20 @@
   admitWithoutSlot: z.boolean().default(false)
 })
 
+const DEFAULT_LEASE_MS = 3000
+
+/** Reports of usage to the outside. */
+const usageSettingsSchema = z.strictObject({
+  /** Where they are sent. */
+  address: addressSchema,
+  /** The length of the windows that are reported, in ms; window k begins k times that after the start of 1970. */
+  windowMs: z.number().int().positive(),
+  /** How long after the end of a window its report is due, in ms. */
+  lateMs: z.number().int().positive(),
+  /** No two control processes report within this time of each other, in ms. */
+  leaseMs: z.number().int().positive().default(DEFAULT_LEASE_MS)
+})
+
 export const controlSettingsSchema = z.strictObject({
   ...processSchema,
   /** This process's identity in the quorum; a box whose disk was lost takes a new one. */
@@ -119,6 +135,7 @@
   quorumElectionMs: z.number().int().positive().default(500),
   /** The share of that time after which a member that has just started stands for election. */
   firstElectionShare: z.number().positive().max(1).default(1),
+  usage: usageSettingsSchema.optional(),
   /** The bearer token that operators show. */
   operatorToken: z.string().min(MIN_KEY_CHARACTERS, { error: `at least ${MIN_KEY_CHARACTERS} characters` })
 }).refine(({ members, seeds }) => Object.keys(members).length + seeds.length > 0, { path: ['members'], error: 'members, or seeds to join' })
--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -126,6 +126,10 @@
       this.services.workRelay.fromEntry(link, message)
       return
     }
+    if (message.kind === 'usage') {
+      this.services.usageReporter.fromEntry(link, message)
+      return
+    }
     if (message.kind === 'announce') {
       this.announced.set(link, message.member.address)
       members.announce(message.member)
@@ -150,6 +154,7 @@
       case 'leases':
         this.services.leases.merge(message.leases)
         return { kind: 'done' }
+      case 'usageOf': return this.services.usageReporter.partsOf(message.window)
       case 'join': return await this.admit(message)
       case 'propose': return { kind: 'proposed', ...await proposer.proposeHere(message.data) }
       default: return await quorum.handle(message)
--- /dev/null
+++ b/control/program/src/duty-lease.ts
@@ -0,0 +1,76 @@
+/**
+ * The lease under which one control process acts for the deployment towards the outside. The leader of the quorum holds it:
+ * there is one leader in each term, terms are on the disks of a majority before they are used, and they never repeat. So the
+ * term is the fencing token.
+ */
+
+/** What a holder shows with each act; a higher token replaces all lower ones. */
+export interface Fence {
+  token: number
+  /** Until when the holder may begin to act, by the monotonic clock. */
+  validUntil: number
+}
+
+export interface DutyLeaseOptions {
+  /** No other process acts within this time after the latest moment at which this one may have begun to act, in ms. */
+  leaseMs: number
+  /** The term in which this process leads; undefined while it does not. */
+  leadingTerm: () => number | undefined
+  /** Resolves once a majority has answered that this process still leads, to questions asked after the call. */
+  confirm: () => Promise<unknown>
+  now?: () => number
+}
+
+/**
+ * The share of the lease in which the holder acts after a majority has confirmed it. The rest is the margin: the next leader
+ * is elected after that confirmation at the earliest, and then waits for the whole lease.
+ */
+const ACTING_SHARE = 0.5
+
+export class DutyLease {
+  private term: number | undefined
+  private ledSince = -Infinity
+  /** The token that the outside has refused because it has seen a higher one. */
+  private refusedToken: number | undefined
+  private readonly now: () => number
+
+  constructor (private readonly options: DutyLeaseOptions) {
+    this.now = options.now ?? (() => performance.now())
+  }
+
+  /** Gives the fence under which this process may act now; undefined while it may not. */
+  async acquire (): Promise<Fence | undefined> {
+    const { leaseMs, confirm } = this.options
+    const token = this.observeTerm()
+    if (token === undefined || token === this.refusedToken) return undefined
+    // The leader before may have been confirmed until just before this one was elected.
+    if (this.now() - this.ledSince < leaseMs) return undefined
+    const askedAt = this.now()
+    try {
+      await confirm()
+    } catch {
+      // Not confirmed is the ordinary answer to a leader that is cut off; it may not act.
+      return undefined
+    }
+    if (this.observeTerm() !== token) return undefined
+    return { token, validUntil: askedAt + ACTING_SHARE * leaseMs }
+  }
+
+  isValid ({ token, validUntil }: Fence): boolean {
+    return this.observeTerm() === token && token !== this.refusedToken && this.now() < validUntil
+  }
+
+  /** Notes that a higher token was seen outside: this term acts no more. */
+  noteRefused (token: number): void {
+    this.refusedToken = token
+  }
+
+  private observeTerm (): number | undefined {
+    const term = this.options.leadingTerm()
+    if (term !== this.term) {
+      this.term = term
+      this.ledSince = this.now()
+    }
+    return term
+  }
+}
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -21,8 +21,12 @@
 import { MemberTable } from './member-table.ts'
 import { ControlPeers } from './peers.ts'
 import { Proposer } from './proposer.ts'
+import { UsageReporter } from './usage-reporter.ts'
+import { type UsageSink } from './usage-sink.ts'
 import { WorkRelay } from './work-relay.ts'
 
+export * from './usage-sink.ts'
+
 /** How long a push to an entry in another data centre waits for the entry to have the same from nearer by, in ms. */
 const FARTHER_PUSH_MS = 250
 
@@ -49,6 +53,9 @@
   format: DocumentFormat
   /** Makes the HTTP interface that another dialect of operators speaks, in place of the product's own. */
   api: OperatorApi | undefined
+  usageReporter: UsageReporter
+  /** Where usage is reported to; none where nobody asks for it. */
+  usageSink: UsageSink | undefined
 }
 
 export type OperatorApi = (services: ControlServices) => Koa
@@ -61,6 +68,7 @@
   api?: OperatorApi
   /** How the text of routing documents is read; the product's own unless an adapter brings another. */
   format?: DocumentFormat
+  usageSink?: UsageSink
 }
 
 /** Builds a control process; nothing runs before its kernel is started. */
@@ -78,6 +86,7 @@
     .service('peers', (services) => new ControlPeers(services))
     .value('format', options.format ?? nativeFormat)
     .value('api', options.api)
+    .value('usageSink', options.usageSink)
     .service('leases', createLeases)
     .service('registrar', (services) => new Registrar(services))
     .service('leaseStore', (services) => new LeaseStore(services))
@@ -86,6 +95,7 @@
     .service('server', (services) => new ControlServer(services))
     .service('quorum', createQuorum)
     .service('proposer', (services) => new Proposer(services))
+    .service('usageReporter', (services) => new UsageReporter(services))
     .service('joiner', (services) => new Joiner(services))
     .service('admin', (services) => new ControlAdmin(services))
 }
--- a/control/program/src/proposer.ts
+++ b/control/program/src/proposer.ts
@@ -1,7 +1,10 @@
 /** Brings commands to the leader, wherever it is, and gives their results. */
 import { GullwallError } from '@gullwall/core.error'
 import { type Applied } from '@gullwall/control.quorum'
-import { type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type DocumentCommand, type DocumentResult } from '@gullwall/control.state'
+import {
+  type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type DecideUsageCommand, type DocumentCommand, type DocumentResult,
+  type UsageDeliveredCommand, type UsageReport
+} from '@gullwall/control.state'
 import { type MessageOf } from '@gullwall/transport.messages'
 import { targetVoters } from './membership.ts'
 import { type ControlServices } from './index.ts'
@@ -45,6 +48,15 @@
     return { kind: 'done' }
   }
 
+  /** Has the report of a window decided; gives the one that holds. */
+  async decideUsage (command: DecideUsageCommand): Promise<UsageReport> {
+    return JSON.parse((await this.propose(command)).result) as UsageReport
+  }
+
+  async usageDelivered (command: UsageDeliveredCommand): Promise<void> {
+    await this.propose(command)
+  }
+
   /** Gives a revision that is not older than any accepted before the call. */
   async confirm (): Promise<MessageOf<'confirmed'>> {
     const { quorum, store } = this.services
--- /dev/null
+++ b/control/program/src/usage-sink.ts
@@ -0,0 +1,19 @@
+/** Where usage is reported to, outside of the deployment. An adapter brings one that speaks to it. */
+import { type UsageReport } from '@gullwall/control.state'
+
+/** A report with who sends it and under which fencing token. */
+export interface FencedReport extends Pick<UsageReport, 'window' | 'counts'> {
+  holder: string
+  token: number
+}
+
+export type DeliveryOutcome =
+  | { type: 'delivered' }
+  /** A higher token has been seen; this one is of no use any more. */
+  | { type: 'fenced' }
+  /** It was not taken, or it is not known whether it was; the same report may be sent again. */
+  | { type: 'failed', why: string }
+
+export interface UsageSink {
+  deliver (report: FencedReport): Promise<DeliveryOutcome>
+}
--- a/control/program/test/control-processes.ts
+++ b/control/program/test/control-processes.ts
@@ -1,5 +1,6 @@
 /** Control processes that tests start, by their addresses. */
-import { createControl, type ControlServices } from '@gullwall/control.program'
+import { type ControlSettings } from '@gullwall/config.settings'
+import { createControl, type ControlServices, type UsageSink } from '@gullwall/control.program'
 import { MemoryDisk } from '@gullwall/control.storage'
 import { type Kernel } from '@gullwall/core.kernel'
 
@@ -13,9 +14,11 @@
   founds?: boolean
   disk?: MemoryDisk
   dataCentre?: string
+  usage?: ControlSettings['usage']
+  usageSink?: UsageSink
 }
 
-export async function start ({ address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1' }: StartOptions): Promise<Control> {
+export async function start ({ address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1', usage, usageSink }: StartOptions): Promise<Control> {
   const control = await createControl({
     box: `box-${address.split(':')[1] ?? ''}`,
     dataCentre,
@@ -32,8 +35,9 @@
     operatorToken: 'an-operator-token-for-loopback',
     quorumHeartbeatMs: 40,
     quorumElectionMs: 200,
-    firstElectionShare: 0.4
-  }, { disk, write: () => {} })
+    firstElectionShare: 0.4,
+    usage
+  }, { disk, usageSink, write: () => {} })
   await control.start()
   running.set(address, control)
   return control
--- a/control/state/src/commands.ts
+++ b/control/state/src/commands.ts
@@ -1,6 +1,7 @@
 /** The commands of the replicated log and their results. */
 import { type Mistake } from '@gullwall/config.checker'
 import { type RecordChange } from '@gullwall/config.records'
+import { type UsageCount } from '@gullwall/transport.messages'
 import { type Ran } from '@gullwall/core.types'
 
 /** An operator's change. The same operation id again gives the first answer again. */
@@ -41,7 +42,27 @@
   text: string
 }
 
-export type Command = ApplyCommand | ClaimCommand | SettleCommand | DocumentCommand
+/** Decides what is reported of the usage of one window; the first decision of a window holds for good. */
+export interface DecideUsageCommand {
+  type: 'decide-usage'
+  window: number
+  counts: UsageCount[]
+}
+
+/** Says that the report of a window has been delivered. */
+export interface UsageDeliveredCommand {
+  type: 'usage-delivered'
+  window: number
+}
+
+export type Command = ApplyCommand | ClaimCommand | SettleCommand | DocumentCommand | DecideUsageCommand | UsageDeliveredCommand
+
+/** What is reported of the usage of one window. */
+export interface UsageReport {
+  window: number
+  counts: UsageCount[]
+  isDelivered: boolean
+}
 
 /** `version` is the one that holds now; `taken` says whether it is the one that was brought. */
 export interface DocumentResult {
--- a/control/state/src/control-state.ts
+++ b/control/state/src/control-state.ts
@@ -4,8 +4,9 @@
 import { Claims } from './claims.ts'
 import {
   DOCUMENT_KEY, type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type Difference, type DocumentCommand,
-  type DocumentResult, type HistoryEntry, type StoredDocument
+  type DocumentResult, type HistoryEntry, type StoredDocument, type UsageReport
 } from './commands.ts'
+import { UsageReports } from './usage-reports.ts'
 
 /** How many answers are remembered for operations that are sent again. */
 const MAX_REMEMBERED_OPERATIONS = 20_000
@@ -27,11 +28,14 @@
   operations: Array<[string, ApplyResult]>
   history: HistoryEntry[]
   claims: object
+  /** Missing in snapshots of processes that did not report usage. */
+  usageReports?: UsageReport[]
 }
 
 export class ControlState {
   readonly records: RecordMap
   readonly claims = new Claims()
+  readonly usageReports = new UsageReports()
   revision = 0
   private operations = new Map<string, ApplyResult>()
   private past: HistoryEntry[] = []
@@ -55,7 +59,8 @@
       records: [...this.records.entries()],
       operations: [...this.operations],
       history: this.past,
-      claims: this.claims.dump()
+      claims: this.claims.dump(),
+      usageReports: this.usageReports.dump()
     }
     return JSON.stringify(dump)
   }
@@ -67,10 +72,11 @@
     this.operations = new Map(dump.operations)
     this.past = dump.history
     this.claims.restore(dump.claims)
+    this.usageReports.restore(dump.usageReports ?? [])
     this.options.onRestored?.()
   }
 
-  private run (command: Command): ApplyResult | ClaimResult | DocumentResult | object {
+  private run (command: Command): ApplyResult | ClaimResult | DocumentResult | UsageReport | object {
     switch (command.type) {
       case 'apply': return this.runApply(command)
       case 'claim': return this.claims.claim(command)
@@ -78,6 +84,10 @@
       case 'settle':
         this.claims.settle(command)
         return {}
+      case 'decide-usage': return this.usageReports.decide(command)
+      case 'usage-delivered':
+        this.usageReports.noteDelivered(command)
+        return {}
     }
   }
 
--- a/control/state/src/index.ts
+++ b/control/state/src/index.ts
@@ -2,3 +2,4 @@
 export * from './commands.ts'
 export * from './control-state.ts'
 export * from './claims.ts'
+export * from './usage-reports.ts'
--- a/control/state/test/control-state.test.ts
+++ b/control/state/test/control-state.test.ts
@@ -107,4 +107,15 @@
     expect(claim('r3', 50)).toEqual({ granted: false, holder: 'r2', outcome: 'yes' })
     expect(claim('r3', 200).granted).toBe(true)
   })
+
+  it('keeps the first decision on the usage of a window, through a snapshot too', () => {
+    const state = new ControlState()
+    const decide = (begun: number) => JSON.parse(state.apply(1, JSON.stringify({ type: 'decide-usage', window: 7, counts: [{ organisation: 'a', begun }] })))
+    expect(decide(5)).toEqual({ window: 7, counts: [{ organisation: 'a', begun: 5 }], isDelivered: false })
+    state.apply(2, JSON.stringify({ type: 'usage-delivered', window: 7 }))
+    expect(decide(9)).toEqual({ window: 7, counts: [{ organisation: 'a', begun: 5 }], isDelivered: true })
+    const copy = new ControlState()
+    copy.restore(state.snapshot())
+    expect(copy.usageReports.of(7)).toEqual(state.usageReports.of(7))
+  })
 })
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -96,6 +96,16 @@
   why: string
 }
 
+/** A report of usage to the outside. */
+export interface UsageRecord {
+  channel: 'usage'
+  event: 'reported' | 'postponed' | 'fenced'
+  /** The window that is reported; -1 where it concerns none in particular. */
+  window: number
+  token?: number
+  why: string
+}
+
 /** Start, stop and failures of a program. */
 export interface ProcessRecord {
   channel: 'process'
@@ -105,4 +115,12 @@
   error?: ErrorRecord
 }
 
-export type LogRecord = RoutingRecord | ForwardRecord | EndpointRecord | LinkRecord | QuorumRecord | ConfigurationRecord | ProcessRecord
+export type LogRecord =
+  | RoutingRecord
+  | ForwardRecord
+  | EndpointRecord
+  | LinkRecord
+  | QuorumRecord
+  | ConfigurationRecord
+  | UsageRecord
+  | ProcessRecord
--- a/entry/gateway/src/answer-receiver.ts
+++ b/entry/gateway/src/answer-receiver.ts
@@ -113,3 +113,8 @@
     case 'cancelled': return 'neutral'
   }
 }
+
+/** Whether the endpoint has begun to run the request, as far as its end tells. */
+export function hasRun (end: AttemptEnd): boolean {
+  return end.type === 'answered' || end.type === 'failed' || end.type === 'broken'
+}
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -56,6 +56,11 @@
     return this.links().length
   }
 
+  /** The open link to the control process that this entry tells of its work. */
+  get listened (): Link | undefined {
+    return this.listensTo?.isOpen === true ? this.listensTo : undefined
+  }
+
   /**
    * Tells one control process what this entry has under way; false if no link is open. From then on that process tells
    * what the others have.
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -1,7 +1,7 @@
 /** Carries one request: chooses endpoints, sends attempts one after the other, and ends the caller's answer. */
 import { strainOf, type Candidate, type Work } from '@gullwall/routing.balancer'
 import { type CallerAnswer, type ErrorAnswer } from './answer.ts'
-import { AnswerReceiver, verdictOf, type AttemptEnd } from './answer-receiver.ts'
+import { AnswerReceiver, hasRun, verdictOf, type AttemptEnd } from './answer-receiver.ts'
 import { AttemptHistory } from './attempt-history.ts'
 import { admit, nextStep, silenceOf, WATCH_MS, type NextStep, type RequestState } from './attempt-policy.ts'
 import { type Call } from './call.ts'
@@ -28,6 +28,7 @@
   private lastEventId: string | undefined
   private exchange: Exchange | undefined
   private isOver = false
+  private hasBegunToRun = false
   private deadlineTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: GatewayServices, private readonly call: Call, private readonly answer: CallerAnswer) {
@@ -102,6 +103,7 @@
     const end = receiver.endOf(await exchange.ended)
     clearInterval(watch)
     const verdict = verdictOf(end)
+    if (call.route.kind !== 'stream' && hasRun(end)) this.noteBegun(work.startedAt)
     endpoint.end(work, verdict, performance.now())
     if (verdict === 'unreachable' || verdict === 'ended') services.workExchange.noteUnreachable()
     services.view.wake()
@@ -185,9 +187,18 @@
   /** Notes whole events that were passed on. */
   noteEvents (lastId: string | undefined): void {
     this.recorder.passedEvents()
+    this.noteBegun(this.recorder.latestEventAt)
     if (lastId !== undefined) this.lastEventId = lastId
   }
 
+  /** Counts the request once, however often it is sent. A stream begins to run with its first event, a call when it is sent. */
+  private noteBegun (at: number): void {
+    const { organisation } = this.call
+    if (this.hasBegunToRun || organisation === undefined) return
+    this.hasBegunToRun = true
+    this.services.usage.noteBegun(organisation.name, at)
+  }
+
   /** Notes that the caller's answer is whole. */
   noteAnswered (): void {
     this.isOver = true
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -15,6 +15,7 @@
 import { Ingress } from './ingress.ts'
 import { gatewayMetrics, type GatewayMetrics } from './metrics.ts'
 import { nativeDialect } from './native-dialect.ts'
+import { UsageTeller } from './usage-teller.ts'
 import { WorkExchange } from './work-exchange.ts'
 
 export * from './dialect.ts'
@@ -39,6 +40,7 @@
   budget: RetryBudget
   controlLinks: ControlLinks
   workExchange: WorkExchange
+  usage: UsageTeller
   ingress: Ingress
   admin: GatewayAdmin
 }
@@ -71,6 +73,7 @@
     .service('budget', (services) => createBudget(services))
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('workExchange', (services) => new WorkExchange(services))
+    .service('usage', (services) => new UsageTeller(services))
     .service('admin', (services) => new GatewayAdmin(services))
     .service('ingress', (services) => new Ingress(services))
 }
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -91,6 +91,15 @@
 /** What was learnt of how an endpoint reads prompts. */
 export const readingSchema = z.object({ incarnation: z.string(), tokensPerMs: z.number().positive(), pauseMs: z.number().positive() })
 
+/** Requests of one organisation that began to run, with their first token where an engine runs them. */
+export const usageCountSchema = z.object({ organisation: z.string(), begun: count })
+
+/** Counts of one window of the wall clock. */
+export const usageWindowSchema = z.object({ window: count, counts: z.array(usageCountSchema) })
+
+/** Counts of one start of an entry. */
+export const usageSourceSchema = z.object({ source: z.string(), counts: z.array(usageCountSchema) })
+
 export const recordChangeSchema = z.object({ key: z.string(), value: z.string().nullable() })
 
 /** One entry of the replicated log. */
@@ -164,6 +173,11 @@
   }),
   /** What control has learnt from the observations of its entries; only what has changed. */
   readings: z.object({ kind: z.literal('readings'), readings: z.array(readingSchema) }),
+  /** What an entry has counted, as totals of each window; counts that are not named have not changed since it last told. */
+  usage: z.object({ kind: z.literal('usage'), windows: z.array(usageWindowSchema) }),
+  /** Asks a peer for what its entries have told of one window. */
+  usageOf: z.object({ kind: z.literal('usageOf'), window: count }),
+  usageParts: z.object({ kind: z.literal('usageParts'), sources: z.array(usageSourceSchema) }),
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
   // Among control processes: the quorum protocol. `to` is the incarnation that the sender takes the receiver for.
@@ -217,6 +231,9 @@
 export type Holding = z.infer<typeof holdingSchema>
 export type Observation = z.infer<typeof observationSchema>
 export type Reading = z.infer<typeof readingSchema>
+export type UsageCount = z.infer<typeof usageCountSchema>
+export type UsageWindow = z.infer<typeof usageWindowSchema>
+export type UsageSource = z.infer<typeof usageSourceSchema>
 export type Lease = z.infer<typeof leaseSchema>
 export type DemandRow = z.infer<typeof demandRowSchema>
 export type LogEntry = z.infer<typeof logEntrySchema>
