perf(balancer): engines are kept free of long reads for streams that bear short pauses only

Cause: while an engine reads, a token of its streams takes 72 to 100 ms in place of 10. Ruled out: weights alone (streams avoid engines that read): with homes of long prompts on every engine none is left that does not read. Change: as many engines as the sensitive streams need, half filled, take these first and other prompts last; which ones follows from their names, so that entries agree. Streams are sensitive if their pauses come near what they bear, and their route reads less than one step by itself; both are learnt.

--- a/cli/story/test/story.test.ts
+++ b/cli/story/test/story.test.ts
@@ -59,7 +59,7 @@
     ['that all slots are taken', { tokens: 0, running: 9 }, /the slots of all endpoints are taken/]
   ])('a refusal, with %s', async (_what, { tokens, running }, why) => {
     const unread = [{ urgency: 0, tokens }]
-    const works = [first, second].map(({ incarnation }) => ({ incarnation, unread, running, strain: 0, unreachable: 0 }))
+    const works = [first, second].map(({ incarnation }) => ({ incarnation, unread, running, strain: 0, sensitive: 0, unreachable: 0 }))
     deployment.gateway.get('workExchange').receive({ kind: 'workSums', whole: false, peers: 0, works, holdings: [] })
     const { status, story } = await storyOf('/draft/1', { 'x-gullwall-prompt-parts': 'subject:5000,own:900' })
     expect(status).toBe(503)
--- a/control/program/test/relay.test.ts
+++ b/control/program/test/relay.test.ts
@@ -62,7 +62,7 @@
 }
 
 function workOf (running: number): MessageOf<'work'> {
-  return { kind: 'work', works: [{ incarnation: 'i-1', unread: [{ urgency: 3, tokens: 100 }], running, strain: 0.5, unreachable: 0 }], holdings: [], observations: [], listens: true }
+  return { kind: 'work', works: [{ incarnation: 'i-1', unread: [{ urgency: 3, tokens: 100 }], running, strain: 0.5, sensitive: 0, unreachable: 0 }], holdings: [], observations: [], listens: true }
 }
 
 const idle: MessageOf<'work'> = { kind: 'work', works: [], holdings: [], observations: [], listens: true }
--- a/control/program/test/work-relay.test.ts
+++ b/control/program/test/work-relay.test.ts
@@ -28,7 +28,7 @@
 }
 
 function workAt (incarnation: string): MessageOf<'work'> {
-  return { kind: 'work', works: [{ incarnation, unread: [], running: 1, strain: 0, unreachable: 0 }], holdings: [], observations: [], listens: true }
+  return { kind: 'work', works: [{ incarnation, unread: [], running: 1, strain: 0, sensitive: 0, unreachable: 0 }], holdings: [], observations: [], listens: true }
 }
 
 describe('what an entry hears of the others', () => {
@@ -55,9 +55,9 @@
     for (const entry of entries) relay.fromEntry(entry.asLink, workAt('i-1'))
     vi.advanceTimersByTime(AFTER_SPACING_MS)
     for (const entry of entries) {
-      expect(entry.told.map(({ works }) => works)).toEqual([[{ incarnation: 'i-1', unread: [], running: ENTRIES - 1, strain: 0, unreachable: 0 }]])
+      expect(entry.told.map(({ works }) => works)).toEqual([[{ incarnation: 'i-1', unread: [], running: ENTRIES - 1, strain: 0, sensitive: 0, unreachable: 0 }]])
     }
-    expect(peer.told.map(({ works }) => works)).toEqual([[{ incarnation: 'i-1', unread: [], running: ENTRIES, strain: 0, unreachable: 0 }]])
+    expect(peer.told.map(({ works }) => works)).toEqual([[{ incarnation: 'i-1', unread: [], running: ENTRIES, strain: 0, sensitive: 0, unreachable: 0 }]])
   })
 
   it('comes at once after a pause, and then within the spacing', () => {
--- a/control/workload/src/workload-table.ts
+++ b/control/workload/src/workload-table.ts
@@ -34,12 +34,13 @@
 
   /** The sum over some of the sources at one endpoint. */
   sumAt (incarnation: string, counts: (source: Source) => boolean): WorkSummary {
-    const sum = { running: 0, strain: 0, unreachable: 0 }
+    const sum = { running: 0, strain: 0, sensitive: 0, unreachable: 0 }
     const unread = new Map<number, number>()
     for (const [source, work] of this.byEndpoint.get(incarnation) ?? []) {
       if (!counts(source)) continue
       sum.running += work.running
       sum.strain += work.strain
+      sum.sensitive += work.sensitive
       sum.unreachable += work.unreachable
       for (const { urgency, tokens } of work.unread) unread.set(urgency, (unread.get(urgency) ?? 0) + tokens)
     }
@@ -69,7 +70,7 @@
 }
 
 function idleAt (incarnation: string): WorkSummary {
-  return { incarnation, running: 0, strain: 0, unreachable: 0, unread: [] }
+  return { incarnation, running: 0, strain: 0, sensitive: 0, unreachable: 0, unread: [] }
 }
 
 function isIdle (work: WorkSummary): boolean {
@@ -77,7 +78,8 @@
 }
 
 function isSame (left: WorkSummary, right: WorkSummary): boolean {
-  return left.running === right.running && left.strain === right.strain && left.unreachable === right.unreachable &&
+  return left.running === right.running && left.strain === right.strain && left.sensitive === right.sensitive &&
+    left.unreachable === right.unreachable &&
     left.unread.length === right.unread.length && left.unread.every((part, index) => isSameUnread(part, right.unread[index]))
 }
 
--- a/control/workload/test/workload-table.test.ts
+++ b/control/workload/test/workload-table.test.ts
@@ -12,6 +12,7 @@
   incarnation: fc.constantFrom('i-1', 'i-2', 'i-3'),
   running: fc.nat(3),
   strain: fc.constantFrom(0, 0.5, 1),
+  sensitive: fc.nat(2),
   unreachable: fc.nat(2),
   unread: fc.uniqueArray(unreadArbitrary, { selector: ({ urgency }) => urgency, maxLength: 2 })
 })
@@ -36,6 +37,7 @@
         const told = [...model.values()].flatMap((rows) => rows.get('i-1') ?? [])
         expect(after.running).toBe(told.reduce((sum, { running }) => sum + running, 0))
         expect(after.strain).toBe(told.reduce((sum, { strain }) => sum + strain, 0))
+        expect(after.sensitive).toBe(told.reduce((sum, { sensitive }) => sum + sensitive, 0))
         expect(tokensOf([after])).toBe(tokensOf(told))
       }
     }), { seed: SEED })
@@ -43,13 +45,13 @@
 
   it('leaves out what does not count, and forgets endpoints where nothing is under way', () => {
     const table = new WorkloadTable<string>()
-    table.replace('a', [{ incarnation: 'i-1', running: 1, strain: 0, unreachable: 0, unread: [] }])
-    table.replace('b', [{ incarnation: 'i-1', running: 2, strain: 0, unreachable: 0, unread: [] }, { incarnation: 'i-2', running: 4, strain: 0, unreachable: 0, unread: [] }])
+    table.replace('a', [{ incarnation: 'i-1', running: 1, strain: 0, sensitive: 0, unreachable: 0, unread: [] }])
+    table.replace('b', [{ incarnation: 'i-1', running: 2, strain: 0, sensitive: 0, unreachable: 0, unread: [] }, { incarnation: 'i-2', running: 4, strain: 0, sensitive: 0, unreachable: 0, unread: [] }])
     expect(table.sumAt('i-1', (source) => source !== 'a').running).toBe(2)
     expect(table.endpoints((source) => source === 'a')).toEqual(['i-1'])
     expect(table.replace('b', [])).toEqual(['i-1', 'i-2'])
     expect(table.endpoints(all)).toEqual(['i-1'])
-    expect(table.replace('a', [{ incarnation: 'i-1', running: 1, strain: 0, unreachable: 0, unread: [] }])).toEqual([])
+    expect(table.replace('a', [{ incarnation: 'i-1', running: 1, strain: 0, sensitive: 0, unreachable: 0, unread: [] }])).toEqual([])
   })
 })
 
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -4,7 +4,7 @@
 import { LeaseTable, type HeldLease } from '@gullwall/control.registry'
 import { DOCUMENT_KEY, type StoredDocument } from '@gullwall/control.state'
 import { type Logger } from '@gullwall/core.logger'
-import { EndpointState } from '@gullwall/routing.balancer'
+import { EndpointState, ReservedEngines } from '@gullwall/routing.balancer'
 import { type Connections } from './connections.ts'
 
 export interface DeploymentViewOptions {
@@ -23,6 +23,8 @@
   /** How many entries share the deployment's budgets, as control counts them. */
   entries = 1
   readonly leases: LeaseTable
+  /** Engines that are kept free of long reads. */
+  readonly reserved = new ReservedEngines()
   private documentAt = -Infinity
   private readonly endpoints = new Map<string, EndpointState>()
   private readonly waiters = new Set<() => void>()
@@ -50,6 +52,13 @@
     ))
   }
 
+  /** Reserves engines anew, from what runs now; called at even intervals. */
+  reserveEngines (): void {
+    for (const { name, engine } of this.table?.document.services ?? []) {
+      if (engine !== undefined) this.reserved.update(name, this.usable(name))
+    }
+  }
+
   /** Every endpoint with work or a lease. */
   all (): EndpointState[] {
     return [...this.endpoints.values()]
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -32,10 +32,17 @@
     pauseMs: call.route.pauseMs,
     excluded: history.excluded,
     sources: engine?.copiesPrefixes === true ? usable : [],
-    trustsHome: now - startedAt < TRUST_HOME_MS
+    trustsHome: now - startedAt < TRUST_HOME_MS,
+    isSensitive: isSensitive(services, call, service),
+    reserved: view.reserved.of(service)
   }, usable, now, weights)
 }
 
+/** Whether a request is a stream that is sensitive to reading, and reads little itself. */
+export function isSensitive ({ view }: GatewayServices, { route }: Call, service: string): boolean {
+  return view.reserved.isSensitive({ route: route.name, pauseMs: route.pauseMs }, service)
+}
+
 /** Why no endpoint was chosen. */
 export function whyNone ({ services: { view }, call, history }: EndpointChoiceOptions): string {
   const usable = call.route.split.flatMap(({ service }) => view.usable(service))
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -6,7 +6,7 @@
 import { admit, nextStep, silenceOf, WATCH_MS, type NextStep, type RequestState } from './attempt-policy.ts'
 import { type Call } from './call.ts'
 import { originOf } from './connections.ts'
-import { chooseEndpoint, whyNone, type EndpointChoiceOptions } from './endpoint-choice.ts'
+import { chooseEndpoint, isSensitive, whyNone, type EndpointChoiceOptions } from './endpoint-choice.ts'
 import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
 import { RequestRecorder } from './request-recorder.ts'
@@ -40,6 +40,7 @@
   async run (): Promise<void> {
     const { call } = this
     this.services.budget.noteRequest()
+    this.services.view.reserved.noteRequest({ route: call.route.name }, call.prompt.at(-1)?.tokens ?? 0)
     this.answer.onLeft(() => this.callerLeft())
     this.deadlineTimer = setTimeout(() => this.deadlinePassed(), call.deadline - performance.now())
     try {
@@ -92,7 +93,13 @@
     const { call, services } = this
     const { endpoint, unreadTokens, urgency } = candidate
     services.workExchange.noteSending(endpoint, call.prompt)
-    const sent = { prompt: call.prompt, unreadTokens, urgency, strain: strainOf(call.route.pauseMs, endpoint.reading.pauseMs) }
+    const sent = {
+      prompt: call.prompt,
+      unreadTokens,
+      urgency,
+      strain: strainOf(call.route.pauseMs, endpoint.reading.pauseMs),
+      isSensitive: isSensitive(services, call, endpoint.description.service)
+    }
     const work = endpoint.begin(sent, performance.now())
     services.workExchange.noteSent(unreadTokens)
     this.recorder.dispatched(candidate)
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -83,6 +83,7 @@
       endpoint.others = this.others.get(endpoint.description.incarnation) ?? NO_OTHERS
       endpoint.sampleReading(now)
     }
+    this.services.view.reserveEngines()
     this.tellAfter(0)
   }
 
@@ -124,6 +125,7 @@
       unread: endpoint.ownUnread(),
       running: endpoint.inFlight,
       strain: Math.round(100 * endpoint.ownStrain) / 100,
+      sensitive: endpoint.ownSensitive,
       unreachable: endpoint.isDead(now) ? 1 : 0
     }))
   }
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -123,7 +123,9 @@
 })
 
 describe('an endpoint that says nothing', () => {
-  const work = { startedAt: 0, unreadTokens: 0, urgency: 0, promptTokens: 0, strain: 0, aheadTokens: 0, hasBegun: true, eventAt: 0 }
+  const work = {
+    startedAt: 0, unreadTokens: 0, urgency: 0, promptTokens: 0, strain: 0, isSensitive: false, aheadTokens: 0, hasBegun: true, eventAt: 0
+  }
   const running = (state: RequestState, hasAlternative = true) => ({
     ...state, candidate, work, lastProgressAt: 0, hasAlternative: () => hasAlternative
   })
--- a/entry/gateway/test/gateway.test.ts
+++ b/entry/gateway/test/gateway.test.ts
@@ -101,7 +101,9 @@
 
   it('names another endpoint to copy the shared parts of its prompt from, once another entry has told that it keeps them', async () => {
     const parts = [{ id: 'subject', tokens: 13_000 }]
-    const works = [{ incarnation: first.incarnation, unread: [{ urgency: 0, tokens: 90_000 }], running: 1, strain: 0, unreachable: 0 }]
+    const works = [{
+      incarnation: first.incarnation, unread: [{ urgency: 0, tokens: 90_000 }], running: 1, strain: 0, sensitive: 0, unreachable: 0
+    }]
     const holdings = [{ incarnation: first.incarnation, parts }]
     const gateway = deployment.gateway
     gateway.get('workExchange').receive({ kind: 'workSums', whole: false, peers: 0, works, holdings })
--- a/entry/gateway/test/work-exchange.test.ts
+++ b/entry/gateway/test/work-exchange.test.ts
@@ -21,7 +21,7 @@
   it('goes out at once for a prompt that takes long to read, without any timer', async () => {
     const state = endpoint()
     const { exchange, told } = exchangeWith(state)
-    state.begin({ prompt: [], unreadTokens: 5000, urgency: 3, strain: 0 }, performance.now())
+    state.begin({ prompt: [], unreadTokens: 5000, urgency: 3, strain: 0, isSensitive: false }, performance.now())
     exchange.noteSent(5000)
     await nextTurn()
     expect(told).toMatchObject([{ works: [{ incarnation: 'i', unread: [{ urgency: 3, tokens: 5000 }], running: 1 }] }])
@@ -30,7 +30,7 @@
   it.each(['unreachable', 'ended'] as const)('goes out at once for an endpoint that is %s', async (verdict) => {
     const state = endpoint()
     const { exchange, told } = exchangeWith(state)
-    const work = state.begin({ prompt: [], unreadTokens: 500, urgency: 3, strain: 0 }, performance.now())
+    const work = state.begin({ prompt: [], unreadTokens: 500, urgency: 3, strain: 0, isSensitive: false }, performance.now())
     state.end(work, verdict, performance.now())
     exchange.noteUnreachable()
     await nextTurn()
@@ -40,7 +40,7 @@
   it('waits for the next look for a short one', async () => {
     const state = endpoint()
     const { exchange, told } = exchangeWith(state)
-    state.begin({ prompt: [], unreadTokens: 500, urgency: 3, strain: 0 }, performance.now())
+    state.begin({ prompt: [], unreadTokens: 500, urgency: 3, strain: 0, isSensitive: false }, performance.now())
     exchange.noteSent(500)
     await nextTurn()
     expect(told).toEqual([])
@@ -74,7 +74,7 @@
   it('takes the sums of the others as they are told, until a whole word leaves an endpoint out', () => {
     const state = endpoint()
     const { exchange } = exchangeWith(state)
-    const work = { incarnation: 'i', unread: [{ urgency: 3, tokens: 700 }], running: 5, strain: 1.5, unreachable: 0 }
+    const work = { incarnation: 'i', unread: [{ urgency: 3, tokens: 700 }], running: 5, strain: 1.5, sensitive: 0, unreachable: 0 }
     exchange.receive({ kind: 'workSums', whole: false, peers: 0, works: [work], holdings: [{ incarnation: 'i', parts: [{ id: 'subject', tokens: 9 }] }] })
     expect([state.running, state.backlogTokens, state.strain]).toEqual([5, 700, 1.5])
     expect(state.prefixes.cachedTokens([{ id: 'subject', tokens: 9 }])).toBe(9)
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -28,6 +28,10 @@
    * nothing of what was sent before.
    */
   trustsHome: boolean
+  /** Whether it is a stream that is sensitive to reading, and reads little itself. */
+  isSensitive: boolean
+  /** Engines that are kept free of long reads for such streams. */
+  reserved: ReadonlySet<EndpointState>
 }
 
 /** The weights of the costs, in ms unless the name says otherwise. */
@@ -48,6 +52,10 @@
   streamBesideReads: number
   /** What a strained stream prefers an engine for each strain that streams there have already: they go together. */
   streamBesideStreams: number
+  /** For a sensitive stream at an engine that is not reserved. */
+  notReserved: number
+  /** For any other prompt at an engine that is reserved. */
+  reserved: number
   /** For an engine all of whose slots are taken. */
   full: number
   /** For an endpoint in another data centre. */
@@ -72,6 +80,8 @@
   spoiltStream: 300,
   streamBesideReads: 2000,
   streamBesideStreams: 12,
+  notReserved: 1000,
+  reserved: 3000,
   full: 3000,
   otherDataCentre: 20,
   failures: 400,
@@ -130,7 +140,7 @@
 /** Gives the cost of every endpoint that may have the request. */
 export function weigh (demand: Demand, endpoints: readonly EndpointState[], now: number, weights = DEFAULT_WEIGHTS): Candidate[] {
   const { prompt, sources, trustsHome } = demand
-  const home = homeOf(prompt, endpoints)
+  const home = homeOf(prompt, homesFor(demand, endpoints))
   const holdings = endpoints.map((endpoint) => ({ endpoint, tokens: endpoint.prefixes.cachedTokens(prompt) }))
   const best = bestSource(prompt, sources, now)
   const shared = sharedTokens(prompt)
@@ -228,7 +238,19 @@
   const failures = endpoint.failureShare * weights.failures + endpoint.unreachableShare * weights.unreachable
   const suspicion = isSuspect(endpoint, now) ? weights.suspect : 0
   return weights.perRunning * endpoint.running + streamCost(endpoint, demand, weights) + crowdingCost(endpoint, weights) +
-    distance + failures + suspicion
+    reservationCost(endpoint, demand, weights) + distance + failures + suspicion
+}
+
+/** The engines among which a prompt has its home: the reserved ones for sensitive streams, the others for all else. */
+function homesFor ({ isSensitive, reserved }: Demand, endpoints: readonly EndpointState[]): readonly EndpointState[] {
+  if (reserved.size === 0) return endpoints
+  const homes = endpoints.filter((endpoint) => reserved.has(endpoint) === isSensitive)
+  return homes.length > 0 ? homes : endpoints
+}
+
+function reservationCost (endpoint: EndpointState, { isSensitive, reserved }: Demand, weights: ChoiceWeights): number {
+  if (reserved.size === 0 || reserved.has(endpoint) === isSensitive) return 0
+  return isSensitive ? weights.notReserved : weights.reserved
 }
 
 /** Strained streams go where little is read, and together, so that the other engines can read. */
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -1,6 +1,7 @@
 /** What one entry has seen of one incarnation of an endpoint. */
 import { PrefixMemory, type PromptPart } from './prefix-memory.ts'
 import { ReadingObserver } from './reading-observer.ts'
+import { rankOf } from './rendezvous.ts'
 
 /** How an attempt ended, as far as it tells something of the endpoint. */
 export type AttemptVerdict = 'good' | 'failed' | 'shed' | 'unreachable' | 'ended' | 'neutral'
@@ -29,6 +30,7 @@
   /** All tokens of the prompt; none of them may be kept there after all. */
   readonly promptTokens: number
   readonly strain: number
+  readonly isSensitive: boolean
   /** Prompt tokens that were to be read there before it. */
   readonly aheadTokens: number
   /** Whether the first event has arrived. */
@@ -49,11 +51,13 @@
   readonly running: number
   /** The strains of their streams, added up. */
   readonly strain: number
+  /** Their streams that are sensitive to reading. */
+  readonly sensitive: number
   /** How many of them could not connect there lately, or met another process at its address. */
   readonly unreachable: number
 }
 
-export const NO_OTHERS: OthersWork = { unread: [], running: 0, strain: 0, unreachable: 0 }
+export const NO_OTHERS: OthersWork = { unread: [], running: 0, strain: 0, sensitive: 0, unreachable: 0 }
 
 /** What is sent to an endpoint. */
 export interface SentPrompt {
@@ -61,6 +65,8 @@
   unreadTokens: number
   urgency: number
   strain: number
+  /** Whether it is a stream that is sensitive to reading, and reads little itself. */
+  isSensitive: boolean
 }
 
 export interface EndpointDescription {
@@ -83,10 +89,13 @@
   failureShare = 0
   /** Whether another process has answered at its address: this incarnation has ended for good. */
   hasEnded = false
+  /** Its place among the engines of its service when some of them are reserved; those with a low one come first. */
+  readonly reservationRank: number
   private ejectedUntil = -Infinity
   private ejections = 0
 
   constructor (public description: EndpointDescription, memoryTokens = DEFAULT_MEMORY_TOKENS) {
+    this.reservationRank = rankOf(description.incarnation)
     this.prefixes = new PrefixMemory(memoryTokens * CACHE_SHARE)
   }
 
@@ -137,15 +146,29 @@
     return this.ownStrain + this.others.strain
   }
 
+  /** The streams of this entry that run there and are sensitive to reading. */
+  get ownSensitive (): number {
+    let count = 0
+    for (const work of this.works) if (work.isSensitive) count += 1
+    return count
+  }
+
+  /** The same of all entries. */
+  get sensitive (): number {
+    return this.ownSensitive + this.others.sensitive
+  }
+
   /** Takes a sample of how much there is to read; samples come at even intervals. */
   sampleReading (now: number): void {
     this.reading.sample(this.backlogTokens, now)
   }
 
-  begin ({ prompt, unreadTokens, urgency, strain }: SentPrompt, now: number): Work {
+  begin ({ prompt, unreadTokens, urgency, strain, isSensitive }: SentPrompt, now: number): Work {
     const promptTokens = prompt.reduce((tokens, part) => tokens + part.tokens, 0)
     const aheadTokens = this.tokensAhead(urgency)
-    const work: Work = { startedAt: now, unreadTokens, urgency, promptTokens, strain, aheadTokens, hasBegun: false, eventAt: now }
+    const work: Work = {
+      startedAt: now, unreadTokens, urgency, promptTokens, strain, isSensitive, aheadTokens, hasBegun: false, eventAt: now
+    }
     this.works.add(work)
     this.noteKept(prompt, now)
     return work
--- a/routing/balancer/src/rendezvous.ts
+++ b/routing/balancer/src/rendezvous.ts
@@ -18,6 +18,11 @@
   return first
 }
 
+/** A rank of a name that says nothing else of it; entries agree on it. */
+export function rankOf (name: string): number {
+  return mixed(fnv1a(name, FNV_OFFSET))
+}
+
 function fnv1a (text: string, start: number): number {
   let hash = start
   for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
--- a/routing/balancer/test/choose.test.ts
+++ b/routing/balancer/test/choose.test.ts
@@ -4,7 +4,18 @@
 const LATER = 10_000
 const prompt: PromptPart[] = [{ id: 'subject', tokens: 13_000 }, { id: 'own', tokens: 3000 }]
 const demand: Demand = {
-  prompt, dataCentre: 'dc1', tier: 1, isResumed: false, needsSlot: true, targetMs: 2000, pauseMs: undefined, excluded: new Set(), sources: [], trustsHome: false
+  prompt,
+  dataCentre: 'dc1',
+  tier: 1,
+  isResumed: false,
+  needsSlot: true,
+  targetMs: 2000,
+  pauseMs: undefined,
+  excluded: new Set(),
+  sources: [],
+  trustsHome: false,
+  isSensitive: false,
+  reserved: new Set()
 }
 /** What streams pause for while an engine reads that has not been observed, in ms. */
 const READING_PAUSE_MS = 200
@@ -25,12 +36,13 @@
 /** Lets streams run that bear a pause of so many ms. */
 function runStreams (endpoint: EndpointState, count: number, pauseMs: number): void {
   for (let stream = 0; stream < count; stream++) {
-    endpoint.begin({ prompt: [], unreadTokens: 0, urgency: 0, strain: strainOf(pauseMs, READING_PAUSE_MS) }, LATER).hasBegun = true
+    const strain = strainOf(pauseMs, READING_PAUSE_MS)
+    endpoint.begin({ prompt: [], unreadTokens: 0, urgency: 0, strain, isSensitive: false }, LATER).hasBegun = true
   }
 }
 
 function busyWith (endpoint: EndpointState, unreadTokens: number): void {
-  endpoint.begin({ prompt: [{ id: `other-${unreadTokens}`, tokens: unreadTokens }], unreadTokens, urgency: 0, strain: 0 }, LATER)
+  endpoint.begin({ prompt: [{ id: `other-${unreadTokens}`, tokens: unreadTokens }], unreadTokens, urgency: 0, strain: 0, isSensitive: false }, LATER)
 }
 
 describe('the choice of an endpoint', () => {
@@ -43,7 +55,7 @@
   it('leaves the home of its prompt where other entries can not connect to it, and copies nothing from there', () => {
     const all = endpoints()
     at(all, 1).prefixes.note(prompt.slice(0, 1), 0)
-    at(all, 1).others = { unread: [], running: 0, strain: 0, unreachable: 1 }
+    at(all, 1).others = { unread: [], running: 0, strain: 0, sensitive: 0, unreachable: 1 }
     const chosen = choose({ ...demand, sources: all }, all, LATER)
     expect(chosen?.endpoint).not.toBe(at(all, 1))
     expect(chosen?.source).toBeUndefined()
@@ -52,14 +64,14 @@
   it('keeps to it where many others have work there: what a few can not reach may be cut off from these alone', () => {
     const all = endpoints()
     at(all, 1).prefixes.note(prompt.slice(0, 1), 0)
-    at(all, 1).others = { unread: [], running: 12, strain: 0, unreachable: 1 }
+    at(all, 1).others = { unread: [], running: 12, strain: 0, sensitive: 0, unreachable: 1 }
     expect(choose(demand, all, LATER)?.endpoint).toBe(at(all, 1))
   })
 
   it('does not let a request overtake the one that is still reading the parts that both share', () => {
     const all = endpoints(1)
     const first = choose(demand, all, LATER)
-    at(all, 0).begin({ prompt, unreadTokens: 16_000, urgency: first?.urgency ?? -1, strain: 0 }, LATER)
+    at(all, 0).begin({ prompt, unreadTokens: 16_000, urgency: first?.urgency ?? -1, strain: 0, isSensitive: false }, LATER)
     const short: PromptPart[] = [{ id: 'subject', tokens: 13_000 }, { id: 'another', tokens: 500 }]
     const second = choose({ ...demand, prompt: short }, all, LATER + 10)
     expect(second).toMatchObject({ unreadTokens: 500, urgency: first?.urgency })
@@ -140,7 +152,7 @@
 
   it('takes no more to an engine than its slots, but for what is most urgent or has begun', () => {
     const all = endpoints(1)
-    at(all, 0).others = { unread: [], running: 62, strain: 0, unreachable: 0 }
+    at(all, 0).others = { unread: [], running: 62, strain: 0, sensitive: 0, unreachable: 0 }
     expect(choose(demand, all, LATER)).toBeUndefined()
     expect(choose({ ...demand, tier: 0 }, all, LATER)).toBeDefined()
     expect(choose({ ...demand, isResumed: true }, all, LATER)).toBeDefined()
@@ -151,21 +163,21 @@
     const [silent] = endpoints(1)
     if (silent === undefined) throw new Error('no endpoint')
     silent.description = { ...silent.description, slots: 0 }
-    silent.others = { unread: [], running: 5, strain: 0, unreachable: 0 }
+    silent.others = { unread: [], running: 5, strain: 0, sensitive: 0, unreachable: 0 }
     expect(choose(demand, [silent], LATER)?.cost).toBeGreaterThan(0)
   })
 
   it('leaves an engine before its slots are taken', () => {
     const all = endpoints(2)
     at(all, 0).prefixes.note(SHORT, 0)
-    at(all, 0).others = { unread: [], running: 55, strain: 0, unreachable: 0 }
+    at(all, 0).others = { unread: [], running: 55, strain: 0, sensitive: 0, unreachable: 0 }
     expect(choose({ ...demand, prompt: SHORT }, all, LATER)?.endpoint).toBe(at(all, 1))
     expect(choose({ ...demand, prompt: SHORT }, all, LATER, { ...DEFAULT_WEIGHTS, full: 0 })?.endpoint).toBe(at(all, 0))
   })
 
   it('counts as ahead only what is as urgent', () => {
     const all = endpoints(1)
-    at(all, 0).begin({ prompt: [{ id: 'long', tokens: 36_000 }], unreadTokens: 36_000, urgency: 5, strain: 0 }, LATER)
+    at(all, 0).begin({ prompt: [{ id: 'long', tokens: 36_000 }], unreadTokens: 36_000, urgency: 5, strain: 0, isSensitive: false }, LATER)
     const [short] = weigh({ ...demand, prompt: SHORT }, all, LATER)
     const [long] = weigh({ ...demand, prompt: [{ id: 'own', tokens: 9000 }] }, all, LATER)
     expect(short).toMatchObject({ urgency: 3 })
--- a/routing/balancer/test/endpoint-state.test.ts
+++ b/routing/balancer/test/endpoint-state.test.ts
@@ -4,7 +4,7 @@
 const endpoint = () => new EndpointState({ incarnation: 'i-1', service: 'lm', address: '127.0.0.1:9000', dataCentre: 'dc1', slots: 64 })
 
 function prompt (tokens: number, urgency = 0): SentPrompt {
-  return { prompt: [{ id: `p-${tokens}`, tokens }], unreadTokens: tokens, urgency, strain: 0 }
+  return { prompt: [{ id: `p-${tokens}`, tokens }], unreadTokens: tokens, urgency, strain: 0, isSensitive: false }
 }
 
 describe('an endpoint that is silent', () => {
@@ -66,7 +66,8 @@
     state.begin(prompt(2000, 4), 0)
     const begun = state.begin(prompt(4000, 1), 0)
     begun.hasBegun = true
-    state.others = { unread: [{ urgency: 1, tokens: 500 }, { urgency: 7, tokens: 9000 }], running: 3, strain: 0.5, unreachable: 0 }
+    const unread = [{ urgency: 1, tokens: 500 }, { urgency: 7, tokens: 9000 }]
+    state.others = { unread, running: 3, strain: 0.5, sensitive: 0, unreachable: 0 }
     expect([state.tokensAhead(0), state.tokensAhead(1), state.tokensAhead(5), state.backlogTokens]).toEqual([0, 1500, 3500, 12_500])
     expect(state.ownUnread()).toEqual([{ urgency: 1, tokens: 1000 }, { urgency: 4, tokens: 2000 }])
     expect(state.running).toBe(6)
@@ -78,7 +79,7 @@
   it('is there only once what waits to be read before it has been read, whoever sent it', () => {
     const endpoint = new EndpointState({ incarnation: 'i', service: 's', address: '127.0.0.1:1', dataCentre: 'east', slots: 64 })
     const parts = [{ id: 'subject', tokens: 13_000 }]
-    endpoint.others = { unread: [{ urgency: 3, tokens: 90_000 }], running: 9, strain: 0, unreachable: 0 }
+    endpoint.others = { unread: [{ urgency: 3, tokens: 90_000 }], running: 9, strain: 0, sensitive: 0, unreachable: 0 }
     endpoint.noteKept(parts, 0)
     expect(endpoint.prefixes.copyableTokens(parts, 2000)).toBe(0)
     expect(endpoint.prefixes.copyableTokens(parts, 4000)).toBe(13_000)
--- a/routing/balancer/test/reading-observer.test.ts
+++ b/routing/balancer/test/reading-observer.test.ts
@@ -43,7 +43,7 @@
   it('comes from the attempts of an endpoint', () => {
     const endpoint = new EndpointState({ incarnation: 'i', service: 's', address: '127.0.0.1:1', dataCentre: 'east', slots: 64 })
     for (let attempt = 0; attempt < 100; attempt++) {
-      const work = endpoint.begin({ prompt: [], unreadTokens: 4000, urgency: 0, strain: 0 }, 0)
+      const work = endpoint.begin({ prompt: [], unreadTokens: 4000, urgency: 0, strain: 0, isSensitive: false }, 0)
       endpoint.sampleReading(5)
       endpoint.noteEvents(work, 100)
       endpoint.end(work, 'good', 100)
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -70,6 +70,8 @@
   running: count,
   /** How little their streams bear that prompts are read beside them, added up. */
   strain: z.number(),
+  /** Streams there that bear short pauses only and read little themselves. */
+  sensitive: count,
   /** Entries that could not connect there lately, or met another process at its address. */
   unreachable: count
 })
