--- a/entry/gateway/test/stand-in.ts
+++ b/entry/gateway/test/stand-in.ts
@@ -9,6 +9,8 @@
 
 export type Behaviour = (request: IncomingMessage, response: ServerResponse, body: string) => void
 
+/** One window holds all that a test does. */
+export const USAGE_WINDOW_MS = 1_000_000_000_000
 const LINK_KEY = 'a-shared-key-for-loopback'
 const ANY_ADDRESS = '127.0.0.1:0'
 
@@ -81,7 +83,8 @@
       graceMs: 6000,
       retryRatio: 1,
       retryWindowMs: 1000,
-      retrySlack: 50
+      retrySlack: 50,
+      usageWindowMs: USAGE_WINDOW_MS
     }, { write: (line) => this.lines.push(line) })
     await this.control.start()
     for (const standIn of this.standIns) await standIn.start()
