fix(gateway): nothing is refused for a wait at which less urgent requests are taken

Change: a request is refused only beyond the longest target among the routes of its services that are no more urgent.

--- a/config/document/src/route-table.ts
+++ b/config/document/src/route-table.ts
@@ -4,6 +4,7 @@
 export class RouteTable {
   private readonly services: Map<string, ServiceDescription>
   private readonly organisations = new Map<string, OrganisationDescription>()
+  private readonly longestTargets = new Map<string, number>()
   private readonly routes = new Map<string, Map<string, Route>>()
 
   constructor (readonly document: RoutingDocument) {
@@ -34,6 +35,22 @@
     return undefined
   }
 
+  /**
+   * The longest target, in ms, among a route and those of the same services that are no more urgent. Nothing is refused for
+   * a wait at which less urgent requests are still taken.
+   */
+  longestTargetMs (route: Route): number {
+    const known = this.longestTargets.get(route.name)
+    if (known !== undefined) return known
+    const services = new Set(route.split.map(({ service }) => service))
+    const targets = this.document.routes
+      .filter(({ tier, split }) => tier >= route.tier && split.some(({ service }) => services.has(service)))
+      .map(({ targetMs }) => targetMs)
+    const longest = Math.max(route.targetMs, ...targets)
+    this.longestTargets.set(route.name, longest)
+    return longest
+  }
+
   organisationOf (key: string): OrganisationDescription | undefined {
     return this.organisations.get(key)
   }
--- a/entry/gateway/src/attempt-policy.ts
+++ b/entry/gateway/src/attempt-policy.ts
@@ -42,16 +42,19 @@
   call: Call
   history: AttemptHistory
   budget: RetryBudget
+  /** For how long a wait requests that are no more urgent than this one are still taken, in ms. */
+  patienceMs: number
 }
 
 /**
  * Refuses what has not been sent and would be late by so much that it had better come back: served late it earns little
- * and makes those behind it late too. The most urgent are never refused so.
+ * and makes those behind it late too. The most urgent are never refused so, and none for a wait at which less urgent ones
+ * are still taken.
  */
-export function admit ({ call, history }: RequestState, { waitMs }: Candidate): Admission {
+export function admit ({ call, history, patienceMs }: RequestState, { waitMs }: Candidate): Admission {
   const { tier, prompt, route } = call
   const isBound = history.mayHaveRun || prompt.length === 0 || tier === 0
-  if (isBound || waitMs <= HOPELESS_TARGETS * route.targetMs) return { type: 'send' }
+  if (isBound || waitMs <= HOPELESS_TARGETS * patienceMs) return { type: 'send' }
   return { type: 'refuse', why: `the first event would take ${Math.round(waitMs)} ms of ${route.targetMs}`, afterMs: waitMs - route.targetMs }
 }
 
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -82,7 +82,8 @@
   }
 
   private get state (): RequestState {
-    return { call: this.call, history: this.history, budget: this.services.budget }
+    const { call, history, services } = this
+    return { call, history, budget: services.budget, patienceMs: services.view.table?.longestTargetMs(call.route) ?? call.route.targetMs }
   }
 
   private get choiceOptions (): EndpointChoiceOptions {
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -48,7 +48,7 @@
     documentVersion: 1
   }
   const budget = new RetryBudget({ ratio: 0, windowMs: 10_000, slack, entries: () => 1 })
-  return { call, history: new AttemptHistory(call), budget }
+  return { call, history: new AttemptHistory(call), budget, patienceMs: TARGET_MS }
 }
 
 const endpoint = new EndpointState({ incarnation: 'i-1', service: 's', address: '127.0.0.1:1', dataCentre: 'east', slots: 4 })
@@ -73,6 +73,12 @@
     expect(admit(stateOf(), { ...candidate, waitMs: TARGET_MS / 2 })).toEqual({ type: 'send' })
   })
 
+  it('refuses nothing for a wait at which less urgent requests are still taken', () => {
+    const state = { ...stateOf(), patienceMs: 2 * TARGET_MS }
+    expect(admit(state, { ...candidate, waitMs: 1.5 * TARGET_MS })).toEqual({ type: 'send' })
+    expect(admit(state, { ...candidate, waitMs: 3 * TARGET_MS })).toMatchObject({ type: 'refuse' })
+  })
+
   it('refuses neither the most urgent nor what may have run already', () => {
     expect(admit(stateOf({ tier: 0 }), { ...candidate, waitMs: 3 * TARGET_MS })).toEqual({ type: 'send' })
     const state = stateOf()
