feat: types of regions, cold endpoints, scaling and eligibility, agreed before their parts

Cause: the document, leases and settings drop what two new customers state: allowed regions, the rate a cold endpoint bears, scaling, regions of data centres. Rules of who may have a request had no place of their own. Ruled out: one filter in each part's own code, since a request would then be refused without the reason of the others. Change: optional fields only; no rule is in force yet, so that behaviour is the same.

--- a/config/document/src/model.ts
+++ b/config/document/src/model.ts
@@ -31,7 +31,9 @@
   /** The longest pause between events that is in time; none where the route sets none. */
   pauseMs: positive.optional(),
   /** Whether requests name the shared parts of their prompts. */
-  hasPromptParts: z.boolean()
+  hasPromptParts: z.boolean(),
+  /** The regions in which its requests may be served; any where it names none. */
+  allowedRegions: z.array(z.string()).optional()
 })
 
 /** What is known of the engines behind a service. */
@@ -41,7 +43,25 @@
   /** Tokens that the memory of one engine holds. */
   memoryTokens: count,
   /** Whether an engine copies what another one keeps of a prompt when it is told which. */
-  copiesPrefixes: z.boolean().default(false)
+  copiesPrefixes: z.boolean().default(false),
+  /** Bytes that a copy moves for each token. */
+  bytesPerToken: z.number().min(0).default(0)
+})
+
+/** How many requests an endpoint bears while it is cold: after its start, or whenever it says so. */
+export const coldLimitSchema = z.object({
+  /** Requests within any second, from all boxes together. */
+  perSecond: positive,
+  /** For how long an endpoint is usually cold after its start, in ms. */
+  startMs: z.number().min(0)
+})
+
+/** How many endpoints a service may have in each data centre, where the system orders them. */
+export const scalingSchema = z.object({
+  min: count,
+  max: count,
+  /** From the order of an endpoint until it serves, in ms. */
+  bootMs: z.number().min(0)
 })
 
 export const serviceSchema = z.object({
@@ -49,14 +69,20 @@
   healthPath: z.string(),
   /** Connections that one endpoint takes from all callers together. */
   maxConnections: z.number().int().min(1),
-  engine: engineSchema.optional()
+  engine: engineSchema.optional(),
+  /** None where cold endpoints bear as much as others. */
+  coldLimit: coldLimitSchema.optional(),
+  /** None where the system orders no endpoints. */
+  scaling: scalingSchema.optional()
 })
 
 export const organisationSchema = z.object({
   name: z.string(),
   keys: z.array(z.string()),
   /** Rank that goes before that of a route; none where the route decides. */
-  tier: count.optional()
+  tier: count.optional(),
+  /** The regions in which its requests may be served; any where it names none. Both this and a route's list bind. */
+  allowedRegions: z.array(z.string()).optional()
 })
 
 export const limitsSchema = z.object({
@@ -75,6 +101,8 @@
 })
 
 export type RouteKind = z.infer<typeof routeKindSchema>
+export type ColdLimit = z.infer<typeof coldLimitSchema>
+export type Scaling = z.infer<typeof scalingSchema>
 export type Split = z.infer<typeof splitSchema>
 export type Route = z.infer<typeof routeSchema>
 export type ServiceDescription = z.infer<typeof serviceSchema>
--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -34,6 +34,21 @@
   linkPort: z.number().int().positive().optional()
 }
 
+const DEFAULT_COLD_OVERRUN = 1
+const DEFAULT_COLD_SLACK = 0
+
+/** Where data centres lie. */
+const regionsSchema = {
+  /** The region of each data centre; those that are not named lie in one region together. */
+  regions: z.record(nameSchema, nameSchema).optional()
+}
+
+/** How strictly cold endpoints are spared: at most rate x overrun + slack requests in any second, over all boxes. */
+const coldSettingsSchema = z.strictObject({
+  overrun: z.number().min(1).default(DEFAULT_COLD_OVERRUN),
+  slack: z.number().min(0).default(DEFAULT_COLD_SLACK)
+})
+
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 const DEFAULT_BODY_TIMEOUT_MS = 10_000
 const DEFAULT_MAX_QUEUED = 5000
@@ -59,6 +74,7 @@
 /** An entry that reaches endpoints directly, by a routing document and leases. */
 export const gatewaySettingsSchema = z.strictObject({
   ...processSchema,
+  ...regionsSchema,
   /** Where a balancer asks whether the process takes connections. */
   readiness: addressSchema,
   /** Control processes to ask first; they name the others. */
@@ -114,6 +130,7 @@
 
 export const controlSettingsSchema = z.strictObject({
   ...processSchema,
+  ...regionsSchema,
   /** This process's identity in the quorum; a box whose disk was lost takes a new one. */
   member: nameSchema,
   dataFolder: z.string().min(1),
@@ -136,6 +153,8 @@
   /** The share of that time after which a member that has just started stands for election. */
   firstElectionShare: z.number().positive().max(1).default(1),
   usage: usageSettingsSchema.optional(),
+  /** How far cold endpoints may be loaded beyond the rate that their service names; not at all where it is not given. */
+  cold: coldSettingsSchema.optional(),
   /** The bearer token that operators show. */
   operatorToken: z.string().min(MIN_KEY_CHARACTERS, { error: `at least ${MIN_KEY_CHARACTERS} characters` })
 }).refine(({ members, seeds }) => Object.keys(members).length + seeds.length > 0, { path: ['members'], error: 'members, or seeds to join' })
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -1,7 +1,8 @@
 /** Puts the choice of an endpoint for one request: which endpoints it may have, and what the policy must know. */
-import { choose, type Candidate } from '@gullwall/routing.balancer'
+import { choose, type Candidate, type EndpointState } from '@gullwall/routing.balancer'
 import { type AttemptHistory } from './attempt-history.ts'
 import { type Call } from './call.ts'
+import { whyNotEligible } from './eligibility.ts'
 import { type GatewayServices } from './index.ts'
 
 /** After a start, other entries are taken to have sent prompts to their homes for so long, in ms. */
@@ -19,7 +20,7 @@
 export function chooseEndpoint ({ services, call, history, isResumed }: EndpointChoiceOptions): Candidate | undefined {
   const { view, settings, weights, startedAt } = services
   const service = pickService(services, call)
-  const usable = view.usable(service)
+  const usable = eligibleEndpoints(services, call, service)
   const engine = view.table?.service(service)?.engine
   const now = performance.now()
   return choose({
@@ -38,22 +39,31 @@
   }, usable, now, weights)
 }
 
+/** The endpoints of a service that take work and that no rule keeps this request from. */
+function eligibleEndpoints ({ view, eligibility }: GatewayServices, call: Call, service: string): EndpointState[] {
+  return view.usable(service).filter((endpoint) => whyNotEligible(eligibility, endpoint, call) === undefined)
+}
+
 /** Whether a request is a stream that is sensitive to reading, and reads little itself. */
 export function isSensitive ({ view }: GatewayServices, { route }: Call, service: string): boolean {
   return view.reserved.isSensitive({ route: route.name, pauseMs: route.pauseMs }, service)
 }
 
 /** Why no endpoint was chosen. */
-export function whyNone ({ services: { view }, call, history }: EndpointChoiceOptions): string {
+export function whyNone ({ services: { view, eligibility }, call, history }: EndpointChoiceOptions): string {
   const usable = call.route.split.flatMap(({ service }) => view.usable(service))
+  const reasons = usable.map((endpoint) => whyNotEligible(eligibility, endpoint, call))
+  const [first] = reasons
+  if (first !== undefined && reasons.every((why) => why !== undefined)) return `no endpoint may have it: ${first}`
   const isUntried = usable.some(({ description }) => !history.excluded.has(description.incarnation))
   return isUntried ? 'the slots of all endpoints are taken' : 'no endpoint takes work'
 }
 
 /** One of the route's services by weight; one without endpoints gives way to the others. */
-function pickService ({ view }: GatewayServices, { route }: Call): string {
+function pickService (services: GatewayServices, call: Call): string {
+  const { route } = call
   const weighed = route.split.filter((part) => part.weight > 0)
-  const able = weighed.filter((part) => view.usable(part.service).length > 0)
+  const able = weighed.filter((part) => eligibleEndpoints(services, call, part.service).length > 0)
   const parts = able.length > 0 ? able : weighed
   let draw = Math.random() * parts.reduce((sum, part) => sum + part.weight, 0)
   for (const part of parts) {
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -12,6 +12,7 @@
 import { ControlLinks } from './control-links.ts'
 import { DeploymentView } from './deployment-view.ts'
 import { type CallDialect } from './dialect.ts'
+import { type EligibilityRules } from './eligibility.ts'
 import { Ingress } from './ingress.ts'
 import { gatewayMetrics, type GatewayMetrics } from './metrics.ts'
 import { nativeDialect } from './native-dialect.ts'
@@ -37,6 +38,7 @@
   spreader: Spreader
   connections: Connections
   view: DeploymentView
+  eligibility: EligibilityRules
   budget: RetryBudget
   controlLinks: ControlLinks
   workExchange: WorkExchange
@@ -70,6 +72,7 @@
     .service('spreader', ({ store }) => new Spreader(store, { takes: true }))
     .service('connections', () => new Connections())
     .service('view', (services) => new DeploymentView(services))
+    .service('eligibility', () => ({ places: [], endpoints: [] }))
     .service('budget', (services) => createBudget(services))
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('workExchange', (services) => new WorkExchange(services))
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -55,6 +55,8 @@
   dataCentre: z.string(),
   slots: count,
   state: z.enum(['ready', 'draining', 'gone']),
+  /** For how much longer the endpoint is cold, in ms, when the heartbeat was sent; none where it does not say. */
+  coldMs: z.number().min(0).optional(),
   /** Grows with every heartbeat, so that a late one is recognised. */
   sequence: count,
   /** How long ago the heartbeat arrived, in ms, when the message was sent. */
@@ -82,6 +84,15 @@
   parts: z.array(z.object({ id: z.string(), tokens: count }))
 })
 
+/** Leave to send requests to a cold endpoint. */
+export const coldGrantSchema = z.object({
+  incarnation: z.string(),
+  /** How many requests may be sent; 0 where there is no leave now. */
+  requests: count,
+  /** Within which time of asking they are sent, in ms; or, without leave, after which time to ask again. */
+  withinMs: z.number().min(0)
+})
+
 /** What an entry saw of how an endpoint reads prompts. */
 export const observationSchema = z.object({
   incarnation: z.string(),
@@ -180,6 +191,9 @@
   /** Asks a peer for what its entries have told of one window. */
   usageOf: z.object({ kind: z.literal('usageOf'), window: count }),
   usageParts: z.object({ kind: z.literal('usageParts'), sources: z.array(usageSourceSchema) }),
+  /** An entry asks for leave to send to cold endpoints; a control process that does not grant passes it to the one that does. */
+  coldAsk: z.object({ kind: z.literal('coldAsk'), entry: z.string(), incarnations: z.array(z.string()) }),
+  coldGranted: z.object({ kind: z.literal('coldGranted'), grants: z.array(coldGrantSchema) }),
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
   // Among control processes: the quorum protocol. `to` is the incarnation that the sender takes the receiver for.
@@ -231,6 +245,7 @@
 export type WorkSummary = z.infer<typeof workSchema>
 export type UnreadTokens = WorkSummary['unread'][number]
 export type Holding = z.infer<typeof holdingSchema>
+export type ColdGrant = z.infer<typeof coldGrantSchema>
 export type Observation = z.infer<typeof observationSchema>
 export type Reading = z.infer<typeof readingSchema>
 export type UsageCount = z.infer<typeof usageCountSchema>
