feat(control): counts of usage survive a kill of all processes, and no stale report is sent after a freeze

Cause: gateways told their counts each second and control kept them in memory, so that a kill of all processes lost the window under way and the one before; a holder that froze while its connection was made sent its report once it woke. Ruled out: counts in the replicated log (an entry and three syncs for each telling); with each word of work (a gateway without work tells none). Change: counts are told within 100 ms and kept on each control process's disk within 100 ms; the fence's time is looked at in the moment in which a report is written. The tests were written with the change and not run on the code before. Not measured yet.

--- a/control/program/src/usage-reporter.ts
+++ b/control/program/src/usage-reporter.ts
@@ -2,13 +2,14 @@
  * Reports the usage of each window of the wall clock, once, from whichever control process holds the duty lease. What is
  * reported is decided in the replicated log before it is sent: whoever takes over sends the same.
  */
-import { endOfWindow, SteadyWallClock, UsageTable, windowAt } from '@gullwall/control.usage'
+import { endOfWindow, SteadyWallClock, UsageTable, windowAt, type SourceWindow } from '@gullwall/control.usage'
 import { type UsageReport } from '@gullwall/control.state'
 import { messageOf } from '@gullwall/core.error'
 import { type Link } from '@gullwall/transport.link'
 import { type MessageOf } from '@gullwall/transport.messages'
 import { DutyLease, type Fence } from './duty-lease.ts'
 import { type ControlServices } from './index.ts'
+import { UsageStore } from './usage-store.ts'
 
 /** How often the holder looks whether a report can be sent, in ms. */
 const LOOK_MS = 250
@@ -21,6 +22,9 @@
 const FIRST_BACKOFF_MS = 300
 const MAX_BACKOFF_MS = 2000
 
+/** The counts of so many windows are kept on the disk: the one under way, the one before and one whose report is late. */
+const KEPT_WINDOWS = 3
+
 /** What is known of a window's usage, and whether every peer has answered. */
 interface Gathered {
   isComplete: boolean
@@ -31,6 +35,9 @@
   private readonly clock = new SteadyWallClock()
   private readonly startedAt = this.clock.now()
   private readonly lease: DutyLease
+  private readonly store: UsageStore
+  /** The starts of entries that have told this process, now or before its restart. */
+  private readonly localSources = new Set<string>()
   private timer: NodeJS.Timeout | undefined
   private isBusy = false
   private backoffMs = FIRST_BACKOFF_MS
@@ -42,20 +49,29 @@
       leadingTerm: () => services.quorum.role === 'leader' ? services.quorum.status().term : undefined,
       confirm: async () => await services.quorum.confirmRead()
     })
+    this.store = new UsageStore({ services, take: () => this.takeKept() })
   }
 
-  start (): void {
+  async start (): Promise<void> {
     if (this.services.settings.usage === undefined || this.services.usageSink === undefined) return
+    for (const { source, window, counts } of await this.store.read()) {
+      this.localSources.add(source)
+      this.table.merge(source, [{ window, counts }])
+    }
     this.timer = setInterval(() => { void this.look() }, LOOK_MS)
   }
 
   stop (): void {
     clearInterval(this.timer)
+    this.store.stop()
   }
 
   /** Takes what an entry has counted. */
   fromEntry ({ peer }: Link, { windows }: MessageOf<'usage'>): void {
-    this.table.merge(`${peer.name}/${peer.startId}`, windows)
+    const source = `${peer.name}/${peer.startId}`
+    this.localSources.add(source)
+    this.table.merge(source, windows)
+    if (this.services.settings.usage !== undefined) this.store.changed()
   }
 
   /** Answers a peer that holds the lease. */
@@ -63,6 +79,14 @@
     return { kind: 'usageParts', sources: this.table.sourcesOf(window) }
   }
 
+  /** What is written to the disk; sources without counts in any kept window are forgotten. */
+  private takeKept (): SourceWindow[] {
+    const kept = this.table.newest(KEPT_WINDOWS, (source) => this.localSources.has(source))
+    this.localSources.clear()
+    for (const { source } of kept) this.localSources.add(source)
+    return kept
+  }
+
   private async look (): Promise<void> {
     if (this.isBusy || this.services.quorum.role !== 'leader' || performance.now() < this.nextTryAt) return
     this.isBusy = true
@@ -119,10 +143,10 @@
     return { isComplete: parts.length >= others }
   }
 
-  private async deliver (report: UsageReport, { token }: Fence): Promise<void> {
+  private async deliver (report: UsageReport, { token, validUntil }: Fence): Promise<void> {
     const { settings, usageSink, proposer, logger } = this.services
     const { window, counts } = report
-    const outcome = await usageSink?.deliver({ window, counts, holder: settings.box, token }) ?? { type: 'failed', why: 'no sink' }
+    const outcome = await usageSink?.deliver({ window, counts, holder: settings.box, token, validUntil }) ?? { type: 'failed', why: 'no sink' }
     const facts = { channel: 'usage', window, token } as const
     switch (outcome.type) {
       case 'delivered':
@@ -134,6 +158,9 @@
         this.lease.noteRefused(token)
         logger.warn({ ...facts, event: 'fenced', why: 'a higher fencing token was seen; this term reports no more' })
         break
+      case 'expired':
+        logger.warn({ ...facts, event: 'postponed', why: 'the time of the fence was over before it was sent' })
+        break
       case 'failed':
         logger.warn({ ...facts, event: 'postponed', why: outcome.why })
         this.backOff()
--- a/control/program/src/usage-sink.ts
+++ b/control/program/src/usage-sink.ts
@@ -5,12 +5,16 @@
 export interface FencedReport extends Pick<UsageReport, 'window' | 'counts'> {
   holder: string
   token: number
+  /** From then on nothing is sent under this token, by the monotonic clock. */
+  validUntil: number
 }
 
 export type DeliveryOutcome =
   | { type: 'delivered' }
   /** A higher token has been seen; this one is of no use any more. */
   | { type: 'fenced' }
+  /** It was not sent, since its time was over when it was about to be. */
+  | { type: 'expired' }
   /** It was not taken, or it is not known whether it was; the same report may be sent again. */
   | { type: 'failed', why: string }
 
--- /dev/null
+++ b/control/program/src/usage-store.ts
@@ -0,0 +1,72 @@
+/**
+ * Keeps what the entries here have counted on the disk, so that a window whose report is not decided yet survives a kill of
+ * all processes. Without it such a kill lost the window under way and the one before.
+ */
+import { z } from 'zod'
+import { readChecked, writeChecked } from '@gullwall/control.storage'
+import { type SourceWindow } from '@gullwall/control.usage'
+import { messageOf } from '@gullwall/core.error'
+import { usageCountSchema } from '@gullwall/transport.messages'
+import { type ControlServices } from './index.ts'
+import { PacedAction } from './paced-action.ts'
+
+const FILE = 'usage'
+/** The file is written so often at most, in ms. With what entries have not told yet it is what a kill of all loses. */
+const SAVE_SPACING_MS = 100
+
+const fileSchema = z.array(z.object({ source: z.string(), window: z.number().int().min(0), counts: z.array(usageCountSchema) }))
+
+export interface UsageStoreOptions {
+  services: Pick<ControlServices, 'disk' | 'logger'>
+  /** What is to be kept now. */
+  take: () => SourceWindow[]
+}
+
+export class UsageStore {
+  private readonly saving = new PacedAction(() => SAVE_SPACING_MS, () => { void this.save() })
+  private isSaving = false
+  private isStopped = false
+
+  constructor (private readonly options: UsageStoreOptions) {}
+
+  /** Gives what was kept; nothing where there is no file or it can't be used. */
+  async read (): Promise<SourceWindow[]> {
+    try {
+      const text = await readChecked(this.options.services.disk, FILE)
+      return text === undefined ? [] : fileSchema.parse(JSON.parse(text))
+    } catch (error) {
+      this.warn('the counts on the disk are not used', error)
+      return []
+    }
+  }
+
+  /** Notes that counts have changed. */
+  changed (): void {
+    if (!this.isStopped) this.saving.request()
+  }
+
+  stop (): void {
+    this.isStopped = true
+    this.saving.stop()
+  }
+
+  private async save (): Promise<void> {
+    if (this.isSaving) {
+      this.changed()
+      return
+    }
+    this.isSaving = true
+    try {
+      await writeChecked(this.options.services.disk, FILE, JSON.stringify(this.options.take()))
+    } catch (error) {
+      this.warn('the counts can\'t be written', error)
+      this.changed()
+    } finally {
+      this.isSaving = false
+    }
+  }
+
+  private warn (what: string, error: unknown): void {
+    this.options.services.logger.warn({ channel: 'process', event: 'failed', why: `${what}: ${messageOf(error)}` })
+  }
+}
--- a/control/program/test/usage-reporter.test.ts
+++ b/control/program/test/usage-reporter.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { freeAddresses, until } from '@gullwall/bench.deployment'
 import { type DeliveryOutcome, type FencedReport, type UsageSink } from '@gullwall/control.program'
+import { MemoryDisk, readChecked, writeChecked } from '@gullwall/control.storage'
 import { type Link } from '@gullwall/transport.link'
 import { running, start, stopAll, type Control } from './control-processes.ts'
 
@@ -79,6 +80,43 @@
     expect(Math.max(...holders.keys())).toBe(reports.at(-1)?.token)
   })
 
+  it('has the counts of a window in which all processes were killed', async () => {
+    const sink = new FakeSink()
+    const addresses = await freeAddresses(5)
+    const disks = addresses.map(() => new MemoryDisk())
+    const startAll = async (isAgain: boolean) => await Promise.all(addresses.map(async (address, index) => await start({
+      address, seeds: addresses, usage: USAGE, usageSink: sink, founds: !isAgain, disk: isAgain ? disks[index]?.reopened() : disks[index]
+    })))
+    const controls = await startAll(false)
+    await until('a leader', () => leaderOf(controls) !== undefined, 20_000)
+    const window = currentWindow()
+    for (const [index, control] of controls.entries()) {
+      control.get('usageReporter').fromEntry({ peer: { name: `entry-${index}`, startId: 's' } } as unknown as Link, {
+        kind: 'usage', windows: [{ window, counts: [{ organisation: 'a', begun: index + 1 }] }]
+      })
+    }
+    await until('the counts are written', async () => {
+      const kept = await Promise.all(disks.map(async (disk) => await readChecked(disk, 'usage')))
+      return kept.every((text) => text?.includes('"begun"') === true)
+    })
+    await stopAll()
+    const again = await startAll(true)
+    // An entry that lives on tells all of its counts again; they are the same counts.
+    again[0]?.get('usageReporter').fromEntry({ peer: { name: 'entry-0', startId: 's' } } as unknown as Link, {
+      kind: 'usage', windows: [{ window, counts: [{ organisation: 'a', begun: 1 }] }]
+    })
+    await until('reports', () => sink.of(window).length > 0, 20_000)
+    expect(sink.of(window)[0]?.counts).toEqual([{ organisation: 'a', begun: 15 }])
+  })
+
+  it('starts without counts where the file means nothing', async () => {
+    const disk = new MemoryDisk()
+    await writeChecked(disk, 'usage', '{"no":"counts"}')
+    const [address = ''] = await freeAddresses(1)
+    const control = await start({ address, seeds: [address], disk, usage: USAGE, usageSink: new FakeSink() })
+    expect(control.get('usageReporter').partsOf(currentWindow()).sources).toEqual([])
+  })
+
   it('is not sent again under a token that was refused', async () => {
     const sink = new FakeSink()
     sink.answer = () => ({ type: 'fenced' })
--- a/control/usage/src/usage-table.ts
+++ b/control/usage/src/usage-table.ts
@@ -9,6 +9,11 @@
 
 type Counts = Map<string, number>
 
+/** What one source has told of one window. */
+export interface SourceWindow extends UsageSource {
+  window: number
+}
+
 export class UsageTable {
   private readonly windows = new Map<number, Map<string, Counts>>()
 
@@ -35,6 +40,12 @@
       .sort((left, right) => left.organisation < right.organisation ? -1 : 1)
   }
 
+  /** What some of the sources have told of the newest windows. */
+  newest (windows: number, isMeant: (source: string) => boolean): SourceWindow[] {
+    const newest = [...this.windows.keys()].sort((left, right) => right - left).slice(0, windows)
+    return newest.flatMap((window) => this.sourcesOf(window).filter(({ source }) => isMeant(source)).map((told) => ({ ...told, window })))
+  }
+
   private mergeWindow (source: string, window: number, told: readonly UsageCount[]): void {
     const sources = this.windows.get(window) ?? new Map<string, Counts>()
     this.windows.set(window, sources)
--- a/entry/gateway/src/usage-teller.ts
+++ b/entry/gateway/src/usage-teller.ts
@@ -3,8 +3,8 @@
 import { type Link } from '@gullwall/transport.link'
 import { type GatewayServices } from './index.ts'
 
-/** How often new counts are told, in ms: what is lost with a process is what it counted since. */
-const TELL_MS = 1000
+/** How often new counts are told at most, in ms: what is lost with a process is what it counted since. */
+const TELL_MS = 100
 
 export class UsageTeller {
   private readonly counter = new UsageCounter()
