perf(gateway): ports are open before the program is loaded, and a process that starts is said to take requests

Cause: after all gateways were without power their callers were refused until the program was loaded, most of a start (0.2 of 0.33 s of processor time, four times that on a quarter of a core), and a balancer that asks each second and is told 'not yet' comes back a second later, though requests were held already. Ruled out: an earlier listen inside the program, since the loading itself takes the time. Change: the loader opens the addresses of its command line, the program takes them over with what waits there; the readiness address says that requests are taken in the first 0.8 s, in which they are held.

--- a/entry/gateway/src/admin.ts
+++ b/entry/gateway/src/admin.ts
@@ -4,6 +4,7 @@
 import { linkMetrics } from '@gullwall/transport.link'
 import { beliefGauges } from './metrics.ts'
 import { type GatewayServices } from './index.ts'
+import { isStartingUp } from './start-up.ts'
 
 export class GatewayAdmin {
   address = ''
@@ -40,11 +41,18 @@
     return this.services.ingress.isStopping ? 'stopping' : this.services.controlLinks.notReady()
   }
 
+  /** Why the balancer should send nothing here; a process that has just started takes requests and holds them. */
+  private takesNothing (): string | undefined {
+    const why = this.notReady()
+    const isHolding = !this.services.ingress.isStopping && isStartingUp(performance.now(), this.services.startedAt)
+    return isHolding ? undefined : why
+  }
+
   /** Whatever the path: the balancer only looks at the status. */
   private readinessApp (): Koa {
     const app = new Koa()
     app.use((context) => {
-      const why = this.notReady()
+      const why = this.takesNothing()
       context.status = why === undefined ? 200 : 503
       context.body = why ?? 'ready'
     })
--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -1,11 +1,12 @@
 /** The server for callers: reads requests, answers what needs no endpoint, and stops without cutting anything off. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { splitAddress } from '@gullwall/config.settings'
-import { GullwallError, messageOf } from '@gullwall/core.error'
+import { messageOf } from '@gullwall/core.error'
+import { listenOn } from '@gullwall/transport.http-server'
 import { CallerAnswer, type ErrorAnswer } from './answer.ts'
 import { resolveCall, type Refusal } from './call.ts'
 import { Forwarding } from './forward.ts'
 import { type GatewayServices } from './index.ts'
+import { heldUntil } from './start-up.ts'
 
 /** Header bytes beyond the document's limit, for what the limit is not meant for, such as the request line. */
 const HEADER_MARGIN_BYTES = 16_384
@@ -15,10 +16,6 @@
 const CHECK_MS = 1000
 /** When a caller is asked to come back to a process that is not ready, in ms: another one may be ready by then. */
 const NOT_READY_RETRY_MS = 300
-/** A process that has just started is ready after about so long, in ms (measured: 150 to 450); a request waits for it. */
-const START_UP_MS = 800
-/** So long at most, in ms. */
-const NOT_READY_WAIT_MS = 500
 /** After a stop was asked for, new connections still come for so long, until the balancer has seen it, in ms. */
 const TAKE_ON_MS = 2500
 /** What is kept of the time for a stop, to end in good order, in ms. */
@@ -44,13 +41,7 @@
     }, (request, response) => { void this.serve(request, response) })
     this.applyLimits()
     store.onChange(() => this.applyLimits())
-    const { host, port } = splitAddress(settings.listen)
-    await new Promise<void>((resolve, reject) => {
-      this.server?.once('error', (cause) => {
-        reject(new GullwallError('ERR_GULLWALL_LISTEN', `can't listen on ${settings.listen}`, { step: 'listen', peer: settings.listen, cause }))
-      })
-      this.server?.listen(port, host, resolve)
-    })
+    await listenOn(this.server, settings.listen)
     const info = this.server.address()
     this.address = typeof info === 'object' && info !== null ? `${info.address}:${info.port}` : settings.listen
   }
@@ -107,7 +98,7 @@
       this.refuse(answer, requestId, error)
       return
     }
-    await this.readyWithin(Math.min(arrivedAt + NOT_READY_WAIT_MS, this.services.startedAt + START_UP_MS))
+    await this.readyWithin(heldUntil(arrivedAt, this.services.startedAt))
     const table = view.table
     const notReady = controlLinks.notReady()
     if (table === undefined || notReady !== undefined) {
--- a/tools/code-cache.mjs
+++ b/tools/code-cache.mjs
@@ -1,6 +1,7 @@
 /**
  * Makes the code cache of a bundle: what V8 has compiled after the bundle was loaded once. A process that starts with it
- * compiles nothing. V8 takes a cache only with the options that it was made with.
+ * compiles nothing. V8 takes a cache only with the options that it was made with. The loader also opens the addresses of its
+ * command line before it loads the bundle, which takes most of a start.
  */
 import { execFileSync } from 'node:child_process'
 import { writeFileSync } from 'node:fs'
@@ -10,6 +11,7 @@
 const { dirname, join } = require('node:path')
 const { Script } = require('node:vm')
 const { wrap } = require('node:module')
+const { createServer } = require('node:net')
 
 const filename = join(__dirname, 'NAME.bundle.cjs')
 const cacheFile = join(__dirname, 'NAME.cache')
@@ -22,13 +24,35 @@
   }
 }
 
-const script = new Script(wrap(readFileSync(filename, 'utf8')), { filename, cachedData: readCache() })
-if (process.env.GULLWALL_CODE_CACHE === 'show') console.error(\`code cache \${script.cachedDataRejected === false ? 'taken' : 'not taken'}\`)
-script.runInThisContext().call({}, {}, require, { exports: {} }, filename, dirname(filename))
-if (process.env.GULLWALL_CODE_CACHE === 'make') {
-  require('node:fs').writeFileSync(cacheFile, script.createCachedData())
-  process.exit(0)
+/** Opens an address of the command line; the program takes it over. What connects meanwhile waits and is not read. */
+function openEarly (address, listeners) {
+  const colon = address.lastIndexOf(':')
+  const waiting = []
+  const server = createServer({ allowHalfOpen: true, noDelay: true, pauseOnConnect: true }, (socket) => waiting.push(socket))
+  listeners.set(address, { server, waiting })
+  return new Promise((resolve) => {
+    server.once('listening', resolve)
+    // The program tries to listen by itself and tells why it can't.
+    server.once('error', () => {
+      listeners.delete(address)
+      resolve()
+    })
+    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon))
+  })
 }
+
+function load () {
+  const script = new Script(wrap(readFileSync(filename, 'utf8')), { filename, cachedData: readCache() })
+  if (process.env.GULLWALL_CODE_CACHE === 'show') console.error(\`code cache \${script.cachedDataRejected === false ? 'taken' : 'not taken'}\`)
+  script.runInThisContext().call({}, {}, require, { exports: {} }, filename, dirname(filename))
+  if (process.env.GULLWALL_CODE_CACHE === 'make') {
+    require('node:fs').writeFileSync(cacheFile, script.createCachedData())
+    process.exit(0)
+  }
+}
+
+const listeners = globalThis[Symbol.for('gullwall.earlyListeners')] = new Map()
+Promise.all(process.argv.slice(2).map((address) => openEarly(address, listeners))).then(load)
 `
 
 /** Writes the loader of a bundle, and the cache by running it once without settings. */
--- a/transport/http-server/src/index.ts
+++ b/transport/http-server/src/index.ts
@@ -3,10 +3,10 @@
 import { type AddressInfo } from 'node:net'
 import Koa from 'koa'
 import Router from '@koa/router'
-import { GullwallError } from '@gullwall/core.error'
 import { type Registry } from '@gullwall/core.metrics'
-import { splitAddress } from '@gullwall/config.settings'
+import { listenOn } from './listen.ts'
 
+export * from './listen.ts'
 export { Koa, Router }
 
 /** Connections that send no whole header within this time are closed. */
@@ -31,13 +31,7 @@
 
   /** @throws ERR_GULLWALL_LISTEN if the address can't be had. */
   async listen (address: string): Promise<string> {
-    const { host, port } = splitAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', (cause) => {
-        reject(new GullwallError('ERR_GULLWALL_LISTEN', `can't listen on ${address}`, { step: 'listen', peer: address, cause }))
-      })
-      this.server.listen(port, host, resolve)
-    })
+    await listenOn(this.server, address)
     return this.address
   }
 
--- /dev/null
+++ b/transport/http-server/src/listen.ts
@@ -0,0 +1,49 @@
+/**
+ * Listening on an address, or taking over one that was opened before the program was loaded. Most of a start is the loading
+ * of the program; a caller that connects meanwhile is refused unless its port is open already, and then waits instead.
+ */
+import { type Server as HttpServer } from 'node:http'
+import { type Server, type Socket } from 'node:net'
+import { GullwallError } from '@gullwall/core.error'
+import { splitAddress } from '@gullwall/config.settings'
+
+/** Where a loader leaves the addresses that it has opened, on the global object. */
+export const EARLY_LISTENERS = Symbol.for('gullwall.earlyListeners')
+
+/** An address that a loader has opened. */
+export interface EarlyListener {
+  server: Server
+  /** Connections that have come since; nothing is read from them yet. */
+  waiting: Socket[]
+}
+
+/**
+ * Listens on an address; what has connected to an early listener there is served first.
+ * @throws ERR_GULLWALL_LISTEN if the address can't be had
+ */
+export async function listenOn (server: HttpServer, address: string): Promise<void> {
+  const { host, port } = splitAddress(address)
+  const early = takeEarly(address)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', (cause) => {
+      reject(new GullwallError('ERR_GULLWALL_LISTEN', `can't listen on ${address}`, { step: 'listen', peer: address, cause }))
+    })
+    if (early === undefined) server.listen(port, host, resolve)
+    else server.listen(early.server, resolve)
+  })
+  for (const socket of early?.waiting.splice(0) ?? []) serveWaiting(server, socket)
+}
+
+/** An address is taken over once; a second server would share its port. */
+function takeEarly (address: string): EarlyListener | undefined {
+  const listeners = (globalThis as { [EARLY_LISTENERS]?: Map<string, EarlyListener> })[EARLY_LISTENERS]
+  const early = listeners?.get(address)
+  listeners?.delete(address)
+  return early?.server.listening === true ? early : undefined
+}
+
+function serveWaiting (server: HttpServer, socket: Socket): void {
+  if (socket.destroyed) return
+  server.emit('connection', socket)
+  socket.resume()
+}
