--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -2,9 +2,12 @@
  * Bundles programs into one file each: those of the product into dist/, and with
  * the argument `platform` those for the users' platform into target/.
  */
+import { resolve } from 'node:path'
 import { build } from 'esbuild'
+import { warmUp } from '../platform/adapter/build/warm-up.mjs'
 import { makeCodeCache } from './code-cache.mjs'
 import { leanLibraries } from './lean-libraries.mjs'
+import { NODE_OPTIONS } from './node-options.mjs'
 
 const PRODUCT = {
   gullwall: 'cli/gullwall/src/main.ts',
@@ -24,12 +27,6 @@
 // Libraries in CommonJS form call require(), which an ES module does not have by itself.
 const REQUIRE_SHIM = "import { createRequire as gullwallRequire } from 'node:module'; const require = gullwallRequire(import.meta.url);"
 
-/** The options that the deploy file starts the platform's programs with; a code cache holds for these only. */
-const NODE_OPTIONS = {
-  gateway: ['--max-old-space-size=120', '--max-semi-space-size=2'],
-  control: ['--max-old-space-size=160', '--max-semi-space-size=2']
-}
-
 async function buildProduct (folder) {
   for (const [name, entryPoint] of Object.entries(PRODUCT)) {
     await build({
@@ -64,6 +61,11 @@
     makeCodeCache(folder, name, NODE_OPTIONS[name])
     console.log(`${folder}/${name}.cjs`)
   }
+  try {
+    await warmUp(resolve(folder), NODE_OPTIONS)
+  } catch (error) {
+    console.log(`the code caches hold what is loaded at a start only: ${error.message}`)
+  }
 }
 
 const [, , what, folder] = process.argv
--- a/tools/code-cache.mjs
+++ b/tools/code-cache.mjs
@@ -45,10 +45,12 @@
   const script = new Script(wrap(readFileSync(filename, 'utf8')), { filename, cachedData: readCache() })
   if (process.env.GULLWALL_CODE_CACHE === 'show') console.error(\`code cache \${script.cachedDataRejected === false ? 'taken' : 'not taken'}\`)
   script.runInThisContext().call({}, {}, require, { exports: {} }, filename, dirname(filename))
-  if (process.env.GULLWALL_CODE_CACHE === 'make') {
+  const writeAndEnd = () => {
     require('node:fs').writeFileSync(cacheFile, script.createCachedData())
     process.exit(0)
   }
+  if (process.env.GULLWALL_CODE_CACHE === 'make') writeAndEnd()
+  if (process.env.GULLWALL_CODE_CACHE === 'warm') process.once('SIGUSR2', writeAndEnd)
 }
 
 const listeners = globalThis[Symbol.for('gullwall.earlyListeners')] = new Map()
