feat(gateway): requests stay in the regions that route and organisation allow

Cause: documents carry allowedRegions, and nothing read them. A place rule asks both lists for each candidate of every attempt. Copies follow, since sources are drawn from the same candidates. The watch over a silent endpoint counts only endpoints that the request may have; it gave up attempts for alternatives that no rule allowed. Control refuses a document with a region that its settings do not name; with no table at all every region is unknown, since such requests could only be refused. Ruled out: the check in the format, which a gateway would repeat on an accepted document and then be without it; the limits of the arrival alone, which a request that waits across a change of the document would outlive.

--- a/config/document/src/check.ts
+++ b/config/document/src/check.ts
@@ -14,6 +14,18 @@
   ]
 }
 
+/** Gives every region that a document names and that is not among the known ones: nothing could be served there. */
+export function checkRegions ({ routes, organisations }: RoutingDocument, known: ReadonlySet<string>): Mistake[] {
+  const allowed = known.size > 0 ? `the regions of the settings: ${[...known].sort().join(', ')}` : 'none: the settings name no regions'
+  const mistakesOf = (keyPath: string, regions: readonly string[] = []) => regions.filter((region) => !known.has(region)).map((region) => (
+    mistake(keyPath, `the unknown region ${region}`, allowed)
+  ))
+  return [
+    ...routes.flatMap(({ name, allowedRegions }) => mistakesOf(`routes.${name}.allowedRegions`, allowedRegions)),
+    ...organisations.flatMap(({ name, allowedRegions }) => mistakesOf(`organisations.${name}.allowedRegions`, allowedRegions))
+  ]
+}
+
 function checkServices ({ routes, services }: RoutingDocument): Mistake[] {
   const known = new Set(services.map((service) => service.name))
   return routes.flatMap((route) => route.split.filter((part) => !known.has(part.service)).map((part) => (
--- a/config/document/src/route-table.ts
+++ b/config/document/src/route-table.ts
@@ -6,6 +6,7 @@
   private readonly organisations = new Map<string, OrganisationDescription>()
   private readonly longestTargets = new Map<string, number>()
   private readonly routes = new Map<string, Map<string, Route>>()
+  private readonly routesByName: ReadonlyMap<string, Route>
 
   constructor (readonly document: RoutingDocument) {
     this.services = new Map(document.services.map((service) => [service.name, service]))
@@ -13,6 +14,7 @@
       for (const key of organisation.keys) this.organisations.set(key, organisation)
     }
     for (const route of document.routes) this.addRoute(route)
+    this.routesByName = new Map(document.routes.map((route) => [route.name, route]))
   }
 
   get version (): number {
@@ -35,6 +37,10 @@
     return undefined
   }
 
+  routeNamed (name: string): Route | undefined {
+    return this.routesByName.get(name)
+  }
+
   /**
    * The longest target, in ms, among a route and those of the same services that are no more urgent. Nothing is refused for
    * a wait at which less urgent requests are still taken.
--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -7,6 +7,7 @@
 import { z } from 'zod'
 import { checkToml, orThrow } from '@gullwall/config.checker'
 
+export * from './regions.ts'
 export * from './reload.ts'
 
 /** An address as `IP:port` or `[IPv6]:port`; names are not allowed. */
--- a/control/program/src/documents.ts
+++ b/control/program/src/documents.ts
@@ -1,6 +1,8 @@
 /** Routing documents: taken through the log, read back only when certain to be the newest. */
 import { type Either, Left, Right } from 'purify-ts'
 import { type Mistake } from '@gullwall/config.checker'
+import { checkRegions, type RoutingDocument } from '@gullwall/config.document'
+import { Regions } from '@gullwall/config.settings'
 import { GullwallError } from '@gullwall/core.error'
 import { type DocumentResult, type StoredDocument } from '@gullwall/control.state'
 import { type ControlServices } from './index.ts'
@@ -9,7 +11,11 @@
 const APPLY_TIMEOUT_MS = 700
 
 export class Documents {
-  constructor (private readonly services: ControlServices) {}
+  private readonly regions: Regions
+
+  constructor (private readonly services: ControlServices) {
+    this.regions = new Regions(services.settings.regions)
+  }
 
   /**
    * Has a document accepted; a lower or equal version than the one held changes nothing.
@@ -17,7 +23,7 @@
    */
   async put (text: string): Promise<Either<Mistake[], DocumentResult>> {
     const { format, logger } = this.services
-    const parsed = format.parse(text)
+    const parsed = format.parse(text).chain((document) => this.inKnownRegions(document))
     if (parsed.isLeft()) {
       const mistakes = parsed.swap().orDefault([])
       logger.warn({ channel: 'configuration', event: 'refused', revision: this.services.store.revision, why: firstOf(mistakes) })
@@ -41,6 +47,15 @@
     return state.document
   }
 
+  /**
+   * Checked here alone: an accepted document is in force at every entry, also at one whose settings name the region only
+   * after a reload.
+   */
+  private inKnownRegions (document: RoutingDocument): Either<Mistake[], RoutingDocument> {
+    const mistakes = checkRegions(document, this.regions.names)
+    return mistakes.length === 0 ? Right(document) : Left(mistakes)
+  }
+
   private async applied (revision: number): Promise<void> {
     const { store } = this.services
     if (store.revision >= revision) return
--- a/entry/gateway/src/call.ts
+++ b/entry/gateway/src/call.ts
@@ -1,6 +1,7 @@
 /** One request of a caller, resolved against the routing document. */
 import { type IncomingMessage } from 'node:http'
 import { type OrganisationDescription, type Route, type RouteTable } from '@gullwall/config.document'
+import { regionLimitsOf, type RegionLimits } from './allowed-regions.ts'
 import { type CallDialect, type CallHead } from './dialect.ts'
 
 /** A request with everything that is known of it before it is routed. */
@@ -12,6 +13,8 @@
   body: Buffer | undefined
   route: Route
   organisation: OrganisationDescription | undefined
+  /** Where it may be served; also on a public route the organisation of a key that was given binds. */
+  regionLimits: RegionLimits
   tier: number
   arrivedAt: number
   /** When the caller or the route gives up, by the monotonic clock. */
@@ -52,6 +55,7 @@
     body,
     route,
     organisation: route.isPublic ? undefined : organisation,
+    regionLimits: regionLimitsOf(route, organisation),
     tier: organisation?.tier ?? route.tier,
     arrivedAt,
     deadline: arrivedAt + Math.min(head.waitMs ?? Infinity, route.timeoutMs),
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -44,6 +44,13 @@
   return view.usable(service).filter((endpoint) => whyNotEligible(eligibility, endpoint, call) === undefined)
 }
 
+/** Whether a request that waits at an endpoint could have another one. */
+export function hasAlternative ({ services, call, history }: EndpointChoiceOptions, { description }: EndpointState): boolean {
+  return eligibleEndpoints(services, call, description.service).some(({ description: { incarnation } }) => (
+    incarnation !== description.incarnation && !history.excluded.has(incarnation)
+  ))
+}
+
 /** Whether a request is a stream that is sensitive to reading, and reads little itself. */
 export function isSensitive ({ view }: GatewayServices, { route }: Call, service: string): boolean {
   return view.reserved.isSensitive({ route: route.name, pauseMs: route.pauseMs }, service)
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -7,6 +7,7 @@
 import { createLogger, type Logger } from '@gullwall/core.logger'
 import { type Registry } from '@gullwall/core.metrics'
 import { DEFAULT_WEIGHTS, RetryBudget, type ChoiceWeights } from '@gullwall/routing.balancer'
+import { allowedRegions } from './allowed-regions.ts'
 import { GatewayAdmin, gatewayRegistry } from './admin.ts'
 import { Connections } from './connections.ts'
 import { ControlLinks } from './control-links.ts'
@@ -72,7 +73,7 @@
     .service('spreader', ({ store }) => new Spreader(store, { takes: true }))
     .service('connections', () => new Connections())
     .service('view', (services) => new DeploymentView(services))
-    .service('eligibility', () => ({ places: [], endpoints: [] }))
+    .service('eligibility', (services) => ({ places: [allowedRegions(services)], endpoints: [] }))
     .service('budget', (services) => createBudget(services))
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('workExchange', (services) => new WorkExchange(services))
--- /dev/null
+++ b/entry/gateway/test/allowed-regions.fuzz.test.ts
@@ -0,0 +1,137 @@
+/** Random fleets, documents and histories: whatever is tried, neither an attempt nor a copy leaves the allowed regions. */
+import { expect, it } from 'vitest'
+import fc from 'fast-check'
+import { checkShape, RouteTable, type RoutingDocument } from '@gullwall/config.document'
+import { Regions } from '@gullwall/config.settings'
+import { DEFAULT_WEIGHTS, EndpointState, ReservedEngines } from '@gullwall/routing.balancer'
+import { allowedRegions, regionLimitsOf } from '../src/allowed-regions.ts'
+import { AttemptHistory } from '../src/attempt-history.ts'
+import { type Call } from '../src/call.ts'
+import { chooseEndpoint, hasAlternative, whyNone } from '../src/endpoint-choice.ts'
+import { type GatewayServices } from '../src/index.ts'
+
+const RUNS = Number(process.env['FUZZ_RUNS'] ?? 500)
+const SEED = Number(process.env['FUZZ_SEED'] ?? 11)
+const REGIONS = ['a', 'b', 'c']
+/** Without a list every region is allowed, the unnamed one too. */
+const ANY = [...REGIONS, '']
+const DATA_CENTRES = ['dc0', 'dc1', 'dc2', 'dc3', 'dc4']
+const SLOTS = 8
+const PROMPT = [{ id: 'subject', tokens: 8000 }, { id: 'own', tokens: 500 }]
+
+interface Limits {
+  route: string[] | undefined
+  organisation: string[] | undefined
+}
+
+interface Server {
+  dataCentre: string
+  running: number
+  /** Whether it keeps the shared part of the prompt. */
+  keeps: boolean
+}
+
+const list = fc.option(fc.uniqueArray(fc.constantFrom(...REGIONS), { minLength: 1 }), { nil: undefined })
+const limitsOfDocument: fc.Arbitrary<Limits> = fc.record({ route: list, organisation: list })
+const server: fc.Arbitrary<Server> = fc.record({
+  dataCentre: fc.constantFrom(...DATA_CENTRES), running: fc.integer({ min: 0, max: SLOTS }), keeps: fc.boolean()
+})
+const world = fc.record({
+  // Data centres may lie in no named region.
+  regions: fc.dictionary(fc.constantFrom(...DATA_CENTRES), fc.constantFrom(...REGIONS)),
+  servers: fc.array(server, { maxLength: 12 }),
+  arrivedUnder: limitsOfDocument,
+  inForce: limitsOfDocument,
+  isNewer: fc.boolean(),
+  isPublic: fc.boolean(),
+  tier: fc.integer({ min: 0, max: 2 }),
+  isResumed: fc.boolean()
+})
+
+function documentOf (version: number, { route, organisation }: Limits, isPublic: boolean): RoutingDocument {
+  return checkShape({
+    version,
+    routes: [{
+      name: 'r',
+      host: 'h',
+      prefix: '/',
+      kind: 'stream',
+      timeoutMs: 5000,
+      targetMs: 1000,
+      tier: 1,
+      split: [{ service: 'lm', weight: 1 }],
+      maxAttempts: 2,
+      isPublic,
+      isResumable: true,
+      hasPromptParts: true,
+      allowedRegions: route
+    }],
+    services: [{ name: 'lm', healthPath: '/', maxConnections: 10, engine: { slots: SLOTS, memoryTokens: 100_000, copiesPrefixes: true } }],
+    organisations: [{ name: 'o', keys: ['k'], allowedRegions: organisation }],
+    limits: {}
+  }).unsafeCoerce()
+}
+
+function callUnder (document: RoutingDocument, tier: number): Call {
+  const table = new RouteTable(document)
+  const route = table.routeFor('h', '/')
+  if (route === undefined) throw new Error('no route')
+  const organisation = table.organisationOf('k')
+  return {
+    requestId: 'x',
+    waitMs: undefined,
+    lastEventId: undefined,
+    prompt: PROMPT,
+    key: 'k',
+    method: 'POST',
+    path: '/',
+    rawHeaders: [],
+    body: undefined,
+    route,
+    organisation: route.isPublic ? undefined : organisation,
+    regionLimits: regionLimitsOf(route, organisation),
+    tier,
+    arrivedAt: 0,
+    deadline: Infinity,
+    documentVersion: document.version
+  }
+}
+
+function endpointOf ({ dataCentre, running, keeps }: Server, index: number): EndpointState {
+  const endpoint = new EndpointState({ incarnation: `i-${index}`, service: 'lm', address: `127.0.0.1:${9000 + index}`, dataCentre, slots: SLOTS })
+  endpoint.others = { unread: [], running, strain: 0, sensitive: 0, unreachable: 0 }
+  if (keeps) endpoint.prefixes.note(PROMPT.slice(0, 1), -Infinity)
+  return endpoint
+}
+
+it(`requests, repeats, resumptions and copies stay in the allowed regions (seed ${SEED})`, () => {
+  console.log(`seed ${SEED}, ${RUNS} runs`)
+  fc.assert(fc.property(world, ({ regions, servers, arrivedUnder, inForce, isNewer, isPublic, tier, isResumed }) => {
+    const endpoints = servers.map(endpointOf)
+    const table = new RouteTable(documentOf(isNewer ? 2 : 1, isNewer ? inForce : arrivedUnder, isPublic))
+    const view = { table, usable: () => endpoints, reserved: new ReservedEngines() }
+    const settings = { dataCentre: 'dc0', regions }
+    const services = {
+      view, settings, weights: DEFAULT_WEIGHTS, startedAt: 0, eligibility: { places: [allowedRegions({ settings, view })], endpoints: [] }
+    } as unknown as GatewayServices
+    const call = callUnder(documentOf(1, arrivedUnder, isPublic), tier)
+    const history = new AttemptHistory(call)
+    const binding = [arrivedUnder, ...(isNewer ? [inForce] : [])].flatMap(({ route, organisation }) => [route ?? ANY, organisation ?? ANY])
+    const known = new Regions(regions)
+    const isAllowed = ({ description }: EndpointState) => (
+      binding.every((allowed) => allowed.includes(known.regionOf(description.dataCentre)))
+    )
+    const remaining = () => endpoints.filter((endpoint) => isAllowed(endpoint) && !history.excluded.has(endpoint.description.incarnation))
+    const options = { services, call, history, isResumed }
+    // Each turn is an attempt, a repeat or a resumption, until nothing is left to try.
+    for (let candidate = chooseEndpoint(options); candidate !== undefined; candidate = chooseEndpoint(options)) {
+      expect(isAllowed(candidate.endpoint)).toBe(true)
+      if (candidate.source !== undefined) expect(isAllowed(candidate.source)).toBe(true)
+      history.noteUnsent(candidate.endpoint.description.incarnation)
+      expect(hasAlternative(options, candidate.endpoint)).toBe(remaining().length > 0)
+    }
+    // Engines with free slots are all tried; the others take urgent requests only.
+    for (const { running } of remaining()) expect(running).toBeGreaterThan(0.9 * SLOTS)
+    if (endpoints.length > 0 && !endpoints.some(isAllowed)) expect(whyNone(options)).toContain('no endpoint may have it')
+  }), { numRuns: RUNS, seed: SEED })
+})
--- /dev/null
+++ b/entry/gateway/test/allowed-regions.test.ts
@@ -0,0 +1,86 @@
+import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest'
+import { request } from 'undici'
+import { documentOf, answerWell, GatewayDeployment, StandIn, type Behaviour, type RegionLists } from './stand-in.ts'
+
+const north = new StandIn('i-north', 'app', answerWell, 'dc1')
+const south = new StandIn('i-south', 'app', answerWell, 'dc2')
+const unnamed = new StandIn('i-unnamed', 'app', answerWell, 'dc9')
+const all = [north, south, unnamed]
+const deployment = new GatewayDeployment(all)
+let ids = 0
+let version = 1
+
+async function call (path: string): Promise<{ id: string, status: number, text: string }> {
+  const id = `request-${++ids}`
+  const reply = await request(deployment.url(path), { headers: { authorization: 'Bearer secret', 'x-gullwall-request-id': id } })
+  return { id, status: reply.statusCode, text: await reply.body.text() }
+}
+
+function whereRan (id: string): string[] {
+  return all.filter(({ arrived }) => arrived.includes(id)).map(({ incarnation }) => incarnation)
+}
+
+async function limit (limits: RegionLists): Promise<void> {
+  version += 1
+  await deployment.configure(version, limits)
+}
+
+const closed: Behaviour = (_request, response) => response.destroy()
+
+beforeAll(async () => {
+  await deployment.start()
+  for (const standIn of all) await deployment.register(standIn)
+})
+afterAll(async () => await deployment.stop())
+beforeEach(() => { for (const standIn of all) standIn.behaviour = answerWell })
+
+describe('a request whose regions are limited', () => {
+  it.each<[string, RegionLists]>([
+    ['by its route', { routes: ['south'] }],
+    ['by its organisation', { organisation: ['south', 'west'] }],
+    ['by both', { routes: ['north', 'south'], organisation: ['south', 'west'] }]
+  ])('stays in them: %s', async (_by, limits) => {
+    await limit(limits)
+    for (let count = 0; count < 10; count += 1) {
+      const { id, status } = await call('/look-up/1')
+      expect([status, whereRan(id)]).toEqual([200, ['i-south']])
+    }
+  })
+
+  it('goes nowhere else when it fails there', async () => {
+    await limit({ routes: ['south'] })
+    south.behaviour = closed
+    const { id, status } = await call('/look-up/1')
+    expect([status, whereRan(id)]).toEqual([502, ['i-south']])
+  })
+
+  it.each<[string, RegionLists]>([
+    ['no engine stands in its region', { routes: ['west'] }],
+    ['its route and its organisation have no region in common', { routes: ['north'], organisation: ['south'] }]
+  ])('is refused, and has not run, where %s', async (_why, limits) => {
+    await limit(limits)
+    const { id, status, text } = await call('/order/1')
+    expect([status, whereRan(id)]).toEqual([503, []])
+    expect(JSON.parse(text)).toMatchObject({ error: { code: 'ERR_GULLWALL_REFUSED', ran: 'no', message: expect.stringContaining('no endpoint may have it') } })
+  })
+
+  it('on a public route is limited by the organisation whose key it brings', async () => {
+    await limit({ organisation: ['south'] })
+    for (let count = 0; count < 10; count += 1) expect(whereRan((await call('/open/1')).id)).toEqual(['i-south'])
+  })
+
+  it('may go anywhere as soon as the document lifts the limit', async () => {
+    await limit({ routes: ['west'] })
+    expect((await call('/look-up/1')).status).toBe(503)
+    await limit({ routes: [] })
+    expect((await call('/look-up/1')).status).toBe(200)
+  })
+})
+
+it('a document that names an unknown region is refused with its name', async () => {
+  const documents = deployment.control.get('documents')
+  const refused = await documents.put(JSON.stringify(documentOf(1000, { routes: ['south', 'atlantis'] })))
+  expect(JSON.stringify(refused.swap().orDefault([]))).toMatch(/routes.look-up.allowedRegions.*atlantis.*north, south, west/)
+  const organisations = await documents.put(JSON.stringify(documentOf(1000, { organisation: ['mu'] })))
+  expect(organisations.swap().orDefault([])).toMatchObject([{ keyPath: 'organisations.workshop.allowedRegions', found: 'the unknown region mu' }])
+})
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -42,6 +42,7 @@
     body: undefined,
     route,
     organisation: undefined,
+    regionLimits: [],
     tier,
     arrivedAt: 0,
     deadline: 6000,
--- a/entry/gateway/test/stand-in.ts
+++ b/entry/gateway/test/stand-in.ts
@@ -13,6 +13,7 @@
 export const USAGE_WINDOW_MS = 1_000_000_000_000
 const LINK_KEY = 'a-shared-key-for-loopback'
 const ANY_ADDRESS = '127.0.0.1:0'
+const REGIONS = { dc1: 'north', dc2: 'south', dc3: 'west' }
 
 /** Answers as the service that it stands for. */
 export const answerWell: Behaviour = (request, response, body) => {
@@ -28,7 +29,7 @@
   left = 0
   private readonly server: Server
 
-  constructor (readonly incarnation: string, readonly service: string, public behaviour: Behaviour = answerWell) {
+  constructor (readonly incarnation: string, readonly service: string, public behaviour: Behaviour = answerWell, readonly dataCentre = 'dc1') {
     this.server = createServer((request, response) => {
       const chunks: Buffer[] = []
       request.on('data', (chunk: Buffer) => chunks.push(chunk))
@@ -70,6 +71,7 @@
       seeds: [listen],
       founds: true,
       dataFolder: 'unused',
+      regions: REGIONS,
       operatorToken: 'an-operator-token-for-loopback',
       quorumHeartbeatMs: 50,
       quorumElectionMs: 150,
@@ -80,6 +82,7 @@
       listen: ANY_ADDRESS,
       readiness: ANY_ADDRESS,
       seeds: [listen],
+      regions: REGIONS,
       graceMs: 6000,
       retryRatio: 1,
       retryWindowMs: 1000,
@@ -92,17 +95,17 @@
   }
 
   /** Has a document accepted and waits until it is in force. */
-  async configure (version: number): Promise<void> {
+  async configure (version: number, limits: RegionLists = {}): Promise<void> {
     await until('a leader', () => this.control.get('quorum').role === 'leader')
-    await this.control.get('documents').put(JSON.stringify(documentOf(version)))
+    await this.control.get('documents').put(JSON.stringify(documentOf(version, limits)))
     await until('the document', () => this.gateway.get('view').table?.version === version)
     await until('readiness', () => this.gateway.get('controlLinks').notReady() === undefined)
   }
 
   async register (standIn: StandIn, state: 'ready' | 'draining' = 'ready', sequence = 1): Promise<void> {
-    const { incarnation, service, address } = standIn
+    const { incarnation, service, address, dataCentre } = standIn
     await this.control.get('registrar').hear({
-      incarnation, service, address, dataCentre: 'dc1', slots: 4, state, sequence, ageMs: 0
+      incarnation, service, address, dataCentre, slots: 4, state, sequence, ageMs: 0
     })
     const wanted = state === 'ready'
     const isUsable = () => (
@@ -127,7 +130,13 @@
   }
 }
 
-function documentOf (version: number): object {
+/** The allowed regions of each route, and those of the organisation. */
+export interface RegionLists {
+  routes?: string[]
+  organisation?: string[]
+}
+
+export function documentOf (version: number, limits: RegionLists = {}): object {
   const common = {
     host: '127.0.0.1',
     timeoutMs: 1500,
@@ -137,7 +146,8 @@
     maxAttempts: 2,
     isPublic: false,
     isResumable: false,
-    hasPromptParts: false
+    hasPromptParts: false,
+    allowedRegions: limits.routes
   }
   return {
     version,
@@ -150,7 +160,7 @@
       { ...common, name: 'open', prefix: '/open/', kind: 'repeatable', isPublic: true }
     ],
     services: [{ name: 'app', healthPath: '/healthz', maxConnections: 20, engine: { slots: 4, memoryTokens: 100_000, copiesPrefixes: true } }],
-    organisations: [{ name: 'workshop', keys: ['secret'] }],
+    organisations: [{ name: 'workshop', keys: ['secret'], allowedRegions: limits.organisation }],
     limits: {}
   }
 }
