feat(gateway): requests stay in their region while it has room; copies never cross

Cause: any other data centre cost 20 ms, whatever the distance; prompts had one home in the whole deployment, so that half of the requests left their region, and engines copied prompts over the link between regions. Each region has its own home of a prompt, its own sources of copies and its own reserved engines. Leaving costs 300 ms and the way: the measured time to connect, and 20 ms for each kB of request and expected answer, up to ten times as dear as this gateway's part of the link is used up; what no longer fits stays. Half of the link is for requests, shared by all gateways, so that it is not filled in either direction. The read that is repeated there is charged as any read. A deployment in one region chooses as before. Ruled out: the distance alone, with no 300 ms: the ordinary differences between engines (200 for one that is not the home) are larger and would send requests across at any time; a hard rule that forbids the other region until the own one is full: first events are late before slots run out. Figures: not measured; 300 ms, 20 ms/kB and the tenfold are set by reason.

--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -76,6 +76,8 @@
 export const gatewaySettingsSchema = z.strictObject({
   ...processSchema,
   ...regionsSchema,
+  /** What the link between two regions carries each way, of all traffic together; half of that is for requests. */
+  regionLinkMbitPerS: z.number().positive().optional(),
   /** Where a balancer asks whether the process takes connections. */
   readiness: addressSchema,
   /** Control processes to ask first; they name the others. */
--- a/entry/gateway/src/answer-receiver.ts
+++ b/entry/gateway/src/answer-receiver.ts
@@ -25,6 +25,8 @@
 const MISDIRECTED = 421
 
 export class AnswerReceiver implements ExchangeListener {
+  /** All that has arrived of the answer. */
+  receivedBytes = 0
   private head: ExchangeHead | undefined
   private readonly cutter = new EventCutter()
   private readonly chunks: Buffer[] = []
@@ -44,6 +46,7 @@
   }
 
   onData (chunk: Buffer): void {
+    this.receivedBytes += chunk.length
     this.candidate.endpoint.heardAt = performance.now()
     if (this.isStream) {
       this.passEvents(chunk)
--- a/entry/gateway/src/connections.ts
+++ b/entry/gateway/src/connections.ts
@@ -9,11 +9,16 @@
 /** What is left to callers other than the entries, and to entries that come and go. */
 const SHARE_OF_CONNECTIONS = 0.8
 
+/** Told the data centre of an endpoint and how long the connection took to be made, in ms. */
+export type ConnectedListener = (dataCentre: string, tookMs: number) => void
+
 export class Connections {
   private readonly pools = new Map<string, Pool>()
   private readonly connector = watchedConnector((check) => { this.latestEnd = check })
   private latestEnd: Promise<boolean> = Promise.resolve(false)
 
+  constructor (private readonly onConnected: ConnectedListener = () => {}) {}
+
   /**
    * Whether the connection that is ending in this very moment was closed by the endpoint and not reset. Asked by an
    * answer that ends with its connection.
@@ -23,7 +28,7 @@
   }
 
   /** Gives the dispatcher for one incarnation of an endpoint. */
-  to ({ incarnation, address }: EndpointDescription, maxConnections: number, entries: number): Dispatcher {
+  to ({ incarnation, address, dataCentre }: EndpointDescription, maxConnections: number, entries: number): Dispatcher {
     const known = this.pools.get(incarnation)
     if (known !== undefined) return known
     const connections = Math.max(2, Math.floor(maxConnections * SHARE_OF_CONNECTIONS / Math.max(1, entries)))
@@ -34,7 +39,7 @@
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: this.connector
+      connect: timedConnector(this.connector, (tookMs) => this.onConnected(dataCentre, tookMs))
     })
     this.pools.set(incarnation, pool)
     return pool
@@ -71,6 +76,17 @@
   }
 }
 
+/** Tells how long connections take to be made. */
+function timedConnector (connect: buildConnector.connector, onConnected: (tookMs: number) => void): buildConnector.connector {
+  return (options, callback) => {
+    const startedAt = performance.now()
+    connect(options, (...result) => {
+      if (result[1] !== null) onConnected(performance.now() - startedAt)
+      callback(...result)
+    })
+  }
+}
+
 /** A connection that was reset refuses a write at once; one whose other end has closed still takes it. */
 async function takesBytes (socket: Socket): Promise<boolean> {
   return await new Promise((resolve) => {
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -1,4 +1,5 @@
 /** What this process believes of the deployment: the document in force and the endpoints that hold a lease. */
+import { Regions, type GatewaySettings } from '@gullwall/config.settings'
 import { RouteTable, type DocumentFormat } from '@gullwall/config.document'
 import { type RevisionStore } from '@gullwall/config.spread'
 import { LeaseTable, type HeldLease } from '@gullwall/control.registry'
@@ -8,6 +9,7 @@
 import { type Connections } from './connections.ts'
 
 export interface DeploymentViewOptions {
+  settings: Pick<GatewaySettings, 'regions'>
   store: RevisionStore
   format: DocumentFormat
   logger: Logger
@@ -25,12 +27,14 @@
   readonly leases: LeaseTable
   /** Engines that are kept free of long reads. */
   readonly reserved = new ReservedEngines()
+  private readonly regions: Regions
   private documentAt = -Infinity
   private readonly endpoints = new Map<string, EndpointState>()
   private readonly waiters = new Set<() => void>()
   private timer: NodeJS.Timeout | undefined
 
   constructor (private readonly options: DeploymentViewOptions) {
+    this.regions = new Regions(options.settings.regions)
     this.leases = new LeaseTable({ logger: options.logger, onChange: (changed) => this.leasesChanged(changed) })
     options.store.onChange(() => this.documentChanged())
   }
@@ -55,7 +59,7 @@
   /** Reserves engines anew, from what runs now; called at even intervals. */
   reserveEngines (): void {
     for (const { name, engine } of this.table?.document.services ?? []) {
-      if (engine !== undefined) this.reserved.update(name, this.usable(name))
+      if (engine !== undefined) this.reserved.update(name, this.usable(name), (dataCentre) => this.regions.regionOf(dataCentre))
     }
   }
 
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -18,7 +18,7 @@
 
 /** Chooses the endpoint for the next attempt; none if no endpoint takes it. */
 export function chooseEndpoint ({ services, call, history, isResumed }: EndpointChoiceOptions): Candidate | undefined {
-  const { view, settings, weights, startedAt } = services
+  const { view, settings, weights, startedAt, crossings } = services
   const service = pickService(services, call)
   const usable = eligibleEndpoints(services, call, service)
   const engine = view.table?.service(service)?.engine
@@ -29,6 +29,7 @@
     isResumed,
     needsSlot: engine !== undefined,
     dataCentre: settings.dataCentre,
+    crossing: crossings.of(call),
     targetMs: call.route.targetMs,
     pauseMs: call.route.pauseMs,
     excluded: history.excluded,
@@ -57,13 +58,16 @@
 }
 
 /** Why no endpoint was chosen. */
-export function whyNone ({ services: { view, eligibility }, call, history }: EndpointChoiceOptions): string {
+export function whyNone ({ services: { view, eligibility, crossings }, call, history }: EndpointChoiceOptions): string {
   const usable = call.route.split.flatMap(({ service }) => view.usable(service))
   const reasons = usable.map((endpoint) => whyNotEligible(eligibility, endpoint, call))
   const [first] = reasons
   if (first !== undefined && reasons.every((why) => why !== undefined)) return `no endpoint may have it: ${first}`
   const isUntried = usable.some(({ description }) => !history.excluded.has(description.incarnation))
-  return isUntried ? 'the slots of all endpoints are taken' : 'no endpoint takes work'
+  if (!isUntried) return 'no endpoint takes work'
+  const crossing = crossings.of(call)
+  if (crossing !== undefined && crossing.costMs === undefined) return 'no endpoint of its region takes it, and the link to others has no room'
+  return 'the slots of all endpoints are taken'
 }
 
 /** One of the route's services by weight; one without endpoints gives way to the others. */
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -17,6 +17,7 @@
 import { Ingress } from './ingress.ts'
 import { gatewayMetrics, type GatewayMetrics } from './metrics.ts'
 import { nativeDialect } from './native-dialect.ts'
+import { RegionCrossings } from './region-crossings.ts'
 import { UsageTeller } from './usage-teller.ts'
 import { WorkExchange } from './work-exchange.ts'
 
@@ -38,6 +39,7 @@
   store: RevisionStore
   spreader: Spreader
   connections: Connections
+  crossings: RegionCrossings
   view: DeploymentView
   eligibility: EligibilityRules
   budget: RetryBudget
@@ -71,8 +73,9 @@
     .service('metrics', ({ registry }) => gatewayMetrics(registry))
     .service('store', ({ logger }) => new RevisionStore({ logger }))
     .service('spreader', ({ store }) => new Spreader(store, { takes: true }))
-    .service('connections', () => new Connections())
+    .service('connections', ({ crossings }) => new Connections((dataCentre, tookMs) => crossings.connected(dataCentre, tookMs)))
     .service('view', (services) => new DeploymentView(services))
+    .service('crossings', (services) => new RegionCrossings(services))
     .service('eligibility', (services) => ({ places: [allowedRegions(services)], endpoints: [] }))
     .service('budget', (services) => createBudget(services))
     .service('controlLinks', (services) => new ControlLinks(services))
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -9,6 +9,8 @@
   firstEvent: Histogram<'route'>
   longestPause: Histogram<'route'>
   queued: Histogram<'route'>
+  leavingRequests: Counter<'region'>
+  leavingBytes: Counter<'region'>
 }
 
 export function gatewayMetrics (registry: Registry): GatewayMetrics {
@@ -17,13 +19,15 @@
     duration: durationHistogram(registry, 'gullwall_request_seconds', 'From the arrival of a request to the end of its answer', ['route']),
     firstEvent: durationHistogram(registry, 'gullwall_first_event_seconds', 'From the arrival of a request to its first event', ['route']),
     longestPause: durationHistogram(registry, 'gullwall_longest_pause_seconds', 'The longest time between two events of a stream', ['route']),
-    queued: durationHistogram(registry, 'gullwall_queued_seconds', 'From the arrival of a request to its first attempt', ['route'])
+    queued: durationHistogram(registry, 'gullwall_queued_seconds', 'From the arrival of a request to its first attempt', ['route']),
+    leavingRequests: counter(registry, 'gullwall_leaving_requests_total', 'Attempts sent to another region', ['region']),
+    leavingBytes: counter(registry, 'gullwall_leaving_bytes_total', 'Bytes of these and of their answers', ['region'])
   }
 }
 
 /** Gauges of what this process believes, read when they are asked for. */
 export function beliefGauges (registry: Registry, services: GatewayServices): void {
-  const { view, controlLinks, budget } = services
+  const { view, controlLinks, budget, crossings } = services
   const add = (name: string, help: string, value: () => number) => {
     const metric = gauge(registry, name, help)
     Object.assign(metric, { collect: () => metric.set(value()) })
@@ -32,6 +36,7 @@
   add('gullwall_document_age_seconds', 'How long it has been in force here', () => view.table === undefined ? 0 : view.documentAgeMs / 1000)
   add('gullwall_endpoints', 'Endpoints with a lease', () => view.endpointCount)
   add('gullwall_control_links', 'Open links to control processes', () => controlLinks.openCount)
+  add('gullwall_region_round_trip_seconds', 'Time to connect to another region', () => crossings.link.roundTripMs / 1000)
   add('gullwall_log_lines_dropped', 'Log lines left out since the start', () => droppedLines())
   add('gullwall_retry_budget_left', 'Repeats that may still be sent now', () => budget.left)
 }
--- /dev/null
+++ b/entry/gateway/src/region-crossings.ts
@@ -0,0 +1,77 @@
+/** The requests that this gateway sends to other regions: what each would cost, and what crosses. */
+import { Regions, type GatewaySettings } from '@gullwall/config.settings'
+import { RegionLink, type Crossing, type EndpointState } from '@gullwall/routing.balancer'
+import { type Call } from './call.ts'
+import { type GatewayMetrics } from './metrics.ts'
+
+/** Head lines of a request and of its answer. */
+const HEAD_BYTES = 800
+/** What an answer is taken for until one of its route was seen. */
+const UNSEEN_ANSWER_BYTES = 1000
+const ANSWER_WEIGHT = 0.1
+
+export interface RegionCrossingsOptions {
+  settings: Pick<GatewaySettings, 'dataCentre' | 'regions' | 'regionLinkMbitPerS'>
+  view: { readonly entries: number }
+  metrics: Pick<GatewayMetrics, 'leavingRequests' | 'leavingBytes'>
+}
+
+export class RegionCrossings {
+  readonly regions: Regions
+  readonly link: RegionLink
+  /** How long the answers of each route usually are. */
+  private readonly answerBytes = new Map<string, number>()
+
+  constructor (private readonly options: RegionCrossingsOptions) {
+    this.regions = new Regions(options.settings.regions)
+    this.link = new RegionLink({ mbitPerS: options.settings.regionLinkMbitPerS, entries: () => options.view.entries })
+  }
+
+  /** What the choice must know for a request; nothing where the deployment lies in one region, which spares the sorting by region. */
+  of (call: Call): Crossing | undefined {
+    if (this.regions.names.size < 2) return undefined
+    return { regionOf: (dataCentre) => this.regions.regionOf(dataCentre), costMs: this.link.costMs(this.expectedBytes(call)) }
+  }
+
+  /** Notes that a request is sent; gives what to call with the bytes of its answer once that has ended. */
+  begin (call: Call, { description }: EndpointState): (answerBytes: number) => void {
+    const { metrics } = this.options
+    const expected = this.expectedBytes(call)
+    const isLeaving = this.isElsewhere(description.dataCentre)
+    const region = this.regions.regionOf(description.dataCentre)
+    if (isLeaving) {
+      metrics.leavingRequests.inc({ region })
+      this.link.take(expected)
+    }
+    return (answerBytes) => {
+      if (isLeaving) {
+        const bytes = requestBytes(call) + answerBytes
+        metrics.leavingBytes.inc({ region }, bytes)
+        this.link.take(bytes - expected)
+      }
+      this.noteAnswer(call.route.name, answerBytes)
+    }
+  }
+
+  /** Notes how long a connection took to be made. */
+  connected (dataCentre: string, tookMs: number): void {
+    if (this.isElsewhere(dataCentre)) this.link.noteRoundTrip(tookMs)
+  }
+
+  private isElsewhere (dataCentre: string): boolean {
+    return this.regions.distance(this.options.settings.dataCentre, dataCentre) === 'other region'
+  }
+
+  private expectedBytes (call: Call): number {
+    return requestBytes(call) + (this.answerBytes.get(call.route.name) ?? UNSEEN_ANSWER_BYTES)
+  }
+
+  private noteAnswer (route: string, bytes: number): void {
+    const known = this.answerBytes.get(route) ?? bytes
+    this.answerBytes.set(route, known + ANSWER_WEIGHT * (bytes - known))
+  }
+}
+
+function requestBytes ({ body }: Call): number {
+  return HEAD_BYTES + (body?.length ?? 0)
+}
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -21,10 +21,10 @@
   dispatched (candidate: Candidate): void {
     const { call, history, services } = this
     this.latest = candidate
-    const record = { ...this.record('dispatch'), why: candidate.isHome ? 'home of its prompt' : 'least cost' }
+    const record = { ...this.record('dispatch'), why: whyOf(candidate) }
     if (history.isFirst) {
       services.metrics.queued.observe({ route: call.route.name }, this.elapsedMs / 1000)
-      services.logger.sampled('dispatch', record)
+      services.logger.sampled(candidate.leaving === undefined ? 'dispatch' : 'leave', record)
     } else {
       services.logger.info(record)
     }
@@ -123,3 +123,11 @@
     }
   }
 }
+
+/** Why an endpoint was chosen. */
+function whyOf ({ isHome, leaving }: Candidate): string {
+  if (leaving === undefined) return isHome ? 'home of its prompt' : 'least cost'
+  const { region, costMs, stayCost } = leaving
+  const stay = stayCost === undefined ? 'no endpoint there takes it' : `staying costs ${Math.round(stayCost)}`
+  return `leaves its region for ${region}: ${stay}, the way ${Math.round(costMs)} of the cost`
+}
--- a/entry/gateway/test/allowed-regions.fuzz.test.ts
+++ b/entry/gateway/test/allowed-regions.fuzz.test.ts
@@ -9,6 +9,7 @@
 import { type Call } from '../src/call.ts'
 import { chooseEndpoint, hasAlternative, whyNone } from '../src/endpoint-choice.ts'
 import { type GatewayServices } from '../src/index.ts'
+import { RegionCrossings } from '../src/region-crossings.ts'
 
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 500)
 const SEED = Number(process.env['FUZZ_SEED'] ?? 11)
@@ -111,8 +112,14 @@
     const table = new RouteTable(documentOf(isNewer ? 2 : 1, isNewer ? inForce : arrivedUnder, isPublic))
     const view = { table, usable: () => endpoints, reserved: new ReservedEngines() }
     const settings = { dataCentre: 'dc0', regions }
+    const crossings = new RegionCrossings({ settings, view: { entries: 1 }, metrics: {} as never })
     const services = {
-      view, settings, weights: DEFAULT_WEIGHTS, startedAt: 0, eligibility: { places: [allowedRegions({ settings, view })], endpoints: [] }
+      crossings,
+      view,
+      settings,
+      weights: DEFAULT_WEIGHTS,
+      startedAt: 0,
+      eligibility: { places: [allowedRegions({ settings, view })], endpoints: [] }
     } as unknown as GatewayServices
     const call = callUnder(documentOf(1, arrivedUnder, isPublic), tier)
     const history = new AttemptHistory(call)
@@ -126,7 +133,11 @@
     // Each turn is an attempt, a repeat or a resumption, until nothing is left to try.
     for (let candidate = chooseEndpoint(options); candidate !== undefined; candidate = chooseEndpoint(options)) {
       expect(isAllowed(candidate.endpoint)).toBe(true)
-      if (candidate.source !== undefined) expect(isAllowed(candidate.source)).toBe(true)
+      if (candidate.source !== undefined) {
+        expect(isAllowed(candidate.source)).toBe(true)
+        const { dataCentre } = candidate.source.description
+        if (known.names.size > 1) expect(known.distance(dataCentre, candidate.endpoint.description.dataCentre)).not.toBe('other region')
+      }
       history.noteUnsent(candidate.endpoint.description.incarnation)
       expect(hasAlternative(options, candidate.endpoint)).toBe(remaining().length > 0)
     }
--- /dev/null
+++ b/entry/gateway/test/region-crossings.test.ts
@@ -0,0 +1,59 @@
+import { afterAll, beforeAll, beforeEach, expect, it } from 'vitest'
+import { request } from 'undici'
+import { answerWell, GatewayDeployment, StandIn, type Behaviour } from './stand-in.ts'
+
+const near = new StandIn('i-near', 'app', answerWell, 'dc1')
+const far = new StandIn('i-far', 'app', answerWell, 'dc2')
+const both = [near, far]
+const deployment = new GatewayDeployment(both)
+let ids = 0
+
+async function send (body: string): Promise<{ id: string, status: number }> {
+  const id = `request-${++ids}`
+  const reply = await request(deployment.url('/look-up/1'), {
+    method: 'POST', body, headers: { authorization: 'Bearer secret', 'x-gullwall-request-id': id }
+  })
+  await reply.body.dump()
+  return { id, status: reply.statusCode }
+}
+
+const notRun: Behaviour = (_request, response) => response.writeHead(503, { 'x-gullwall-ran': 'no' }).end()
+
+/** What the metrics address says of one figure; 0 where it does not name it. */
+async function figure (name: string): Promise<number> {
+  const reply = await request(`http://${deployment.gateway.get('admin').address}/metrics`)
+  const line = (await reply.body.text()).split('\n').find((text) => text.startsWith(name))
+  return Number(line?.split(' ').at(-1) ?? 0)
+}
+
+beforeAll(async () => {
+  await deployment.start()
+  for (const standIn of both) await deployment.register(standIn)
+  await deployment.configure(1)
+})
+afterAll(async () => await deployment.stop())
+beforeEach(() => { for (const standIn of both) standIn.behaviour = answerWell })
+
+it('requests stay in the region of their gateway while that takes them, and cross when it does not', async () => {
+  for (let count = 0; count < 20; count += 1) await send('x')
+  expect(far.arrived).toEqual([])
+  expect(await figure('gullwall_leaving_requests_total{region="south"}')).toBe(0)
+  near.behaviour = notRun
+  const { id, status } = await send('x'.repeat(5000))
+  expect([status, far.arrived]).toEqual([200, [id]])
+  expect(await figure('gullwall_leaving_requests_total{region="south"}')).toBe(1)
+  expect(await figure('gullwall_leaving_bytes_total{region="south"}')).toBeGreaterThan(5000)
+  const line = deployment.story(id).find(({ decision, attempt, endpoint }) => decision === 'dispatch' && attempt === 1 && endpoint === 'i-far')
+  expect(line?.['why']).toMatch(/^leaves its region for south: no endpoint there takes it, the way \d+ of the cost$/)
+})
+
+it('the link lets no more across than this gateway\'s part, and refuses what then has no endpoint', async () => {
+  near.behaviour = notRun
+  const { link } = deployment.gateway.get('crossings')
+  link.take(1e9)
+  const { id, status } = await send('x')
+  expect(deployment.story(id).at(-1)?.['why']).toContain('the link to others has no room')
+  expect([status, far.arrived.includes(id)]).toEqual([503, false])
+  link.take(-1e9)
+  expect((await send('x')).status).toBe(200)
+})
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -1,4 +1,5 @@
 /** The choice of an endpoint: each candidate has a cost in ms, and the least cost wins. */
+import { distanceCost, isWithinReach, leavingOf, perRegion, type Crossing, type Leaving } from './distance.ts'
 import { type EndpointState } from './endpoint-state.ts'
 import { type PromptPart } from './prefix-memory.ts'
 import { rendezvousFirst } from './rendezvous.ts'
@@ -10,6 +11,8 @@
   /** The parts of the prompt, in order; none where the request has no prompt. */
   prompt: readonly PromptPart[]
   dataCentre: string
+  /** What is known of regions; none where there is only one. */
+  crossing?: Crossing
   tier: number
   /** Whether the caller has had a part of its stream already. */
   isResumed: boolean
@@ -58,7 +61,7 @@
   reserved: number
   /** For an engine all of whose slots are taken. */
   full: number
-  /** For an endpoint in another data centre. */
+  /** For an endpoint in another data centre of the same region. */
   otherDataCentre: number
   /** For a share of failures of 1. */
   failures: number
@@ -119,6 +122,8 @@
   /** How long the first event will probably take: what waits there and is as urgent is read first. In ms. */
   waitMs: number
   isHome: boolean
+  /** Why the request leaves its region; none where it stays. */
+  leaving?: Leaving
 }
 
 /** Who keeps how much of a prompt. */
@@ -132,21 +137,23 @@
   demand: Demand, endpoints: readonly EndpointState[], now: number, weights = DEFAULT_WEIGHTS
 ): Candidate | undefined {
   const candidates = weigh(demand, endpoints, now, weights)
-  return candidates.reduce<Candidate | undefined>((best, candidate) => (
+  const chosen = candidates.reduce<Candidate | undefined>((best, candidate) => (
     best === undefined || candidate.cost < best.cost ? candidate : best
   ), undefined)
+  return chosen === undefined ? undefined : { ...chosen, leaving: leavingOf(demand, chosen, candidates) }
 }
 
 /** Gives the cost of every endpoint that may have the request. */
 export function weigh (demand: Demand, endpoints: readonly EndpointState[], now: number, weights = DEFAULT_WEIGHTS): Candidate[] {
   const { prompt, sources, trustsHome } = demand
-  const home = homeOf(prompt, homesFor(demand, endpoints))
+  const homeNear = perRegion(demand, endpoints, (group) => homeOf(prompt, homesFor(demand, group)))
   const holdings = endpoints.map((endpoint) => ({ endpoint, tokens: endpoint.prefixes.cachedTokens(prompt) }))
-  const best = bestSource(prompt, sources, now)
+  const sourceNear = perRegion(demand, sources, (group) => bestSource(prompt, group, now))
   const shared = sharedTokens(prompt)
   const total = tokensOf(prompt)
   return holdings.filter(({ endpoint }) => mayHave(demand, endpoint)).map(({ endpoint, tokens }) => {
-    const isHome = endpoint === home
+    const isHome = endpoint === homeNear(endpoint)
+    const best = sourceNear(endpoint)
     const kept = Math.max(tokens, isHome && trustsHome ? shared : 0)
     const source = best !== undefined && best.endpoint !== endpoint && best.tokens >= tokens + MIN_COPY_TOKENS ? best : undefined
     const copiedTokens = Math.max(0, (source?.tokens ?? 0) - kept)
@@ -175,7 +182,9 @@
 }
 
 /** Whether an endpoint may have the request: it has not had it, and an engine has room for it. */
-function mayHave ({ excluded, needsSlot, tier, isResumed }: Demand, endpoint: EndpointState): boolean {
+function mayHave (demand: Demand, endpoint: EndpointState): boolean {
+  const { excluded, needsSlot, tier, isResumed } = demand
+  if (!isWithinReach(demand, endpoint)) return false
   if (excluded.has(endpoint.description.incarnation)) return false
   const goesFirst = tier === 0 || isResumed
   return !needsSlot || goesFirst || takenSlots(endpoint) < USABLE_SLOTS
@@ -234,7 +243,7 @@
 
 /** The cost of an endpoint whatever the prompt, but for what waits there. */
 function loadCost (endpoint: EndpointState, demand: Demand, now: number, weights: ChoiceWeights): number {
-  const distance = endpoint.description.dataCentre === demand.dataCentre ? 0 : weights.otherDataCentre
+  const distance = distanceCost(demand, endpoint, weights.otherDataCentre)
   const failures = endpoint.failureShare * weights.failures + endpoint.unreachableShare * weights.unreachable
   const suspicion = isSuspect(endpoint, now) ? weights.suspect : 0
   return weights.perRunning * endpoint.running + streamCost(endpoint, demand, weights) + crowdingCost(endpoint, weights) +
--- a/routing/balancer/src/index.ts
+++ b/routing/balancer/src/index.ts
@@ -1,8 +1,10 @@
 /** Choosing among endpoints that are reached directly. */
 export * from './choose.ts'
+export * from './distance.ts'
 export * from './endpoint-state.ts'
 export * from './prefix-memory.ts'
 export * from './reading-observer.ts'
+export * from './region-link.ts'
 export * from './rendezvous.ts'
 export * from './reserved-engines.ts'
 export * from './retry-budget.ts'
--- a/routing/balancer/src/reserved-engines.ts
+++ b/routing/balancer/src/reserved-engines.ts
@@ -35,7 +35,7 @@
   /** The prompt tokens that requests of a route usually bring besides the shared parts. */
   private readonly ownTokens = new Map<string, number>()
   private readonly byService = new Map<string, ReadonlySet<EndpointState>>()
-  /** Sensitive streams under way by service; follows rises at once and falls slowly. */
+  /** Sensitive streams under way by region and service; follows rises at once and falls slowly. */
   private readonly sensitive = new Map<string, number>()
   /** The usual pause of streams while engines read, in ms. */
   private readonly pauses = new Map<string, number>()
@@ -58,20 +58,35 @@
     return this.byService.get(service) ?? NONE
   }
 
-  /** Reserves as many engines of a service as its sensitive streams need now; called at even intervals. */
-  update (service: string, engines: readonly EndpointState[]): void {
-    const slots = mean(engines.map(({ description }) => description.slots))
-    if (engines.length < MIN_ENGINES || slots <= 0) {
+  /**
+   * Reserves as many engines of a service as its sensitive streams need now; called at even intervals.
+   * @param regionOf the region of a data centre; each region reserves engines for its own streams, which stay there
+   */
+  update (service: string, engines: readonly EndpointState[], regionOf: (dataCentre: string) => string = () => ''): void {
+    const groups = new Map<string, EndpointState[]>()
+    for (const engine of engines) {
+      const region = regionOf(engine.description.dataCentre)
+      groups.set(region, [...groups.get(region) ?? [], engine])
+    }
+    const reserved = [...groups].map(([region, group]) => this.reservedAmong(group, `${region}/${service}`))
+    if (reserved.every((among) => among === undefined)) {
       this.byService.delete(service)
       return
     }
     this.pauses.set(service, mean(engines.map(({ reading }) => reading.pauseMs)))
+    this.byService.set(service, new Set(reserved.flatMap((among) => among ?? [])))
+  }
+
+  /** The engines of one region to reserve; undefined where it has too few. */
+  private reservedAmong (engines: readonly EndpointState[], key: string): EndpointState[] | undefined {
+    const slots = mean(engines.map(({ description }) => description.slots))
+    if (engines.length < MIN_ENGINES || slots <= 0) return undefined
     const underWay = engines.reduce((sum, engine) => sum + engine.sensitive, 0)
-    const known = this.sensitive.get(service) ?? 0
+    const known = this.sensitive.get(key) ?? 0
     const smoothed = underWay > known ? underWay : known + FALL_WEIGHT * (underWay - known)
-    this.sensitive.set(service, smoothed)
+    this.sensitive.set(key, smoothed)
     const count = Math.min(Math.floor(MAX_SHARE * engines.length), Math.ceil(Math.floor(smoothed) / (FILL * slots)))
-    this.byService.set(service, new Set(byRank(engines).slice(0, count)))
+    return byRank(engines).slice(0, count)
   }
 }
 
