feat(control): words cross between regions once; counts of entries are not halved

Cause: near meant the same data centre. Entries in a data centre without a control process had every revision from all of them after 250 ms, and every change of leases from all at once; sums of work went to peers of another region up to 25 times a second. A control process that had just started or was cut off told a small count of entries, and each entry that believed it took a larger part of the retry budget. Each control process now has a turn for each entry: its own data centre's first, else one of its region by rendezvous, the others of the region after 250 ms, those of other regions after 600 ms if the entry lacks it still. Changes of leases follow the same turns. Sums of work go to peers in other regions every 250 ms. Entries listen to and confirm with their own region first. The highest count of entries of the last 10 s holds, and while most control processes are not linked nothing told is forgotten. Deployments of one region keep their turns and times. Ruled out: one speaker for each region that passes everything on: while two take themselves for it, sums would count work twice; leaving out changes of leases for other regions: word that an endpoint leaves may be known to the other region's control processes only.

--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -136,11 +136,6 @@
     }
   }
 
-  /** Whether a process is in this data centre. */
-  isNear (link: Link): boolean {
-    return link.peer.dataCentre === this.services.settings.dataCentre
-  }
-
   private async answer (link: Link, message: Message): Promise<Message> {
     const { proposer, quorum } = this.services
     switch (message.kind) {
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -18,6 +18,7 @@
 import { LeaseStore } from './lease-store.ts'
 import { foundingOf, targetVoters } from './membership.ts'
 import { Registrar } from './registrar.ts'
+import { Nearness, type Turn } from './nearness.ts'
 import { MemberTable } from './member-table.ts'
 import { ControlPeers } from './peers.ts'
 import { Proposer } from './proposer.ts'
@@ -27,8 +28,8 @@
 
 export * from './usage-sink.ts'
 
-/** How long a push to an entry in another data centre waits for the entry to have the same from nearer by, in ms. */
-const FARTHER_PUSH_MS = 250
+/** How long a push to an entry waits for the entry to have the same from nearer by, in ms. */
+const PUSH_DELAY_MS: Record<Turn, number> = { first: 0, second: 250, last: 600 }
 
 export interface ControlServices {
   settings: ControlSettings
@@ -40,6 +41,7 @@
   state: ControlState
   members: MemberTable
   peers: ControlPeers
+  nearness: Nearness
   quorum: QuorumNode
   proposer: Proposer
   leases: LeaseTable
@@ -80,10 +82,11 @@
     .value('disk', disk)
     .value('logger', createLogger({ program: 'gullwall-control', box: settings.box, level: settings.logLevel, write: options.write }))
     .service('store', ({ logger }) => new RevisionStore({ logger }))
-    .service('spreader', ({ store, settings }) => new Spreader(store, { takes: false, delayMs: (link) => pushDelayMs(link, settings) }))
+    .service('spreader', (services) => new Spreader(services.store, { takes: false, delayMs: (link) => pushDelayMs(link, services) }))
     .service('state', createState)
     .service('members', () => new MemberTable())
     .service('peers', (services) => new ControlPeers(services))
+    .service('nearness', (services) => new Nearness(services))
     .value('format', options.format ?? nativeFormat)
     .value('api', options.api)
     .value('usageSink', options.usageSink)
@@ -109,9 +112,9 @@
   return state
 }
 
-/** Each entry is linked to every control process; one in its own data centre pushes first. */
-function pushDelayMs (link: Link, settings: ControlSettings): number {
-  return link.peer.role !== 'entry' || link.peer.dataCentre === settings.dataCentre ? 0 : FARTHER_PUSH_MS
+/** Each entry is linked to every control process; those near it push first. */
+function pushDelayMs (link: Link, { nearness }: ControlServices): number {
+  return link.peer.role === 'entry' ? PUSH_DELAY_MS[nearness.turnFor(link)] : 0
 }
 
 function createLeases (services: ControlServices): LeaseTable {
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -8,6 +8,7 @@
 import { type Link } from '@gullwall/transport.link'
 import { type Lease } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
+import { type Turn } from './nearness.ts'
 import { PacedAction } from './paced-action.ts'
 
 /** Refreshed leases are passed on together, so often, in ms. */
@@ -17,9 +18,11 @@
  * everything was dark each endpoint is news within a second or so, and each control process tells each of them.
  */
 const CHANGES_NEAR_MS = 20
-/** The same for the entries of other data centres, which hear from a process near them unless that is cut off. */
+/** The same for the entries that hear from a process nearer to them unless that is cut off. */
 const CHANGES_FAR_MS = 200
-/** Entries in other data centres hear of refreshes from a process near them; every so many rounds from here too. */
+/** And for those of other regions. What has changed is still told there: a word that an endpoint leaves must not get lost. */
+const CHANGES_FARTHEST_MS = 1000
+/** Other entries hear of refreshes from a process near them; every so many rounds from here too. */
 const ROUNDS_TO_ALL = 3
 /** An endpoint gives up on an answer after a second. */
 const CONFIRM_TIMEOUT_MS = 800
@@ -33,8 +36,10 @@
   private rounds = 0
   private readonly untoldNear = new Set<string>()
   private readonly untoldFar = new Set<string>()
-  private readonly tellingNear = new PacedAction(() => CHANGES_NEAR_MS, () => this.tellNear(drain(this.untoldNear)))
-  private readonly tellingFar = new PacedAction(() => CHANGES_FAR_MS, () => this.tellFar(drain(this.untoldFar)))
+  private readonly untoldFarthest = new Set<string>()
+  private readonly tellingNear = new PacedAction(() => CHANGES_NEAR_MS, () => this.tell('first', drain(this.untoldNear)))
+  private readonly tellingFar = new PacedAction(() => CHANGES_FAR_MS, () => this.tell('second', drain(this.untoldFar)))
+  private readonly tellingFarthest = new PacedAction(() => CHANGES_FARTHEST_MS, () => this.tell('last', drain(this.untoldFarthest)))
 
   constructor (private readonly services: ControlServices) {}
 
@@ -46,6 +51,7 @@
     clearInterval(this.timer)
     this.tellingNear.stop()
     this.tellingFar.stop()
+    this.tellingFarthest.stop()
   }
 
   /**
@@ -76,24 +82,23 @@
     for (const { incarnation } of changed) {
       this.untoldNear.add(incarnation)
       this.untoldFar.add(incarnation)
+      this.untoldFarthest.add(incarnation)
     }
     this.tellingNear.request()
     this.tellingFar.request()
+    this.tellingFarthest.request()
   }
 
   /** Takes leases that a peer has told; those that are merely refreshed go on to the entries near here. */
   learn (told: readonly Lease[]): void {
     const { leases } = this.services
     const outcomes = leases.merge(told)
-    this.tellNear(told.filter((_lease, index) => outcomes[index] === 'refreshed').map(({ incarnation }) => incarnation))
+    this.tell('first', told.filter((_lease, index) => outcomes[index] === 'refreshed').map(({ incarnation }) => incarnation))
   }
 
-  private tellNear (incarnations: readonly string[]): void {
-    this.tellEntries(incarnations, (link) => this.services.server.isNear(link))
-  }
-
-  private tellFar (incarnations: readonly string[]): void {
-    this.tellEntries(incarnations, (link) => !this.services.server.isNear(link))
+  /** Tells the entries whose turn it is. */
+  private tell (turn: Turn, incarnations: readonly string[]): void {
+    this.tellEntries(incarnations, (link) => this.services.nearness.turnFor(link) === turn)
   }
 
   private tellEntries (incarnations: readonly string[], isMeant: (link: Link) => boolean): void {
@@ -137,7 +142,7 @@
     this.rounds += 1
     this.tellPeers(incarnations)
     const isForAll = this.rounds % ROUNDS_TO_ALL === 0
-    this.tellEntries(incarnations, (link) => isForAll || this.services.server.isNear(link))
+    this.tellEntries(incarnations, (link) => isForAll || this.services.nearness.turnFor(link) === 'first')
   }
 }
 
--- a/control/program/src/work-relay.ts
+++ b/control/program/src/work-relay.ts
@@ -22,6 +22,11 @@
 const PEER_VALID_MS = 2200
 /** Entries and peers hear something at least so often, and so know that what they were told still holds, in ms. */
 const REPEAT_MS = 1000
+/**
+ * Peers in other regions are told so often at most, in ms: their entries choose engines of this region only once their own
+ * have no room, and the link between regions is narrow.
+ */
+const FARTHER_SPACING_MS = 250
 /** What was learnt of how engines read is told so often at most, in ms. */
 const READINGS_MS = 250
 
@@ -38,10 +43,12 @@
 
 /** What has come since the last word: endpoints at which something changed, with those who told of it, and holdings. */
 interface News {
-  changed: ReadonlyArray<[string, ReadonlySet<Link>]>
-  untold: readonly UntoldHolding[]
+  changed: Map<string, Set<Link>>
+  untold: UntoldHolding[]
 }
 
+const noNews = (): News => ({ changed: new Map(), untold: [] })
+
 /** Which sources a sum is of. */
 type Counts = (source: Link) => boolean
 
@@ -51,15 +58,17 @@
   private readonly entries = new Map<Link, ListeningEntry>()
   /** When each peer was last heard, by the links that the peers keep. */
   private readonly peerHeardAt = new Map<Link, number>()
-  /** Endpoints at which something has changed that was not told yet, with those who told of it. */
-  private readonly changed = new Map<string, Set<Link>>()
-  private untold: UntoldHolding[] = []
+  /** What was not told yet. */
+  private news = noNews()
+  /** What was not told to other regions yet. */
+  private farNews = noNews()
   private readonly telling = new PacedAction(() => this.spacingMs, () => this.tell())
+  private readonly tellingFar = new PacedAction(() => FARTHER_SPACING_MS, () => this.tellFar())
   private readonly readings = new ReadingTable()
   private readonly tellingReadings = new PacedAction(() => READINGS_MS, () => this.tellReadings())
   private repeatTimer: NodeJS.Timeout | undefined
 
-  constructor (private readonly services: Pick<ControlServices, 'peers'>) {}
+  constructor (private readonly services: Pick<ControlServices, 'peers' | 'nearness'>) {}
 
   start (): void {
     this.repeatTimer = setInterval(() => this.repeat(), REPEAT_MS)
@@ -68,6 +77,7 @@
   stop (): void {
     clearInterval(this.repeatTimer)
     this.telling.stop()
+    this.tellingFar.stop()
     this.tellingReadings.stop()
   }
 
@@ -122,25 +132,40 @@
   }
 
   private note (from: Link, incarnations: readonly string[]): void {
-    for (const incarnation of incarnations) {
-      const sources = this.changed.get(incarnation) ?? new Set<Link>()
-      this.changed.set(incarnation, sources.add(from))
+    for (const { changed } of this.allNews) {
+      for (const incarnation of incarnations) {
+        const sources = changed.get(incarnation) ?? new Set<Link>()
+        changed.set(incarnation, sources.add(from))
+      }
     }
-    if (incarnations.length > 0) this.telling.request()
+    if (incarnations.length > 0) this.requestTelling()
   }
 
   private noteHoldings (from: Link, holdings: readonly Holding[]): void {
-    for (const holding of holdings) this.untold.push({ holding, from })
-    if (holdings.length > 0) this.telling.request()
+    for (const { untold } of this.allNews) untold.push(...holdings.map((holding) => ({ holding, from })))
+    if (holdings.length > 0) this.requestTelling()
+  }
+
+  /** Nothing is kept for other regions while no peer there is linked; one that links is told the whole. */
+  private get allNews (): News[] {
+    return this.peers('farther').length > 0 ? [this.news, this.farNews] : [this.news]
+  }
+
+  private requestTelling (): void {
+    this.telling.request()
+    if (this.peers('farther').length > 0) this.tellingFar.request()
+  }
+
+  private peers (which: 'near' | 'farther'): Link[] {
+    const { peers, nearness } = this.services
+    return peers.links().filter((peer) => (nearness.distanceTo(peer) === 'other region') === (which === 'farther'))
   }
 
   private tell (): void {
     const now = performance.now()
-    const news: News = { changed: [...this.changed], untold: this.untold }
-    this.changed.clear()
-    this.untold = []
-    const toPeers = this.wordOf(news, isEntry)
-    if (toPeers !== undefined) for (const peer of this.services.peers.links()) peer.send(toPeers)
+    const news = this.news
+    this.news = noNews()
+    this.tellPeers(news, 'near')
     for (const [link, entry] of this.entries) {
       const word = this.wordOf(news, (source) => source !== link)
       if (word === undefined) continue
@@ -149,6 +174,17 @@
     }
   }
 
+  private tellFar (): void {
+    const news = this.farNews
+    this.farNews = noNews()
+    this.tellPeers(news, 'farther')
+  }
+
+  private tellPeers (news: News, which: 'near' | 'farther'): void {
+    const word = this.wordOf(news, isEntry)
+    if (word !== undefined) for (const peer of this.peers(which)) peer.send(word)
+  }
+
   private tellReadings (): void {
     const readings = this.readings.takeChanged()
     if (readings.length === 0) return
@@ -157,7 +193,8 @@
 
   /** What some of the sources have told, added up; undefined where the news is not of them. */
   private wordOf ({ changed, untold }: News, counts: Counts): MessageOf<'workSums'> | undefined {
-    const works = changed.filter(([, sources]) => [...sources].some(counts)).map(([incarnation]) => this.table.sumAt(incarnation, counts))
+    const told = [...changed].filter(([, sources]) => [...sources].some(counts))
+    const works = told.map(([incarnation]) => this.table.sumAt(incarnation, counts))
     const holdings = untold.filter(({ from }) => counts(from)).map(({ holding }) => holding)
     return works.length + holdings.length === 0 ? undefined : this.word(works, holdings)
   }
--- a/control/program/test/work-relay.test.ts
+++ b/control/program/test/work-relay.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { type Link } from '@gullwall/transport.link'
 import { type Message, type MessageOf, type Reading } from '@gullwall/transport.messages'
+import { Nearness } from '../src/nearness.ts'
 import { WorkRelay } from '../src/work-relay.ts'
 
 const ENTRIES = 60
@@ -10,10 +11,10 @@
 class FakeLink {
   readonly told: Array<MessageOf<'workSums'>> = []
   readonly readings: Reading[] = []
-  readonly peer: { name: string, role: string }
+  readonly peer: { name: string, role: string, dataCentre: string }
 
-  constructor (name: string, role = 'entry') {
-    this.peer = { name, role }
+  constructor (name: string, role = 'entry', dataCentre = 'dc1') {
+    this.peer = { name, role, dataCentre }
   }
 
   send (message: Message): boolean {
@@ -27,6 +28,13 @@
   }
 }
 
+const REGIONS = { dc1: 'north', dc2: 'north', dc9: 'south' }
+
+function relayWith (links: readonly FakeLink[]): WorkRelay {
+  const peers = { links: () => links.map(({ asLink }) => asLink) }
+  return new WorkRelay({ peers: peers as never, nearness: new Nearness({ settings: { dataCentre: 'dc1', member: 'c1', regions: REGIONS }, peers }) })
+}
+
 function workAt (incarnation: string): MessageOf<'work'> {
   return { kind: 'work', works: [{ incarnation, unread: [], running: 1, strain: 0, sensitive: 0, unreachable: 0 }], holdings: [], observations: [], listens: true }
 }
@@ -39,7 +47,7 @@
   beforeEach(() => {
     vi.useFakeTimers()
     peer.told.length = 0
-    relay = new WorkRelay({ peers: { links: () => [peer.asLink] } as never })
+    relay = relayWith([peer])
     relay.start()
     entries = Array.from({ length: ENTRIES }, (_unused, index) => new FakeLink(`entry-${index}`))
     for (const entry of entries) relay.fromEntry(entry.asLink, { ...workAt('i-0'), works: [] })
@@ -85,8 +93,27 @@
     expect(peer.told.length).toBeGreaterThanOrEqual(4)
   })
 
+  it('crosses to another region rarely, and then all of it in one word', () => {
+    const far = new FakeLink('control-9', 'control', 'dc9')
+    const both = relayWith([peer, far])
+    for (const entry of entries) both.fromEntry(entry.asLink, { ...workAt('i-0'), works: [] })
+    vi.advanceTimersByTime(1000)
+    far.told.length = 0
+    for (let word = 1; word <= 20; word += 1) {
+      both.fromEntry((entries[0] as FakeLink).asLink, workAt(`i-${word}`))
+      vi.advanceTimersByTime(50)
+    }
+    vi.advanceTimersByTime(300)
+    expect(peer.told.length).toBeGreaterThan(15)
+    expect(far.told.length).toBeLessThanOrEqual(6)
+    const known = new Map(far.told.flatMap(({ works }) => works).map(({ incarnation, running }) => [incarnation, running]))
+    expect(known.get('i-20')).toBe(1)
+    expect([...known.values()].reduce((sum, running) => sum + running, 0)).toBe(1)
+    both.stop()
+  })
+
   it('is told the sooner the fewer they are', () => {
-    const few = new WorkRelay({ peers: { links: () => [] } as never })
+    const few = relayWith([])
     const [one, two] = [new FakeLink('one'), new FakeLink('two')]
     for (const entry of [one, two]) few.fromEntry(entry.asLink, { ...workAt('i-0'), works: [] })
     one.told.length = 0
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -1,8 +1,9 @@
 /** Links to every control process that is known: they bring the document, leases and each other's addresses. */
-import { linkAddresses, type GatewaySettings } from '@gullwall/config.settings'
+import { linkAddresses, Regions, type GatewaySettings } from '@gullwall/config.settings'
 import { messageOf } from '@gullwall/core.error'
 import { Dialer, type Link } from '@gullwall/transport.link'
 import { type Message, type MessageOf } from '@gullwall/transport.messages'
+import { EntryCount } from './entry-count.ts'
 import { type GatewayServices } from './index.ts'
 import { ListeningChoice } from './listening-choice.ts'
 
@@ -30,10 +31,11 @@
   /** The link over which this entry tells of its work and hears of the others'. */
   private listensTo: Link | undefined
   private readonly listening: ListeningChoice
+  private readonly entryCount = new EntryCount()
   private confirmRetryMs = FIRST_CONFIRM_RETRY_MS
 
   constructor (private readonly services: GatewayServices) {
-    this.listening = new ListeningChoice(services.settings.dataCentre)
+    this.listening = new ListeningChoice(services.settings.dataCentre, new Regions(services.settings.regions))
   }
 
   start (): void {
@@ -117,10 +119,16 @@
     if (message.kind === 'readings') this.services.workExchange.learn(message)
     if (message.kind === 'leases') view.leases.merge(message.leases)
     if (message.kind !== 'controls') return
-    view.entries = Math.max(1, message.entries)
+    this.countEntries(link.address, message.entries)
     this.dialAll(message.addresses)
   }
 
+  private countEntries (address: string, entries: number): void {
+    const now = performance.now()
+    this.entryCount.note(address, entries, now)
+    this.services.view.entries = this.entryCount.count(this.openCount > this.dialers.size / 2, now)
+  }
+
   private receiveWork (link: Link, message: MessageOf<'workSums'>): void {
     this.listening.note(link, message.peers, performance.now())
     this.services.workExchange.receive(message)
@@ -128,7 +136,7 @@
 
   /** Asks until a quorum has said which revision is the newest; from then on the links keep this process up to date. */
   private async confirmOnce (): Promise<void> {
-    for (const link of this.links()) {
+    for (const link of this.listening.nearestFirst(this.links())) {
       try {
         const { revision } = await link.request({ kind: 'confirm' }, 'confirmed', CONFIRM_TIMEOUT_MS)
         this.confirmedRevision = revision
--- a/entry/gateway/src/listening-choice.ts
+++ b/entry/gateway/src/listening-choice.ts
@@ -2,10 +2,13 @@
  * Which control process an entry tells its work and hears the others' from. One that is cut off from its peers knows only
  * the entries that tell it, so that all who hear from it would send to the same engines.
  */
+import { Regions, type Distance } from '@gullwall/config.settings'
 import { type Link } from '@gullwall/transport.link'
 
 /** What a control process said of its peers counts for so long, in ms: the cut may have healed. */
 const VALID_MS = 3000
+/** From near to far. */
+const DISTANCES: readonly Distance[] = ['same data centre', 'same region', 'other region']
 
 interface Coverage {
   peers: number
@@ -15,7 +18,7 @@
 export class ListeningChoice {
   private readonly coverage = new Map<Link, Coverage>()
 
-  constructor (private readonly dataCentre: string) {}
+  constructor (private readonly dataCentre: string, private readonly regions = new Regions()) {}
 
   /** Notes from how many of its peers a control process hears. */
   note (link: Link, peers: number, now: number): void {
@@ -26,11 +29,17 @@
     this.coverage.delete(link)
   }
 
-  /** The link to one that is not known to be cut off from most of its peers; among those, one in this data centre. */
+  /** The link to one that is not known to be cut off from most of its peers; among those, one in this data centre, or in this region. */
   choose (links: readonly Link[], controls: number, now: number): Link | undefined {
     const sound = links.filter((link) => !this.isCutOff(link, controls, now))
     const able = sound.length > 0 ? sound : links
-    return able.find((link) => link.peer.dataCentre === this.dataCentre) ?? able[0]
+    return this.nearestFirst(able)[0]
+  }
+
+  /** Links in the order of their distance; those of equal distance as they were. */
+  nearestFirst (links: readonly Link[]): Link[] {
+    const rankOf = ({ peer }: Link) => DISTANCES.indexOf(this.regions.distance(this.dataCentre, peer.dataCentre))
+    return [...links].sort((left, right) => rankOf(left) - rankOf(right))
   }
 
   private isCutOff (link: Link, controls: number, now: number): boolean {
--- a/entry/gateway/test/listening-choice.test.ts
+++ b/entry/gateway/test/listening-choice.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { Regions } from '@gullwall/config.settings'
 import { type Link } from '@gullwall/transport.link'
 import { ListeningChoice } from '../src/listening-choice.ts'
 
@@ -17,6 +18,13 @@
     expect(choice.choose([], 3, 0)).toBeUndefined()
   })
 
+  it('is one in its region where its data centre has none', () => {
+    const choice = new ListeningChoice('dc4', new Regions({ dc1: 'south', dc2: 'south', dc3: 'north', dc4: 'north' }))
+    expect(choice.choose(links, 3, 0)).toBe(farther)
+    expect(choice.choose([far, near], 3, 0)).toBe(far)
+    expect(choice.nearestFirst(links)).toEqual([farther, far, near])
+  })
+
   it('is another while that one is cut off from most of its peers, for as long as that is known', () => {
     const choice = new ListeningChoice('dc1')
     choice.note(near, 0, 1000)
