test: a region that is cut off, at the quorum and at its gateways

Gateways of the smaller side serve on what they know, keep their count of entries, and still hear of endpoints that come and leave through their region's control processes.

--- /dev/null
+++ b/entry/gateway/test/smaller-side.test.ts
@@ -0,0 +1,156 @@
+/** A region with two of five control processes, its gateway and its engine, before and after the other three are gone. */
+import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { request } from 'undici'
+import { freeAddresses, until } from '@gullwall/bench.deployment'
+import { createControl, type ControlServices } from '@gullwall/control.program'
+import { MemoryDisk } from '@gullwall/control.storage'
+import { type Kernel } from '@gullwall/core.kernel'
+import { createGateway, type GatewayServices } from '@gullwall/entry.gateway'
+import { documentOf, StandIn } from './stand-in.ts'
+
+const REGIONS = { n1: 'north', n2: 'north', n3: 'north', s1: 'south', s2: 'south', s3: 'south' }
+const CONTROLS = ['n1', 'n2', 'n3', 's1', 's2'] as const
+const COMMON = { linkKey: 'a-shared-key-for-loopback', logLevel: 'info' as const, admin: '127.0.0.1:0', regions: REGIONS }
+/** A box that joins is to be useful within this time, in ms. */
+const USEFUL_MS = 2000
+
+const controls = new Map<string, Kernel<ControlServices>>()
+const gateways: Array<Kernel<GatewayServices>> = []
+const engine = new StandIn('i-south', 'app', undefined, 's3')
+const another = new StandIn('i-south-2', 'app', undefined, 's1')
+let seeds: string[] = []
+let sequence = 0
+
+async function startControl (dataCentre: string, listen: string): Promise<void> {
+  const control = await createControl({
+    ...COMMON,
+    box: `box-${dataCentre}`,
+    dataCentre,
+    listen,
+    member: `m-${dataCentre}`,
+    members: {},
+    seeds,
+    founds: true,
+    tolerance: 2,
+    dataFolder: 'unused',
+    operatorToken: 'an-operator-token-for-loopback',
+    quorumHeartbeatMs: 40,
+    quorumElectionMs: 200,
+    firstElectionShare: 0.4
+  }, { disk: new MemoryDisk(), write: () => {} })
+  await control.start()
+  controls.set(dataCentre, control)
+}
+
+/** Starts a gateway in the data centre that has no control process. */
+async function startGateway (box: string): Promise<Kernel<GatewayServices>> {
+  const gateway = createGateway({
+    ...COMMON,
+    box,
+    dataCentre: 's3',
+    listen: '127.0.0.1:0',
+    readiness: '127.0.0.1:0',
+    seeds: seeds.slice(0, 3),
+    graceMs: 4000,
+    retryRatio: 0.2,
+    retryWindowMs: 10_000,
+    retrySlack: 60
+  }, { write: () => {} })
+  await gateway.start()
+  gateways.push(gateway)
+  return gateway
+}
+
+function control (dataCentre: string): Kernel<ControlServices> {
+  const found = controls.get(dataCentre)
+  if (found === undefined) throw new Error(`no control process in ${dataCentre}`)
+  return found
+}
+
+async function beat (standIn: StandIn, state: 'ready' | 'draining' = 'ready'): Promise<void> {
+  const { incarnation, service, address, dataCentre } = standIn
+  sequence += 1
+  await control('s1').get('registrar').hear({ incarnation, service, address, dataCentre, slots: 4, state, sequence, ageMs: 0 })
+}
+
+async function statusOf (gateway: Kernel<GatewayServices>): Promise<number> {
+  const reply = await request(`http://${gateway.get('ingress').address}/look-up/1`, { headers: { authorization: 'Bearer secret' } })
+  await reply.body.dump()
+  return reply.statusCode
+}
+
+async function put (version: number): Promise<void> {
+  await until(`version ${version}`, async () => {
+    for (const each of controls.values()) {
+      const taken = await each.get('documents').put(JSON.stringify(documentOf(version))).then(() => true, () => false)
+      if (taken) return true
+    }
+    return false
+  })
+}
+
+const isUsable = (gateway: Kernel<GatewayServices>, { incarnation }: StandIn) => (
+  gateway.get('view').usable('app').some(({ description }) => description.incarnation === incarnation)
+)
+
+beforeAll(async () => {
+  seeds = await freeAddresses(CONTROLS.length)
+  for (const [index, dataCentre] of CONTROLS.entries()) await startControl(dataCentre, seeds[index] ?? '')
+  await until('five voters', () => [...controls.values()].every((each) => each.get('quorum').status().voters.length === 5))
+  for (const standIn of [engine, another]) await standIn.start()
+  await put(1)
+  await beat(engine)
+})
+afterAll(async () => {
+  for (const gateway of gateways) await gateway.stop()
+  for (const each of controls.values()) await each.stop()
+  for (const standIn of [engine, another]) standIn.stop()
+})
+
+describe('a gateway of the region with the fewer control processes', () => {
+  it('is useful soon after its start, and counts itself among those that share the budgets', async () => {
+    await startGateway('g-1')
+    const startedAt = performance.now()
+    const second = await startGateway('g-2')
+    await until('an answer', async () => await statusOf(second) === 200)
+    const tookMs = performance.now() - startedAt
+    console.log(`useful after ${Math.round(tookMs)} ms`)
+    expect(tookMs).toBeLessThan(USEFUL_MS)
+    await until('both are counted everywhere', () => gateways.every((gateway) => gateway.get('view').entries === 2))
+  })
+
+  it('listens to a control process of its region', async () => {
+    for (const gateway of gateways) {
+      // Until the links to its region are open it tells another process.
+      await until('it listens to the south', () => gateway.get('controlLinks').listened?.peer.dataCentre.startsWith('s') === true)
+    }
+  })
+
+  it('goes on serving when the other region is gone, while control there takes no order', async () => {
+    for (const dataCentre of ['n1', 'n2', 'n3']) {
+      await control(dataCentre).stop()
+      controls.delete(dataCentre)
+    }
+    const [gateway] = gateways
+    if (gateway === undefined) throw new Error('no gateway')
+    await until('the links are closed', () => gateway.get('controlLinks').openCount === 2)
+    for (const each of controls.values()) {
+      await expect(each.get('documents').put(JSON.stringify(documentOf(2)))).rejects.toMatchObject({ code: expect.stringMatching(/^ERR_GULLWALL_/) })
+      await expect(each.get('documents').read()).rejects.toMatchObject({ code: expect.stringMatching(/^ERR_GULLWALL_/) })
+    }
+    expect(await statusOf(gateway)).toBe(200)
+    expect(gateway.get('view').table?.version).toBe(1)
+    expect(gateway.get('view').documentAgeMs).toBeGreaterThan(0)
+    expect(gateway.get('view').entries).toBe(2)
+  })
+
+  it('still learns there of endpoints that come and that leave, though their leaving is not acknowledged', async () => {
+    const [gateway] = gateways
+    if (gateway === undefined) throw new Error('no gateway')
+    await beat(another)
+    await until('the new one is known', () => isUsable(gateway, another))
+    await expect(beat(another, 'draining')).rejects.toMatchObject({ code: 'ERR_GULLWALL_NO_QUORUM' })
+    await until('it gets nothing more', () => !isUsable(gateway, another))
+    expect(await statusOf(gateway)).toBe(200)
+  })
+})
