--- a/cli/gullwall/src/commands/status.ts
+++ b/cli/gullwall/src/commands/status.ts
@@ -29,6 +29,11 @@
   queued?: Record<string, number>
   classes?: Record<string, ClassCounts>
   endpoints?: EndpointStatus[]
+  /** Of a gateway: the version of its document, and how long that has been in force there. */
+  version?: number
+  documentAgeMs?: number
+  /** Of a gateway: what it sent to other regions. */
+  leaving?: { requests: number, bytes: number }
 }
 
 export interface WholeStatus {
@@ -41,6 +46,7 @@
 }
 
 const MS_PER_SECOND = 1000
+const BYTES_PER_KB = 1000
 /** Processes that are named of those that lag or can't be reached; `--json` gives all. */
 const MAX_NAMED = 8
 
@@ -83,8 +89,8 @@
 export function formatStatus (status: WholeStatus): string {
   const { revision, leader = 'none', boxes, lagging } = status
   const lines = [`revision ${revision}, leader ${leader}, ${boxes} boxes, lagging: ${firstOf(lagging).join(', ') || 'none'}`]
-  for (const { role, box, queued, classes, endpoints } of status.processes) {
-    lines.push(`${role} ${box}`)
+  for (const { role, box, queued, classes, endpoints, ...gateway } of status.processes) {
+    lines.push(`${role} ${box}${formatGateway(gateway)}`)
     for (const [name, counts] of Object.entries(classes ?? {})) lines.push(formatClass(name, counts, queued?.[name] ?? 0))
     for (const endpoint of endpoints ?? []) lines.push(formatEndpoint(endpoint))
   }
@@ -97,6 +103,13 @@
   return left <= 0 ? [...names] : [...names.slice(0, MAX_NAMED), `and ${left} more`]
 }
 
+/** What only gateways tell. */
+function formatGateway ({ version, documentAgeMs, leaving }: Pick<ProcessStatus, 'version' | 'documentAgeMs' | 'leaving'>): string {
+  const age = documentAgeMs === undefined ? '' : `: document ${version} in force for ${Math.round(documentAgeMs / MS_PER_SECOND)} s`
+  if (leaving === undefined || leaving.requests === 0) return age
+  return `${age}, ${leaving.requests} requests to other regions, ${Math.round(leaving.bytes / BYTES_PER_KB)} kB`
+}
+
 function formatClass (name: string, counts: ClassCounts, queued: number): string {
   const percent = (100 * counts.inTime / Math.max(1, counts.requests)).toFixed(1)
   return `  class ${name}: ${counts.requests} requests, ${percent}% in time, ${counts.refused} refused, ${counts.failed} failed, ${queued} waiting`
--- a/cli/gullwall/test/status.test.ts
+++ b/cli/gullwall/test/status.test.ts
@@ -9,6 +9,13 @@
     expect(formatStatus(status)).toContain('lagging: none')
   })
 
+  it('tells how old the document of a gateway is, and what it sent to other regions', () => {
+    const gateway = { role: 'gateway', box: 'edge-1', revision: 7, version: 3, documentAgeMs: 61_400, leaving: { requests: 0, bytes: 0 } }
+    expect(formatStatus({ ...status, processes: [gateway] })).toContain('\ngateway edge-1: document 3 in force for 61 s')
+    const leaving = formatStatus({ ...status, processes: [{ ...gateway, leaving: { requests: 12, bytes: 48_200 } }] })
+    expect(leaving).toContain('in force for 61 s, 12 requests to other regions, 48 kB')
+  })
+
   it('stays short with hundreds of processes', () => {
     const many = Array.from({ length: 500 }, (_unused, index) => `entry/edge-${index}`)
     const lines = formatStatus({ ...status, lagging: many, unreachable: many }).split('\n')
--- a/entry/gateway/src/region-crossings.ts
+++ b/entry/gateway/src/region-crossings.ts
@@ -19,6 +19,8 @@
 export class RegionCrossings {
   readonly regions: Regions
   readonly link: RegionLink
+  /** What was sent to other regions since the start, with the answers. */
+  readonly sent = { requests: 0, bytes: 0 }
   /** How long the answers of each route usually are. */
   private readonly answerBytes = new Map<string, number>()
 
@@ -41,12 +43,14 @@
     const region = this.regions.regionOf(description.dataCentre)
     if (isLeaving) {
       metrics.leavingRequests.inc({ region })
+      this.sent.requests += 1
       this.link.take(expected)
     }
     return (answerBytes) => {
       if (isLeaving) {
         const bytes = requestBytes(call) + answerBytes
         metrics.leavingBytes.inc({ region }, bytes)
+        this.sent.bytes += bytes
         this.link.take(bytes - expected)
       }
       this.noteAnswer(call.route.name, answerBytes)
