fix(balancer): sensitive streams do not leave for engines that only the other region reserves

Cause: with engines reserved in one region, every engine of a region without any cost 1000 for a sensitive stream, more than leaving; its streams would all have left, and their own region would never have reserved an engine.

--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -1,5 +1,5 @@
 /** The choice of an endpoint: each candidate has a cost in ms, and the least cost wins. */
-import { distanceCost, isWithinReach, leavingOf, perRegion, type Crossing, type Leaving } from './distance.ts'
+import { distanceCost, isWithinReach, leavingOf, perRegion, reservesNear, type Crossing, type Leaving } from './distance.ts'
 import { type EndpointState } from './endpoint-state.ts'
 import { type PromptPart } from './prefix-memory.ts'
 import { rendezvousFirst } from './rendezvous.ts'
@@ -257,8 +257,9 @@
   return homes.length > 0 ? homes : endpoints
 }
 
-function reservationCost (endpoint: EndpointState, { isSensitive, reserved }: Demand, weights: ChoiceWeights): number {
-  if (reserved.size === 0 || reserved.has(endpoint) === isSensitive) return 0
+function reservationCost (endpoint: EndpointState, demand: Demand, weights: ChoiceWeights): number {
+  const { isSensitive, reserved } = demand
+  if (reserved.size === 0 || reserved.has(endpoint) === isSensitive || !reservesNear(demand, endpoint)) return 0
   return isSensitive ? weights.notReserved : weights.reserved
 }
 
--- a/routing/balancer/src/distance.ts
+++ b/routing/balancer/src/distance.ts
@@ -50,6 +50,17 @@
   return isOtherRegion(demand, endpoint) ? LEAVING_MS + (demand.crossing?.costMs ?? 0) : otherDataCentreMs
 }
 
+/**
+ * Whether engines are reserved in the region of an endpoint. Where none are, streams must not leave for those that another
+ * region reserves: with all of them gone, their own region would never reserve any.
+ */
+export function reservesNear (demand: Demand, endpoint: EndpointState): boolean {
+  if (demand.crossing === undefined) return demand.reserved.size > 0
+  const region = regionOf(demand, endpoint)
+  for (const reserved of demand.reserved) if (regionOf(demand, reserved) === region) return true
+  return false
+}
+
 /** The endpoints of each region; all together where there is only one. */
 export function byRegion (demand: Demand, endpoints: readonly EndpointState[]): Map<string, readonly EndpointState[]> {
   if (demand.crossing === undefined) return new Map([['', endpoints]])
--- a/routing/balancer/test/distance.test.ts
+++ b/routing/balancer/test/distance.test.ts
@@ -107,6 +107,13 @@
   })
 })
 
+it('a sensitive stream does not leave for engines that only the other region reserves', () => {
+  const all = fleet()
+  const reserved = new Set(all.filter((endpoint) => !isNorth(endpoint)).slice(0, 1))
+  const chosen = choose({ ...demand, prompt: [{ id: 'own', tokens: 300 }], isSensitive: true, reserved }, all, LATER)
+  expect(chosen?.endpoint).toSatisfy(isNorth)
+})
+
 it('each region reserves engines for its own sensitive streams', () => {
   const all = fleet()
   const busy = all.find(isNorth)
