perf(gateway): a process that starts is told once, links to few and reads requests once it can serve them

Requests were read while links, document and leases were still to come over five links, each with its own copy. Change: an early port is taken over once requests can be served, the newest connections first; a control process that is farther sends what a starting process lacks only if a nearer one has not; further control processes are linked to once the process serves. Not measured yet.

--- a/config/spread/src/spreader.ts
+++ b/config/spread/src/spreader.ts
@@ -62,7 +62,7 @@
         const state = this.links.get(link)
         if (state === undefined) return true
         state.peerRevision = message.revision
-        this.bringUpToDate(link, state)
+        this.bring(link, state)
         return true
       }
       case 'revisions':
@@ -90,15 +90,22 @@
     for (const [link, state] of this.links) {
       // Saying the own revision first spares the peer from sending it back.
       link.send({ kind: 'heartbeat', revision: this.store.revision })
-      if (state.peerRevision < 0) continue
-      const delayMs = this.options.delayMs?.(link) ?? 0
-      if (delayMs === 0) this.bringUpToDate(link, state)
-      else this.bringUpToDateLater(link, state, delayMs)
+      if (state.peerRevision >= 0) this.bring(link, state)
     }
   }
 
+  /**
+   * Sends what a peer lacks, at once or once a nearer link has had its time. Also a peer that has just started and holds
+   * nothing is told the whole over one link, and not over each of its links.
+   */
+  private bring (link: Link, state: LinkState): void {
+    const delayMs = this.options.delayMs?.(link) ?? 0
+    if (delayMs === 0) this.bringUpToDate(link, state)
+    else this.bringUpToDateLater(link, state, delayMs)
+  }
+
   private bringUpToDateLater (link: Link, state: LinkState, delayMs: number): void {
-    if (state.isWaiting) return
+    if (state.isWaiting || state.peerRevision >= this.store.revision) return
     state.isWaiting = true
     setTimeout(() => {
       state.isWaiting = false
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -6,6 +6,7 @@
 import { EntryCount } from './entry-count.ts'
 import { type GatewayServices } from './index.ts'
 import { ListeningChoice } from './listening-choice.ts'
+import { isStartingUp } from './start-up.ts'
 
 const MAX_BACKOFF_MS = 500
 const TIMING = { heartbeatMs: 1000, silenceMs: 2500, handshakeMs: 1000 }
@@ -120,7 +121,17 @@
     if (message.kind === 'leases') view.leases.merge(message.leases)
     if (message.kind !== 'controls') return
     this.countEntries(link.address, message.entries)
-    this.dialAll(message.addresses)
+    this.dialOthers(message.addresses)
+  }
+
+  /**
+   * Links to the control processes that the first ones name. A process that has just started first takes what it needs from
+   * those of its settings: each further link costs processor time in which callers wait.
+   */
+  private dialOthers (addresses: readonly string[]): void {
+    const isPressed = this.notReady() !== undefined && isStartingUp(performance.now(), this.services.startedAt)
+    // Control tells its addresses again within two seconds.
+    if (!isPressed) this.dialAll(addresses)
   }
 
   private countEntries (address: string, entries: number): void {
--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -1,12 +1,12 @@
 /** The server for callers: reads requests, answers what needs no endpoint, and stops without cutting anything off. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { messageOf } from '@gullwall/core.error'
-import { listenOn } from '@gullwall/transport.http-server'
+import { isOpenedEarly, listenOn } from '@gullwall/transport.http-server'
 import { CallerAnswer, type ErrorAnswer } from './answer.ts'
 import { resolveCall, type Refusal } from './call.ts'
 import { Forwarding } from './forward.ts'
 import { type GatewayServices } from './index.ts'
-import { heldUntil } from './start-up.ts'
+import { heldUntil, START_UP_MS } from './start-up.ts'
 
 /** Header bytes beyond the document's limit, for what the limit is not meant for, such as the request line. */
 const HEADER_MARGIN_BYTES = 16_384
@@ -30,6 +30,7 @@
   /** Once the balancer knows of a stop, what still comes on kept connections is told to go elsewhere. */
   private takesNothing = false
   private server: Server | undefined
+  private takeOver: Promise<void> | undefined
   private inFlight = 0
 
   constructor (private readonly services: GatewayServices) {}
@@ -41,9 +42,28 @@
     }, (request, response) => { void this.serve(request, response) })
     this.applyLimits()
     store.onChange(() => this.applyLimits())
-    await listenOn(this.server, settings.listen)
-    const info = this.server.address()
-    this.address = typeof info === 'object' && info !== null ? `${info.address}:${info.port}` : settings.listen
+    if (isOpenedEarly(settings.listen)) {
+      this.address = settings.listen
+      this.takeOver = this.takeOverOnceReady(this.server)
+    } else {
+      await listenOn(this.server, settings.listen)
+      const info = this.server.address()
+      this.address = typeof info === 'object' && info !== null ? `${info.address}:${info.port}` : settings.listen
+    }
+  }
+
+  /**
+   * Takes over an address that was opened before the program was loaded, once requests can be served. Read earlier, they
+   * would only wait here, and reading them would take the processor from what they wait for.
+   */
+  private async takeOverOnceReady (server: Server): Promise<void> {
+    const { settings, startedAt, logger } = this.services
+    await this.readyWithin(startedAt + START_UP_MS)
+    try {
+      await listenOn(server, settings.listen)
+    } catch (error) {
+      logger.error({ channel: 'process', event: 'failed', why: `${settings.listen} can't be taken over: ${messageOf(error)}` })
+    }
   }
 
   /** Stops taking work in the order in which callers notice: readiness, new connections, kept ones, requests in flight. */
@@ -52,6 +72,7 @@
     const startedAt = performance.now()
     const endsAt = startedAt + settings.graceMs - STOP_RESERVE_MS
     this.isStopping = true
+    await this.takeOver
     await this.until(() => false, Math.min(startedAt + TAKE_ON_MS, endsAt))
     this.takesNothing = true
     this.server?.close()
--- a/transport/http-server/src/listen.ts
+++ b/transport/http-server/src/listen.ts
@@ -4,6 +4,7 @@
  */
 import { type Server as HttpServer } from 'node:http'
 import { type Server, type Socket } from 'node:net'
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { GullwallError } from '@gullwall/core.error'
 import { splitAddress } from '@gullwall/config.settings'
 
@@ -17,8 +18,14 @@
   waiting: Socket[]
 }
 
+/** Whether a loader has opened an address and nobody has taken it over yet. */
+export function isOpenedEarly (address: string): boolean {
+  return earlyListeners()?.has(address) === true
+}
+
 /**
- * Listens on an address; what has connected to an early listener there is served first.
+ * Listens on an address. What has connected to an early listener there is served from now on, the newest first: what has
+ * waited longest has the least time left, and would take the processor from callers who can still be served in time.
  * @throws ERR_GULLWALL_LISTEN if the address can't be had
  */
 export async function listenOn (server: HttpServer, address: string): Promise<void> {
@@ -31,17 +38,25 @@
     if (early === undefined) server.listen(port, host, resolve)
     else server.listen(early.server, resolve)
   })
-  for (const socket of early?.waiting.splice(0) ?? []) serveWaiting(server, socket)
+  for (const socket of early?.waiting.splice(0).reverse() ?? []) {
+    serveWaiting(server, socket)
+    // Each is read before the next is begun.
+    await nextTurn()
+  }
 }
 
 /** An address is taken over once; a second server would share its port. */
 function takeEarly (address: string): EarlyListener | undefined {
-  const listeners = (globalThis as { [EARLY_LISTENERS]?: Map<string, EarlyListener> })[EARLY_LISTENERS]
+  const listeners = earlyListeners()
   const early = listeners?.get(address)
   listeners?.delete(address)
   return early?.server.listening === true ? early : undefined
 }
 
+function earlyListeners (): Map<string, EarlyListener> | undefined {
+  return (globalThis as { [EARLY_LISTENERS]?: Map<string, EarlyListener> })[EARLY_LISTENERS]
+}
+
 function serveWaiting (server: HttpServer, socket: Socket): void {
   if (socket.destroyed) return
   server.emit('connection', socket)
--- a/transport/http-server/test/listen.test.ts
+++ b/transport/http-server/test/listen.test.ts
@@ -16,9 +16,9 @@
   return address
 }
 
-async function answerOf (address: string): Promise<number | undefined> {
+async function answerOf (address: string, path = ''): Promise<number | undefined> {
   return await new Promise((resolve, reject) => {
-    request(`http://${address}/`, { agent: false }, (response) => {
+    request(`http://${address}/${path}`, { agent: false }, (response) => {
       response.resume()
       resolve(response.statusCode)
     }).once('error', reject).end()
@@ -51,6 +51,26 @@
     expect(await Promise.all([first, second, answerOf(address)])).toEqual([200, 200, 200])
   })
 
+  it('serves those who came last first', async () => {
+    const address = await openEarly()
+    const waiting = early.get(address)?.waiting ?? []
+    const order: string[] = []
+    const asked = []
+    for (const name of ['first', 'second', 'third']) {
+      const count = waiting.length
+      asked.push(answerOf(address, name))
+      while (waiting.length === count) await new Promise((resolve) => setImmediate(resolve))
+    }
+    const server = createHttpServer((incoming, response) => {
+      order.push(incoming.url ?? '')
+      response.end()
+    })
+    servers.push(server)
+    await listenOn(server, address)
+    await Promise.all(asked)
+    expect(order).toEqual(['/third', '/second', '/first'])
+  })
+
   it('takes nothing more once the server that took it over has closed', async () => {
     const address = await openEarly()
     const server = httpServer()
