feat(control): orders to evacuate a data centre, kept in the log

Cause: operators empty a data centre and take it back; nothing took, kept or spread such an order. Ruled out: an order's text with an id of its own, since the calls have no body; a time within which a POST counts as the same again, since clocks of a new leader are behind and an acknowledged evacuation would not hold; a quorum read before each order, since an older epoch read here only makes the order be given a second time. Change: command evacuate with the epoch that the order saw; each order that is taken adds one, also one that repeats what holds; one overtaken by the other kind is given again while its caller waits, and dropped after that. Records evacuation/NAME, HTTP of operators, the platform's calls, log lines, counters. Waiting for a revision has a module of its own. Not measured.

--- a/control/program/src/documents.ts
+++ b/control/program/src/documents.ts
@@ -1,13 +1,10 @@
 /** Routing documents: taken through the log, read back only when certain to be the newest. */
 import { type Either, Left, Right } from 'purify-ts'
 import { type Mistake } from '@gullwall/config.checker'
-import { GullwallError } from '@gullwall/core.error'
 import { type DocumentResult, type StoredDocument } from '@gullwall/control.state'
+import { appliedHere } from './applied-here.ts'
 import { type ControlServices } from './index.ts'
 
-/** How long a read waits until the confirmed revision is applied here, in ms. */
-const APPLY_TIMEOUT_MS = 700
-
 export class Documents {
   constructor (private readonly services: ControlServices) {}
 
@@ -35,29 +32,11 @@
    * @throws ERR_GULLWALL_NO_QUORUM, ERR_GULLWALL_NOT_LEADER if that can't be told for sure
    */
   async read (): Promise<StoredDocument | undefined> {
-    const { proposer, state } = this.services
+    const { proposer, state, store } = this.services
     const { revision } = await proposer.confirm()
-    await this.applied(revision)
+    await appliedHere(store, revision, 'read document')
     return state.document
   }
-
-  private async applied (revision: number): Promise<void> {
-    const { store } = this.services
-    if (store.revision >= revision) return
-    await new Promise<void>((resolve, reject) => {
-      const done = () => {
-        if (store.revision < revision) return
-        clearTimeout(timer)
-        unsubscribe()
-        resolve()
-      }
-      const unsubscribe = store.onChange(done)
-      const timer = setTimeout(() => {
-        unsubscribe()
-        reject(new GullwallError('ERR_GULLWALL_NO_QUORUM', `revision ${revision} is not applied here yet`, { step: 'read document' }))
-      }, APPLY_TIMEOUT_MS)
-    })
-  }
 }
 
 function firstOf (mistakes: readonly Mistake[]): string {
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -14,6 +14,7 @@
 import { nativeFormat, type DocumentFormat } from '@gullwall/config.document'
 import { ControlServer } from './control-server.ts'
 import { Documents } from './documents.ts'
+import { Evacuations } from './evacuations.ts'
 import { Joiner } from './joiner.ts'
 import { LeaseStore } from './lease-store.ts'
 import { foundingOf, targetVoters } from './membership.ts'
@@ -25,6 +26,7 @@
 import { type UsageSink } from './usage-sink.ts'
 import { WorkRelay } from './work-relay.ts'
 
+export * from './order-caller.ts'
 export * from './usage-sink.ts'
 
 /** How long a push to an entry in another data centre waits for the entry to have the same from nearer by, in ms. */
@@ -47,6 +49,7 @@
   registrar: Registrar
   workRelay: WorkRelay
   documents: Documents
+  evacuations: Evacuations
   joiner: Joiner
   server: ControlServer
   admin: ControlAdmin
@@ -92,6 +95,7 @@
     .service('leaseStore', (services) => new LeaseStore(services))
     .service('workRelay', (services) => new WorkRelay(services))
     .service('documents', (services) => new Documents(services))
+    .service('evacuations', (services) => new Evacuations(services))
     .service('server', (services) => new ControlServer(services))
     .service('quorum', createQuorum)
     .service('proposer', (services) => new Proposer(services))
@@ -147,9 +151,10 @@
   constructor (private readonly services: ControlServices) {}
 
   async start (): Promise<void> {
-    const { settings, quorum, store, members } = this.services
+    const { settings, quorum, store, members, evacuations } = this.services
     const registry = createRegistry({ process: true })
     linkMetrics(registry)
+    evacuations.addMetrics(registry)
     this.http = createAdminServer({
       registry,
       notReady: () => quorum.leaderName === undefined ? 'no leader is known' : undefined,
--- a/control/program/src/operator-api.ts
+++ b/control/program/src/operator-api.ts
@@ -9,6 +9,7 @@
 import { type ApplyCommand, type ApplyResult } from '@gullwall/control.state'
 import { Koa, Router } from '@gullwall/transport.http-server'
 import { leaseSchema, type MessageOf } from '@gullwall/transport.messages'
+import { HttpCaller } from './order-caller.ts'
 import { readBody } from './read-body.ts'
 import { type ControlServices } from './index.ts'
 
@@ -28,6 +29,7 @@
 const STATUS_BY_CODE: Record<string, number> = {
   ERR_GULLWALL_BODY: 400,
   ERR_GULLWALL_MEMBER_EXISTS: 409,
+  ERR_GULLWALL_NO_SUCH_DATA_CENTRE: 404,
   ERR_GULLWALL_NO_SUCH_MEMBER: 404,
   ERR_GULLWALL_LAST_VOTER: 409
 }
@@ -48,7 +50,8 @@
   })
   router.get('/in-force', async (context) => { context.body = { revision: store.revision, processes: await inForce() } })
   router.get('/status', (context) => {
-    context.body = { quorum: quorum.status(), revision: store.revision, claims: state.claims.size, boxes: members.all() }
+    const { evacuated } = services.evacuations
+    context.body = { quorum: quorum.status(), revision: store.revision, claims: state.claims.size, boxes: members.all(), evacuated }
   })
   router.post('/control/members', async (context) => {
     const asked = checkValue(await readBody(context.req), newMemberSchema, { file: 'request' })
@@ -77,6 +80,10 @@
     context.body = {}
   })
 
+  router.put('/evacuations/:dataCentre', async (context) => await orderEvacuation(context, services, true))
+  router.delete('/evacuations/:dataCentre', async (context) => await orderEvacuation(context, services, false))
+  router.get('/evacuations', async (context) => { context.body = { evacuations: Object.fromEntries(await services.evacuations.read()) } })
+
   const app = new Koa()
   app.silent = true
   app.use(reportErrors)
@@ -118,6 +125,11 @@
   })
 }
 
+async function orderEvacuation (context: Context, { evacuations }: ControlServices, isEvacuated: boolean): Promise<void> {
+  const dataCentre = String(context.params['dataCentre'])
+  context.body = await evacuations.order({ dataCentre, isEvacuated, caller: new HttpCaller(context.res) })
+}
+
 function statusOf (result: ApplyResult): number {
   switch (result.type) {
     case 'accepted': return 200
--- a/control/program/src/proposer.ts
+++ b/control/program/src/proposer.ts
@@ -3,7 +3,7 @@
 import { type Applied } from '@gullwall/control.quorum'
 import {
   type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type DecideUsageCommand, type DocumentCommand, type DocumentResult,
-  type UsageDeliveredCommand, type UsageReport
+  type EvacuateCommand, type EvacuationResult, type UsageDeliveredCommand, type UsageReport
 } from '@gullwall/control.state'
 import { type MessageOf } from '@gullwall/transport.messages'
 import { targetVoters } from './membership.ts'
@@ -48,6 +48,11 @@
     return { kind: 'done' }
   }
 
+  /** Brings an order to evacuate a data centre, or to withdraw that. */
+  async evacuate (command: EvacuateCommand): Promise<EvacuationResult> {
+    return JSON.parse((await this.propose(command)).result) as EvacuationResult
+  }
+
   /** Has the report of a window decided; gives the one that holds. */
   async decideUsage (command: DecideUsageCommand): Promise<UsageReport> {
     return JSON.parse((await this.propose(command)).result) as UsageReport
--- a/control/program/test/control-processes.ts
+++ b/control/program/test/control-processes.ts
@@ -1,6 +1,6 @@
 /** Control processes that tests start, by their addresses. */
 import { type ControlSettings } from '@gullwall/config.settings'
-import { createControl, type ControlServices, type UsageSink } from '@gullwall/control.program'
+import { createControl, type ControlServices, type OperatorApi, type UsageSink } from '@gullwall/control.program'
 import { MemoryDisk } from '@gullwall/control.storage'
 import { type Kernel } from '@gullwall/core.kernel'
 
@@ -16,9 +16,14 @@
   dataCentre?: string
   usage?: ControlSettings['usage']
   usageSink?: UsageSink
+  regions?: ControlSettings['regions']
+  api?: OperatorApi
+  write?: (line: string) => void
+  tolerance?: number
 }
 
-export async function start ({ address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1', usage, usageSink }: StartOptions): Promise<Control> {
+export async function start (options: StartOptions): Promise<Control> {
+  const { address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1', usage, usageSink, regions, api, write = () => {}, tolerance = 2 } = options
   const control = await createControl({
     box: `box-${address.split(':')[1] ?? ''}`,
     dataCentre,
@@ -30,14 +35,15 @@
     members: {},
     seeds,
     founds,
-    tolerance: 2,
+    tolerance,
     dataFolder: 'unused',
     operatorToken: 'an-operator-token-for-loopback',
     quorumHeartbeatMs: 40,
     quorumElectionMs: 200,
     firstElectionShare: 0.4,
-    usage
-  }, { disk, usageSink, write: () => {} })
+    usage,
+    regions
+  }, { disk, usageSink, api, write })
   await control.start()
   running.set(address, control)
   return control
--- a/control/state/src/commands.ts
+++ b/control/state/src/commands.ts
@@ -3,6 +3,7 @@
 import { type RecordChange } from '@gullwall/config.records'
 import { type UsageCount } from '@gullwall/transport.messages'
 import { type Ran } from '@gullwall/core.types'
+import { type StoredEvacuation } from './evacuations.ts'
 
 /** An operator's change. The same operation id again gives the first answer again. */
 export interface ApplyCommand {
@@ -55,7 +56,23 @@
   window: number
 }
 
-export type Command = ApplyCommand | ClaimCommand | SettleCommand | DocumentCommand | DecideUsageCommand | UsageDeliveredCommand
+/** An operator's order that a data centre is evacuated, or that it is no longer. */
+export interface EvacuateCommand {
+  type: 'evacuate'
+  dataCentre: string
+  isEvacuated: boolean
+  /** The epoch of the data centre when the order was last known to be wanted. */
+  seen: number
+}
+
+export type Command = (
+  ApplyCommand | ClaimCommand | SettleCommand | DocumentCommand | DecideUsageCommand | UsageDeliveredCommand | EvacuateCommand
+)
+
+/** What holds after an order; one that was overtaken by an order of the other kind is not taken and changes nothing. */
+export interface EvacuationResult extends StoredEvacuation {
+  isTaken: boolean
+}
 
 /** What is reported of the usage of one window. */
 export interface UsageReport {
--- a/control/state/src/control-state.ts
+++ b/control/state/src/control-state.ts
@@ -4,8 +4,9 @@
 import { Claims } from './claims.ts'
 import {
   DOCUMENT_KEY, type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type Difference, type DocumentCommand,
-  type DocumentResult, type HistoryEntry, type StoredDocument, type UsageReport
+  type DocumentResult, type EvacuateCommand, type EvacuationResult, type HistoryEntry, type StoredDocument, type UsageReport
 } from './commands.ts'
+import { decideEvacuation } from './evacuations.ts'
 import { UsageReports } from './usage-reports.ts'
 
 /** How many answers are remembered for operations that are sent again. */
@@ -76,7 +77,7 @@
     this.options.onRestored?.()
   }
 
-  private run (command: Command): ApplyResult | ClaimResult | DocumentResult | UsageReport | object {
+  private run (command: Command): ApplyResult | ClaimResult | DocumentResult | UsageReport | EvacuationResult | object {
     switch (command.type) {
       case 'apply': return this.runApply(command)
       case 'claim': return this.claims.claim(command)
@@ -88,6 +89,7 @@
       case 'usage-delivered':
         this.usageReports.noteDelivered(command)
         return {}
+      case 'evacuate': return this.runEvacuate(command)
     }
   }
 
@@ -110,13 +112,23 @@
     const held = this.document?.version
     if (held !== undefined && held >= version) return { taken: false, version: held }
     const stored: StoredDocument = { version, text }
-    const changes = [{ key: DOCUMENT_KEY, value: JSON.stringify(stored) }]
-    this.records.apply(changes)
-    this.revision += 1
-    this.options.onAccepted?.(this.revision, changes)
+    this.put({ key: DOCUMENT_KEY, value: JSON.stringify(stored) })
     return { taken: true, version }
   }
 
+  private runEvacuate (command: EvacuateCommand): EvacuationResult {
+    const { result, change } = decideEvacuation(this.records, command)
+    if (change !== undefined) this.put(change)
+    return result
+  }
+
+  /** Puts a record in force that is no operation of the history. */
+  private put (change: RecordChange): void {
+    this.records.apply([change])
+    this.revision += 1
+    this.options.onAccepted?.(this.revision, [change])
+  }
+
   private decide (command: ApplyCommand): ApplyResult {
     const { expectedRevision } = command
     if (expectedRevision !== null && expectedRevision !== this.revision) return this.conflict(expectedRevision)
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -106,6 +106,16 @@
   why: string
 }
 
+/** An order to evacuate a data centre or to withdraw that, and its coming into force in a process. */
+export interface EvacuationRecord {
+  channel: 'evacuation'
+  event: 'accepted' | 'ignored' | 'refused' | 'applied'
+  dataCentre: string
+  /** The number of orders taken for the data centre so far. */
+  epoch: number
+  why: string
+}
+
 /** Start, stop and failures of a program. */
 export interface ProcessRecord {
   channel: 'process'
@@ -123,4 +133,5 @@
   | QuorumRecord
   | ConfigurationRecord
   | UsageRecord
+  | EvacuationRecord
   | ProcessRecord
