feat(cli): gullwall evacuate, and what a story and the status tell of it

Cause: operators had only the HTTP calls, and the story of a refusal did not say that its data centre was evacuated. Ruled out: the lines of the last 15 s alone, since an order holds for hours. Change: command, client, a line of status, the order in force in each story. A restore no longer tries to delete records that no file can name, which control refuses; it failed as a whole where there was a document too. Not measured.

--- a/cli/client/src/index.ts
+++ b/cli/client/src/index.ts
@@ -4,7 +4,7 @@
 import { newStartId } from '@gullwall/core.ids'
 import { type RecordChange } from '@gullwall/config.records'
 import { type QuorumStatus } from '@gullwall/control.quorum'
-import { type ApplyResult, type HistoryEntry } from '@gullwall/control.state'
+import { type ApplyResult, type EvacuationResult, type HistoryEntry } from '@gullwall/control.state'
 import { type Member } from '@gullwall/transport.messages'
 
 export interface OperatorClientOptions {
@@ -25,6 +25,8 @@
   revision: number
   claims: number
   boxes: Member[]
+  /** The data centres that are evacuated as far as that process knows; missing from older ones. */
+  evacuated?: string[]
 }
 
 export interface ProcessInForce {
@@ -76,6 +78,11 @@
     return await this.send('DELETE', `/v1/control/members/${name}`)
   }
 
+  /** Has nothing more sent to a data centre's endpoints, or has that withdrawn. A lost answer is asked for by the same order. */
+  async evacuate (dataCentre: string, isEvacuated: boolean): Promise<EvacuationResult> {
+    return await this.send(isEvacuated ? 'PUT' : 'DELETE', `/v1/evacuations/${encodeURIComponent(dataCentre)}`)
+  }
+
   /**
    * Waits until a revision is in force at every process that is linked.
    * @returns the processes that lag at the deadline
--- a/cli/gullwall/src/commands/history.ts
+++ b/cli/gullwall/src/commands/history.ts
@@ -53,12 +53,17 @@
   handler: async (args) => await withClient(args, async (client) => {
     const wanted = readRecords(args.file)
     const { revision, records } = await client.records()
-    const surplus = Object.keys(records).filter((key) => !wanted.some((change) => change.key === key))
-    const changes = [...wanted, ...surplus.map((key) => ({ key, value: null }))]
+    const changes = [...wanted, ...surplusOf(Object.keys(records), wanted).map((key) => ({ key, value: null }))]
     report(await client.apply(changes, { expectedRevision: revision }))
   })
 })
 
+/** Records that a file does not name. Those that no file can name, such as evacuations, are left as they are. */
+export function surplusOf (keys: readonly string[], wanted: ReadonlyArray<{ key: string }>): string[] {
+  const restorable = keys.filter((key) => RECORD_KINDS.some((kind) => kind === splitRecordKey(key).kind))
+  return restorable.filter((key) => !wanted.some((change) => change.key === key))
+}
+
 function toToml (records: Record<string, string>): string {
   const tables: Record<string, Record<string, unknown>> = {}
   for (const kind of RECORD_KINDS) {
--- a/cli/gullwall/src/commands/status.ts
+++ b/cli/gullwall/src/commands/status.ts
@@ -35,6 +35,8 @@
   revision: number
   leader: string | undefined
   boxes: number
+  /** Data centres. */
+  evacuated: string[]
   lagging: string[]
   processes: ProcessStatus[]
   unreachable: string[]
@@ -74,15 +76,16 @@
       unreachable.push(`${address}: ${messageOf(error)}`)
     }
   }
-  const { revision, quorum, boxes } = control.status
+  const { revision, quorum, boxes, evacuated = [] } = control.status
   const lagging = control.inForce.filter((known) => known.revision < revision).map((known) => known.process)
-  return { revision, leader: quorum.leader, boxes: boxes.length, lagging, processes, unreachable }
+  return { revision, leader: quorum.leader, boxes: boxes.length, evacuated, lagging, processes, unreachable }
 }
 
 /** Text for a terminal; of lists that grow with the deployment it names the first few. */
 export function formatStatus (status: WholeStatus): string {
   const { revision, leader = 'none', boxes, lagging } = status
   const lines = [`revision ${revision}, leader ${leader}, ${boxes} boxes, lagging: ${firstOf(lagging).join(', ') || 'none'}`]
+  if (status.evacuated.length > 0) lines.push(`evacuated: ${status.evacuated.join(', ')}`)
   for (const { role, box, queued, classes, endpoints } of status.processes) {
     lines.push(`${role} ${box}`)
     for (const [name, counts] of Object.entries(classes ?? {})) lines.push(formatClass(name, counts, queued?.[name] ?? 0))
--- a/cli/gullwall/src/main.ts
+++ b/cli/gullwall/src/main.ts
@@ -4,6 +4,7 @@
 import { applyCommand, checkCommand, deleteCommand, drainCommand, getCommand, labelCommand, undrainCommand } from './commands/records.ts'
 import { controlCommands } from './commands/control.ts'
 import { devCommand } from './commands/dev.ts'
+import { evacuateCommand } from './commands/evacuate.ts'
 import { explainCommand } from './commands/explain.ts'
 import { diffCommand, exportCommand, historyCommand, restoreCommand } from './commands/history.ts'
 import { keyCommand } from './commands/key.ts'
@@ -21,6 +22,7 @@
     label: labelCommand,
     drain: drainCommand,
     undrain: undrainCommand,
+    evacuate: evacuateCommand,
     status: statusCommand,
     explain: explainCommand,
     losses: lossesCommand,
--- a/cli/gullwall/test/status.test.ts
+++ b/cli/gullwall/test/status.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { formatStatus, type WholeStatus } from '../src/commands/status.ts'
 
-const status: WholeStatus = { revision: 7, leader: 'm-1', boxes: 3, lagging: [], processes: [], unreachable: [] }
+const status: WholeStatus = { revision: 7, leader: 'm-1', boxes: 3, evacuated: [], lagging: [], processes: [], unreachable: [] }
 
 describe('the status for a terminal', () => {
   it('names the few that lag', () => {
@@ -9,6 +9,11 @@
     expect(formatStatus(status)).toContain('lagging: none')
   })
 
+  it('names evacuated data centres on a line of their own', () => {
+    expect(formatStatus({ ...status, evacuated: ['dc1', 'dc2'] }).split('\n')[1]).toBe('evacuated: dc1, dc2')
+    expect(formatStatus(status)).not.toContain('evacuated')
+  })
+
   it('stays short with hundreds of processes', () => {
     const many = Array.from({ length: 500 }, (_unused, index) => `entry/edge-${index}`)
     const lines = formatStatus({ ...status, lagging: many, unreachable: many }).split('\n')
--- a/cli/story/src/index.ts
+++ b/cli/story/src/index.ts
@@ -7,6 +7,8 @@
 /** What happened to an endpoint or a process so long before or after the request is a part of its story, in ms. */
 const AROUND_MS = 15_000
 
+const BELIEF_CHANNELS: ReadonlySet<string> = new Set(['link', 'configuration', 'evacuation', 'process'])
+
 /** One line of a story. */
 export interface StoryLine {
   time: string
@@ -29,7 +31,11 @@
   const boxes = new Set(own.map(({ box }) => box))
   const endpoints = new Set(own.flatMap((line) => endpointOf(line) ?? []))
   const isNear = (line: LogLine) => timeOf(line) >= first - AROUND_MS && timeOf(line) <= last + AROUND_MS
-  const around = lines.filter((line) => requestOf(line) === undefined && isNear(line) && isBelief(line, boxes, endpoints))
+  // An order holds until the next one, however long ago it came.
+  const isInForce = (line: LogLine) => line.channel === 'evacuation' && line.event === 'applied' && timeOf(line) <= last
+  const around = lines.filter((line) => (
+    requestOf(line) === undefined && (isNear(line) || isInForce(line)) && isBelief(line, boxes, endpoints)
+  ))
   return [...own, ...around].sort((left, right) => timeOf(left) - timeOf(right)).map((line) => ({
     time: line.time,
     box: line.box,
@@ -46,10 +52,10 @@
   return `${time}  ${since.padStart(10)}  ${isOwn ? '*' : ' '} ${box.padEnd(20)} ${what.padEnd(20)} ${why}`
 }
 
-/** Whether a line tells what a process of the story believed: of its endpoints, its links, its document, its own life. */
+/** Whether a line tells what a process of the story believed: of its endpoints, its links, its document, evacuations, its own life. */
 function isBelief (line: LogLine, boxes: ReadonlySet<string>, endpoints: ReadonlySet<string>): boolean {
   if (line.channel === 'endpoint') return boxes.has(line.box) && endpoints.has(line.endpoint)
-  return boxes.has(line.box) && (line.channel === 'link' || line.channel === 'configuration' || line.channel === 'process')
+  return boxes.has(line.box) && BELIEF_CHANNELS.has(line.channel)
 }
 
 function requestOf (line: LogLine): string | undefined {
@@ -73,6 +79,7 @@
 function factsOf (line: LogLine): string {
   const why = 'why' in line ? line.why : ''
   if (line.channel === 'endpoint') return `${line.endpoint}: ${why}`
+  if (line.channel === 'evacuation') return `${line.dataCentre}: ${why}`
   if (line.channel === 'link') return `${line.peer}: ${why}`
   if (line.channel !== 'forward') return why
   const { attempt, documentVersion, documentAgeMs, endpoint, leaseAgeMs, unreadTokens, copiedTokens, source, inFlight } = line
--- a/cli/story/test/story.test.ts
+++ b/cli/story/test/story.test.ts
@@ -1,5 +1,6 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { request } from 'undici'
+import { until } from '@gullwall/bench.deployment'
 import { formatStoryLine, readLines, tellStory, type StoryLine } from '@gullwall/cli.story'
 import { GatewayDeployment, StandIn, type Behaviour } from '../../../entry/gateway/test/stand-in.ts'
 
@@ -78,6 +79,31 @@
     expect(own(story).at(-1)?.why).toContain('2 of 2 attempts made')
   })
 
+  it('a refusal, since its only data centre is evacuated, with when that came into force', async () => {
+    const caller = { hasLeft: false, leftBefore: async () => false }
+    const order = async (isEvacuated: boolean) => {
+      await deployment.control.get('evacuations').order({ dataCentre: 'dc1', isEvacuated, caller })
+      await until('the order in force', () => deployment.gateway.get('evacuatedPlaces').isEvacuated('dc1') === isEvacuated)
+    }
+    await order(true)
+    const { status, story } = await storyOf('/order/3', {}, 'x')
+    await order(false)
+    expect(status).toBe(503)
+    expect(own(story).at(-1)).toMatchObject({ what: 'refuse' })
+    expect(own(story).at(-1)?.why).toContain('data centre dc1 is evacuated')
+    const applied = story.findIndex(({ isOwn, what, why }) => !isOwn && what === 'evacuation applied' && why.startsWith('dc1: evacuated'))
+    expect(applied).toBeGreaterThanOrEqual(0)
+    expect(applied).toBeLessThan(story.findIndex(({ isOwn }) => isOwn))
+  })
+
+  it('an evacuation that came into force long before', () => {
+    const at = (second: string) => `2026-01-01T${second}.000Z`
+    const order = { time: at('00:00:00'), box: 'edge-1', channel: 'evacuation', event: 'applied', dataCentre: 'dc1', epoch: 1, why: 'evacuated' }
+    const refusal = { time: at('05:00:00'), box: 'edge-1', channel: 'forward', decision: 'refuse', requestId: 'r-1', why: '503' }
+    const { lines } = readLines([order, refusal].map((line) => JSON.stringify(line)).join('\n'))
+    expect(tellStory(lines, 'r-1').map(({ what }) => what)).toEqual(['evacuation applied', 'refuse'])
+  })
+
   it('a belief that is old: the document, the word of the endpoint, and a link that was lost', async () => {
     await deployment.control.stop()
     behave((_incoming, response) => { response.destroy() })
