test(gateway): a request chosen before an evacuation is withheld and its endpoint is not blamed

Cause: only the single exchange was tested, not the way from it to the next attempt. Ruled out: a real wait for a connection, since engines are left before their connections run out. Change: the order comes into force between the choice and the connection. Not measured.

--- a/entry/gateway/test/evacuation.test.ts
+++ b/entry/gateway/test/evacuation.test.ts
@@ -132,6 +132,23 @@
     expect(far.arrived.length).toBe(before)
   })
 
+  it('does not get a request that was chosen for it before the order, nor is its endpoint blamed', async () => {
+    const headers = await promptKeptAt(far)
+    const before = far.arrived.length
+    const connections = deployment.gateway.get('connections')
+    const to = connections.to.bind(connections)
+    vi.spyOn(connections, 'to').mockImplementation((description, ...rest) => {
+      if (description.dataCentre === 'dc2') vi.spyOn(places(), 'isEvacuated').mockImplementation((dataCentre) => dataCentre === 'dc2')
+      return to(description, ...rest)
+    })
+    const reply = await call('/order/1', headers, 'x')
+    expect(reply.status).toBe(200)
+    expect(far.arrived.length).toBe(before)
+    expect(deployment.story(reply.id).map(({ decision }) => decision)).toEqual(['dispatch', 'retry', 'dispatch', 'finish'])
+    expect(deployment.story(reply.id)[1]?.['why']).toContain('not sent: data centre dc2 is evacuated')
+    expect(deployment.gateway.get('view').get(far.incarnation)?.unreachableShare).toBe(0)
+  })
+
   it('has none of its engines reserved', async () => {
     const reserved = vi.spyOn(deployment.gateway.get('view').reserved, 'update')
     await orderInForce('dc2', true)
