feat: evacuation of a data centre

With regions in the same fleet its tests of homes play in one region, since a prompt has a home in each.

--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -63,11 +63,18 @@
   const reasons = usable.map((endpoint) => whyNotEligible(eligibility, endpoint, call))
   const [first] = reasons
   if (first !== undefined && reasons.every((why) => why !== undefined)) return `no endpoint may have it: ${first}`
-  const isUntried = usable.some(({ description }) => !history.excluded.has(description.incarnation))
-  if (!isUntried) return 'no endpoint takes work'
+  const allowed = usable.filter((_endpoint, index) => reasons[index] === undefined)
+  const isUntried = allowed.some(({ description }) => !history.excluded.has(description.incarnation))
   const crossing = crossings.of(call)
-  if (crossing !== undefined && crossing.costMs === undefined) return 'no endpoint of its region takes it, and the link to others has no room'
-  return 'the slots of all endpoints are taken'
+  const isCut = crossing !== undefined && crossing.costMs === undefined
+  const taken = isCut ? 'no endpoint of its region takes it, and the link to others has no room' : 'the slots of all endpoints are taken'
+  return (isUntried ? taken : 'no endpoint takes work') + exceptionsOf(reasons)
+}
+
+/** Which endpoints did not count, and why the first of them. */
+function exceptionsOf (reasons: ReadonlyArray<string | undefined>): string {
+  const given = reasons.filter((why) => why !== undefined)
+  return given.length === 0 ? '' : `; ${given.length} of ${reasons.length} may not have it: ${given[0]}`
 }
 
 /** One of the route's services by weight; one without endpoints gives way to the others. */
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -8,6 +8,7 @@
 import { type Call } from './call.ts'
 import { originOf } from './connections.ts'
 import { chooseEndpoint, hasAlternative, isSensitive, whyNone, type EndpointChoiceOptions } from './endpoint-choice.ts'
+import { whyNoPlace } from './eligibility.ts'
 import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
 import { RequestRecorder } from './request-recorder.ts'
@@ -143,6 +144,7 @@
       headers: this.headersFor(candidate),
       body: call.body,
       connectMs: CONNECT_MS,
+      whyNot: () => whyNoPlace(services.eligibility, description.dataCentre, call),
       wasClosedWell: async () => await services.connections.wasClosedWell()
     }, receiver)
   }
@@ -190,10 +192,14 @@
   private watch (candidate: Candidate, work: Work): void {
     const { exchange, recorder } = this
     if (this.isOver || exchange === undefined) return
-    const hasOther = () => hasAlternative(this.choiceOptions, candidate.endpoint)
-    const why = silenceOf({
-      ...this.state, candidate, work, lastProgressAt: recorder.latestEventAt, hasAlternative: hasOther
-    }, performance.now())
+    const running = {
+      ...this.state,
+      candidate,
+      work,
+      lastProgressAt: recorder.latestEventAt,
+      hasAlternative: () => hasAlternative(this.choiceOptions, candidate.endpoint)
+    }
+    const why = silenceOf(running, performance.now())
     if (why === undefined) return
     recorder.decided('stop', why)
     exchange.giveUp(why)
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -14,6 +14,7 @@
 import { DeploymentView } from './deployment-view.ts'
 import { type CallDialect } from './dialect.ts'
 import { type EligibilityRules } from './eligibility.ts'
+import { EvacuatedPlaces } from './evacuated-places.ts'
 import { Ingress } from './ingress.ts'
 import { gatewayMetrics, type GatewayMetrics } from './metrics.ts'
 import { nativeDialect } from './native-dialect.ts'
@@ -24,6 +25,7 @@
 export * from './dialect.ts'
 export { nativeDialect } from './native-dialect.ts'
 export { EventCutter } from './events.ts'
+export { EvacuatedPlaces } from './evacuated-places.ts'
 
 export interface GatewayServices {
   settings: GatewaySettings
@@ -41,6 +43,7 @@
   connections: Connections
   crossings: RegionCrossings
   view: DeploymentView
+  evacuatedPlaces: EvacuatedPlaces
   eligibility: EligibilityRules
   budget: RetryBudget
   controlLinks: ControlLinks
@@ -76,7 +79,8 @@
     .service('connections', ({ crossings }) => new Connections((dataCentre, tookMs) => crossings.connected(dataCentre, tookMs)))
     .service('view', (services) => new DeploymentView(services))
     .service('crossings', (services) => new RegionCrossings(services))
-    .service('eligibility', (services) => ({ places: [allowedRegions(services)], endpoints: [] }))
+    .service('evacuatedPlaces', (services) => new EvacuatedPlaces(services))
+    .service('eligibility', (services) => ({ places: [services.evacuatedPlaces.rule, allowedRegions(services)], endpoints: [] }))
     .service('budget', (services) => createBudget(services))
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('workExchange', (services) => new WorkExchange(services))
--- a/entry/gateway/test/stand-in.ts
+++ b/entry/gateway/test/stand-in.ts
@@ -58,7 +58,7 @@
   gateway!: Kernel<GatewayServices>
   readonly lines: string[] = []
 
-  constructor (private readonly standIns: readonly StandIn[]) {}
+  constructor (private readonly standIns: readonly StandIn[], private readonly regions: Record<string, string> = REGIONS) {}
 
   async start (): Promise<void> {
     const [listen = ''] = await freeAddresses(1)
@@ -71,7 +71,7 @@
       seeds: [listen],
       founds: true,
       dataFolder: 'unused',
-      regions: REGIONS,
+      regions: this.regions,
       operatorToken: 'an-operator-token-for-loopback',
       quorumHeartbeatMs: 50,
       quorumElectionMs: 150,
@@ -82,7 +82,7 @@
       listen: ANY_ADDRESS,
       readiness: ANY_ADDRESS,
       seeds: [listen],
-      regions: REGIONS,
+      regions: this.regions,
       graceMs: 6000,
       retryRatio: 1,
       retryWindowMs: 1000,
