feat(control): grants of requests to cold endpoints, by the leader under a lease

Cause: an endpoint that had just started got more requests within a second than it bears, since boxes do not see each other's sends in time. Ruled out: a share for each box (21 requests over 28 boxes is none for some), and the box that ranks first for an endpoint (two boxes that know different endpoints or boxes both take themselves for the first). Change: the leader keeps a ledger for each term, and grants at most the bound within a span that covers the window, the use of a grant and the connection; a new leader waits for the lease and a span. Word that an endpoint has turned cold again is told at once.

--- a/control/program/src/duty-lease.ts
+++ b/control/program/src/duty-lease.ts
@@ -65,7 +65,8 @@
     this.refusedToken = token
   }
 
-  private observeTerm (): number | undefined {
+  /** Gives the term in which this process leads, and notes when it began to; the sooner it is asked, the sooner the wait is over. */
+  observeTerm (): number | undefined {
     const term = this.options.leadingTerm()
     if (term !== this.term) {
       this.term = term
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -12,6 +12,7 @@
 import { createAdminServer, type HttpServer, type Koa } from '@gullwall/transport.http-server'
 import { linkMetrics, type Link } from '@gullwall/transport.link'
 import { nativeFormat, type DocumentFormat } from '@gullwall/config.document'
+import { ColdGranter } from './cold-granter.ts'
 import { ControlServer } from './control-server.ts'
 import { Documents } from './documents.ts'
 import { Joiner } from './joiner.ts'
@@ -42,6 +43,7 @@
   peers: ControlPeers
   quorum: QuorumNode
   proposer: Proposer
+  coldGranter: ColdGranter
   leases: LeaseTable
   leaseStore: LeaseStore
   registrar: Registrar
@@ -95,6 +97,7 @@
     .service('server', (services) => new ControlServer(services))
     .service('quorum', createQuorum)
     .service('proposer', (services) => new Proposer(services))
+    .service('coldGranter', (services) => new ColdGranter(services))
     .service('usageReporter', (services) => new UsageReporter(services))
     .service('joiner', (services) => new Joiner(services))
     .service('admin', (services) => new ControlAdmin(services))
@@ -150,6 +153,7 @@
     const { settings, quorum, store, members } = this.services
     const registry = createRegistry({ process: true })
     linkMetrics(registry)
+    this.services.coldGranter.addMetrics(registry)
     this.http = createAdminServer({
       registry,
       notReady: () => quorum.leaderName === undefined ? 'no leader is known' : undefined,
--- a/control/program/src/proposer.ts
+++ b/control/program/src/proposer.ts
@@ -65,6 +65,11 @@
     return { kind: 'confirmed', revision: store.revision }
   }
 
+  /** Passes an entry's wishes for cold endpoints to the leader, which alone grants. */
+  async askCold (message: MessageOf<'coldAsk'>): Promise<MessageOf<'coldGranted'>> {
+    return await this.forward(message, 'coldGranted')
+  }
+
   /** Takes a command that a peer has forwarded. */
   async proposeHere (data: string): Promise<Applied> {
     this.assertTolerance()
@@ -100,8 +105,8 @@
     return { index, result }
   }
 
-  private async forward<Kind extends 'claimed' | 'confirmed' | 'proposed'> (
-    message: MessageOf<'claim'> | MessageOf<'confirm'> | MessageOf<'propose'>, expected: Kind
+  private async forward<Kind extends 'claimed' | 'confirmed' | 'proposed' | 'coldGranted'> (
+    message: MessageOf<'claim'> | MessageOf<'confirm'> | MessageOf<'propose'> | MessageOf<'coldAsk'>, expected: Kind
   ): Promise<MessageOf<Kind>> {
     const { quorum, peers } = this.services
     const leader = quorum.leaderName
--- /dev/null
+++ b/control/program/test/cold-granter.test.ts
@@ -0,0 +1,109 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { freeAddresses, until } from '@gullwall/bench.deployment'
+import { createLogger } from '@gullwall/core.logger'
+import { Dialer, type Link } from '@gullwall/transport.link'
+import { type ColdGrant, type ColdWish } from '@gullwall/transport.messages'
+import { coldBound } from '../src/cold-granter.ts'
+import { MAX_GRANT } from '../src/cold-ledger.ts'
+import { running, start, stopAll, type Control } from './control-processes.ts'
+
+const ANSWER_MS = 2000
+const BOUND = 21
+const DOCUMENT = JSON.stringify({
+  version: 1,
+  routes: [],
+  services: [
+    { name: 'lm', healthPath: '/healthz', maxConnections: 20, coldLimit: { perSecond: 11, startMs: 6000 } },
+    { name: 'plain', healthPath: '/healthz', maxConnections: 20 }
+  ],
+  organisations: [],
+  limits: {}
+})
+
+const logger = createLogger({ program: 'test', box: 'test', level: 'error', write: () => {} })
+const dialers: Dialer[] = []
+
+afterEach(async () => {
+  for (const dialer of dialers.splice(0)) dialer.stop()
+  await stopAll()
+})
+
+async function linkTo (address: string): Promise<Link> {
+  const dialer = new Dialer(address, {
+    local: { role: 'entry', name: `entry-${dialers.length}`, startId: 's', dataCentre: 'dc1' },
+    sharedKey: 'a-shared-key-for-loopback',
+    logger,
+    revision: () => 0,
+    onOpen: () => {},
+    onMessage: () => {},
+    onClose: () => {}
+  })
+  dialers.push(dialer)
+  await until('a link', () => dialer.link?.isOpen === true)
+  return dialer.link as Link
+}
+
+const wishFor = (incarnation: string, service = 'lm'): ColdWish => ({ incarnation, service, requests: MAX_GRANT })
+
+async function ask (link: Link, wishes: ColdWish[]): Promise<ColdGrant[]> {
+  return (await link.request({ kind: 'coldAsk', entry: 'entry', wishes }, 'coldGranted', ANSWER_MS)).grants
+}
+
+async function threeProcesses (): Promise<{ leader: Control, followers: Control[] }> {
+  const seeds = await freeAddresses(3)
+  const common = { seeds, tolerance: 1, cold: { overrun: 1.5, slack: 5 } }
+  for (const address of seeds) await start({ ...common, address })
+  const controls = [...running.values()]
+  const leads = (control: Control) => control.get('quorum').role === 'leader'
+  await until('a quorum', () => controls.some(leads) && controls.every((control) => control.get('quorum').status().voters.length === 3))
+  await until('the document', async () => {
+    const put = controls.find(leads)?.get('documents').put(DOCUMENT)
+    return await put?.then((result) => result.isRight(), () => false) ?? false
+  })
+  return { leader: controls.find(leads) as Control, followers: controls.filter((control) => !leads(control)) }
+}
+
+describe('the bound of a cold endpoint', () => {
+  it('is what the service bears by what the deployment allows, in whole requests', () => {
+    expect(coldBound({ perSecond: 11 }, { overrun: 1.5, slack: 5 })).toBe(BOUND)
+    expect(coldBound({ perSecond: 11 })).toBe(11)
+    expect(coldBound({ perSecond: 0.5 })).toBe(0)
+  })
+})
+
+describe('grants of a quorum', () => {
+  it('are asked for through any process, given by the leader, and stay within the bound over all who ask', async () => {
+    const { leader, followers } = await threeProcesses()
+    const links = await Promise.all([leader, ...followers].map(async (control) => await linkTo(control.get('server').address)))
+    const [, follower] = links as [Link, Link]
+    // A leader that is new does not hold the lease at first, and grants nothing until what the one before has granted is over.
+    await until('an answer', async () => await ask(follower, [wishFor('a')]).then(() => true, () => false))
+    let grants = await ask(follower, [wishFor('a')])
+    expect(grants).toMatchObject([{ incarnation: 'a', requests: 0 }])
+    await until('a grant', async () => {
+      grants = await ask(follower, [wishFor('a')])
+      return (grants[0]?.requests ?? 0) > 0
+    })
+    expect(grants).toEqual([{ incarnation: 'a', requests: MAX_GRANT, withinMs: 600 }])
+    const all = (await Promise.all(links.map(async (link) => await ask(link, [wishFor('a'), wishFor('a')])))).flat()
+    const granted = all.reduce((sum, { requests }) => sum + requests, MAX_GRANT)
+    expect(granted).toBe(Math.ceil(BOUND / 2))
+    expect(all.filter(({ requests }) => requests === 0).every(({ withinMs }) => withinMs > 0)).toBe(true)
+    // Nothing is granted of a service whose document has no such limit.
+    expect(await ask(follower, [wishFor('b', 'plain')])).toMatchObject([{ requests: 0 }])
+  }, 20_000)
+
+  it('are not given by a process that is asked by a peer but does not lead', async () => {
+    const { followers } = await threeProcesses()
+    const granter = (followers[0] as Control).get('coldGranter')
+    const asked = granter.answer({ kind: 'coldAsk', entry: 'entry', wishes: [wishFor('a')] }, { isForwarded: true })
+    await expect(asked).rejects.toMatchObject({ code: 'ERR_GULLWALL_NOT_LEADER' })
+  }, 20_000)
+
+  it('are not given while no majority is up', async () => {
+    const { leader, followers } = await threeProcesses()
+    await Promise.all(followers.map(async (control) => await control.stop()))
+    const link = await linkTo(leader.get('server').address)
+    await expect(ask(link, [wishFor('a')])).rejects.toMatchObject({ code: 'ERR_GULLWALL_PEER_FAILED' })
+  }, 20_000)
+})
--- /dev/null
+++ b/control/program/test/cold-ledger.test.ts
@@ -0,0 +1,53 @@
+import { describe, expect, it } from 'vitest'
+import { ColdLedger, GRANT_USE_MS, MAX_GRANT, SETTLE_MS, SPAN_MS } from '../src/cold-ledger.ts'
+
+const BOUND = 21
+
+/** A ledger that was asked for the endpoint before, so that it grants from now on. */
+function settled (): ColdLedger {
+  const ledger = new ColdLedger({ opensAt: 0 })
+  ledger.grant({ incarnation: 'a', requests: 0, bound: BOUND }, -SETTLE_MS)
+  return ledger
+}
+
+const ask = (requests = MAX_GRANT, bound = BOUND) => ({ incarnation: 'a', requests, bound })
+
+describe('the ledger of grants', () => {
+  it('grants what is asked for, though no more than one box can use', () => {
+    expect(settled().grant(ask(2), 0)).toEqual({ incarnation: 'a', requests: 2, withinMs: GRANT_USE_MS })
+    expect(settled().grant(ask(100), 0).requests).toBe(MAX_GRANT)
+  })
+
+  it('grants the bound within its span, half of it in each half, and says when to ask again', () => {
+    const ledger = settled()
+    const granted: Array<{ now: number, requests: number }> = []
+    for (let now = 0; now < SPAN_MS; now += 50) granted.push({ now, requests: ledger.grant(ask(), now).requests })
+    const sum = (from: number, to: number) => granted.reduce((all, { now, requests }) => now >= from && now < to ? all + requests : all, 0)
+    expect(sum(0, SPAN_MS / 2)).toBe(11)
+    expect(sum(0, SPAN_MS)).toBe(BOUND)
+    const refused = ledger.grant(ask(), SPAN_MS)
+    expect(refused.requests).toBe(0)
+    expect(ledger.grant(ask(), SPAN_MS + refused.withinMs).requests).toBeGreaterThan(0)
+  })
+
+  it('grants nothing of an endpoint at first, nor before it opens', () => {
+    const ledger = new ColdLedger({ opensAt: 5000 })
+    expect(ledger.grant(ask(), 0)).toEqual({ incarnation: 'a', requests: 0, withinMs: 5000 })
+    expect(ledger.grant(ask(), 5000).requests).toBe(MAX_GRANT)
+    expect(ledger.grant({ ...ask(), incarnation: 'b' }, 5000)).toEqual({ incarnation: 'b', requests: 0, withinMs: SETTLE_MS })
+    expect(ledger.grant({ ...ask(), incarnation: 'b' }, 5000 + SETTLE_MS).requests).toBe(MAX_GRANT)
+  })
+
+  it('grants nothing where the bound is below one request', () => {
+    expect(settled().grant(ask(5, 0), 0).requests).toBe(0)
+  })
+
+  it('forgets an endpoint only once none of its grants count', () => {
+    const ledger = settled()
+    ledger.grant(ask(), 0)
+    ledger.sweep(SPAN_MS)
+    expect(ledger.size).toBe(1)
+    ledger.sweep(30_001)
+    expect(ledger.size).toBe(0)
+  })
+})
--- a/control/program/test/control-processes.ts
+++ b/control/program/test/control-processes.ts
@@ -16,9 +16,12 @@
   dataCentre?: string
   usage?: ControlSettings['usage']
   usageSink?: UsageSink
+  cold?: ControlSettings['cold']
+  tolerance?: number
 }
 
-export async function start ({ address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1', usage, usageSink }: StartOptions): Promise<Control> {
+export async function start (options: StartOptions): Promise<Control> {
+  const { address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1', usage, usageSink, cold, tolerance = 2 } = options
   const control = await createControl({
     box: `box-${address.split(':')[1] ?? ''}`,
     dataCentre,
@@ -30,13 +33,14 @@
     members: {},
     seeds,
     founds,
-    tolerance: 2,
+    tolerance,
     dataFolder: 'unused',
     operatorToken: 'an-operator-token-for-loopback',
     quorumHeartbeatMs: 40,
     quorumElectionMs: 200,
     firstElectionShare: 0.4,
-    usage
+    usage,
+    cold
   }, { disk, usageSink, write: () => {} })
   await control.start()
   running.set(address, control)
--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -14,6 +14,8 @@
 /** An incarnation that is gone is remembered for so long, so that a late heartbeat does not bring it back, in ms. */
 const TOMBSTONE_MS = 120_000
 const SWEEP_MS = 1000
+/** An endpoint that is cold for so much longer than was told before has turned cold again, in ms: more than clocks and rounding do. */
+const TURNED_COLD_MS = 500
 
 /** One lease as it is held here. */
 export interface HeldLease extends Omit<Lease, 'ageMs'> {
@@ -134,11 +136,13 @@
     if (lease.sequence <= known.sequence && !goesOn) return 'stale'
     const state = goesOn ? lease.state : known.state
     const isNewer = lease.sequence > known.sequence
+    const hasTurnedCold = isNewer && coldUntil({ ...rest, heardAt }) - Math.max(heardAt, coldUntil(known)) > TURNED_COLD_MS
     this.held.set(lease.incarnation, {
       ...(isNewer ? rest : known), state, sequence: Math.max(lease.sequence, known.sequence), heardAt: Math.max(heardAt, known.heardAt)
     })
     const isFirstWord = this.unconfirmed.delete(lease.incarnation)
-    if (!goesOn) return isFirstWord ? 'changed' : 'refreshed'
+    // Refreshes are told together some seconds later; until then others would send as to a warm one.
+    if (!goesOn) return isFirstWord || hasTurnedCold ? 'changed' : 'refreshed'
     this.log({ ...lease, state }, `sequence ${lease.sequence}, was ${known.state}`)
     return 'changed'
   }
@@ -156,3 +160,8 @@
     })
   }
 }
+
+/** Until when an endpoint is cold by its own word, by the monotonic clock; -Infinity where it does not say. */
+function coldUntil ({ coldMs, heardAt }: HeldLease): number {
+  return coldMs === undefined ? -Infinity : heardAt + coldMs
+}
--- a/control/registry/test/lease-table.test.ts
+++ b/control/registry/test/lease-table.test.ts
@@ -46,6 +46,17 @@
     expect(['a', 'b', 'c'].map((name) => leases.get(name)?.state)).toEqual([undefined, 'ready', 'draining'])
   })
 
+  it('of an endpoint that has turned cold again are told at once; one that was cold all along is merely refreshed', () => {
+    const { leases, clock } = table(10_000)
+    leases.merge([{ ...lease('a', 1), coldMs: 3000 }, { ...lease('b', 1), coldMs: 0 }, lease('c', 1)])
+    clock.now = 1200
+    const next = [{ ...lease('a', 2), coldMs: 1800 }, { ...lease('b', 2), coldMs: 4000 }, { ...lease('c', 2), coldMs: 4000 }]
+    expect(leases.merge(next)).toEqual(['refreshed', 'changed', 'changed'])
+    clock.now = 2400
+    expect(leases.merge([{ ...lease('a', 3), coldMs: 5000 }, { ...lease('b', 3), coldMs: 2800 }])).toEqual(['changed', 'refreshed'])
+    expect(leases.get('a')).toMatchObject({ coldMs: 5000, heardAt: 2400 })
+  })
+
   it('of an endpoint are not used once another incarnation is heard at its address', () => {
     const { leases, clock } = table()
     leases.merge([lease('a', 5), { ...lease('c', 1), address: '10.0.0.2:80' }])
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -68,7 +68,7 @@
 export interface EndpointRecord {
   channel: 'endpoint'
   endpoint: string
-  event: 'up' | 'down' | 'leaving' | 'ejected' | 'probing' | 'readmitted' | 'limit'
+  event: 'up' | 'down' | 'leaving' | 'ejected' | 'probing' | 'readmitted' | 'limit' | 'cold' | 'warm' | 'granted' | 'not-granted'
   why: string
 }
 
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -84,6 +84,14 @@
   parts: z.array(z.object({ id: z.string(), tokens: count }))
 })
 
+/** What an entry would send to one cold endpoint. */
+export const coldWishSchema = z.object({
+  incarnation: z.string(),
+  service: z.string(),
+  /** How many requests it could send within the use of a grant. */
+  requests: count
+})
+
 /** Leave to send requests to a cold endpoint. */
 export const coldGrantSchema = z.object({
   incarnation: z.string(),
@@ -192,7 +200,7 @@
   usageOf: z.object({ kind: z.literal('usageOf'), window: count }),
   usageParts: z.object({ kind: z.literal('usageParts'), sources: z.array(usageSourceSchema) }),
   /** An entry asks for leave to send to cold endpoints; a control process that does not grant passes it to the one that does. */
-  coldAsk: z.object({ kind: z.literal('coldAsk'), entry: z.string(), incarnations: z.array(z.string()) }),
+  coldAsk: z.object({ kind: z.literal('coldAsk'), entry: z.string(), wishes: z.array(coldWishSchema) }),
   coldGranted: z.object({ kind: z.literal('coldGranted'), grants: z.array(coldGrantSchema) }),
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
@@ -245,6 +253,7 @@
 export type WorkSummary = z.infer<typeof workSchema>
 export type UnreadTokens = WorkSummary['unread'][number]
 export type Holding = z.infer<typeof holdingSchema>
+export type ColdWish = z.infer<typeof coldWishSchema>
 export type ColdGrant = z.infer<typeof coldGrantSchema>
 export type Observation = z.infer<typeof observationSchema>
 export type Reading = z.infer<typeof readingSchema>
