feat(gateway): cold endpoints get only what was granted

Cause: the choice weighed an endpoint that has just started like any other, and every box found it empty at once. Change: a rule keeps requests from cold endpoints without a grant; grants are asked for in the background, as many as the box has had requests lately, at endpoints that it prefers to others. An endpoint that has turned warm gets a growing share. A connection that is made after its time is not used, also where a frozen process sees it before its timer.

--- /dev/null
+++ b/entry/gateway/src/cold-engines.ts
@@ -0,0 +1,174 @@
+/**
+ * Keeps requests from cold endpoints but for those that control has granted, and asks control for grants where this box has
+ * requests that a cold endpoint could have. A box without a grant sends nothing there, also one that is cut off.
+ */
+import { type ColdLimit } from '@gullwall/config.document'
+import { type HeldLease } from '@gullwall/control.registry'
+import { type Logger } from '@gullwall/core.logger'
+import { type EndpointState, rankOf } from '@gullwall/routing.balancer'
+import { type ColdGrant, type ColdWish } from '@gullwall/transport.messages'
+import { type Call } from './call.ts'
+import { ColdAsker } from './cold-asker.ts'
+import { ColdPurse } from './cold-purse.ts'
+import { type EndpointRule } from './eligibility.ts'
+import { Warmth } from './warmth.ts'
+
+/** Endpoints that are met so soon after the first request of their service were there before it, in ms. */
+const FIRST_LOOK_MS = 1000
+/** How often endpoints without a lease are forgotten, in ms. */
+const SWEEP_MS = 5000
+/** `rankOf` gives 32 bits. */
+const RANKS = 2 ** 32
+
+export interface ColdEnginesOptions {
+  box: string
+  logger: Logger
+  leaseOf: (incarnation: string) => HeldLease | undefined
+  /** What a service says of its cold endpoints; undefined where they bear as much as others. */
+  limitOf: (service: string) => ColdLimit | undefined
+  /** Every endpoint that is known. */
+  endpoints: () => readonly EndpointState[]
+  /** Asks control. */
+  ask: (wishes: ColdWish[]) => Promise<ColdGrant[]>
+  /** Has requests that wait for an endpoint look again. */
+  wake: () => void
+  now?: () => number
+}
+
+/** What was decided since the start, for the metrics. */
+export interface ColdTotals {
+  /** Requests that were kept from a cold endpoint at least once. */
+  kept: number
+  /** Requests sent to cold endpoints under a grant. */
+  sent: number
+}
+
+export class ColdEngines {
+  readonly totals: ColdTotals = { kept: 0, sent: 0 }
+  readonly asker: ColdAsker
+  private readonly purse = new ColdPurse()
+  private readonly warmths = new Map<string, Warmth>()
+  private readonly firstLooks = new Map<string, number>()
+  /** The endpoints from which a request was kept. */
+  private readonly keptFrom = new WeakMap<Call, Set<string>>()
+  private readonly now: () => number
+  private timer: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: ColdEnginesOptions) {
+    this.now = options.now ?? (() => performance.now())
+    const { box, logger, ask, wake } = options
+    this.asker = new ColdAsker({ box, logger, ask, wake, now: this.now, purse: this.purse })
+  }
+
+  start (): void {
+    this.timer = setInterval(() => this.sweep(), SWEEP_MS)
+  }
+
+  stop (): void {
+    clearInterval(this.timer)
+    this.asker.stop()
+  }
+
+  /** The rule: a cold endpoint is for requests that have a grant. */
+  readonly rule: EndpointRule = (endpoint, call) => {
+    const now = this.now()
+    const warmth = this.lookAt(endpoint, now)
+    if (warmth?.isCold !== true) return undefined
+    const { incarnation, service } = endpoint.description
+    this.asker.noteRequest(service, call)
+    if (this.purse.left(incarnation, now) > 0) return undefined
+    this.asker.wish({ incarnation, service })
+    this.noteKept(call, incarnation)
+    return `cold, and no grant is at hand (${warmth.why})`
+  }
+
+  /** Those of the endpoints that a request may have that are not to be spared; endpoints that have just turned warm get a growing share. */
+  preferred (endpoints: readonly EndpointState[], call: Call): readonly EndpointState[] {
+    const now = this.now()
+    const draw = rankOf(call.requestId) / RANKS
+    const settled = endpoints.filter(({ description }) => {
+      const warmth = this.warmths.get(description.incarnation)
+      return warmth === undefined || warmth.isCold || draw < warmth.shareAt(now)
+    })
+    // Where most have just turned warm, the few others could not take the work of all.
+    return 2 * settled.length >= endpoints.length ? settled : endpoints
+  }
+
+  /** Takes leave for one request that is sent now; false if its endpoint is cold and another request has used the grant. */
+  take (endpoint: EndpointState): boolean {
+    const now = this.now()
+    if (this.lookAt(endpoint, now)?.isCold !== true) return true
+    if (!this.purse.take(endpoint.description.incarnation, now)) return false
+    this.totals.sent += 1
+    return true
+  }
+
+  /** What is to be told of a request's choice; empty where no cold endpoint had a part in it. */
+  noteOf (call: Call): string {
+    const kept = this.keptFrom.get(call)
+    return kept === undefined ? '' : `; kept from ${kept.size} cold without a grant`
+  }
+
+  /** Takes the endpoints of a data centre to be cold: nothing was sent there for a while, and their latest word is from before. */
+  assumeCold (dataCentre: string, now = this.now()): void {
+    for (const endpoint of this.options.endpoints()) {
+      const { description } = endpoint
+      const startMs = description.dataCentre === dataCentre ? this.options.limitOf(description.service)?.startMs : undefined
+      if (startMs === undefined) continue
+      this.lookAt(endpoint, now)
+      this.warmths.get(description.incarnation)?.assume({ since: now, until: now + startMs, why: 'nothing was sent to its data centre' })
+    }
+  }
+
+  /** How many endpoints are cold, as this box knows. */
+  get coldCount (): number {
+    return [...this.warmths.values()].filter(({ isCold }) => isCold).length
+  }
+
+  /** Looks at an endpoint whose service spares cold ones; undefined for others. */
+  private lookAt ({ description }: EndpointState, now: number): Warmth | undefined {
+    const { incarnation, service } = description
+    const limit = this.options.limitOf(service)
+    const lease = this.options.leaseOf(incarnation)
+    if (limit === undefined || lease === undefined) return undefined
+    const warmth = this.warmths.get(incarnation) ?? this.firstMet(lease, limit, now)
+    if (warmth.look(lease, now)) this.logTurn(lease, warmth, now)
+    return warmth
+  }
+
+  /** An endpoint that appears during traffic has just started; where it does not say how cold it is, it is taken to be. */
+  private firstMet ({ incarnation, service, coldMs }: HeldLease, { startMs }: ColdLimit, now: number): Warmth {
+    const warmth = new Warmth()
+    this.warmths.set(incarnation, warmth)
+    const firstLook = this.firstLooks.get(service) ?? now
+    this.firstLooks.set(service, firstLook)
+    const isNew = now - firstLook > FIRST_LOOK_MS
+    if (isNew && coldMs === undefined) warmth.assume({ since: now, until: now + startMs, why: 'it appeared during traffic and does not say' })
+    return warmth
+  }
+
+  private noteKept (call: Call, incarnation: string): void {
+    const kept = this.keptFrom.get(call)
+    if (kept !== undefined) {
+      kept.add(incarnation)
+      return
+    }
+    this.keptFrom.set(call, new Set([incarnation]))
+    this.totals.kept += 1
+  }
+
+  private sweep (): void {
+    for (const incarnation of this.warmths.keys()) {
+      if (this.options.leaseOf(incarnation) !== undefined) continue
+      this.warmths.delete(incarnation)
+      this.purse.forget(incarnation)
+      this.asker.forget(incarnation)
+    }
+  }
+
+  private logTurn ({ incarnation, service, heardAt }: HeldLease, { isCold, why, coldUntil }: Warmth, now: number): void {
+    const age = `word ${Math.round(now - heardAt)} ms old`
+    const what = isCold ? `cold for ${Math.round(coldUntil - now)} ms more: ${why}` : `its cold time is over, ${age}`
+    this.options.logger.info({ channel: 'endpoint', event: isCold ? 'cold' : 'warm', endpoint: incarnation, why: `${service}: ${what}` })
+  }
+}
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -1,14 +1,16 @@
 /** Links to every control process that is known: they bring the document, leases and each other's addresses. */
 import { linkAddresses, type GatewaySettings } from '@gullwall/config.settings'
-import { messageOf } from '@gullwall/core.error'
+import { GullwallError, messageOf } from '@gullwall/core.error'
 import { Dialer, type Link } from '@gullwall/transport.link'
-import { type Message, type MessageOf } from '@gullwall/transport.messages'
+import { type ColdGrant, type ColdWish, type Message, type MessageOf } from '@gullwall/transport.messages'
 import { type GatewayServices } from './index.ts'
 import { ListeningChoice } from './listening-choice.ts'
 
 const MAX_BACKOFF_MS = 500
 const TIMING = { heartbeatMs: 1000, silenceMs: 2500, handshakeMs: 1000 }
 const CONFIRM_TIMEOUT_MS = 1000
+/** A grant that comes later than this after it was asked for can't be used any more, in ms. */
+const COLD_TIMEOUT_MS = 600
 /** The first question for the newest revision is asked again soon, since a quorum may just be forming; later ones more rarely. In ms. */
 const FIRST_CONFIRM_RETRY_MS = 25
 const MAX_CONFIRM_RETRY_MS = 200
@@ -30,6 +32,8 @@
   /** The link over which this entry tells of its work and hears of the others'. */
   private listensTo: Link | undefined
   private readonly listening: ListeningChoice
+  /** Asks for grants that failed. */
+  private coldFailures = 0
   private confirmRetryMs = FIRST_CONFIRM_RETRY_MS
 
   constructor (private readonly services: GatewayServices) {
@@ -72,6 +76,23 @@
     return chosen?.send({ kind: 'work', ...word, listens: true }) ?? false
   }
 
+  /**
+   * Asks control for leave to send to cold endpoints; after a failure another control process is asked, since the first may
+   * be cut off from the one that grants.
+   * @throws ERR_GULLWALL_LINK_CLOSED, ERR_GULLWALL_LINK_TIMEOUT, ERR_GULLWALL_PEER_FAILED
+   */
+  async askCold (wishes: ColdWish[]): Promise<ColdGrant[]> {
+    const links = [...new Set([this.listened, ...this.links()])].filter((link) => link !== undefined)
+    const link = links[this.coldFailures % Math.max(1, links.length)]
+    if (link === undefined) throw new GullwallError('ERR_GULLWALL_LINK_CLOSED', 'no link to control', { step: 'ask for grants' })
+    try {
+      return (await link.request({ kind: 'coldAsk', entry: this.services.settings.box, wishes }, 'coldGranted', COLD_TIMEOUT_MS)).grants
+    } catch (error) {
+      this.coldFailures += 1
+      throw error
+    }
+  }
+
   /** Why this process should not take requests yet; undefined if it may. */
   notReady (): string | undefined {
     const { view, store } = this.services
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -1,5 +1,5 @@
 /** Puts the choice of an endpoint for one request: which endpoints it may have, and what the policy must know. */
-import { choose, type Candidate, type EndpointState } from '@gullwall/routing.balancer'
+import { choose, type Candidate, type Demand, type EndpointState } from '@gullwall/routing.balancer'
 import { type AttemptHistory } from './attempt-history.ts'
 import { type Call } from './call.ts'
 import { whyNotEligible } from './eligibility.ts'
@@ -23,7 +23,7 @@
   const usable = eligibleEndpoints(services, call, service)
   const engine = view.table?.service(service)?.engine
   const now = performance.now()
-  return choose({
+  const demand: Demand = {
     prompt: call.prompt,
     tier: call.tier,
     isResumed,
@@ -36,7 +36,10 @@
     trustsHome: now - startedAt < TRUST_HOME_MS,
     isSensitive: isSensitive(services, call, service),
     reserved: view.reserved.of(service)
-  }, usable, now, weights)
+  }
+  const preferred = services.coldEngines.preferred(usable, call)
+  const candidate = choose(demand, preferred, now, weights)
+  return candidate ?? (preferred.length < usable.length ? choose(demand, usable, now, weights) : undefined)
 }
 
 /** The endpoints of a service that take work and that no rule keeps this request from. */
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -58,7 +58,7 @@
     try {
       dispatcher.dispatch({
         origin, method: method as Dispatcher.HttpMethod, path, headers, body: body ?? null, headersTimeout: 0, bodyTimeout: 0, reset: false
-      }, this.handler(request.wasClosedWell))
+      }, this.handler(request.wasClosedWell, performance.now() + request.connectMs))
     } catch (error) {
       this.end({ type: 'unsent', why: messageOf(error) })
     }
@@ -100,9 +100,11 @@
     this.settle(end)
   }
 
-  private handler (wasClosedWell: () => Promise<boolean>): Handler {
+  private handler (wasClosedWell: () => Promise<boolean>, connectBy: number): Handler {
     return {
       onRequestStart: (controller) => {
+        // A process that was frozen finds its connection before the timer; what it was given leave to send is over by then.
+        if (performance.now() > connectBy) this.end({ type: 'unsent', why: 'the connection was made too late' })
         if (this.isOver) {
           // Nothing has been written yet, and nothing will be.
           controller.abort(new Error('given up before it was sent'))
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -75,6 +75,8 @@
         this.refuse(admission.why, admission.afterMs)
         return
       }
+      // Another request may have used the grant since the choice.
+      if (!this.services.coldEngines.take(candidate.endpoint)) continue
       const end = await this.attempt(candidate)
       if (this.isOver) return
       this.follow(nextStep(this.state, candidate.endpoint.description.incarnation, end))
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -8,6 +8,7 @@
 import { type Registry } from '@gullwall/core.metrics'
 import { DEFAULT_WEIGHTS, RetryBudget, type ChoiceWeights } from '@gullwall/routing.balancer'
 import { GatewayAdmin, gatewayRegistry } from './admin.ts'
+import { ColdEngines } from './cold-engines.ts'
 import { Connections } from './connections.ts'
 import { ControlLinks } from './control-links.ts'
 import { DeploymentView } from './deployment-view.ts'
@@ -38,6 +39,7 @@
   spreader: Spreader
   connections: Connections
   view: DeploymentView
+  coldEngines: ColdEngines
   eligibility: EligibilityRules
   budget: RetryBudget
   controlLinks: ControlLinks
@@ -72,7 +74,8 @@
     .service('spreader', ({ store }) => new Spreader(store, { takes: true }))
     .service('connections', () => new Connections())
     .service('view', (services) => new DeploymentView(services))
-    .service('eligibility', () => ({ places: [], endpoints: [] }))
+    .service('coldEngines', createColdEngines)
+    .service('eligibility', ({ coldEngines }) => ({ places: [], endpoints: [coldEngines.rule] }))
     .service('budget', (services) => createBudget(services))
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('workExchange', (services) => new WorkExchange(services))
@@ -86,3 +89,16 @@
     ratio: settings.retryRatio, windowMs: settings.retryWindowMs, slack: settings.retrySlack, entries: () => view.entries
   })
 }
+
+function createColdEngines (services: GatewayServices): ColdEngines {
+  const { settings, logger, view } = services
+  return new ColdEngines({
+    box: settings.box,
+    logger,
+    leaseOf: (incarnation) => view.leases.get(incarnation),
+    limitOf: (service) => view.table?.service(service)?.coldLimit,
+    endpoints: () => view.all(),
+    ask: async (wishes) => await services.controlLinks.askCold(wishes),
+    wake: () => view.wake()
+  })
+}
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -23,7 +23,7 @@
 
 /** Gauges of what this process believes, read when they are asked for. */
 export function beliefGauges (registry: Registry, services: GatewayServices): void {
-  const { view, controlLinks, budget } = services
+  const { view, controlLinks, budget, coldEngines } = services
   const add = (name: string, help: string, value: () => number) => {
     const metric = gauge(registry, name, help)
     Object.assign(metric, { collect: () => metric.set(value()) })
@@ -34,4 +34,9 @@
   add('gullwall_control_links', 'Open links to control processes', () => controlLinks.openCount)
   add('gullwall_log_lines_dropped', 'Log lines left out since the start', () => droppedLines())
   add('gullwall_retry_budget_left', 'Repeats that may still be sent now', () => budget.left)
+  add('gullwall_cold_endpoints', 'Endpoints that are cold, as this process knows', () => coldEngines.coldCount)
+  add('gullwall_cold_kept_requests_total', 'Requests kept from a cold endpoint for want of a grant', () => coldEngines.totals.kept)
+  add('gullwall_cold_sent_requests_total', 'Requests sent to cold endpoints under a grant', () => coldEngines.totals.sent)
+  add('gullwall_cold_asks_total', 'Asks for grants', () => coldEngines.asker.totals.asks)
+  add('gullwall_cold_failed_asks_total', 'Asks for grants that nobody answered', () => coldEngines.asker.totals.failed)
 }
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -21,7 +21,7 @@
   dispatched (candidate: Candidate): void {
     const { call, history, services } = this
     this.latest = candidate
-    const record = { ...this.record('dispatch'), why: candidate.isHome ? 'home of its prompt' : 'least cost' }
+    const record = { ...this.record('dispatch'), why: (candidate.isHome ? 'home of its prompt' : 'least cost') + services.coldEngines.noteOf(call) }
     if (history.isFirst) {
       services.metrics.queued.observe({ route: call.route.name }, this.elapsedMs / 1000)
       services.logger.sampled('dispatch', record)
@@ -59,7 +59,7 @@
   /** Notes an end without a whole answer. */
   ended (decision: 'refuse' | 'fail' | 'cancel', outcome: string, why: string): void {
     this.count(outcome)
-    this.services.logger.info({ ...this.record(decision), ...this.timing(), why })
+    this.services.logger.info({ ...this.record(decision), ...this.timing(), why: why + this.services.coldEngines.noteOf(this.call) })
   }
 
   private count (outcome: string): void {
--- /dev/null
+++ b/entry/gateway/test/cold-engines.test.ts
@@ -0,0 +1,294 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { type HeldLease } from '@gullwall/control.registry'
+import { silentLogger } from '@gullwall/core.logger'
+import { EndpointState } from '@gullwall/routing.balancer'
+import { type ColdGrant, type ColdWish } from '@gullwall/transport.messages'
+import { type Call } from '../src/call.ts'
+import { ColdEngines } from '../src/cold-engines.ts'
+import { ColdLedger } from '../../../control/program/src/cold-ledger.ts'
+
+const START_MS = 6000
+const PER_SECOND = 11
+const BOUND = 21
+const LONG_COLD_MS = 60_000
+const SECOND = 1000
+
+/** One box before a control process whose answers a test gives. */
+class Box {
+  readonly endpoints: EndpointState[] = []
+  readonly asked: ColdWish[][] = []
+  woken = 0
+  answer: (wishes: ColdWish[]) => Promise<ColdGrant[]> = async () => []
+  readonly engines: ColdEngines
+  private readonly leases = new Map<string, HeldLease>()
+  private calls = 0
+
+  constructor (name = 'b1') {
+    this.engines = new ColdEngines({
+      box: name,
+      logger: silentLogger(),
+      leaseOf: (incarnation) => this.leases.get(incarnation),
+      limitOf: (service) => service === 'lm' ? { perSecond: PER_SECOND, startMs: START_MS } : undefined,
+      endpoints: () => this.endpoints,
+      ask: async (wishes) => {
+        this.asked.push(wishes)
+        return await this.answer(wishes)
+      },
+      wake: () => { this.woken += 1 }
+    })
+  }
+
+  /** Hears of an endpoint, for the first time or again. */
+  hear (incarnation: string, coldMs: number | undefined, { dataCentre = 'dc1', service = 'lm', ageMs = 0 } = {}): EndpointState {
+    const lease: HeldLease = {
+      incarnation, service, dataCentre, coldMs, address: `${incarnation}:80`, slots: 64, state: 'ready', sequence: 1, heardAt: performance.now() - ageMs
+    }
+    this.leases.set(incarnation, lease)
+    const known = this.endpoints.find(({ description }) => description.incarnation === incarnation)
+    if (known !== undefined) return known
+    const endpoint = new EndpointState(lease)
+    this.endpoints.push(endpoint)
+    return endpoint
+  }
+
+  call (): Call {
+    this.calls += 1
+    return { requestId: `r-${this.calls}` } as unknown as Call
+  }
+
+  whyNot (endpoint: EndpointState, call = this.call()): string | undefined {
+    return this.engines.rule(endpoint, call)
+  }
+
+  eligible (call = this.call()): EndpointState[] {
+    return this.endpoints.filter((endpoint) => this.whyNot(endpoint, call) === undefined)
+  }
+}
+
+const grant = (incarnation: string, requests: number, withinMs = 600): ColdGrant => ({ incarnation, requests, withinMs })
+
+/** Lets answers that are there arrive. */
+async function settle (): Promise<void> {
+  await vi.advanceTimersByTimeAsync(0)
+}
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+describe('a cold endpoint', () => {
+  it('gets nothing without a grant, and the request is told why', async () => {
+    const box = new Box()
+    const cold = box.hear('i-cold', 5000)
+    const warm = box.hear('i-warm', 0)
+    const call = box.call()
+    expect(box.eligible(call)).toEqual([warm])
+    expect(box.whyNot(cold, call)).toMatch(/^cold, and no grant is at hand \(it said 0 ms ago: for 5000 ms\)/)
+    expect(box.engines.take(cold)).toBe(false)
+    expect(box.engines.noteOf(call)).toBe('; kept from 1 cold without a grant')
+    expect(box.engines.noteOf(box.call())).toBe('')
+    await settle()
+    expect(box.asked).toEqual([[{ incarnation: 'i-cold', service: 'lm', requests: 2 }]])
+    expect(box.engines.totals).toEqual({ kept: 1, sent: 0 })
+  })
+
+  it('gets as many requests as were granted', async () => {
+    const box = new Box()
+    const cold = box.hear('i-cold', 5000)
+    box.answer = async () => [grant('i-cold', 2)]
+    box.eligible()
+    await settle()
+    expect(box.woken).toBe(1)
+    expect(box.eligible()).toEqual([cold])
+    expect([1, 2, 3].map(() => box.engines.take(cold))).toEqual([true, true, false])
+    expect(box.eligible()).toEqual([])
+  })
+
+  it('gets nothing under a grant that is over, also if that ends between the choice and the send', async () => {
+    const box = new Box()
+    const cold = box.hear('i-cold', 5000)
+    box.answer = async () => [grant('i-cold', 5)]
+    box.eligible()
+    await settle()
+    await vi.advanceTimersByTimeAsync(599)
+    expect(box.eligible()).toEqual([cold])
+    await vi.advanceTimersByTimeAsync(1)
+    expect(box.engines.take(cold)).toBe(false)
+    expect(box.eligible()).toEqual([])
+  })
+
+  it('gets nothing under a grant that was too long under way: its time runs from the ask', async () => {
+    const box = new Box()
+    box.hear('i-cold', 5000)
+    let answer: (grants: ColdGrant[]) => void = () => {}
+    box.answer = async () => await new Promise((resolve) => { answer = resolve })
+    box.eligible()
+    await vi.advanceTimersByTimeAsync(600)
+    answer([grant('i-cold', 5)])
+    await settle()
+    expect(box.eligible()).toEqual([])
+  })
+
+  it('is asked for again only after the time that a refusal names', async () => {
+    const box = new Box()
+    box.hear('i-cold', 5000)
+    box.answer = async () => [grant('i-cold', 0, 700)]
+    for (let ms = 0; ms < 700; ms += 50) {
+      box.eligible()
+      await vi.advanceTimersByTimeAsync(50)
+    }
+    expect(box.asked).toHaveLength(1)
+    box.eligible()
+    await settle()
+    expect(box.asked).toHaveLength(2)
+  })
+
+  it('is asked for again by a request that waits, though no other arrives', async () => {
+    const box = new Box()
+    box.hear('i-cold', 5000)
+    box.answer = async () => [grant('i-cold', 0, 300)]
+    box.eligible()
+    await settle()
+    const woken = box.woken
+    await vi.advanceTimersByTimeAsync(301)
+    expect(box.woken).toBeGreaterThan(woken)
+  })
+
+  it('gets nothing while nobody answers, and asks then come less often', async () => {
+    const box = new Box()
+    box.hear('i-cold', LONG_COLD_MS)
+    box.answer = async () => { throw new Error('no leader is known') }
+    for (let ms = 0; ms < 2000; ms += 20) {
+      expect(box.eligible()).toEqual([])
+      await vi.advanceTimersByTimeAsync(20)
+    }
+    expect(box.asked.length).toBeGreaterThan(2)
+    expect(box.asked.length).toBeLessThanOrEqual(5)
+    expect(box.engines.asker.totals.failed).toBe(box.asked.length)
+  })
+
+  it('is not spared where its service does not say what it bears', () => {
+    const box = new Box()
+    const plain = box.hear('i-plain', 5000, { service: 'plain' })
+    expect(box.whyNot(plain)).toBeUndefined()
+    expect(box.engines.take(plain)).toBe(true)
+  })
+})
+
+describe('an endpoint', () => {
+  it('is cold for the time that it told, less the age of its word, and a little more', async () => {
+    const box = new Box()
+    const endpoint = box.hear('i-1', 2000, { ageMs: 1000 })
+    expect(box.whyNot(endpoint)).toBeDefined()
+    await vi.advanceTimersByTimeAsync(1000)
+    expect(box.whyNot(endpoint)).toBeDefined()
+    await vi.advanceTimersByTimeAsync(110)
+    expect(box.whyNot(endpoint)).toBeUndefined()
+  })
+
+  it('that turns cold again gets nothing more', () => {
+    const box = new Box()
+    const endpoint = box.hear('i-1', 0)
+    expect(box.whyNot(endpoint)).toBeUndefined()
+    box.hear('i-1', 5000)
+    expect(box.whyNot(endpoint)).toBeDefined()
+  })
+
+  it('that appears during traffic and does not say is taken to be cold for its usual time', async () => {
+    const box = new Box()
+    const old = box.hear('i-old', undefined)
+    expect(box.whyNot(old)).toBeUndefined()
+    await vi.advanceTimersByTimeAsync(5000)
+    const fresh = box.hear('i-new', undefined)
+    expect([old, fresh].map((endpoint) => box.whyNot(endpoint) === undefined)).toEqual([true, false])
+    await vi.advanceTimersByTimeAsync(START_MS)
+    expect(box.whyNot(fresh)).toBeUndefined()
+  })
+
+  it('of a data centre that gets work again is cold until a heartbeat that was begun later says otherwise', async () => {
+    const box = new Box()
+    const near = box.hear('i-near', 0)
+    const far = box.hear('i-far', 0, { dataCentre: 'dc2' })
+    expect(box.eligible()).toEqual([near, far])
+    box.engines.assumeCold('dc2')
+    expect(box.eligible()).toEqual([near])
+    await vi.advanceTimersByTimeAsync(900)
+    // This one may have been begun before.
+    box.hear('i-far', 0, { dataCentre: 'dc2' })
+    expect(box.eligible()).toEqual([near])
+    await vi.advanceTimersByTimeAsync(300)
+    box.hear('i-far', 0, { dataCentre: 'dc2' })
+    expect(box.eligible()).toEqual([near, far])
+  })
+
+  it('that has turned warm gets a growing share of the requests', async () => {
+    const box = new Box()
+    const warm = ['i-1', 'i-2', 'i-3'].map((name) => box.hear(name, 0))
+    const endpoint = box.hear('i-4', 1000)
+    box.eligible()
+    await vi.advanceTimersByTimeAsync(1100)
+    const shareNow = () => {
+      const preferred = Array.from({ length: 400 }, () => box.call()).map((call) => box.engines.preferred(box.eligible(call), call))
+      expect(preferred.every((those) => warm.every((other) => those.includes(other)))).toBe(true)
+      return preferred.filter((those) => those.includes(endpoint)).length / 400
+    }
+    expect(shareNow()).toBeCloseTo(0.1, 1)
+    await vi.advanceTimersByTimeAsync(1000)
+    expect(shareNow()).toBeCloseTo(0.55, 1)
+    await vi.advanceTimersByTimeAsync(1000)
+    expect(shareNow()).toBe(1)
+  })
+
+  it('that has turned warm with most others gets its work at once: the few others could not take all of it', async () => {
+    const box = new Box()
+    box.hear('i-warm', 0)
+    for (const name of ['i-1', 'i-2', 'i-3']) box.hear(name, 1000)
+    box.eligible()
+    await vi.advanceTimersByTimeAsync(1100)
+    const call = box.call()
+    expect(box.engines.preferred(box.eligible(call), call)).toHaveLength(4)
+  })
+})
+
+describe('a whole data centre that comes back cold', () => {
+  const BOXES = 28
+  const WARM = 24
+  const COLD = 12
+  const REQUESTS_PER_BOX_AND_SECOND = 5
+  const SECONDS = 8
+
+  it('fills up at the granted rate, while warm endpoints elsewhere take the work', async () => {
+    const ledger = new ColdLedger({ opensAt: -Infinity })
+    const boxes = Array.from({ length: BOXES }, (_unused, index) => new Box(`b${index}`))
+    for (const box of boxes) {
+      for (let index = 0; index < WARM; index += 1) box.hear(`warm-${index}`, 0)
+      for (let index = 0; index < COLD; index += 1) box.hear(`cold-${index}`, LONG_COLD_MS)
+      box.answer = async (wishes) => wishes.map((wish) => ledger.grant({ ...wish, bound: BOUND }, performance.now()))
+    }
+    const sent = new Map<string, number[]>()
+    const stepMs = SECOND / REQUESTS_PER_BOX_AND_SECOND / BOXES
+    for (let step = 0; step < SECONDS * REQUESTS_PER_BOX_AND_SECOND * BOXES; step += 1) {
+      const box = boxes[step % BOXES] as Box
+      // Endpoints with the least behind them come first, as empty ones do.
+      const [chosen] = box.eligible().sort((left, right) => (sentTo(left) - sentTo(right)))
+      if (chosen !== undefined && box.engines.take(chosen)) {
+        const { incarnation } = chosen.description
+        sent.set(incarnation, [...sent.get(incarnation) ?? [], performance.now()])
+      }
+      await vi.advanceTimersByTimeAsync(stepMs)
+    }
+    function sentTo ({ description }: EndpointState): number {
+      return sent.get(description.incarnation)?.length ?? 0
+    }
+    const toCold = [...sent].flatMap(([incarnation, at]) => incarnation.startsWith('cold') ? [at] : [])
+    const within = (at: number[], from: number) => at.filter((moment) => moment >= from && moment <= from + SECOND).length
+    const busiest = Math.max(...toCold.flatMap((at) => at.map((from) => within(at, from))))
+    const all = [...sent.values()].reduce((sum, at) => sum + at.length, 0)
+    const cold = toCold.reduce((sum, at) => sum + at.length, 0)
+    console.log(`${all} sent, ${cold} of them to ${toCold.length} cold endpoints, at most ${busiest} of ${BOUND} to one within a second`)
+    expect(busiest).toBeLessThanOrEqual(BOUND)
+    expect(toCold).toHaveLength(COLD)
+    // Nothing is lost, and cold ones take a good part of what is sent once they are granted anything.
+    expect(all).toBe(SECONDS * REQUESTS_PER_BOX_AND_SECOND * BOXES)
+    expect(cold).toBeGreaterThan(all / 4)
+  })
+})
