feat(gateway): grants are asked for sooner, and for fewer requests that do not come

Word of cold endpoints is kept over a restart of control, what a heartbeat does not say is told from "not cold", and a silent attempt is only given up for an endpoint that the request may have. The status tells how many endpoints are cold.

--- a/cli/gullwall/src/commands/status.ts
+++ b/cli/gullwall/src/commands/status.ts
@@ -29,6 +29,8 @@
   queued?: Record<string, number>
   classes?: Record<string, ClassCounts>
   endpoints?: EndpointStatus[]
+  /** Endpoints that a gateway knows to be cold. */
+  cold?: number
 }
 
 export interface WholeStatus {
@@ -83,8 +85,8 @@
 export function formatStatus (status: WholeStatus): string {
   const { revision, leader = 'none', boxes, lagging } = status
   const lines = [`revision ${revision}, leader ${leader}, ${boxes} boxes, lagging: ${firstOf(lagging).join(', ') || 'none'}`]
-  for (const { role, box, queued, classes, endpoints } of status.processes) {
-    lines.push(`${role} ${box}`)
+  for (const { role, box, queued, classes, endpoints, cold = 0 } of status.processes) {
+    lines.push(cold > 0 ? `${role} ${box}: ${cold} cold endpoints` : `${role} ${box}`)
     for (const [name, counts] of Object.entries(classes ?? {})) lines.push(formatClass(name, counts, queued?.[name] ?? 0))
     for (const endpoint of endpoints ?? []) lines.push(formatEndpoint(endpoint))
   }
--- a/cli/gullwall/test/status.test.ts
+++ b/cli/gullwall/test/status.test.ts
@@ -9,6 +9,12 @@
     expect(formatStatus(status)).toContain('lagging: none')
   })
 
+  it('tells how many endpoints a gateway knows to be cold, where there are any', () => {
+    const gateway = (box: string, cold: number) => ({ role: 'gateway', box, revision: 7, cold })
+    const lines = formatStatus({ ...status, processes: [gateway('b1', 0), gateway('b2', 12)] }).split('\n')
+    expect(lines.slice(1)).toEqual(['gateway b1', 'gateway b2: 12 cold endpoints'])
+  })
+
   it('stays short with hundreds of processes', () => {
     const many = Array.from({ length: 500 }, (_unused, index) => `entry/edge-${index}`)
     const lines = formatStatus({ ...status, lagging: many, unreachable: many }).split('\n')
--- a/control/program/src/cold-ledger.ts
+++ b/control/program/src/cold-ledger.ts
@@ -11,7 +11,7 @@
 /** The time in which an endpoint's requests are counted, in ms. */
 export const WINDOW_MS = 1000
 /** For how long after it was asked for a grant is used, in ms: a round trip through two control processes and a few arrivals. */
-export const GRANT_USE_MS = 600
+export const GRANT_USE_MS = 500
 /** A request that was dispatched under a grant has been sent within this time or never is, in ms: to connect takes 350 at most. */
 export const SENT_WITHIN_MS = 400
 /** How much faster the clock of the ledger may run than that of a box that uses a grant, with reserve: clocks differ by 0.02 each. */
--- a/control/program/test/cold-granter.test.ts
+++ b/control/program/test/cold-granter.test.ts
@@ -4,7 +4,7 @@
 import { Dialer, type Link } from '@gullwall/transport.link'
 import { type ColdGrant, type ColdWish } from '@gullwall/transport.messages'
 import { coldBound } from '../src/cold-granter.ts'
-import { MAX_GRANT } from '../src/cold-ledger.ts'
+import { GRANT_USE_MS, MAX_GRANT } from '../src/cold-ledger.ts'
 import { running, start, stopAll, type Control } from './control-processes.ts'
 
 const ANSWER_MS = 2000
@@ -84,7 +84,7 @@
       grants = await ask(follower, [wishFor('a')])
       return (grants[0]?.requests ?? 0) > 0
     })
-    expect(grants).toEqual([{ incarnation: 'a', requests: MAX_GRANT, withinMs: 600 }])
+    expect(grants).toEqual([{ incarnation: 'a', requests: MAX_GRANT, withinMs: GRANT_USE_MS }])
     const all = (await Promise.all(links.map(async (link) => await ask(link, [wishFor('a'), wishFor('a')])))).flat()
     const granted = all.reduce((sum, { requests }) => sum + requests, MAX_GRANT)
     expect(granted).toBe(Math.ceil(BOUND / 2))
--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -93,7 +93,9 @@
    */
   restore (leases: readonly Lease[], validMs: number): void {
     const ageMs = (this.options.leaseMs ?? DEFAULT_LEASE_MS) - validMs
-    this.merge(leases.map((lease) => ({ ...lease, ageMs })))
+    // How long this process was down is not known: an endpoint that was cold is taken to be so for as long as it said.
+    const coldFor = (coldMs: number | undefined) => coldMs === undefined ? {} : { coldMs: coldMs === 0 ? 0 : coldMs + ageMs }
+    this.merge(leases.map((lease) => ({ ...lease, ...coldFor(lease.coldMs), ageMs })))
     for (const { incarnation } of leases) this.unconfirmed.add(incarnation)
   }
 
--- a/control/registry/test/lease-table.test.ts
+++ b/control/registry/test/lease-table.test.ts
@@ -46,6 +46,15 @@
     expect(['a', 'b', 'c'].map((name) => leases.get(name)?.state)).toEqual([undefined, 'ready', 'draining'])
   })
 
+  it('that were kept over a restart stay cold for as long as they said, until a heartbeat comes', () => {
+    const { leases, clock } = table()
+    const coldLeft = (name: string) => (leases.get(name)?.coldMs ?? 0) + (leases.get(name)?.heardAt ?? 0) - clock.now
+    leases.restore([{ ...lease('a', 5), coldMs: 2000 }, { ...lease('b', 5), coldMs: 0 }], 300)
+    expect([coldLeft('a'), leases.get('b')?.coldMs]).toEqual([2000, 0])
+    leases.merge([{ ...lease('a', 6), coldMs: 400 }])
+    expect(coldLeft('a')).toBe(400)
+  })
+
   it('of an endpoint that has turned cold again are told at once; one that was cold all along is merely refreshed', () => {
     const { leases, clock } = table(10_000)
     leases.merge([{ ...lease('a', 1), coldMs: 3000 }, { ...lease('b', 1), coldMs: 0 }, lease('c', 1)])
--- a/entry/gateway/src/admin.ts
+++ b/entry/gateway/src/admin.ts
@@ -14,7 +14,7 @@
   constructor (private readonly services: GatewayServices) {}
 
   async start (): Promise<void> {
-    const { settings, registry, view, store } = this.services
+    const { settings, registry, view, store, coldEngines } = this.services
     linkMetrics(registry)
     beliefGauges(registry, this.services)
     this.admin = createAdminServer({
@@ -22,7 +22,7 @@
       notReady: () => this.notReady(),
       pages: {
         '/status': () => ({
-          role: 'gateway', box: settings.box, revision: store.revision, version: view.table?.version, leases: view.leases.toWire()
+          role: 'gateway', box: settings.box, revision: store.revision, version: view.table?.version, cold: coldEngines.coldCount, leases: view.leases.toWire()
         })
       }
     })
--- a/entry/gateway/src/cold-asker.ts
+++ b/entry/gateway/src/cold-asker.ts
@@ -10,13 +10,19 @@
 import { type ColdPurse } from './cold-purse.ts'
 
 /** Grants are wished for the requests of this time, in ms: for so long a grant is usable. */
-const USE_MS = 600
-/** Two asks are begun at least this time apart, in ms: so many boxes ask one process at once. */
-const SPACING_MS = 200
+const USE_MS = 500
+/** Two asks of a box are begun at least this time apart, in ms. */
+const SPACING_MS = 50
+/** So many asks a second are begun by all boxes together, at most: one process answers them. */
+const ASKS_PER_SECOND = 2000
 /** The same after an ask that was not answered, in ms: nobody may lead for a second or so. */
 const FAILED_SPACING_MS = 400
 /** After which it is seen again whether there is something to ask for, in ms: all endpoints are looked at for that. */
 const NOTHING_SPACING_MS = 25
+/** Requests beyond those of late, since they do not come evenly. */
+const HEADROOM = 1
+/** With this share of the grants that it needs a box does not ask for more yet; so busy boxes ask for many at once. */
+const ENOUGH_SHARE = 0.5
 /** The most requests of one wish; control grants no more at once. */
 const MAX_WISH = 5
 /** One ask names so many endpoints at most; the next one names others. */
@@ -29,6 +35,8 @@
   wake: () => void
   now: () => number
   purse: ColdPurse
+  /** How many boxes ask. */
+  entries: () => number
 }
 
 /** An endpoint that a request could have had with a grant. */
@@ -102,9 +110,9 @@
   }
 
   private async askFor (wishes: ColdWish[], askedAt: number): Promise<void> {
-    const { ask, wake, logger, now } = this.options
+    const { ask, wake, logger, now, entries } = this.options
     this.totals.asks += 1
-    this.nextAskAt = askedAt + SPACING_MS
+    this.nextAskAt = askedAt + Math.max(SPACING_MS, 1000 * entries() / ASKS_PER_SECOND)
     try {
       for (const grant of await ask(wishes)) this.note(grant, askedAt)
       wake()
@@ -127,11 +135,7 @@
   /** What to ask for: as much as the requests of late need beyond what is at hand, at the endpoints that this box prefers. */
   private wishes (now: number): ColdWish[] {
     const wishes: ColdWish[] = []
-    const missing = new Map<string, number>()
-    for (const { service, incarnation } of this.wished.values()) {
-      const needed = missing.get(service) ?? this.recent(service, now).length + 1
-      missing.set(service, needed - this.options.purse.left(incarnation, now))
-    }
+    const missing = this.missing(now)
     for (const wished of this.askable(now)) {
       const requests = Math.min(MAX_WISH, missing.get(wished.service) ?? 0)
       if (requests <= 0) continue
@@ -142,6 +146,18 @@
     return wishes
   }
 
+  /** How many grants each service lacks; none where half of what it needs is at hand. */
+  private missing (now: number): Map<string, number> {
+    const atHand = new Map<string, number>()
+    for (const { service, incarnation } of this.wished.values()) {
+      atHand.set(service, (atHand.get(service) ?? 0) + this.options.purse.left(incarnation, now))
+    }
+    return new Map([...atHand].map(([service, left]) => {
+      const needed = this.recent(service, now).length + HEADROOM
+      return [service, left <= ENOUGH_SHARE * needed ? needed - left : 0]
+    }))
+  }
+
   /** The endpoints that may be asked for now, those that this box prefers first. */
   private askable (now: number): Wished[] {
     for (const [incarnation, { wishedAt }] of this.wished) {
--- a/entry/gateway/src/cold-engines.ts
+++ b/entry/gateway/src/cold-engines.ts
@@ -28,6 +28,8 @@
   limitOf: (service: string) => ColdLimit | undefined
   /** Every endpoint that is known. */
   endpoints: () => readonly EndpointState[]
+  /** How many entries there are. */
+  entries: () => number
   /** Asks control. */
   ask: (wishes: ColdWish[]) => Promise<ColdGrant[]>
   /** Has requests that wait for an endpoint look again. */
@@ -56,8 +58,8 @@
 
   constructor (private readonly options: ColdEnginesOptions) {
     this.now = options.now ?? (() => performance.now())
-    const { box, logger, ask, wake } = options
-    this.asker = new ColdAsker({ box, logger, ask, wake, now: this.now, purse: this.purse })
+    const { box, logger, ask, wake, entries } = options
+    this.asker = new ColdAsker({ box, logger, ask, wake, entries, now: this.now, purse: this.purse })
   }
 
   start (): void {
@@ -122,7 +124,8 @@
 
   /** How many endpoints are cold, as this box knows. */
   get coldCount (): number {
-    return [...this.warmths.values()].filter(({ isCold }) => isCold).length
+    const now = this.now()
+    return [...this.warmths.values()].filter(({ coldUntil }) => now < coldUntil).length
   }
 
   /** Looks at an endpoint whose service spares cold ones; undefined for others. */
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -10,7 +10,7 @@
 const TIMING = { heartbeatMs: 1000, silenceMs: 2500, handshakeMs: 1000 }
 const CONFIRM_TIMEOUT_MS = 1000
 /** A grant that comes later than this after it was asked for can't be used any more, in ms. */
-const COLD_TIMEOUT_MS = 600
+const COLD_TIMEOUT_MS = 500
 /** The first question for the newest revision is asked again soon, since a quorum may just be forming; later ones more rarely. In ms. */
 const FIRST_CONFIRM_RETRY_MS = 25
 const MAX_CONFIRM_RETRY_MS = 200
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -7,6 +7,7 @@
 import { admit, nextStep, silenceOf, WATCH_MS, type NextStep, type RequestState } from './attempt-policy.ts'
 import { type Call } from './call.ts'
 import { originOf } from './connections.ts'
+import { whyNotEligible } from './eligibility.ts'
 import { chooseEndpoint, isSensitive, whyNone, type EndpointChoiceOptions } from './endpoint-choice.ts'
 import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
@@ -191,7 +192,8 @@
     const { exchange, recorder } = this
     if (this.isOver || exchange === undefined) return
     const hasAlternative = () => this.services.view.usable(candidate.endpoint.description.service).some((other) => (
-      other !== candidate.endpoint && !this.history.excluded.has(other.description.incarnation)
+      other !== candidate.endpoint && !this.history.excluded.has(other.description.incarnation) &&
+        whyNotEligible(this.services.eligibility, other, this.call) === undefined
     ))
     const why = silenceOf({ ...this.state, candidate, work, lastProgressAt: recorder.latestEventAt, hasAlternative }, performance.now())
     if (why === undefined) return
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -98,6 +98,7 @@
     leaseOf: (incarnation) => view.leases.get(incarnation),
     limitOf: (service) => view.table?.service(service)?.coldLimit,
     endpoints: () => view.all(),
+    entries: () => view.entries,
     ask: async (wishes) => await services.controlLinks.askCold(wishes),
     wake: () => view.wake()
   })
--- a/entry/gateway/test/cold-engines.test.ts
+++ b/entry/gateway/test/cold-engines.test.ts
@@ -1,70 +1,10 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { type HeldLease } from '@gullwall/control.registry'
-import { silentLogger } from '@gullwall/core.logger'
-import { EndpointState } from '@gullwall/routing.balancer'
-import { type ColdGrant, type ColdWish } from '@gullwall/transport.messages'
-import { type Call } from '../src/call.ts'
-import { ColdEngines } from '../src/cold-engines.ts'
-import { ColdLedger } from '../../../control/program/src/cold-ledger.ts'
+import { type ColdGrant } from '@gullwall/transport.messages'
+import { Box, COLD_LIMIT } from './cold-box.ts'
 
-const START_MS = 6000
-const PER_SECOND = 11
-const BOUND = 21
 const LONG_COLD_MS = 60_000
 const SECOND = 1000
 
-/** One box before a control process whose answers a test gives. */
-class Box {
-  readonly endpoints: EndpointState[] = []
-  readonly asked: ColdWish[][] = []
-  woken = 0
-  answer: (wishes: ColdWish[]) => Promise<ColdGrant[]> = async () => []
-  readonly engines: ColdEngines
-  private readonly leases = new Map<string, HeldLease>()
-  private calls = 0
-
-  constructor (name = 'b1') {
-    this.engines = new ColdEngines({
-      box: name,
-      logger: silentLogger(),
-      leaseOf: (incarnation) => this.leases.get(incarnation),
-      limitOf: (service) => service === 'lm' ? { perSecond: PER_SECOND, startMs: START_MS } : undefined,
-      endpoints: () => this.endpoints,
-      ask: async (wishes) => {
-        this.asked.push(wishes)
-        return await this.answer(wishes)
-      },
-      wake: () => { this.woken += 1 }
-    })
-  }
-
-  /** Hears of an endpoint, for the first time or again. */
-  hear (incarnation: string, coldMs: number | undefined, { dataCentre = 'dc1', service = 'lm', ageMs = 0 } = {}): EndpointState {
-    const lease: HeldLease = {
-      incarnation, service, dataCentre, coldMs, address: `${incarnation}:80`, slots: 64, state: 'ready', sequence: 1, heardAt: performance.now() - ageMs
-    }
-    this.leases.set(incarnation, lease)
-    const known = this.endpoints.find(({ description }) => description.incarnation === incarnation)
-    if (known !== undefined) return known
-    const endpoint = new EndpointState(lease)
-    this.endpoints.push(endpoint)
-    return endpoint
-  }
-
-  call (): Call {
-    this.calls += 1
-    return { requestId: `r-${this.calls}` } as unknown as Call
-  }
-
-  whyNot (endpoint: EndpointState, call = this.call()): string | undefined {
-    return this.engines.rule(endpoint, call)
-  }
-
-  eligible (call = this.call()): EndpointState[] {
-    return this.endpoints.filter((endpoint) => this.whyNot(endpoint, call) === undefined)
-  }
-}
-
 const grant = (incarnation: string, requests: number, withinMs = 600): ColdGrant => ({ incarnation, requests, withinMs })
 
 /** Lets answers that are there arrive. */
@@ -166,6 +106,38 @@
     expect(box.engines.asker.totals.failed).toBe(box.asked.length)
   })
 
+  it('is asked for the more rarely the more boxes ask, so that one process can answer all of them', async () => {
+    const asksOf = async (entries: number) => {
+      const box = new Box()
+      box.entries = entries
+      box.hear('i-cold', LONG_COLD_MS)
+      for (let ms = 0; ms < SECOND; ms += 10) {
+        box.eligible()
+        await vi.advanceTimersByTimeAsync(10)
+      }
+      return box.asked.length
+    }
+    expect([await asksOf(28), await asksOf(560)]).toEqual([20, 4])
+  })
+
+  it('is not asked for while half of what is needed is at hand', async () => {
+    const box = new Box()
+    box.hear('i-1', LONG_COLD_MS)
+    box.hear('i-2', LONG_COLD_MS)
+    box.answer = async (wishes) => wishes.map(({ incarnation }) => grant(incarnation, 1))
+    box.eligible()
+    await settle()
+    // One grant is there, and two requests came lately.
+    await vi.advanceTimersByTimeAsync(60)
+    box.eligible()
+    await settle()
+    expect(box.asked).toHaveLength(2)
+    await vi.advanceTimersByTimeAsync(60)
+    box.eligible()
+    await settle()
+    expect(box.asked).toHaveLength(2)
+  })
+
   it('is not spared where its service does not say what it bears', () => {
     const box = new Box()
     const plain = box.hear('i-plain', 5000, { service: 'plain' })
@@ -200,7 +172,7 @@
     await vi.advanceTimersByTimeAsync(5000)
     const fresh = box.hear('i-new', undefined)
     expect([old, fresh].map((endpoint) => box.whyNot(endpoint) === undefined)).toEqual([true, false])
-    await vi.advanceTimersByTimeAsync(START_MS)
+    await vi.advanceTimersByTimeAsync(COLD_LIMIT.startMs)
     expect(box.whyNot(fresh)).toBeUndefined()
   })
 
@@ -248,47 +220,3 @@
     expect(box.engines.preferred(box.eligible(call), call)).toHaveLength(4)
   })
 })
-
-describe('a whole data centre that comes back cold', () => {
-  const BOXES = 28
-  const WARM = 24
-  const COLD = 12
-  const REQUESTS_PER_BOX_AND_SECOND = 5
-  const SECONDS = 8
-
-  it('fills up at the granted rate, while warm endpoints elsewhere take the work', async () => {
-    const ledger = new ColdLedger({ opensAt: -Infinity })
-    const boxes = Array.from({ length: BOXES }, (_unused, index) => new Box(`b${index}`))
-    for (const box of boxes) {
-      for (let index = 0; index < WARM; index += 1) box.hear(`warm-${index}`, 0)
-      for (let index = 0; index < COLD; index += 1) box.hear(`cold-${index}`, LONG_COLD_MS)
-      box.answer = async (wishes) => wishes.map((wish) => ledger.grant({ ...wish, bound: BOUND }, performance.now()))
-    }
-    const sent = new Map<string, number[]>()
-    const stepMs = SECOND / REQUESTS_PER_BOX_AND_SECOND / BOXES
-    for (let step = 0; step < SECONDS * REQUESTS_PER_BOX_AND_SECOND * BOXES; step += 1) {
-      const box = boxes[step % BOXES] as Box
-      // Endpoints with the least behind them come first, as empty ones do.
-      const [chosen] = box.eligible().sort((left, right) => (sentTo(left) - sentTo(right)))
-      if (chosen !== undefined && box.engines.take(chosen)) {
-        const { incarnation } = chosen.description
-        sent.set(incarnation, [...sent.get(incarnation) ?? [], performance.now()])
-      }
-      await vi.advanceTimersByTimeAsync(stepMs)
-    }
-    function sentTo ({ description }: EndpointState): number {
-      return sent.get(description.incarnation)?.length ?? 0
-    }
-    const toCold = [...sent].flatMap(([incarnation, at]) => incarnation.startsWith('cold') ? [at] : [])
-    const within = (at: number[], from: number) => at.filter((moment) => moment >= from && moment <= from + SECOND).length
-    const busiest = Math.max(...toCold.flatMap((at) => at.map((from) => within(at, from))))
-    const all = [...sent.values()].reduce((sum, at) => sum + at.length, 0)
-    const cold = toCold.reduce((sum, at) => sum + at.length, 0)
-    console.log(`${all} sent, ${cold} of them to ${toCold.length} cold endpoints, at most ${busiest} of ${BOUND} to one within a second`)
-    expect(busiest).toBeLessThanOrEqual(BOUND)
-    expect(toCold).toHaveLength(COLD)
-    // Nothing is lost, and cold ones take a good part of what is sent once they are granted anything.
-    expect(all).toBe(SECONDS * REQUESTS_PER_BOX_AND_SECOND * BOXES)
-    expect(cold).toBeGreaterThan(all / 4)
-  })
-})
--- /dev/null
+++ b/entry/gateway/test/cold-path.test.ts
@@ -0,0 +1,49 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { request } from 'undici'
+import { until } from '@gullwall/bench.deployment'
+import { GatewayDeployment, StandIn } from './stand-in.ts'
+
+const cold = new StandIn('i-cold', 'app')
+const warm = new StandIn('i-warm', 'app')
+const deployment = new GatewayDeployment([cold, warm])
+const LONG_COLD_MS = 600_000
+
+let ids = 0
+
+async function call () {
+  const id = `request-${++ids}`
+  const reply = await request(deployment.url('/look-up/1'), { headers: { authorization: 'Bearer secret', 'x-gullwall-request-id': id } })
+  return { id, status: reply.statusCode, headers: reply.headers, text: await reply.body.text() }
+}
+
+beforeAll(async () => {
+  await deployment.start()
+  await deployment.register(cold, 'ready', 1, LONG_COLD_MS)
+  await deployment.configure(1, { coldLimit: { perSecond: 10, startMs: 6000 } })
+})
+afterAll(async () => await deployment.stop())
+
+describe('requests to a cold endpoint', () => {
+  it('are refused until there are grants, with the reason and when to come back', async () => {
+    const reply = await call()
+    expect(reply).toMatchObject({ status: 503, headers: { 'retry-after': expect.any(String) as string } })
+    expect(reply.text).toContain('no endpoint may have it: cold, and no grant is at hand')
+    expect(deployment.story(reply.id).at(-1)).toMatchObject({ decision: 'refuse', why: expect.stringContaining('kept from 1 cold') as string })
+    expect(cold.arrived).toEqual([])
+  })
+
+  it('are sent under a grant of control', async () => {
+    await until('a grant', async () => (await call()).status === 200)
+    expect(cold.arrived).toHaveLength(1)
+    expect(deployment.gateway.get('coldEngines').totals.sent).toBe(1)
+  }, 15_000)
+
+  it('are sent elsewhere while there is no grant, which their log lines tell', async () => {
+    await deployment.register(warm, 'ready', 1, 0)
+    const replies = await Promise.all(Array.from({ length: 40 }, call))
+    expect(replies.filter(({ status }) => status === 200)).toHaveLength(40)
+    expect(cold.arrived.length).toBeLessThanOrEqual(10)
+    const kept = replies.flatMap(({ id }) => deployment.story(id)).filter(({ why }) => String(why).endsWith('; kept from 1 cold without a grant'))
+    expect(kept.length).toBeGreaterThan(0)
+  })
+})
--- a/entry/gateway/test/stand-in.ts
+++ b/entry/gateway/test/stand-in.ts
@@ -92,17 +92,17 @@
   }
 
   /** Has a document accepted and waits until it is in force. */
-  async configure (version: number): Promise<void> {
+  async configure (version: number, service: object = {}): Promise<void> {
     await until('a leader', () => this.control.get('quorum').role === 'leader')
-    await this.control.get('documents').put(JSON.stringify(documentOf(version)))
+    await this.control.get('documents').put(JSON.stringify(documentOf(version, service)))
     await until('the document', () => this.gateway.get('view').table?.version === version)
     await until('readiness', () => this.gateway.get('controlLinks').notReady() === undefined)
   }
 
-  async register (standIn: StandIn, state: 'ready' | 'draining' = 'ready', sequence = 1): Promise<void> {
+  async register (standIn: StandIn, state: 'ready' | 'draining' = 'ready', sequence = 1, coldMs?: number): Promise<void> {
     const { incarnation, service, address } = standIn
     await this.control.get('registrar').hear({
-      incarnation, service, address, dataCentre: 'dc1', slots: 4, state, sequence, ageMs: 0
+      incarnation, service, address, dataCentre: 'dc1', slots: 4, state, sequence, coldMs, ageMs: 0
     })
     const wanted = state === 'ready'
     const isUsable = () => (
@@ -127,7 +127,7 @@
   }
 }
 
-function documentOf (version: number): object {
+function documentOf (version: number, service: object): object {
   const common = {
     host: '127.0.0.1',
     timeoutMs: 1500,
@@ -149,7 +149,7 @@
       { ...common, name: 'long', prefix: '/long/', kind: 'stream', timeoutMs: 8000 },
       { ...common, name: 'open', prefix: '/open/', kind: 'repeatable', isPublic: true }
     ],
-    services: [{ name: 'app', healthPath: '/healthz', maxConnections: 20, engine: { slots: 4, memoryTokens: 100_000, copiesPrefixes: true } }],
+    services: [{ name: 'app', healthPath: '/healthz', maxConnections: 20, engine: { slots: 4, memoryTokens: 100_000, copiesPrefixes: true }, ...service }],
     organisations: [{ name: 'workshop', keys: ['secret'] }],
     limits: {}
   }
