feat: cold engines under grants

Engines of a data centre whose evacuation is withdrawn are taken to be cold until a later heartbeat says otherwise.

--- a/cli/gullwall/src/commands/status.ts
+++ b/cli/gullwall/src/commands/status.ts
@@ -34,6 +34,8 @@
   documentAgeMs?: number
   /** Of a gateway: what it sent to other regions. */
   leaving?: { requests: number, bytes: number }
+  /** Endpoints that a gateway knows to be cold. */
+  cold?: number
 }
 
 export interface WholeStatus {
@@ -107,10 +109,14 @@
 }
 
 /** What only gateways tell. */
-function formatGateway ({ version, documentAgeMs, leaving }: Pick<ProcessStatus, 'version' | 'documentAgeMs' | 'leaving'>): string {
-  const age = documentAgeMs === undefined ? '' : `: document ${version} in force for ${Math.round(documentAgeMs / MS_PER_SECOND)} s`
-  if (leaving === undefined || leaving.requests === 0) return age
-  return `${age}, ${leaving.requests} requests to other regions, ${Math.round(leaving.bytes / BYTES_PER_KB)} kB`
+function formatGateway ({ version, documentAgeMs, leaving, cold = 0 }: Pick<ProcessStatus, 'version' | 'documentAgeMs' | 'leaving' | 'cold'>): string {
+  const facts: string[] = []
+  if (documentAgeMs !== undefined) facts.push(`document ${version} in force for ${Math.round(documentAgeMs / MS_PER_SECOND)} s`)
+  if (leaving !== undefined && leaving.requests > 0) {
+    facts.push(`${leaving.requests} requests to other regions`, `${Math.round(leaving.bytes / BYTES_PER_KB)} kB`)
+  }
+  if (cold > 0) facts.push(`${cold} cold endpoints`)
+  return facts.length === 0 ? '' : `: ${facts.join(', ')}`
 }
 
 function formatClass (name: string, counts: ClassCounts, queued: number): string {
--- a/control/program/test/control-processes.ts
+++ b/control/program/test/control-processes.ts
@@ -19,12 +19,14 @@
   regions?: ControlSettings['regions']
   api?: OperatorApi
   write?: (line: string) => void
+  cold?: ControlSettings['cold']
   tolerance?: number
   electionMs?: number
 }
 
 export async function start (options: StartOptions): Promise<Control> {
-  const { address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1', usage, usageSink, regions, api, write = () => {}, tolerance = 2, electionMs = 200 } = options
+  const { address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1', usage, usageSink, regions, cold } = options
+  const { api, write = () => {}, tolerance = 2, electionMs = 200 } = options
   const control = await createControl({
     box: `box-${address.split(':')[1] ?? ''}`,
     dataCentre,
@@ -43,7 +45,8 @@
     quorumElectionMs: electionMs,
     firstElectionShare: 0.4,
     usage,
-    regions
+    regions,
+    cold
   }, { disk, usageSink, api, write })
   await control.start()
   running.set(address, control)
--- a/entry/gateway/src/admin.ts
+++ b/entry/gateway/src/admin.ts
@@ -15,7 +15,7 @@
   constructor (private readonly services: GatewayServices) {}
 
   async start (): Promise<void> {
-    const { settings, registry, view, store, crossings } = this.services
+    const { settings, registry, view, store, crossings, coldEngines } = this.services
     linkMetrics(registry)
     beliefGauges(registry, this.services)
     this.admin = createAdminServer({
@@ -29,6 +29,7 @@
           version: view.table?.version,
           documentAgeMs: view.table === undefined ? undefined : view.documentAgeMs,
           leaving: crossings.sent,
+          cold: coldEngines.coldCount,
           leases: view.leases.toWire()
         })
       }
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -57,11 +57,11 @@
   constructor (dispatcher: Dispatcher, origin: string, request: ExchangeRequest, private readonly listener: ExchangeListener) {
     this.ended = new Promise((resolve) => { this.settle = resolve })
     this.connectTimer = setTimeout(() => this.end({ type: 'unsent', why: `no connection within ${request.connectMs} ms` }), request.connectMs)
-    const { method, path, headers, body, wasClosedWell, whyNot } = request
+    const { method, path, headers, body } = request
     try {
       dispatcher.dispatch({
         origin, method: method as Dispatcher.HttpMethod, path, headers, body: body ?? null, headersTimeout: 0, bodyTimeout: 0, reset: false
-      }, this.handler(wasClosedWell, whyNot))
+      }, this.handler(request, performance.now() + request.connectMs))
     } catch (error) {
       this.end({ type: 'unsent', why: messageOf(error) })
     }
@@ -103,9 +103,11 @@
     this.settle(end)
   }
 
-  private handler (wasClosedWell: () => Promise<boolean>, whyNot: () => string | undefined): Handler {
+  private handler ({ wasClosedWell, whyNot }: ExchangeRequest, connectBy: number): Handler {
     return {
       onRequestStart: (controller) => {
+        // A process that was frozen finds its connection before the timer; what it was given leave to send is over by then.
+        if (performance.now() > connectBy) this.end({ type: 'unsent', why: 'the connection was made too late' })
         if (this.isOver) {
           // Nothing has been written yet, and nothing will be.
           controller.abort(new Error('given up before it was sent'))
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -9,6 +9,7 @@
 import { DEFAULT_WEIGHTS, RetryBudget, type ChoiceWeights } from '@gullwall/routing.balancer'
 import { allowedRegions } from './allowed-regions.ts'
 import { GatewayAdmin, gatewayRegistry } from './admin.ts'
+import { ColdEngines } from './cold-engines.ts'
 import { Connections } from './connections.ts'
 import { ControlLinks } from './control-links.ts'
 import { DeploymentView } from './deployment-view.ts'
@@ -44,6 +45,7 @@
   crossings: RegionCrossings
   view: DeploymentView
   evacuatedPlaces: EvacuatedPlaces
+  coldEngines: ColdEngines
   eligibility: EligibilityRules
   budget: RetryBudget
   controlLinks: ControlLinks
@@ -80,7 +82,8 @@
     .service('view', (services) => new DeploymentView(services))
     .service('crossings', (services) => new RegionCrossings(services))
     .service('evacuatedPlaces', (services) => new EvacuatedPlaces(services))
-    .service('eligibility', (services) => ({ places: [services.evacuatedPlaces.rule, allowedRegions(services)], endpoints: [] }))
+    .service('coldEngines', createColdEngines)
+    .service('eligibility', createEligibility)
     .service('budget', (services) => createBudget(services))
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('workExchange', (services) => new WorkExchange(services))
@@ -94,3 +97,24 @@
     ratio: settings.retryRatio, windowMs: settings.retryWindowMs, slack: settings.retrySlack, entries: () => view.entries
   })
 }
+
+function createEligibility (services: GatewayServices): EligibilityRules {
+  const { evacuatedPlaces, coldEngines } = services
+  // What an engine said of itself before its data centre was emptied may not hold any more.
+  evacuatedPlaces.onWithdrawn((dataCentre) => coldEngines.assumeCold(dataCentre))
+  return { places: [evacuatedPlaces.rule, allowedRegions(services)], endpoints: [coldEngines.rule] }
+}
+
+function createColdEngines (services: GatewayServices): ColdEngines {
+  const { settings, logger, view } = services
+  return new ColdEngines({
+    box: settings.box,
+    logger,
+    leaseOf: (incarnation) => view.leases.get(incarnation),
+    limitOf: (service) => view.table?.service(service)?.coldLimit,
+    endpoints: () => view.all(),
+    entries: () => view.entries,
+    ask: async (wishes) => await services.controlLinks.askCold(wishes),
+    wake: () => view.wake()
+  })
+}
--- a/entry/gateway/test/allowed-regions.fuzz.test.ts
+++ b/entry/gateway/test/allowed-regions.fuzz.test.ts
@@ -119,7 +119,8 @@
       settings,
       weights: DEFAULT_WEIGHTS,
       startedAt: 0,
-      eligibility: { places: [allowedRegions({ settings, view })], endpoints: [] }
+      eligibility: { places: [allowedRegions({ settings, view })], endpoints: [] },
+      coldEngines: { preferred: (endpoints: readonly EndpointState[]) => endpoints }
     } as unknown as GatewayServices
     const call = callUnder(documentOf(1, arrivedUnder, isPublic), tier)
     const history = new AttemptHistory(call)
--- a/entry/gateway/test/stand-in.ts
+++ b/entry/gateway/test/stand-in.ts
@@ -95,17 +95,17 @@
   }
 
   /** Has a document accepted and waits until it is in force. */
-  async configure (version: number, limits: RegionLists = {}): Promise<void> {
+  async configure (version: number, limits: RegionLists = {}, service: object = {}): Promise<void> {
     await until('a leader', () => this.control.get('quorum').role === 'leader')
-    await this.control.get('documents').put(JSON.stringify(documentOf(version, limits)))
+    await this.control.get('documents').put(JSON.stringify(documentOf(version, limits, service)))
     await until('the document', () => this.gateway.get('view').table?.version === version)
     await until('readiness', () => this.gateway.get('controlLinks').notReady() === undefined)
   }
 
-  async register (standIn: StandIn, state: 'ready' | 'draining' = 'ready', sequence = 1): Promise<void> {
+  async register (standIn: StandIn, state: 'ready' | 'draining' = 'ready', sequence = 1, coldMs?: number): Promise<void> {
     const { incarnation, service, address, dataCentre } = standIn
     await this.control.get('registrar').hear({
-      incarnation, service, address, dataCentre, slots: 4, state, sequence, ageMs: 0
+      incarnation, service, address, dataCentre, slots: 4, state, sequence, coldMs, ageMs: 0
     })
     const wanted = state === 'ready'
     const isUsable = () => (
@@ -136,7 +136,7 @@
   organisation?: string[]
 }
 
-export function documentOf (version: number, limits: RegionLists = {}): object {
+export function documentOf (version: number, limits: RegionLists = {}, service: object = {}): object {
   const common = {
     host: '127.0.0.1',
     timeoutMs: 1500,
@@ -159,7 +159,7 @@
       { ...common, name: 'long', prefix: '/long/', kind: 'stream', timeoutMs: 8000 },
       { ...common, name: 'open', prefix: '/open/', kind: 'repeatable', isPublic: true }
     ],
-    services: [{ name: 'app', healthPath: '/healthz', maxConnections: 20, engine: { slots: 4, memoryTokens: 100_000, copiesPrefixes: true } }],
+    services: [{ name: 'app', healthPath: '/healthz', maxConnections: 20, engine: { slots: 4, memoryTokens: 100_000, copiesPrefixes: true }, ...service }],
     organisations: [{ name: 'workshop', keys: ['secret'], allowedRegions: limits.organisation }],
     limits: {}
   }
