--- a/control/program/test/evacuations.test.ts
+++ b/control/program/test/evacuations.test.ts
@@ -241,6 +241,17 @@
     expect(await slow).toMatchObject({ isTaken: true, isEvacuated: true, epoch: epoch + 1 })
   })
 
+  it('is there again after all processes have been killed at once', async () => {
+    await orderSomewhere(true)
+    const { epoch } = await orderSomewhere(true)
+    await Promise.all([...running.values()].map(async (control) => await take(control)))
+    for (const address of addresses) {
+      await start({ address, seeds: addresses, disk: disks.get(address)?.reopened(), electionMs: ELECTION_MS })
+    }
+    await untilEverywhere(epoch)
+    for (const control of running.values()) expect(known(control)).toMatchObject({ isEvacuated: true })
+  })
+
   it('changes nothing if its caller left before it was read, or has waited for too long', async () => {
     const control = leader() as Control
     await expect(order(control, true, gone)).rejects.toMatchObject({ code: 'ERR_GULLWALL_CALLER_LEFT' })
