perf(gateway): endpoints that turn warm are looked for only while there are any

Cause: each choice hashed the request's id and looked at all endpoints once more, also where none was cold lately. Ruled out: nothing else was tried. Change: the gateway notes until when a share is in force. Not measured.

--- a/entry/gateway/src/cold-asker.ts
+++ b/entry/gateway/src/cold-asker.ts
@@ -102,7 +102,7 @@
     clearTimeout(this.timer)
     if (this.wished.size === 0) return
     const nextFree = Math.min(...[...this.wished.values()].map(({ notBefore }) => notBefore))
-    this.timer = setTimeout(wake, Math.max(NOTHING_SPACING_MS, this.nextAskAt - now(), nextFree - now()))
+    this.timer = setTimeout(wake, Math.max(NOTHING_SPACING_MS, this.nextAskAt - now(), nextFree - now())).unref()
   }
 
   stop (): void {
--- a/entry/gateway/src/cold-engines.ts
+++ b/entry/gateway/src/cold-engines.ts
@@ -11,7 +11,7 @@
 import { ColdAsker } from './cold-asker.ts'
 import { ColdPurse } from './cold-purse.ts'
 import { type EndpointRule } from './eligibility.ts'
-import { Warmth } from './warmth.ts'
+import { RAMP_MS, Warmth } from './warmth.ts'
 
 /** Endpoints that are met so soon after the first request of their service were there before it, in ms. */
 const FIRST_LOOK_MS = 1000
@@ -53,6 +53,8 @@
   private readonly firstLooks = new Map<string, number>()
   /** The endpoints from which a request was kept. */
   private readonly keptFrom = new WeakMap<Call, Set<string>>()
+  /** Until when an endpoint that has turned warm gets a share only. */
+  private rampsUntil = -Infinity
   private readonly now: () => number
   private timer: NodeJS.Timeout | undefined
 
@@ -87,6 +89,7 @@
   /** Those of the endpoints that a request may have that are not to be spared; endpoints that have just turned warm get a growing share. */
   preferred (endpoints: readonly EndpointState[], call: Call): readonly EndpointState[] {
     const now = this.now()
+    if (now >= this.rampsUntil) return endpoints
     const draw = rankOf(call.requestId) / RANKS
     const settled = endpoints.filter(({ description }) => {
       const warmth = this.warmths.get(description.incarnation)
@@ -135,7 +138,9 @@
     const lease = this.options.leaseOf(incarnation)
     if (limit === undefined || lease === undefined) return undefined
     const warmth = this.warmths.get(incarnation) ?? this.firstMet(lease, limit, now)
-    if (warmth.look(lease, now)) this.logTurn(lease, warmth, now)
+    if (!warmth.look(lease, now)) return warmth
+    this.logTurn(lease, warmth, now)
+    if (!warmth.isCold) this.rampsUntil = now + RAMP_MS
     return warmth
   }
 
--- a/entry/gateway/src/warmth.ts
+++ b/entry/gateway/src/warmth.ts
@@ -6,7 +6,7 @@
 /** A heartbeat that arrives so long after a moment, in ms, was begun after it: an endpoint gives up on an answer after a second. */
 const HEARTBEAT_FLIGHT_MS = 1000
 /** For how long an endpoint that has just turned warm gets a growing share of the requests, in ms. */
-const RAMP_MS = 2000
+export const RAMP_MS = 2000
 /** The share with which it begins: about what it had by grants. */
 const RAMP_START = 0.1
 
