perf(gateway): connections that waited for a start are let in one after the other, and old ones are closed unread

Change: 30 ms between two that waited, newest first; what has waited a second is closed unread. Not measured yet.

--- a/tools/code-cache.mjs
+++ b/tools/code-cache.mjs
@@ -28,7 +28,9 @@
 function openEarly (address, listeners) {
   const colon = address.lastIndexOf(':')
   const waiting = []
-  const server = createServer({ allowHalfOpen: true, noDelay: true, pauseOnConnect: true }, (socket) => waiting.push(socket))
+  const server = createServer({ allowHalfOpen: true, noDelay: true, pauseOnConnect: true }, (socket) => {
+    waiting.push({ socket, acceptedAt: performance.now() })
+  })
   listeners.set(address, { server, waiting })
   return new Promise((resolve) => {
     server.once('listening', resolve)
--- a/transport/http-server/src/listen.ts
+++ b/transport/http-server/src/listen.ts
@@ -4,20 +4,34 @@
  */
 import { type Server as HttpServer } from 'node:http'
 import { type Server, type Socket } from 'node:net'
-import { setImmediate as nextTurn } from 'node:timers/promises'
+import { setTimeout } from 'node:timers/promises'
 import { GullwallError } from '@gullwall/core.error'
 import { splitAddress } from '@gullwall/config.settings'
 
 /** Where a loader leaves the addresses that it has opened, on the global object. */
 export const EARLY_LISTENERS = Symbol.for('gullwall.earlyListeners')
 
+/** A connection that nothing was read from yet. */
+export interface WaitingConnection {
+  socket: Socket
+  /** When it was accepted, by the monotonic clock. */
+  acceptedAt: number
+}
+
 /** An address that a loader has opened. */
 export interface EarlyListener {
   server: Server
-  /** Connections that have come since; nothing is read from them yet. */
-  waiting: Socket[]
+  waiting: WaitingConnection[]
 }
 
+/**
+ * Connections that wait are served so far apart, in ms: a process that has just started compiles as it goes, and those who
+ * come now would be late with those who have waited. A loop that is held makes it longer by itself.
+ */
+const SPACING_MS = 30
+/** One that has waited for so long is closed unread, in ms: its caller has gone on, or may ask again as nothing was read. */
+const MAX_WAIT_MS = 1000
+
 /** Whether a loader has opened an address and nobody has taken it over yet. */
 export function isOpenedEarly (address: string): boolean {
   return earlyListeners()?.has(address) === true
@@ -38,10 +52,19 @@
     if (early === undefined) server.listen(port, host, resolve)
     else server.listen(early.server, resolve)
   })
-  for (const socket of early?.waiting.splice(0).reverse() ?? []) {
-    serveWaiting(server, socket)
-    // Each is read before the next is begun.
-    await nextTurn()
+  void serveAll(server, early?.waiting.splice(0) ?? [])
+}
+
+async function serveAll (server: HttpServer, waiting: readonly WaitingConnection[]): Promise<void> {
+  for (const { socket, acceptedAt } of [...waiting].reverse()) {
+    if (socket.destroyed) continue
+    if (!server.listening || performance.now() - acceptedAt > MAX_WAIT_MS) {
+      socket.destroy()
+      continue
+    }
+    server.emit('connection', socket)
+    socket.resume()
+    await setTimeout(SPACING_MS)
   }
 }
 
@@ -56,9 +79,3 @@
 function earlyListeners (): Map<string, EarlyListener> | undefined {
   return (globalThis as { [EARLY_LISTENERS]?: Map<string, EarlyListener> })[EARLY_LISTENERS]
 }
-
-function serveWaiting (server: HttpServer, socket: Socket): void {
-  if (socket.destroyed) return
-  server.emit('connection', socket)
-  socket.resume()
-}
--- a/transport/http-server/test/listen.test.ts
+++ b/transport/http-server/test/listen.test.ts
@@ -1,15 +1,17 @@
 import { createServer as createHttpServer, request, type Server } from 'node:http'
-import { createServer, type AddressInfo, type Socket } from 'node:net'
+import { createServer, type AddressInfo } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
-import { EARLY_LISTENERS, listenOn, type EarlyListener } from '../src/index.ts'
+import { EARLY_LISTENERS, listenOn, type EarlyListener, type WaitingConnection } from '../src/index.ts'
 
 const early = new Map<string, EarlyListener>()
 const servers: Server[] = []
 
 /** Opens an address as the loader of a bundle does. */
 async function openEarly (): Promise<string> {
-  const waiting: Socket[] = []
-  const server = createServer({ allowHalfOpen: true, noDelay: true, pauseOnConnect: true }, (socket) => waiting.push(socket))
+  const waiting: WaitingConnection[] = []
+  const server = createServer({ allowHalfOpen: true, noDelay: true, pauseOnConnect: true }, (socket) => {
+    waiting.push({ socket, acceptedAt: performance.now() })
+  })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   early.set(address, { server, waiting })
@@ -71,6 +73,16 @@
     expect(order).toEqual(['/third', '/second', '/first'])
   })
 
+  it('closes what has waited so long that its caller has gone on, unread', async () => {
+    const address = await openEarly()
+    const waiting = early.get(address)?.waiting ?? []
+    const asked = answerOf(address)
+    while (waiting.length === 0) await new Promise((resolve) => setImmediate(resolve))
+    for (const connection of waiting) connection.acceptedAt -= 2000
+    await listenOn(httpServer(), address)
+    await expect(asked).rejects.toThrow()
+  })
+
   it('takes nothing more once the server that took it over has closed', async () => {
     const address = await openEarly()
     const server = httpServer()
