feat(balancer): the choice counts what requests will hold of an engine's memory

Cause: a request went where a slot was free though the engine's memory was not, waited there, or put another back. A prompt larger than an engine's memory was sent in vain.

Ruled out: adding up shared parts by entry (a subject counts as often as entries have it); names of subjects in the word (up to 64 an engine); reports of engines (a probe each, old); a limit at 1 (the engine that seems emptiest is the one underestimated most).

Change: each entry counts, by subject, what its requests will hold at their end, answers by the caller's hint and the route's usual; the word of work carries sums and 64 bits of subjects (optional, joined by control). A prompt that can never fit is refused at once. Engines learn their memory also where leases come before the document.

--- a/bench/experiment/src/choice.ts
+++ b/bench/experiment/src/choice.ts
@@ -21,6 +21,7 @@
 /** A subject has so many tokens, and what a request brings itself: as the users' prompts have. */
 const SUBJECT_TOKENS = 6300
 const OWN_TOKENS = 2900
+const OUTPUT_TOKENS = 140
 /** Requests that the gateway has under way. */
 const UNDER_WAY = 200
 const WARM_UP = 400
@@ -77,6 +78,7 @@
     this.services = {
       view,
       eligibility: gateway.get('eligibility'),
+      outputs: gateway.get('outputs'),
       settings: settings(),
       weights: DEFAULT_WEIGHTS,
       startedAt: -Infinity,
@@ -122,7 +124,9 @@
     if (candidate === undefined) return
     const { endpoint, unreadTokens, urgency } = candidate
     this.unreadTokens += unreadTokens
-    const work = endpoint.begin({ prompt: call.prompt, unreadTokens, urgency, strain: 0.1, isSensitive: false }, performance.now())
+    const { prompt } = call
+    const sent = { prompt, unreadTokens, urgency, strain: 0.1, isSensitive: false, outputTokens: OUTPUT_TOKENS }
+    const work = endpoint.begin(sent, performance.now())
     this.underWay.push({ endpoint, work })
     const oldest = this.underWay.length > UNDER_WAY ? this.underWay.shift() : undefined
     oldest?.endpoint.end(oldest.work, 'good', performance.now())
@@ -140,7 +144,8 @@
       running: Math.round(0.5 * SLOTS * this.random()),
       strain: 2 * this.random(),
       sensitive: 0,
-      unreachable: 0
+      unreachable: 0,
+      memory: { tokens: 60_000, sharedTokens: 20 * SUBJECT_TOKENS, sharing: 20, subjects: [0x1248_1248, 0x1111_1111] }
     }
   }
 
@@ -161,6 +166,7 @@
       waitMs: undefined,
       lastEventId: undefined,
       key: undefined,
+      output: { hint: OUTPUT_TOKENS },
       prompt: [this.subject(), { id: `own-${this.requests}`, tokens: OWN_TOKENS }],
       method: 'POST',
       path: '/',
--- a/control/workload/src/workload-table.ts
+++ b/control/workload/src/workload-table.ts
@@ -2,7 +2,7 @@
  * What several sources have under way at each endpoint. A source is an entry, or a control process that tells the sum of
  * its entries. Sums are taken anew from the sources' own words whenever they are asked for, so that they can't drift.
  */
-import { type UnreadTokens, type WorkSummary } from '@gullwall/transport.messages'
+import { type MemoryUse, type UnreadTokens, type WorkSummary } from '@gullwall/transport.messages'
 
 export class WorkloadTable<Source> {
   private readonly bySource = new Map<Source, Map<string, WorkSummary>>()
@@ -36,15 +36,18 @@
   sumAt (incarnation: string, counts: (source: Source) => boolean): WorkSummary {
     const sum = { running: 0, strain: 0, sensitive: 0, unreachable: 0 }
     const unread = new Map<number, number>()
+    let memory: MemoryUse | undefined
     for (const [source, work] of this.byEndpoint.get(incarnation) ?? []) {
       if (!counts(source)) continue
       sum.running += work.running
       sum.strain += work.strain
       sum.sensitive += work.sensitive
       sum.unreachable += work.unreachable
+      memory = joined(memory, work.memory)
       for (const { urgency, tokens } of work.unread) unread.set(urgency, (unread.get(urgency) ?? 0) + tokens)
     }
-    return { incarnation, ...sum, unread: [...unread].map(([urgency, tokens]) => ({ urgency, tokens })) }
+    const rows = [...unread].map(([urgency, tokens]) => ({ urgency, tokens }))
+    return memory === undefined ? { incarnation, ...sum, unread: rows } : { incarnation, ...sum, unread: rows, memory }
   }
 
   /** Whether this is news. */
@@ -79,10 +82,26 @@
 
 function isSame (left: WorkSummary, right: WorkSummary): boolean {
   return left.running === right.running && left.strain === right.strain && left.sensitive === right.sensitive &&
-    left.unreachable === right.unreachable &&
+    left.unreachable === right.unreachable && isSameMemory(left.memory, right.memory) &&
     left.unread.length === right.unread.length && left.unread.every((part, index) => isSameUnread(part, right.unread[index]))
 }
 
+/** A subject that several sources have sets one bit. */
+function joined (left: MemoryUse | undefined, right: MemoryUse | undefined): MemoryUse | undefined {
+  if (left === undefined || right === undefined) return left ?? right
+  return {
+    tokens: left.tokens + right.tokens,
+    sharedTokens: left.sharedTokens + right.sharedTokens,
+    sharing: left.sharing + right.sharing,
+    subjects: [(left.subjects[0] | right.subjects[0]) >>> 0, (left.subjects[1] | right.subjects[1]) >>> 0]
+  }
+}
+
+function isSameMemory (left: MemoryUse | undefined, right: MemoryUse | undefined): boolean {
+  return left?.tokens === right?.tokens && left?.sharedTokens === right?.sharedTokens && left?.sharing === right?.sharing &&
+    left?.subjects[0] === right?.subjects[0] && left?.subjects[1] === right?.subjects[1]
+}
+
 function isSameUnread (left: UnreadTokens, right: UnreadTokens | undefined): boolean {
   return left.urgency === right?.urgency && left.tokens === right.tokens
 }
--- a/control/workload/test/workload-table.test.ts
+++ b/control/workload/test/workload-table.test.ts
@@ -43,6 +43,19 @@
     }), { seed: SEED })
   })
 
+  it('adds up what is held of memory, with one bit for a subject that several have, and tells when it has changed', () => {
+    const table = new WorkloadTable<string>()
+    const work = { incarnation: 'i-1', running: 1, strain: 0, sensitive: 0, unreachable: 0, unread: [] }
+    const memory = { tokens: 100, sharedTokens: 6300, sharing: 1, subjects: [0, 2 ** 31 + 1] as [number, number] }
+    table.replace('a', [{ ...work, memory }])
+    expect(table.replace('b', [{ ...work, memory: { ...memory, tokens: 50, subjects: [4, 1] } }])).toEqual(['i-1'])
+    table.replace('c', [work])
+    expect(table.sumAt('i-1', all).memory).toEqual({ tokens: 150, sharedTokens: 12_600, sharing: 2, subjects: [4, 2 ** 31 + 1] })
+    expect(table.replace('a', [{ ...work, memory: { ...memory, subjects: [1, 0] } }])).toEqual(['i-1'])
+    expect(table.replace('c', [work])).toEqual([])
+    expect(table.sumAt('i-1', (source) => source === 'c').memory).toBeUndefined()
+  })
+
   it('leaves out what does not count, and forgets endpoints where nothing is under way', () => {
     const table = new WorkloadTable<string>()
     table.replace('a', [{ incarnation: 'i-1', running: 1, strain: 0, sensitive: 0, unreachable: 0, unread: [] }])
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -57,6 +57,8 @@
   copiedTokens?: number
   source?: string
   inFlight?: number
+  /** The share of its memory that the requests of all entries there will hold, this one included. */
+  memoryShare?: number
   /** At the end of a request: all of its time, that to its first event, and the longest between two events. */
   tookMs?: number
   firstEventMs?: number
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -149,6 +149,7 @@
         const before = this.table?.version
         this.table = new RouteTable({ ...document, version: stored.version })
         this.documentAt = performance.now()
+        this.noteMemory()
         const why = `document version ${stored.version}, before ${before ?? 'none'}, ${document.routes.length} routes`
         logger.info({ channel: 'configuration', event: 'applied', revision: store.revision, why })
       }
@@ -172,6 +173,13 @@
     if (endpoint !== undefined) this.index.setUsable(endpoint, !endpoint.hasEnded && this.leases.isUsable(incarnation))
   }
 
+  /** Leases may come before the document that says how much memory engines have. */
+  private noteMemory (): void {
+    for (const endpoint of this.endpoints.values()) {
+      endpoint.memoryTokens = this.memoryTokens(endpoint.description.service) ?? endpoint.memoryTokens
+    }
+  }
+
   private memoryTokens (service: string): number | undefined {
     return this.table?.service(service)?.engine?.memoryTokens
   }
--- a/entry/gateway/src/dialect.ts
+++ b/entry/gateway/src/dialect.ts
@@ -1,5 +1,5 @@
 /** The headers that carry meaning between callers, this process and endpoints. An adapter brings other names. */
-import { type PromptPart } from '@gullwall/routing.balancer'
+import { type OutputWord, type PromptPart } from '@gullwall/routing.balancer'
 
 /** Headers with lower-case names. */
 export type Headers = Record<string, string | string[] | undefined>
@@ -12,6 +12,8 @@
   /** Where a stream is to go on. */
   lastEventId: string | undefined
   prompt: readonly PromptPart[]
+  /** What the caller says of the length of its answer. */
+  output?: OutputWord | undefined
   key: string | undefined
 }
 
@@ -93,3 +95,9 @@
   const value = headers[name]
   return Array.isArray(value) ? value[0] : value
 }
+
+/** A number above 0; undefined if it is missing or none. */
+export function countOf (text: string | undefined): number | undefined {
+  const value = Number(text)
+  return Number.isFinite(value) && value > 0 ? value : undefined
+}
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -1,5 +1,5 @@
 /** Puts the choice of an endpoint for one request: which endpoints it may have, and what the policy must know. */
-import { candidateSet, choose, type Candidate, type Choosable, type Demand } from '@gullwall/routing.balancer'
+import { candidateSet, choose, hasSlot, sizeOf, whyTooLarge, type Candidate, type Choosable, type Demand } from '@gullwall/routing.balancer'
 import { type AttemptHistory } from './attempt-history.ts'
 import { type Call } from './call.ts'
 import { whyNotEligible, whyNotPlace, whyNotEndpoint } from './eligibility.ts'
@@ -37,12 +37,27 @@
     sources: [],
     trustsHome: now - startedAt < TRUST_HOME_MS,
     isSensitive: isSensitive(services, call, service),
+    size: sizeOf(call.prompt, outputTokensOf(services, call)),
     reserved: view.reserved.of(service)
   }
   const { endpoints, home, sources } = candidateSet(demand, choosable(services, call, service))
   return choose({ ...demand, home, sources: engine?.copiesPrefixes === true ? sources : [] }, endpoints, now, weights)
 }
 
+/** How long the answer to a request will probably be. */
+export function outputTokensOf ({ outputs }: GatewayServices, { route, output }: Call): number {
+  return Math.round(outputs.of(route.name, output ?? {}))
+}
+
+/** Why no engine of the request's services can ever run it; undefined if one can. */
+export function whyNever ({ view }: GatewayServices, { route, prompt }: Call): string | undefined {
+  const whys = route.split.filter(({ weight }) => weight > 0).map(({ service }) => {
+    const engine = view.table?.service(service)?.engine
+    return engine === undefined ? undefined : whyTooLarge(prompt, engine.memoryTokens)
+  })
+  return whys.every((why) => why !== undefined) ? whys[0] : undefined
+}
+
 /** The endpoints of a service that take work, and the rules that keep this request from some of them. */
 function choosable ({ view, eligibility }: GatewayServices, call: Call, service: string): Choosable {
   return {
@@ -65,8 +80,9 @@
   const reasons = usable.map((endpoint) => whyNotEligible(eligibility, endpoint, call))
   const [first] = reasons
   if (first !== undefined && reasons.every((why) => why !== undefined)) return `no endpoint may have it: ${first}`
-  const isUntried = usable.some(({ description }) => !history.excluded.has(description.incarnation))
-  return isUntried ? 'the slots of all endpoints are taken' : 'no endpoint takes work'
+  const untried = usable.filter(({ description }) => !history.excluded.has(description.incarnation))
+  if (untried.length === 0) return 'no endpoint takes work'
+  return untried.some(hasSlot) ? 'the memory of all endpoints with a free slot is taken' : 'the slots of all endpoints are taken'
 }
 
 /** One of the route's services by weight; one without endpoints gives way to the others. */
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -7,7 +7,7 @@
 import { admit, nextStep, silenceOf, WATCH_MS, type NextStep, type RequestState } from './attempt-policy.ts'
 import { type Call } from './call.ts'
 import { originOf } from './connections.ts'
-import { chooseEndpoint, isSensitive, whyNone, type EndpointChoiceOptions } from './endpoint-choice.ts'
+import { chooseEndpoint, isSensitive, outputTokensOf, whyNever, whyNone, type EndpointChoiceOptions } from './endpoint-choice.ts'
 import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
 import { RequestRecorder } from './request-recorder.ts'
@@ -51,6 +51,7 @@
   async run (): Promise<void> {
     const { call } = this
     this.services.budget.noteRequest()
+    this.services.outputs.note(call.route.name, call.output ?? {})
     this.services.view.reserved.noteRequest({ route: call.route.name }, call.prompt.at(-1)?.tokens ?? 0)
     await connectionsSeen()
     this.answer.onLeft(() => this.callerLeft())
@@ -63,6 +64,8 @@
   }
 
   private async attempts (): Promise<void> {
+    const never = whyNever(this.services, this.call)
+    if (never !== undefined) this.refuse(never)
     while (!this.isOver) {
       const candidate = await this.nextCandidate()
       if (this.isOver) return
@@ -111,7 +114,8 @@
       unreadTokens,
       urgency,
       strain: strainOf(call.route.pauseMs, endpoint.reading.pauseMs),
-      isSensitive: isSensitive(services, call, endpoint.description.service)
+      isSensitive: isSensitive(services, call, endpoint.description.service),
+      outputTokens: outputTokensOf(services, call)
     }
     const work = endpoint.begin(sent, performance.now())
     services.workExchange.noteSent(unreadTokens)
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -6,7 +6,7 @@
 import { Kernel } from '@gullwall/core.kernel'
 import { createLogger, type Logger } from '@gullwall/core.logger'
 import { type Registry } from '@gullwall/core.metrics'
-import { DEFAULT_WEIGHTS, RetryBudget, type ChoiceWeights } from '@gullwall/routing.balancer'
+import { DEFAULT_WEIGHTS, OutputEstimate, RetryBudget, type ChoiceWeights } from '@gullwall/routing.balancer'
 import { GatewayAdmin, gatewayRegistry } from './admin.ts'
 import { Connections } from './connections.ts'
 import { ControlLinks } from './control-links.ts'
@@ -44,6 +44,7 @@
   view: DeploymentView
   eligibility: EligibilityRules
   budget: RetryBudget
+  outputs: OutputEstimate
   controlLinks: ControlLinks
   workExchange: WorkExchange
   usage: UsageTeller
@@ -78,6 +79,7 @@
     .service('view', (services) => new DeploymentView(services))
     .service('eligibility', () => ({ places: [], endpoints: [] }))
     .service('budget', (services) => createBudget(services))
+    .service('outputs', () => new OutputEstimate())
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('workExchange', (services) => new WorkExchange(services))
     .service('usage', (services) => new UsageTeller(services))
--- a/entry/gateway/src/native-dialect.ts
+++ b/entry/gateway/src/native-dialect.ts
@@ -1,9 +1,11 @@
 /** The product's own headers. */
-import { headerOf, passedOn, type CallDialect, type HeaderRules } from './dialect.ts'
+import { countOf, headerOf, passedOn, type CallDialect, type HeaderRules } from './dialect.ts'
 
 const REQUEST_ID = 'x-gullwall-request-id'
 const WAIT = 'x-gullwall-wait-ms'
 const PROMPT = 'x-gullwall-prompt-parts'
+const LENGTH_HINT = 'x-gullwall-length-hint'
+const MOST_TOKENS = 'x-gullwall-most-tokens'
 const INCARNATION = 'x-gullwall-incarnation'
 const ORGANISATION = 'x-gullwall-organisation'
 const URGENCY = 'x-gullwall-urgency'
@@ -27,6 +29,7 @@
         const [id = '', tokens = '0'] = part.split(':')
         return { id, tokens: Number(tokens) }
       }),
+      output: { hint: countOf(headerOf(headers, LENGTH_HINT)), most: countOf(headerOf(headers, MOST_TOKENS)) },
       key: /^Bearer\s+(\S+)$/i.exec(headerOf(headers, 'authorization') ?? '')?.[1]
     }
   },
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -119,7 +119,8 @@
       unreadTokens,
       copiedTokens,
       source: source?.description.incarnation,
-      inFlight: endpoint.inFlight
+      inFlight: endpoint.inFlight,
+      memoryShare: Math.round(100 * endpoint.memoryShare) / 100
     }
   }
 }
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -1,6 +1,6 @@
 /** Tells what this entry has under way, and keeps what the others have, as control adds it up. */
 import { MIN_COPY_TOKENS, NO_OTHERS, sharedTokens, type EndpointState, type PromptPart } from '@gullwall/routing.balancer'
-import { type Holding, type MessageOf, type Observation, type WorkSummary } from '@gullwall/transport.messages'
+import { type Holding, type MemoryUse, type MessageOf, type Observation, type WorkSummary } from '@gullwall/transport.messages'
 import { type GatewayServices } from './index.ts'
 
 /** How often this entry looks whether there is something to tell, in ms. */
@@ -131,7 +131,14 @@
       running: endpoint.inFlight,
       strain: Math.round(100 * endpoint.ownStrain) / 100,
       sensitive: endpoint.ownSensitive,
-      unreachable: endpoint.isDead(now) ? 1 : 0
+      unreachable: endpoint.isDead(now) ? 1 : 0,
+      ...(endpoint.inFlight > 0 ? { memory: memoryOf(endpoint) } : {})
     }))
   }
 }
+
+/** What this entry's requests hold there, in whole tokens. */
+function memoryOf ({ memory }: EndpointState): MemoryUse {
+  const { tokens, sharedTokens, sharing, subjects: [low, high] } = memory.use
+  return { tokens: Math.round(tokens), sharedTokens, sharing, subjects: [low, high] }
+}
--- a/entry/gateway/test/gateway.test.ts
+++ b/entry/gateway/test/gateway.test.ts
@@ -116,6 +116,14 @@
     expect(deployment.story(reply.id)[0]).toMatchObject({ copiedTokens: 13_000, source: first.incarnation })
   })
 
+  it('is refused at once, and never sent, where its prompt is larger than the memory of an engine', async () => {
+    const reply = await call('/look-up/11', { headers: { 'x-gullwall-prompt-parts': 'subject:90000,own:10000' } })
+    expect(reply.status).toBe(503)
+    expect(reply.text).toContain('its prompt and a first token take 100001 tokens, and the memory of an engine holds 100000')
+    expect(arrivals(reply.id)).toBe(0)
+    expect(deployment.story(reply.id)[0]).toMatchObject({ decision: 'refuse' })
+  })
+
   it('is refused with a time to come back where the endpoint did not run it and no attempt is left', async () => {
     for (const standIn of both) {
       standIn.behaviour = (_incoming, response) => { response.writeHead(503, { 'x-gullwall-ran': 'no' }).end() }
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -1,4 +1,5 @@
 /** The choice of an endpoint: each candidate has a cost in ms, and the least cost wins. */
+import { fitsMemory, memoryCrowding, type RequestSize } from './engine-memory.ts'
 import { type EndpointState } from './endpoint-state.ts'
 import { type PromptPart } from './prefix-memory.ts'
 import { rendezvousFirst } from './rendezvous.ts'
@@ -32,6 +33,8 @@
   trustsHome: boolean
   /** Whether it is a stream that is sensitive to reading, and reads little itself. */
   isSensitive: boolean
+  /** What it will hold of an engine's memory; where it is not said, memory is taken to have room. */
+  size?: RequestSize | undefined
   /** Engines that are kept free of long reads for such streams. */
   reserved: ReadonlySet<EndpointState>
 }
@@ -60,6 +63,8 @@
   reserved: number
   /** For an engine all of whose slots are taken. */
   full: number
+  /** For an engine all of whose memory is taken: as much as reading a prompt of 9,000 tokens once more. */
+  fullMemory: number
   /** For an endpoint in another data centre. */
   otherDataCentre: number
   /** For a share of failures of 1. */
@@ -85,6 +90,7 @@
   notReserved: 1000,
   reserved: 3000,
   full: 3000,
+  fullMemory: 3000,
   otherDataCentre: 20,
   failures: 400,
   unreachable: 10_000,
@@ -177,10 +183,16 @@
 }
 
 /** Whether an endpoint may have the request: it has not had it, and an engine has room for it. */
-export function mayHave ({ excluded, needsSlot, tier, isResumed }: Demand, endpoint: EndpointState): boolean {
+export function mayHave ({ excluded, needsSlot, tier, isResumed, size }: Demand, endpoint: EndpointState): boolean {
   if (excluded.has(endpoint.description.incarnation)) return false
   const goesFirst = tier === 0 || isResumed
-  return !needsSlot || goesFirst || takenSlots(endpoint) < USABLE_SLOTS
+  if (!needsSlot || goesFirst) return true
+  return hasSlot(endpoint) && (size === undefined || fitsMemory(endpoint.memoryShareWith(size)))
+}
+
+/** Whether an engine has a slot for a request that does not go before others. */
+export function hasSlot (endpoint: EndpointState): boolean {
+  return takenSlots(endpoint) < USABLE_SLOTS
 }
 
 /** The share of its slots that is taken; 0 where an endpoint does not say how many it has. */
@@ -245,6 +257,7 @@
   const failures = endpoint.failureShare * weights.failures + endpoint.unreachableShare * weights.unreachable
   const suspicion = isSuspect(endpoint, now) ? weights.suspect : 0
   return weights.perRunning * endpoint.running + streamCost(endpoint, demand, weights) + crowdingCost(endpoint, weights) +
+    memoryCost(endpoint, demand, weights) +
     reservationCost(endpoint, demand, weights) + distance + failures + suspicion
 }
 
@@ -267,6 +280,11 @@
   return weights.streamBesideReads * strain * reading.share - company
 }
 
+/** Rises with the square of the memory that would be taken. */
+function memoryCost (endpoint: EndpointState, { needsSlot, size }: Demand, weights: ChoiceWeights): number {
+  return needsSlot && size !== undefined ? weights.fullMemory * memoryCrowding(endpoint.memoryShareWith(size)) : 0
+}
+
 /** Rises with the square of the taken slots, up to the weight where all are taken. */
 function crowdingCost (endpoint: EndpointState, weights: ChoiceWeights): number {
   const crowding = Math.max(0, (takenSlots(endpoint) - CROWDED_SLOTS) / (1 - CROWDED_SLOTS))
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -1,4 +1,5 @@
 /** What one entry has seen of one incarnation of an endpoint. */
+import { HeldMemory, NO_MEMORY_USE, sizeOf, type MemoryUse, type RequestSize } from './engine-memory.ts'
 import { PrefixMemory, type PromptPart } from './prefix-memory.ts'
 import { ReadingObserver } from './reading-observer.ts'
 import { rankOf } from './rendezvous.ts'
@@ -55,6 +56,8 @@
   readonly sensitive: number
   /** How many of them could not connect there lately, or met another process at its address. */
   readonly unreachable: number
+  /** What they hold of the engine's memory; none from entries that do not tell. */
+  readonly memory?: MemoryUse | undefined
 }
 
 export const NO_OTHERS: OthersWork = { unread: [], running: 0, strain: 0, sensitive: 0, unreachable: 0 }
@@ -67,6 +70,8 @@
   strain: number
   /** Whether it is a stream that is sensitive to reading, and reads little itself. */
   isSensitive: boolean
+  /** How long its answer will probably be. */
+  outputTokens?: number
 }
 
 export interface EndpointDescription {
@@ -91,12 +96,17 @@
 /** What the points on the ring of homes are hashed with, so that they have nothing to do with the rank for reservations. */
 const HOME_SALT = 'home '
 
+const NOTHING: RequestSize = { ownTokens: 0, subject: undefined, sharedTokens: 0 }
+
 let created = 0
 
 export class EndpointState {
   readonly prefixes: PrefixMemory
   readonly reading = new ReadingObserver()
   readonly works = new Set<Work>()
+  /** What the requests of this entry hold of its memory. */
+  readonly memory = new HeldMemory()
+  private readonly sizes = new WeakMap<Work, RequestSize>()
   /** When any byte last arrived from the endpoint. */
   heardAt = -Infinity
   /** What the other entries have under way there, as they last told. */
@@ -114,7 +124,10 @@
   private ejectedUntil = -Infinity
   private ejections = 0
 
-  constructor (public description: EndpointDescription, memoryTokens = DEFAULT_MEMORY_TOKENS, private readonly watcher?: EndpointWatcher) {
+  /** @param memoryTokens how many tokens its memory holds */
+  constructor (
+    public description: EndpointDescription, public memoryTokens = DEFAULT_MEMORY_TOKENS, private readonly watcher?: EndpointWatcher
+  ) {
     this.reservationRank = rankOf(description.incarnation)
     this.homePoint = rankOf(HOME_SALT + description.incarnation)
     this.prefixes = new PrefixMemory(memoryTokens * CACHE_SHARE, {
@@ -182,18 +195,34 @@
     return this.ownSensitive + this.others.sensitive
   }
 
+  /** The share of its memory that the requests of all entries will hold there. */
+  get memoryShare (): number {
+    return this.memoryShareWith(NOTHING)
+  }
+
+  /** The same, with one more. */
+  memoryShareWith (size: RequestSize): number {
+    if (this.memoryTokens <= 0) return 0
+    const others = this.others.memory ?? NO_MEMORY_USE
+    const isKept = size.subject !== undefined && this.prefixes.has(size.subject)
+    return (this.memory.tokensWith(others) + this.memory.addedBy(size, others, isKept)) / this.memoryTokens
+  }
+
   /** Takes a sample of how much there is to read; samples come at even intervals, or one for several of them. */
   sampleReading (now: number, intervals = 1): void {
     this.reading.sample(this.backlogTokens, now, intervals)
   }
 
-  begin ({ prompt, unreadTokens, urgency, strain, isSensitive }: SentPrompt, now: number): Work {
+  begin ({ prompt, unreadTokens, urgency, strain, isSensitive, outputTokens = 0 }: SentPrompt, now: number): Work {
     const promptTokens = prompt.reduce((tokens, part) => tokens + part.tokens, 0)
     const aheadTokens = this.tokensAhead(urgency)
+    const size = sizeOf(prompt, outputTokens)
     const work: Work = {
       startedAt: now, unreadTokens, urgency, promptTokens, strain, isSensitive, aheadTokens, hasBegun: false, eventAt: now
     }
     this.works.add(work)
+    this.sizes.set(work, size)
+    this.memory.add(size)
     this.watcher?.began(this)
     this.noteKept(prompt, now)
     return work
@@ -215,6 +244,7 @@
 
   end (work: Work, verdict: AttemptVerdict, now: number): void {
     this.works.delete(work)
+    this.release(work)
     if (verdict === 'neutral') return
     const failed = verdict === 'good' ? 0 : 1
     this.failureShare += FAILURE_WEIGHT * (failed - this.failureShare)
@@ -250,6 +280,13 @@
     return now - Math.max(this.heardAt, oldest) > SILENT_MS + promptTokens / SLOWEST_READ_TOKENS_PER_MS
   }
 
+  private release (work: Work): void {
+    const size = this.sizes.get(work)
+    if (size === undefined) return
+    this.sizes.delete(work)
+    this.memory.remove(size)
+  }
+
   private noteEnded (): void {
     this.hasEnded = true
     this.watcher?.ended(this)
--- /dev/null
+++ b/routing/balancer/src/output-estimate.ts
@@ -0,0 +1,39 @@
+/**
+ * How long an answer will probably be. A caller's estimate is right at the median and often far off, so that it is drawn
+ * half way to what the route's callers usually estimate; where the caller says nothing the usual counts. The most that the
+ * caller takes is a limit in any case: it is many times what most answers have.
+ */
+
+/** What one request counts for in the usual of its route. */
+const USUAL_WEIGHT = 0.05
+/** How far an estimate is drawn to the usual, on a logarithmic scale. */
+const USUAL_SHARE = 0.5
+
+/** What a caller says of the length of its answer. */
+export interface OutputWord {
+  /** The tokens it expects. */
+  hint?: number | undefined
+  /** The most it takes. */
+  most?: number | undefined
+}
+
+export class OutputEstimate {
+  /** The logarithm of what callers of a route usually estimate. */
+  private readonly usual = new Map<string, number>()
+
+  /** Notes a request of a route. */
+  note (route: string, { hint }: OutputWord): void {
+    if (hint === undefined || hint <= 0) return
+    const known = this.usual.get(route) ?? Math.log(hint)
+    this.usual.set(route, known + USUAL_WEIGHT * (Math.log(hint) - known))
+  }
+
+  /** The tokens to expect; none where nothing is known. */
+  of (route: string, { hint, most }: OutputWord): number {
+    const usual = this.usual.get(route)
+    const limit = most !== undefined && most > 0 ? most : Infinity
+    if (hint === undefined || hint <= 0) return usual === undefined ? 0 : Math.min(limit, Math.exp(usual))
+    const logHint = Math.log(hint)
+    return Math.min(limit, Math.exp(logHint + USUAL_SHARE * ((usual ?? logHint) - logHint)))
+  }
+}
--- a/routing/balancer/src/prefix-memory.ts
+++ b/routing/balancer/src/prefix-memory.ts
@@ -28,6 +28,11 @@
   /** @param capacityTokens how many tokens of parts the endpoint is taken to keep */
   constructor (private readonly capacityTokens: number, private readonly watcher?: PartWatcher) {}
 
+  /** Whether a part is kept. */
+  has (part: string): boolean {
+    return this.parts.has(part)
+  }
+
   /** The tokens at the beginning of a prompt that need not be read again. A part is kept only with all before it. */
   cachedTokens (prompt: readonly PromptPart[]): number {
     return tokensUpTo(prompt, prompt.findLastIndex((part) => this.parts.has(part.id)))
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -63,6 +63,18 @@
   ageMs: z.number()
 })
 
+/** What requests hold of an engine's memory. */
+export const memoryUseSchema = z.object({
+  /** Tokens that they share with nobody, read and to come. */
+  tokens: count,
+  /** Their shared parts, each as often as it is shared. */
+  sharedTokens: count,
+  /** Requests with shared parts. */
+  sharing: count,
+  /** A bit for each subject, by its hash. */
+  subjects: z.tuple([count, count])
+})
+
 /** What one entry, or several together, have under way at one endpoint. */
 export const workSchema = z.object({
   incarnation: z.string(),
@@ -75,7 +87,9 @@
   /** Streams there that bear short pauses only and read little themselves. */
   sensitive: count,
   /** Entries that could not connect there lately, or met another process at its address. */
-  unreachable: count
+  unreachable: count,
+  /** What they hold of its memory; none from processes of before, and where nothing is held. */
+  memory: memoryUseSchema.optional()
 })
 
 /** Parts of prompts that one entry has sent to one endpoint, which keeps them from then on. */
@@ -243,6 +257,7 @@
 export type Message = { [Kind in MessageKind]: MessageOf<Kind> }[MessageKind]
 export type Member = z.infer<typeof memberSchema>
 export type WorkSummary = z.infer<typeof workSchema>
+export type MemoryUse = z.infer<typeof memoryUseSchema>
 export type UnreadTokens = WorkSummary['unread'][number]
 export type Holding = z.infer<typeof holdingSchema>
 export type ColdGrant = z.infer<typeof coldGrantSchema>
