feat(balancer): a choice whose cost does not grow, and the memory of engines

With regions in the same fleet a large one has a home of each subject in every region and reserves engines in each in proportion.

--- a/entry/gateway/src/eligibility.ts
+++ b/entry/gateway/src/eligibility.ts
@@ -17,8 +17,13 @@
   endpoints: readonly EndpointRule[]
 }
 
-/** Why nothing is sent to a data centre for a request; undefined if it may be. */
-export function whyNoPlace ({ places }: EligibilityRules, dataCentre: string, call: Call): string | undefined {
+/** Why a request may not have an endpoint; undefined if it may. */
+export function whyNotEligible (rules: EligibilityRules, endpoint: EndpointState, call: Call): string | undefined {
+  return whyNotPlace(rules, endpoint.description.dataCentre, call) ?? whyNotEndpoint(rules, endpoint, call)
+}
+
+/** Why a request may not go to a data centre; undefined if it may. */
+export function whyNotPlace ({ places }: EligibilityRules, dataCentre: string, call: Call): string | undefined {
   for (const rule of places) {
     const why = rule(dataCentre, call)
     if (why !== undefined) return why
@@ -26,11 +31,9 @@
   return undefined
 }
 
-/** Why a request may not have an endpoint; undefined if it may. */
-export function whyNotEligible (rules: EligibilityRules, endpoint: EndpointState, call: Call): string | undefined {
-  const whyNotThere = whyNoPlace(rules, endpoint.description.dataCentre, call)
-  if (whyNotThere !== undefined) return whyNotThere
-  for (const rule of rules.endpoints) {
+/** Why a request may not have an endpoint of a data centre where it may go; undefined if it may. */
+export function whyNotEndpoint ({ endpoints }: EligibilityRules, endpoint: EndpointState, call: Call): string | undefined {
+  for (const rule of endpoints) {
     const why = rule(endpoint, call)
     if (why !== undefined) return why
   }
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -1,8 +1,10 @@
 /** Puts the choice of an endpoint for one request: which endpoints it may have, and what the policy must know. */
-import { choose, type Candidate, type Demand, type EndpointState } from '@gullwall/routing.balancer'
+import {
+  candidateSet, choose, hasSlot, sizeOf, whyTooLarge, type Candidate, type Choosable, type Demand, type EndpointState
+} from '@gullwall/routing.balancer'
 import { type AttemptHistory } from './attempt-history.ts'
 import { type Call } from './call.ts'
-import { whyNotEligible } from './eligibility.ts'
+import { whyNotEligible, whyNotPlace, whyNotEndpoint } from './eligibility.ts'
 import { type GatewayServices } from './index.ts'
 
 /** After a start, other entries are taken to have sent prompts to their homes for so long, in ms. */
@@ -16,11 +18,13 @@
   isResumed: boolean
 }
 
+/** For the reason of a refusal, and to tell whether a service is able, so many endpoints of a service or a data centre are looked at. */
+const MAX_LOOKS = 512
+
 /** Chooses the endpoint for the next attempt; none if no endpoint takes it. */
 export function chooseEndpoint ({ services, call, history, isResumed }: EndpointChoiceOptions): Candidate | undefined {
   const { view, settings, weights, startedAt, crossings } = services
   const service = pickService(services, call)
-  const usable = eligibleEndpoints(services, call, service)
   const engine = view.table?.service(service)?.engine
   const now = performance.now()
   const demand: Demand = {
@@ -33,24 +37,47 @@
     targetMs: call.route.targetMs,
     pauseMs: call.route.pauseMs,
     excluded: history.excluded,
-    sources: engine?.copiesPrefixes === true ? usable : [],
+    sources: [],
     trustsHome: now - startedAt < TRUST_HOME_MS,
     isSensitive: isSensitive(services, call, service),
+    size: sizeOf(call.prompt, outputTokensOf(services, call)),
     reserved: view.reserved.of(service)
   }
-  const preferred = services.coldEngines.preferred(usable, call)
-  const candidate = choose(demand, preferred, now, weights)
-  return candidate ?? (preferred.length < usable.length ? choose(demand, usable, now, weights) : undefined)
+  const { endpoints, homes, sources } = candidateSet(demand, choosable(services, call, service))
+  const whole = { ...demand, homes, sources: engine?.copiesPrefixes === true ? sources : [] }
+  const preferred = services.coldEngines.preferred(endpoints, call)
+  const candidate = choose(whole, preferred, now, weights)
+  return candidate ?? (preferred.length < endpoints.length ? choose(whole, endpoints, now, weights) : undefined)
+}
+
+/** How long the answer to a request will probably be. */
+export function outputTokensOf ({ outputs }: GatewayServices, { route, output }: Call): number {
+  return Math.round(outputs.of(route.name, output ?? {}))
 }
 
-/** The endpoints of a service that take work and that no rule keeps this request from. */
-function eligibleEndpoints ({ view, eligibility }: GatewayServices, call: Call, service: string): EndpointState[] {
-  return view.usable(service).filter((endpoint) => whyNotEligible(eligibility, endpoint, call) === undefined)
+/** Why no engine of the request's services can ever run it; undefined if one can. */
+export function whyNever ({ view }: GatewayServices, { route, prompt }: Call): string | undefined {
+  const whys = route.split.filter(({ weight }) => weight > 0).map(({ service }) => {
+    const engine = view.table?.service(service)?.engine
+    return engine === undefined ? undefined : whyTooLarge(prompt, engine.memoryTokens)
+  })
+  return whys.every((why) => why !== undefined) ? whys[0] : undefined
+}
+
+/** The endpoints of a service that take work, and the rules that keep this request from some of them. */
+function choosable ({ view, eligibility }: GatewayServices, call: Call, service: string): Choosable {
+  return {
+    pool: view.pool(service),
+    keepers: view.index.keepers,
+    mayGoTo: (dataCentre) => whyNotPlace(eligibility, dataCentre, call) === undefined,
+    accepts: (endpoint) => whyNotEndpoint(eligibility, endpoint, call) === undefined,
+    random: Math.random
+  }
 }
 
 /** Whether a request that waits at an endpoint could have another one. */
 export function hasAlternative ({ services, call, history }: EndpointChoiceOptions, { description }: EndpointState): boolean {
-  return eligibleEndpoints(services, call, description.service).some(({ description: { incarnation } }) => (
+  return isAnyOf(choosable(services, call, description.service), ({ description: { incarnation } }) => (
     incarnation !== description.incarnation && !history.excluded.has(incarnation)
   ))
 }
@@ -62,16 +89,21 @@
 
 /** Why no endpoint was chosen. */
 export function whyNone ({ services: { view, eligibility, crossings }, call, history }: EndpointChoiceOptions): string {
-  const usable = call.route.split.flatMap(({ service }) => view.usable(service))
+  const usable = call.route.split.flatMap(({ service }) => view.usable(service).slice(0, MAX_LOOKS))
   const reasons = usable.map((endpoint) => whyNotEligible(eligibility, endpoint, call))
   const [first] = reasons
   if (first !== undefined && reasons.every((why) => why !== undefined)) return `no endpoint may have it: ${first}`
-  const allowed = usable.filter((_endpoint, index) => reasons[index] === undefined)
-  const isUntried = allowed.some(({ description }) => !history.excluded.has(description.incarnation))
+  const untried = usable.filter(({ description }, index) => reasons[index] === undefined && !history.excluded.has(description.incarnation))
   const crossing = crossings.of(call)
   const isCut = crossing !== undefined && crossing.costMs === undefined
-  const taken = isCut ? 'no endpoint of its region takes it, and the link to others has no room' : 'the slots of all endpoints are taken'
-  return (isUntried ? taken : 'no endpoint takes work') + exceptionsOf(reasons)
+  return whyNoneOf(untried, isCut) + exceptionsOf(reasons)
+}
+
+/** Why none of the endpoints that a request has not had took it; `isCut` says that none of another region could. */
+function whyNoneOf (untried: readonly EndpointState[], isCut: boolean): string {
+  if (untried.length === 0) return 'no endpoint takes work'
+  if (isCut) return 'no endpoint of its region takes it, and the link to others has no room'
+  return untried.some(hasSlot) ? 'the memory of all endpoints with a free slot is taken' : 'the slots of all endpoints are taken'
 }
 
 /** Which endpoints did not count, and why the first of them. */
@@ -84,7 +116,9 @@
 function pickService (services: GatewayServices, call: Call): string {
   const { route } = call
   const weighed = route.split.filter((part) => part.weight > 0)
-  const able = weighed.filter((part) => eligibleEndpoints(services, call, part.service).length > 0)
+  const [first] = weighed
+  if (weighed.length <= 1) return first?.service ?? ''
+  const able = weighed.filter((part) => isAble(services, call, part.service))
   const parts = able.length > 0 ? able : weighed
   let draw = Math.random() * parts.reduce((sum, part) => sum + part.weight, 0)
   for (const part of parts) {
@@ -93,3 +127,20 @@
   }
   return parts[0]?.service ?? ''
 }
+
+/** Whether a service has an endpoint that the request may have. */
+function isAble (services: GatewayServices, call: Call, service: string): boolean {
+  return isAnyOf(choosable(services, call, service), () => true)
+}
+
+/** Whether any endpoint that a request may have fits. The first that is looked at tells, but where rules bar many. */
+function isAnyOf ({ pool, mayGoTo, accepts }: Choosable, fits: (endpoint: EndpointState) => boolean): boolean {
+  for (const { dataCentre, members: { items } } of pool.places) {
+    if (!mayGoTo(dataCentre)) continue
+    for (let look = 0; look < Math.min(MAX_LOOKS, items.length); look += 1) {
+      const endpoint = items[look]
+      if (endpoint !== undefined && fits(endpoint) && accepts(endpoint)) return true
+    }
+  }
+  return false
+}
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -7,8 +7,10 @@
 import { admit, nextStep, silenceOf, WATCH_MS, type NextStep, type RequestState } from './attempt-policy.ts'
 import { type Call } from './call.ts'
 import { originOf } from './connections.ts'
-import { chooseEndpoint, hasAlternative, isSensitive, whyNone, type EndpointChoiceOptions } from './endpoint-choice.ts'
-import { whyNoPlace } from './eligibility.ts'
+import {
+  chooseEndpoint, hasAlternative, isSensitive, outputTokensOf, whyNever, whyNone, type EndpointChoiceOptions
+} from './endpoint-choice.ts'
+import { whyNotPlace } from './eligibility.ts'
 import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
 import { RequestRecorder } from './request-recorder.ts'
@@ -52,6 +54,7 @@
   async run (): Promise<void> {
     const { call } = this
     this.services.budget.noteRequest()
+    this.services.outputs.note(call.route.name, call.output ?? {})
     this.services.view.reserved.noteRequest({ route: call.route.name }, call.prompt.at(-1)?.tokens ?? 0)
     await connectionsSeen()
     this.answer.onLeft(() => this.callerLeft())
@@ -64,6 +67,8 @@
   }
 
   private async attempts (): Promise<void> {
+    const never = whyNever(this.services, this.call)
+    if (never !== undefined) this.refuse(never)
     while (!this.isOver) {
       const candidate = await this.nextCandidate()
       if (this.isOver) return
@@ -114,7 +119,8 @@
       unreadTokens,
       urgency,
       strain: strainOf(call.route.pauseMs, endpoint.reading.pauseMs),
-      isSensitive: isSensitive(services, call, endpoint.description.service)
+      isSensitive: isSensitive(services, call, endpoint.description.service),
+      outputTokens: outputTokensOf(services, call)
     }
     const work = endpoint.begin(sent, performance.now())
     services.workExchange.noteSent(unreadTokens)
@@ -146,7 +152,7 @@
       headers: this.headersFor(candidate),
       body: call.body,
       connectMs: CONNECT_MS,
-      whyNot: () => whyNoPlace(services.eligibility, description.dataCentre, call),
+      whyNot: () => whyNotPlace(services.eligibility, description.dataCentre, call),
       wasClosedWell: async () => await services.connections.wasClosedWell()
     }, receiver)
   }
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -6,7 +6,7 @@
 import { Kernel } from '@gullwall/core.kernel'
 import { createLogger, type Logger } from '@gullwall/core.logger'
 import { type Registry } from '@gullwall/core.metrics'
-import { DEFAULT_WEIGHTS, RetryBudget, type ChoiceWeights } from '@gullwall/routing.balancer'
+import { DEFAULT_WEIGHTS, OutputEstimate, RetryBudget, type ChoiceWeights } from '@gullwall/routing.balancer'
 import { allowedRegions } from './allowed-regions.ts'
 import { GatewayAdmin, gatewayRegistry } from './admin.ts'
 import { ColdEngines } from './cold-engines.ts'
@@ -27,6 +27,10 @@
 export { nativeDialect } from './native-dialect.ts'
 export { EventCutter } from './events.ts'
 export { EvacuatedPlaces } from './evacuated-places.ts'
+export { AttemptHistory } from './attempt-history.ts'
+export { type Call } from './call.ts'
+export { chooseEndpoint } from './endpoint-choice.ts'
+export { WorkExchange } from './work-exchange.ts'
 
 export interface GatewayServices {
   settings: GatewaySettings
@@ -48,6 +52,7 @@
   coldEngines: ColdEngines
   eligibility: EligibilityRules
   budget: RetryBudget
+  outputs: OutputEstimate
   controlLinks: ControlLinks
   workExchange: WorkExchange
   usage: UsageTeller
@@ -85,6 +90,7 @@
     .service('coldEngines', createColdEngines)
     .service('eligibility', createEligibility)
     .service('budget', (services) => createBudget(services))
+    .service('outputs', () => new OutputEstimate())
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('workExchange', (services) => new WorkExchange(services))
     .service('usage', (services) => new UsageTeller(services))
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -1,6 +1,6 @@
 /** Tells what this entry has under way, and keeps what the others have, as control adds it up. */
 import { MIN_COPY_TOKENS, NO_OTHERS, sharedTokens, type EndpointState, type PromptPart } from '@gullwall/routing.balancer'
-import { type Holding, type MessageOf, type Observation, type WorkSummary } from '@gullwall/transport.messages'
+import { type Holding, type MemoryUse, type MessageOf, type Observation, type WorkSummary } from '@gullwall/transport.messages'
 import { type GatewayServices } from './index.ts'
 
 /** How often this entry looks whether there is something to tell, in ms. */
@@ -76,21 +76,26 @@
     setImmediate(() => this.tellAfter(AT_ONCE_SPACING_MS))
   }
 
-  private tick (): void {
+  /** Looks whether there is something to tell; called at even intervals. */
+  tick (): void {
     const now = performance.now()
     if (now - this.heardAt > VALID_MS) this.forgetOthers()
-    for (const endpoint of this.services.view.all()) {
+    for (const { endpoint, turns } of this.services.view.nextTurn(now)) {
       endpoint.others = this.others.get(endpoint.description.incarnation) ?? NO_OTHERS
-      endpoint.sampleReading(now)
+      endpoint.sampleReading(now, turns)
+      this.services.view.index.count(endpoint)
     }
     // An evacuated engine that is reserved would leave the streams that it is reserved for without one.
-    this.services.view.reserveEngines(({ description }) => !this.services.evacuatedPlaces.isEvacuated(description.dataCentre))
+    this.services.view.reserveEngines((dataCentre) => !this.services.evacuatedPlaces.isEvacuated(dataCentre))
     this.tellAfter(0)
   }
 
   private forgetOthers (): void {
+    for (const incarnation of this.others.keys()) {
+      const endpoint = this.services.view.get(incarnation)
+      if (endpoint !== undefined) endpoint.others = NO_OTHERS
+    }
     this.others.clear()
-    for (const endpoint of this.services.view.all()) endpoint.others = NO_OTHERS
   }
 
   /** Tells what has changed, unless something was told less than this time ago. */
@@ -113,7 +118,7 @@
   }
 
   private takeObservations (): Observation[] {
-    return this.services.view.all().flatMap(({ description: { incarnation }, reading }) => {
+    return [...this.services.view.busy()].flatMap(({ description: { incarnation }, reading }) => {
       const seen = reading.takeSeen()
       return seen === undefined ? [] : [{ incarnation, ...seen }]
     })
@@ -121,13 +126,20 @@
 
   private ownWorks (): WorkSummary[] {
     const now = performance.now()
-    return this.services.view.all().filter((endpoint) => endpoint.inFlight > 0 || endpoint.isDead(now)).map((endpoint) => ({
+    return [...this.services.view.busy()].filter((endpoint) => endpoint.inFlight > 0 || endpoint.isDead(now)).map((endpoint) => ({
       incarnation: endpoint.description.incarnation,
       unread: endpoint.ownUnread(),
       running: endpoint.inFlight,
       strain: Math.round(100 * endpoint.ownStrain) / 100,
       sensitive: endpoint.ownSensitive,
-      unreachable: endpoint.isDead(now) ? 1 : 0
+      unreachable: endpoint.isDead(now) ? 1 : 0,
+      ...(endpoint.inFlight > 0 ? { memory: memoryOf(endpoint) } : {})
     }))
   }
 }
+
+/** What this entry's requests hold there, in whole tokens. */
+function memoryOf ({ memory }: EndpointState): MemoryUse {
+  const { tokens, sharedTokens, sharing, subjects: [low, high] } = memory.use
+  return { tokens: Math.round(tokens), sharedTokens, sharing, subjects: [low, high] }
+}
--- a/entry/gateway/test/allowed-regions.fuzz.test.ts
+++ b/entry/gateway/test/allowed-regions.fuzz.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check'
 import { checkShape, RouteTable, type RoutingDocument } from '@gullwall/config.document'
 import { Regions } from '@gullwall/config.settings'
-import { DEFAULT_WEIGHTS, EndpointState, ReservedEngines } from '@gullwall/routing.balancer'
+import { DEFAULT_WEIGHTS, EndpointIndex, EndpointState, OutputEstimate, ReservedEngines } from '@gullwall/routing.balancer'
 import { allowedRegions, regionLimitsOf } from '../src/allowed-regions.ts'
 import { AttemptHistory } from '../src/attempt-history.ts'
 import { type Call } from '../src/call.ts'
@@ -110,7 +110,10 @@
   fc.assert(fc.property(world, ({ regions, servers, arrivedUnder, inForce, isNewer, isPublic, tier, isResumed }) => {
     const endpoints = servers.map(endpointOf)
     const table = new RouteTable(documentOf(isNewer ? 2 : 1, isNewer ? inForce : arrivedUnder, isPublic))
-    const view = { table, usable: () => endpoints, reserved: new ReservedEngines() }
+    const index = new EndpointIndex()
+    for (const endpoint of endpoints) index.setUsable(endpoint, true)
+    const pool = (service: string) => index.pool(service)
+    const view = { table, usable: () => endpoints, pool, index, reserved: new ReservedEngines() }
     const settings = { dataCentre: 'dc0', regions }
     const crossings = new RegionCrossings({ settings, view: { entries: 1 }, metrics: {} as never })
     const services = {
@@ -120,6 +123,7 @@
       weights: DEFAULT_WEIGHTS,
       startedAt: 0,
       eligibility: { places: [allowedRegions({ settings, view })], endpoints: [] },
+      outputs: new OutputEstimate(),
       coldEngines: { preferred: (endpoints: readonly EndpointState[]) => endpoints }
     } as unknown as GatewayServices
     const call = callUnder(documentOf(1, arrivedUnder, isPublic), tier)
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -1,5 +1,6 @@
 /** The choice of an endpoint: each candidate has a cost in ms, and the least cost wins. */
 import { distanceCost, isWithinReach, leavingOf, perRegion, reservesNear, type Crossing, type Leaving } from './distance.ts'
+import { fitsMemory, memoryCrowding, type RequestSize } from './engine-memory.ts'
 import { type EndpointState } from './endpoint-state.ts'
 import { type PromptPart } from './prefix-memory.ts'
 import { rendezvousFirst } from './rendezvous.ts'
@@ -26,6 +27,8 @@
   excluded: ReadonlySet<string>
   /** Endpoints that others can copy parts of prompts from. */
   sources: readonly EndpointState[]
+  /** The home of the prompt's subject in each region, where not all endpoints are weighed; looked for among them otherwise. */
+  homes?: readonly EndpointState[] | undefined
   /**
    * Whether the home of a subject is taken to keep it although nobody has told so: an entry that has just started knows
    * nothing of what was sent before.
@@ -33,6 +36,8 @@
   trustsHome: boolean
   /** Whether it is a stream that is sensitive to reading, and reads little itself. */
   isSensitive: boolean
+  /** What it will hold of an engine's memory; where it is not said, memory is taken to have room. */
+  size?: RequestSize | undefined
   /** Engines that are kept free of long reads for such streams. */
   reserved: ReadonlySet<EndpointState>
 }
@@ -61,6 +66,8 @@
   reserved: number
   /** For an engine all of whose slots are taken. */
   full: number
+  /** For an engine all of whose memory is taken: as much as reading a prompt of 9,000 tokens once more. */
+  fullMemory: number
   /** For an endpoint in another data centre of the same region. */
   otherDataCentre: number
   /** For a share of failures of 1. */
@@ -86,6 +93,7 @@
   notReserved: 1000,
   reserved: 3000,
   full: 3000,
+  fullMemory: 3000,
   otherDataCentre: 20,
   failures: 400,
   unreachable: 10_000,
@@ -146,7 +154,7 @@
 /** Gives the cost of every endpoint that may have the request. */
 export function weigh (demand: Demand, endpoints: readonly EndpointState[], now: number, weights = DEFAULT_WEIGHTS): Candidate[] {
   const { prompt, sources, trustsHome } = demand
-  const homeNear = perRegion(demand, endpoints, (group) => homeOf(prompt, homesFor(demand, group)))
+  const homeNear = perRegion(demand, demand.homes ?? endpoints, (group) => demand.homes === undefined ? homeFor(demand, group) : group[0])
   const holdings = endpoints.map((endpoint) => ({ endpoint, tokens: endpoint.prefixes.cachedTokens(prompt) }))
   const sourceNear = perRegion(demand, sources, (group) => bestSource(prompt, group, now))
   const shared = sharedTokens(prompt)
@@ -182,12 +190,18 @@
 }
 
 /** Whether an endpoint may have the request: it has not had it, and an engine has room for it. */
-function mayHave (demand: Demand, endpoint: EndpointState): boolean {
-  const { excluded, needsSlot, tier, isResumed } = demand
+export function mayHave (demand: Demand, endpoint: EndpointState): boolean {
+  const { excluded, needsSlot, tier, isResumed, size } = demand
   if (!isWithinReach(demand, endpoint)) return false
   if (excluded.has(endpoint.description.incarnation)) return false
   const goesFirst = tier === 0 || isResumed
-  return !needsSlot || goesFirst || takenSlots(endpoint) < USABLE_SLOTS
+  if (!needsSlot || goesFirst) return true
+  return hasSlot(endpoint) && (size === undefined || fitsMemory(endpoint.memoryShareWith(size)))
+}
+
+/** Whether an engine has a slot for a request that does not go before others. */
+export function hasSlot (endpoint: EndpointState): boolean {
+  return takenSlots(endpoint) < USABLE_SLOTS
 }
 
 /** The share of its slots that is taken; 0 where an endpoint does not say how many it has. */
@@ -221,6 +235,11 @@
   return prompt.reduce((tokens, part) => tokens + part.tokens, 0)
 }
 
+/** The endpoint that keeps the subject of a prompt. */
+export function homeFor (demand: Demand, endpoints: readonly EndpointState[]): EndpointState | undefined {
+  return homeOf(demand.prompt, homesFor(demand, endpoints))
+}
+
 function homeOf (prompt: readonly PromptPart[], endpoints: readonly EndpointState[]): EndpointState | undefined {
   const subject = subjectOf(prompt)
   return subject === undefined ? undefined : rendezvousFirst(subject, endpoints, (endpoint) => endpoint.description.incarnation)
@@ -247,6 +266,7 @@
   const failures = endpoint.failureShare * weights.failures + endpoint.unreachableShare * weights.unreachable
   const suspicion = isSuspect(endpoint, now) ? weights.suspect : 0
   return weights.perRunning * endpoint.running + streamCost(endpoint, demand, weights) + crowdingCost(endpoint, weights) +
+    memoryCost(endpoint, demand, weights) +
     reservationCost(endpoint, demand, weights) + distance + failures + suspicion
 }
 
@@ -270,6 +290,11 @@
   return weights.streamBesideReads * strain * reading.share - company
 }
 
+/** Rises with the square of the memory that would be taken. */
+function memoryCost (endpoint: EndpointState, { needsSlot, size }: Demand, weights: ChoiceWeights): number {
+  return needsSlot && size !== undefined ? weights.fullMemory * memoryCrowding(endpoint.memoryShareWith(size)) : 0
+}
+
 /** Rises with the square of the taken slots, up to the weight where all are taken. */
 function crowdingCost (endpoint: EndpointState, weights: ChoiceWeights): number {
   const crowding = Math.max(0, (takenSlots(endpoint) - CROWDED_SLOTS) / (1 - CROWDED_SLOTS))
--- a/routing/balancer/src/index.ts
+++ b/routing/balancer/src/index.ts
@@ -1,7 +1,13 @@
 /** Choosing among endpoints that are reached directly. */
+export * from './candidate-set.ts'
 export * from './choose.ts'
 export * from './distance.ts'
+export * from './endpoint-index.ts'
+export * from './endpoint-pool.ts'
 export * from './endpoint-state.ts'
+export * from './engine-memory.ts'
+export * from './keepers.ts'
+export * from './output-estimate.ts'
 export * from './prefix-memory.ts'
 export * from './reading-observer.ts'
 export * from './region-link.ts'
--- a/routing/balancer/src/reserved-engines.ts
+++ b/routing/balancer/src/reserved-engines.ts
@@ -4,6 +4,8 @@
  * times as long. They fit on few engines of their own. How many follows from how many such streams run; which ones follows
  * from the names of the engines, so that entries agree without talking to each other.
  */
+import { WEIGH_ALL_UP_TO } from './candidate-set.ts'
+import { type EndpointPool } from './endpoint-pool.ts'
 import { type EndpointState } from './endpoint-state.ts'
 import { strainOf } from './strain.ts'
 
@@ -17,6 +19,8 @@
 const FILL = 0.5
 /** No more than this share of the engines is reserved. */
 const MAX_SHARE = 0.5
+/** A region reserves another engine from this share of one on. */
+const ROUNDED = 0.5
 /** With fewer engines none is reserved. */
 const MIN_ENGINES = 3
 /** How fast the number of reserved engines falls once fewer sensitive streams run, as a share of the difference at each update. */
@@ -31,12 +35,40 @@
   pauseMs: number | undefined
 }
 
+/** What the number of reserved engines follows from. */
+interface Engines {
+  size: number
+  meanSlots: number
+  /** Sensitive streams under way at all of them. */
+  sensitive: number
+}
+
+/** Where engines may be reserved. */
+export interface ReservationOptions {
+  /** Whether a data centre may have work. */
+  mayGoTo?: (dataCentre: string) => boolean
+  /** The region of a data centre; each region reserves engines for its own streams, which stay there. */
+  regionOf?: (dataCentre: string) => string
+}
+
+type LargeReservation = Required<ReservationOptions> & { count: number }
+
+/** What was reserved of a large fleet, and for what. */
+interface KnownReservation {
+  version: number
+  count: number
+  places: string
+  engines: ReadonlySet<EndpointState>
+}
+
 export class ReservedEngines {
   /** The prompt tokens that requests of a route usually bring besides the shared parts. */
   private readonly ownTokens = new Map<string, number>()
   private readonly byService = new Map<string, ReadonlySet<EndpointState>>()
   /** Sensitive streams under way by region and service; follows rises at once and falls slowly. */
   private readonly sensitive = new Map<string, number>()
+  /** What was reserved of large fleets, for as long as nothing changes. */
+  private readonly firsts = new Map<string, KnownReservation>()
   /** The usual pause of streams while engines read, in ms. */
   private readonly pauses = new Map<string, number>()
 
@@ -77,16 +109,63 @@
     this.byService.set(service, new Set(reserved.flatMap((among) => among ?? [])))
   }
 
+  /**
+   * The same for the engines of a service in the data centres that may have work. A large fleet is not gone through: sums are
+   * kept, each region reserves in proportion to its engines, and the set is made anew only where it changes.
+   */
+  updateFrom (service: string, pool: EndpointPool, { mayGoTo = () => true, regionOf = () => '' }: ReservationOptions = {}): void {
+    if (pool.size <= WEIGH_ALL_UP_TO) {
+      this.update(service, pool.members.items.filter(({ description }) => mayGoTo(description.dataCentre)), regionOf)
+      return
+    }
+    const { size, census: { meanSlots, meanPauseMs, sensitive } } = pool
+    const count = this.countFor(service, { size, meanSlots, sensitive })
+    if (count === undefined) {
+      this.byService.delete(service)
+      return
+    }
+    this.pauses.set(service, meanPauseMs)
+    this.byService.set(service, this.firstOf(service, pool, { count, mayGoTo, regionOf }))
+  }
+
+  private firstOf (service: string, pool: EndpointPool, { count, mayGoTo, regionOf }: LargeReservation): ReadonlySet<EndpointState> {
+    const places = [...pool.places].map(({ dataCentre }) => dataCentre).filter(mayGoTo).join(' ')
+    const known = this.firsts.get(service)
+    if (known?.version === pool.version && known.count === count && known.places === places) return known.engines
+    const left = new Map<string, number>()
+    for (const { dataCentre, members } of pool.places) {
+      const region = regionOf(dataCentre)
+      left.set(region, (left.get(region) ?? 0) + count * members.items.length / pool.size)
+    }
+    const engines = new Set<EndpointState>()
+    for (const engine of pool.byRank.items) {
+      const region = regionOf(engine.description.dataCentre)
+      const quota = left.get(region) ?? 0
+      if (quota < ROUNDED || !mayGoTo(engine.description.dataCentre)) continue
+      left.set(region, quota - 1)
+      engines.add(engine)
+    }
+    this.firsts.set(service, { version: pool.version, count, places, engines })
+    return engines
+  }
+
   /** The engines of one region to reserve; undefined where it has too few. */
   private reservedAmong (engines: readonly EndpointState[], key: string): EndpointState[] | undefined {
-    const slots = mean(engines.map(({ description }) => description.slots))
-    if (engines.length < MIN_ENGINES || slots <= 0) return undefined
-    const underWay = engines.reduce((sum, engine) => sum + engine.sensitive, 0)
+    const count = this.countFor(key, {
+      size: engines.length,
+      meanSlots: mean(engines.map(({ description }) => description.slots)),
+      sensitive: engines.reduce((sum, engine) => sum + engine.sensitive, 0)
+    })
+    return count === undefined ? undefined : byRank(engines).slice(0, count)
+  }
+
+  /** How many engines to reserve for what runs now; undefined where there are too few, or nobody says how much they take. */
+  private countFor (key: string, { size, meanSlots, sensitive }: Engines): number | undefined {
+    if (size < MIN_ENGINES || meanSlots <= 0) return undefined
     const known = this.sensitive.get(key) ?? 0
-    const smoothed = underWay > known ? underWay : known + FALL_WEIGHT * (underWay - known)
+    const smoothed = sensitive > known ? sensitive : known + FALL_WEIGHT * (sensitive - known)
     this.sensitive.set(key, smoothed)
-    const count = Math.min(Math.floor(MAX_SHARE * engines.length), Math.ceil(Math.floor(smoothed) / (FILL * slots)))
-    return byRank(engines).slice(0, count)
+    return Math.min(Math.floor(MAX_SHARE * size), Math.ceil(Math.floor(smoothed) / (FILL * meanSlots)))
   }
 }
 
