feat(control.state): orders of endpoints in the replicated log

Cause: nothing outside can be asked how many endpoints were ordered, so a new holder of the duty must know it from here. Ruled out: a record of the document's kind (it would be pushed to every gateway); keeping it in the holder's memory.

--- a/control/state/src/commands.ts
+++ b/control/state/src/commands.ts
@@ -65,10 +65,36 @@
   seen: number
 }
 
+/** Decides how many endpoints a service is to have in a data centre. */
+export interface DecideScalingCommand {
+  type: 'decide-scaling'
+  service: string
+  dataCentre: string
+  desired: number
+  /** The number of the order that held when this one was decided; 0 where there was none. */
+  seen: number
+}
+
 export type Command = (
-  ApplyCommand | ClaimCommand | SettleCommand | DocumentCommand | DecideUsageCommand | UsageDeliveredCommand | EvacuateCommand
+  ApplyCommand | ClaimCommand | SettleCommand | DocumentCommand | DecideUsageCommand | UsageDeliveredCommand | EvacuateCommand |
+  DecideScalingCommand
 )
 
+/** How many endpoints a service is to have in a data centre. */
+export interface ScalingOrder {
+  service: string
+  dataCentre: string
+  desired: number
+  /** Counts the orders of this service and data centre. */
+  number: number
+}
+
+/** The order that holds, and whether it is the one that was brought. */
+export interface ScalingResult {
+  isTaken: boolean
+  order: ScalingOrder
+}
+
 /** What holds after an order; one that was overtaken by an order of the other kind is not taken and changes nothing. */
 export interface EvacuationResult extends StoredEvacuation {
   isTaken: boolean
--- a/control/state/src/control-state.ts
+++ b/control/state/src/control-state.ts
@@ -4,9 +4,11 @@
 import { Claims } from './claims.ts'
 import {
   DOCUMENT_KEY, type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type Difference, type DocumentCommand,
-  type DocumentResult, type EvacuateCommand, type EvacuationResult, type HistoryEntry, type StoredDocument, type UsageReport
+  type DocumentResult, type EvacuateCommand, type EvacuationResult, type HistoryEntry, type ScalingOrder, type ScalingResult,
+  type StoredDocument, type UsageReport
 } from './commands.ts'
 import { decideEvacuation } from './evacuations.ts'
+import { ScalingOrders } from './scaling-orders.ts'
 import { UsageReports } from './usage-reports.ts'
 
 /** How many answers are remembered for operations that are sent again. */
@@ -31,12 +33,15 @@
   claims: object
   /** Missing in snapshots of processes that did not report usage. */
   usageReports?: UsageReport[]
+  /** Missing in snapshots of processes that ordered no endpoints. */
+  scalingOrders?: ScalingOrder[]
 }
 
 export class ControlState {
   readonly records: RecordMap
   readonly claims = new Claims()
   readonly usageReports = new UsageReports()
+  readonly scalingOrders = new ScalingOrders()
   revision = 0
   private operations = new Map<string, ApplyResult>()
   private past: HistoryEntry[] = []
@@ -61,7 +66,8 @@
       operations: [...this.operations],
       history: this.past,
       claims: this.claims.dump(),
-      usageReports: this.usageReports.dump()
+      usageReports: this.usageReports.dump(),
+      scalingOrders: this.scalingOrders.dump()
     }
     return JSON.stringify(dump)
   }
@@ -74,10 +80,11 @@
     this.past = dump.history
     this.claims.restore(dump.claims)
     this.usageReports.restore(dump.usageReports ?? [])
+    this.scalingOrders.restore(dump.scalingOrders ?? [])
     this.options.onRestored?.()
   }
 
-  private run (command: Command): ApplyResult | ClaimResult | DocumentResult | UsageReport | EvacuationResult | object {
+  private run (command: Command): ApplyResult | ClaimResult | DocumentResult | UsageReport | EvacuationResult | ScalingResult | object {
     switch (command.type) {
       case 'apply': return this.runApply(command)
       case 'claim': return this.claims.claim(command)
@@ -90,6 +97,7 @@
         this.usageReports.noteDelivered(command)
         return {}
       case 'evacuate': return this.runEvacuate(command)
+      case 'decide-scaling': return this.scalingOrders.decide(command)
     }
   }
 
