feat(control.program): orders of endpoints by demand

Cause: a document's scaling was carried, and nothing ordered endpoints by it. Ruled out: a mean as the present load (it climbs to a burst over several orders); the slope of one line as the trend (a jump is a slope, and chance rises ordered an endpoint in one of some 200 looks); lowering at the first look that needs fewer. Change: the leader decides an order in the log, then sends it under its token until it is answered, at half of the allowed rate.

--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -131,6 +131,18 @@
   leaseMs: z.number().int().positive().default(DEFAULT_LEASE_MS)
 })
 
+/** Orders of endpoints to the outside, for services whose document names a `scaling`. */
+const scalingSettingsSchema = z.strictObject({
+  /** Where they are sent. */
+  address: addressSchema,
+  /** The duties that the outside hands over, in its words; an adapter knows which of them stands for orders. */
+  duties: z.array(z.string()).default([]),
+  /** Calls that the outside takes in a second, those of all duties together. */
+  callsPerSecond: z.number().positive().default(1),
+  /** No two control processes order within this time of each other, in ms. */
+  leaseMs: z.number().int().positive().default(DEFAULT_LEASE_MS)
+})
+
 export const controlSettingsSchema = z.strictObject({
   ...processSchema,
   ...regionsSchema,
@@ -156,6 +168,7 @@
   /** The share of that time after which a member that has just started stands for election. */
   firstElectionShare: z.number().positive().max(1).default(1),
   usage: usageSettingsSchema.optional(),
+  scaling: scalingSettingsSchema.optional(),
   /** How far cold endpoints may be loaded beyond the rate that their service names; not at all where it is not given. */
   cold: coldSettingsSchema.optional(),
   /** The bearer token that operators show. */
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -24,11 +24,15 @@
 import { MemberTable } from './member-table.ts'
 import { ControlPeers } from './peers.ts'
 import { Proposer } from './proposer.ts'
+import { type ScalingOrderer } from './scaling-orderer.ts'
+import { type ScalingSink } from './scaling-sink.ts'
+import { scalingOrdererOf } from './scaling-wiring.ts'
 import { UsageReporter } from './usage-reporter.ts'
 import { type UsageSink } from './usage-sink.ts'
 import { WorkRelay } from './work-relay.ts'
 
 export * from './order-caller.ts'
+export * from './scaling-sink.ts'
 export * from './usage-sink.ts'
 
 /** How long a push to an entry waits for the entry to have the same from nearer by, in ms. */
@@ -63,6 +67,9 @@
   usageReporter: UsageReporter
   /** Where usage is reported to; none where nobody asks for it. */
   usageSink: UsageSink | undefined
+  scalingOrderer: ScalingOrderer
+  /** Where endpoints are ordered; none where nobody takes orders. */
+  scalingSink: ScalingSink | undefined
 }
 
 export type OperatorApi = (services: ControlServices) => Koa
@@ -76,6 +83,7 @@
   /** How the text of routing documents is read; the product's own unless an adapter brings another. */
   format?: DocumentFormat
   usageSink?: UsageSink
+  scalingSink?: ScalingSink
 }
 
 /** Builds a control process; nothing runs before its kernel is started. */
@@ -95,6 +103,7 @@
     .value('format', options.format ?? nativeFormat)
     .value('api', options.api)
     .value('usageSink', options.usageSink)
+    .value('scalingSink', options.scalingSink)
     .service('leases', createLeases)
     .service('registrar', (services) => new Registrar(services))
     .service('leaseStore', (services) => new LeaseStore(services))
@@ -106,6 +115,7 @@
     .service('proposer', (services) => new Proposer(services))
     .service('coldGranter', (services) => new ColdGranter(services))
     .service('usageReporter', (services) => new UsageReporter(services))
+    .service('scalingOrderer', scalingOrdererOf)
     .service('joiner', (services) => new Joiner(services))
     .service('admin', (services) => new ControlAdmin(services))
 }
@@ -162,6 +172,7 @@
     linkMetrics(registry)
     evacuations.addMetrics(registry)
     this.services.coldGranter.addMetrics(registry)
+    this.services.scalingOrderer.addMetrics(registry)
     this.http = createAdminServer({
       registry,
       notReady: () => quorum.leaderName === undefined ? 'no leader is known' : undefined,
--- a/control/program/src/proposer.ts
+++ b/control/program/src/proposer.ts
@@ -2,8 +2,9 @@
 import { GullwallError } from '@gullwall/core.error'
 import { type Applied } from '@gullwall/control.quorum'
 import {
-  type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type DecideUsageCommand, type DocumentCommand, type DocumentResult,
-  type EvacuateCommand, type EvacuationResult, type UsageDeliveredCommand, type UsageReport
+  type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type DecideScalingCommand, type DecideUsageCommand,
+  type DocumentCommand, type DocumentResult, type EvacuateCommand, type EvacuationResult, type ScalingResult,
+  type UsageDeliveredCommand, type UsageReport
 } from '@gullwall/control.state'
 import { type MessageOf } from '@gullwall/transport.messages'
 import { targetVoters } from './membership.ts'
@@ -62,6 +63,11 @@
     await this.propose(command)
   }
 
+  /** Has an order of endpoints decided; gives the one that holds. */
+  async decideScaling (command: DecideScalingCommand): Promise<ScalingResult> {
+    return JSON.parse((await this.propose(command)).result) as ScalingResult
+  }
+
   /** Gives a revision that is not older than any accepted before the call. */
   async confirm (): Promise<MessageOf<'confirmed'>> {
     const { quorum, store } = this.services
--- a/control/program/src/work-relay.ts
+++ b/control/program/src/work-relay.ts
@@ -5,7 +5,7 @@
  */
 import { ReadingTable, WorkloadTable } from '@gullwall/control.workload'
 import { type Link } from '@gullwall/transport.link'
-import { type Holding, type MessageOf, type WorkSummary } from '@gullwall/transport.messages'
+import { type Holding, type MessageOf, type Reading, type WorkSummary } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
 import { PacedAction } from './paced-action.ts'
 
@@ -52,6 +52,14 @@
 /** Which sources a sum is of. */
 type Counts = (source: Link) => boolean
 
+/** All that is known to be under way. */
+export interface AllWork {
+  works: WorkSummary[]
+  readings: Reading[]
+  /** Peers that were heard lately. */
+  peersHeard: number
+}
+
 export class WorkRelay {
   private readonly table = new WorkloadTable<Link>()
   /** The entries that tell this process, by their links. */
@@ -81,6 +89,11 @@
     this.tellingReadings.stop()
   }
 
+  /** What all entries have under way, as far as it was told here. */
+  everything (): AllWork {
+    return { works: this.wholeOf(() => true).works, readings: this.readings.all(), peersHeard: this.peersHeard }
+  }
+
   /** Takes what an entry has under way. */
   fromEntry (link: Link, { works, holdings, observations, listens }: MessageOf<'work'>): void {
     if (!listens) {
--- a/control/program/test/control-processes.ts
+++ b/control/program/test/control-processes.ts
@@ -1,6 +1,6 @@
 /** Control processes that tests start, by their addresses. */
 import { type ControlSettings } from '@gullwall/config.settings'
-import { createControl, type ControlServices, type OperatorApi, type UsageSink } from '@gullwall/control.program'
+import { createControl, type ControlServices, type OperatorApi, type ScalingSink, type UsageSink } from '@gullwall/control.program'
 import { MemoryDisk } from '@gullwall/control.storage'
 import { type Kernel } from '@gullwall/core.kernel'
 
@@ -16,6 +16,8 @@
   dataCentre?: string
   usage?: ControlSettings['usage']
   usageSink?: UsageSink
+  scaling?: ControlSettings['scaling']
+  scalingSink?: ScalingSink
   regions?: ControlSettings['regions']
   api?: OperatorApi
   write?: (line: string) => void
@@ -26,7 +28,7 @@
 
 export async function start (options: StartOptions): Promise<Control> {
   const { address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1', usage, usageSink, regions, cold } = options
-  const { api, write = () => {}, tolerance = 2, electionMs = 200 } = options
+  const { scaling, scalingSink, api, write = () => {}, tolerance = 2, electionMs = 200 } = options
   const control = await createControl({
     box: `box-${address.split(':')[1] ?? ''}`,
     dataCentre,
@@ -45,9 +47,10 @@
     quorumElectionMs: electionMs,
     firstElectionShare: 0.4,
     usage,
+    scaling,
     regions,
     cold
-  }, { disk, usageSink, api, write })
+  }, { disk, usageSink, scalingSink, api, write })
   await control.start()
   running.set(address, control)
   return control
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -106,6 +106,20 @@
   why: string
 }
 
+/** An order of endpoints for a service in a data centre: that it was decided, and what became of the call. */
+export interface ScalingRecord {
+  channel: 'scaling'
+  event: 'decided' | 'ordered' | 'postponed' | 'fenced'
+  service: string
+  dataCentre: string
+  /** The number of endpoints that is ordered. */
+  desired: number
+  /** Counts the orders of this service and data centre. */
+  order: number
+  token: number
+  why: string
+}
+
 /** An order to evacuate a data centre or to withdraw that, and its coming into force in a process. */
 export interface EvacuationRecord {
   channel: 'evacuation'
@@ -133,5 +147,6 @@
   | QuorumRecord
   | ConfigurationRecord
   | UsageRecord
+  | ScalingRecord
   | EvacuationRecord
   | ProcessRecord
