fix(control): counts on the disk are not replaced before they are read

Cause: a control process listens before its usage file is read (the quorum starts between), and the first word of an entry was written at once. After a kill of all processes, entries too, that replaced the windows that the file was there to keep. A peer that asked meanwhile took the rest for all.

Ruled out: reading the file before listening; a stalled disk would then hold up the links of all entries.

Change: nothing is written, and parts are refused as not ready, until the file was read.

Not measured: how often a start met it.

--- a/control/program/src/usage-reporter.ts
+++ b/control/program/src/usage-reporter.ts
@@ -4,7 +4,7 @@
  */
 import { endOfWindow, SteadyWallClock, UsageTable, windowAt, type SourceWindow } from '@gullwall/control.usage'
 import { type UsageReport } from '@gullwall/control.state'
-import { messageOf } from '@gullwall/core.error'
+import { GullwallError, messageOf } from '@gullwall/core.error'
 import { type Link } from '@gullwall/transport.link'
 import { type MessageOf } from '@gullwall/transport.messages'
 import { DutyLease, type Fence } from './duty-lease.ts'
@@ -40,6 +40,8 @@
   private readonly localSources = new Set<string>()
   private timer: NodeJS.Timeout | undefined
   private isBusy = false
+  /** Whether the counts from before the start are known, if any. */
+  private isRestored = false
   private backoffMs = FIRST_BACKOFF_MS
   private nextTryAt = -Infinity
 
@@ -53,11 +55,15 @@
   }
 
   async start (): Promise<void> {
-    if (this.services.settings.usage === undefined || this.services.usageSink === undefined) return
+    if (this.services.settings.usage === undefined || this.services.usageSink === undefined) {
+      this.isRestored = true
+      return
+    }
     for (const { source, window, counts } of await this.store.read()) {
       this.localSources.add(source)
       this.table.merge(source, [{ window, counts }])
     }
+    this.isRestored = true
     this.timer = setInterval(() => { void this.look() }, LOOK_MS)
   }
 
@@ -74,8 +80,14 @@
     if (this.services.settings.usage !== undefined) this.store.changed()
   }
 
-  /** Answers a peer that holds the lease. */
+  /**
+   * Answers a peer that holds the lease.
+   * @throws ERR_GULLWALL_NOT_READY while the counts from before the start are not read: it would take the rest for all
+   */
   partsOf (window: number): MessageOf<'usageParts'> {
+    if (!this.isRestored) {
+      throw new GullwallError('ERR_GULLWALL_NOT_READY', 'the counts from before the start are not read yet', { step: 'tell usage', hint: 'ask again' })
+    }
     return { kind: 'usageParts', sources: this.table.sourcesOf(window) }
   }
 
--- a/control/program/src/usage-store.ts
+++ b/control/program/src/usage-store.ts
@@ -26,10 +26,13 @@
   private readonly saving = new PacedAction(() => SAVE_SPACING_MS, () => { void this.save() })
   private isSaving = false
   private isStopped = false
+  /** Until the file has been read nothing is written: entries tell a process that starts before it has come to that. */
+  private isRead = false
+  private isChanged = false
 
   constructor (private readonly options: UsageStoreOptions) {}
 
-  /** Gives what was kept; nothing where there is no file or it can't be used. */
+  /** Gives what was kept; nothing where there is no file or it can't be used. It is to be taken over in the same turn. */
   async read (): Promise<SourceWindow[]> {
     try {
       const text = await readChecked(this.options.services.disk, FILE)
@@ -37,12 +40,16 @@
     } catch (error) {
       this.warn('the counts on the disk are not used', error)
       return []
+    } finally {
+      this.isRead = true
+      if (this.isChanged) this.changed()
     }
   }
 
   /** Notes that counts have changed. */
   changed (): void {
-    if (!this.isStopped) this.saving.request()
+    this.isChanged = true
+    if (this.isRead && !this.isStopped) this.saving.request()
   }
 
   stop (): void {
