fix(control): grants wait for word of an engine that turns cold again too

Cause: nothing is granted of an engine for 1.1 s after it is first asked for, since boxes that have not heard that it is cold send as to a warm one. The account of an engine was kept for 30 s, so that one that was cold, warm and cold again within that time was granted at once, on top of those sends.

Ruled out: forgetting accounts sooner; a pause of light traffic in one cold time would then cost 1.1 s each.

Change: the ledger is told the word of the engine that the leader holds; a word heard after the end that was told before, and of more than 500 ms, lets the wait begin again. The test fails on the ledger before.

--- a/control/program/src/cold-granter.ts
+++ b/control/program/src/cold-granter.ts
@@ -7,7 +7,7 @@
 import { counter, gauge, type Counter, type Registry } from '@gullwall/core.metrics'
 import { type ColdGrant, type ColdWish, type MessageOf } from '@gullwall/transport.messages'
 import { ColdDuty } from './cold-duty.ts'
-import { type ColdLedger } from './cold-ledger.ts'
+import { type ColdLedger, type LedgerAsk } from './cold-ledger.ts'
 import { type ControlServices } from './index.ts'
 
 /** How often it is seen whether this process leads, in ms. */
@@ -79,7 +79,7 @@
   private decide (ledger: ColdLedger, { incarnation, service, requests }: ColdWish, entry: string): ColdGrant {
     const limit = this.limitOf(service)
     const bound = limit === undefined ? 0 : coldBound(limit, this.services.settings.cold)
-    const grant = ledger.grant({ incarnation, requests, bound }, performance.now())
+    const grant = ledger.grant({ incarnation, requests, bound, word: this.wordOf(incarnation) }, performance.now())
     this.metrics?.asks.inc()
     if (grant.requests > 0) this.metrics?.granted.inc(grant.requests)
     else this.metrics?.refused.inc()
@@ -87,6 +87,11 @@
     return grant
   }
 
+  private wordOf (incarnation: string): LedgerAsk['word'] {
+    const lease = this.services.leases.get(incarnation)
+    return lease?.coldMs === undefined ? undefined : { heardAt: lease.heardAt, coldMs: lease.coldMs }
+  }
+
   private log ({ entry, requests, bound, grant }: { entry: string, requests: number, bound: number, grant: ColdGrant }): void {
     const { incarnation, withinMs } = grant
     const lease = this.services.leases.get(incarnation)
--- a/control/program/src/cold-ledger.ts
+++ b/control/program/src/cold-ledger.ts
@@ -26,12 +26,17 @@
 const PACED_SHARE = 0.5
 /** An endpoint that nobody has asked for is forgotten after this time, in ms: longer than the span, and than pauses of light traffic. */
 const FORGET_MS = 30_000
+/** After the end that it told, an endpoint that is cold for longer than this has turned cold again, in ms: more than clocks do. */
+const TURNED_COLD_MS = 500
 /** A box that was refused asks again after this time at the earliest, in ms. */
 const LEAST_WAIT_MS = 50
 
 /** What was granted of one endpoint. */
 interface Account {
+  /** When it was first asked for, since the start or since it has turned cold again. */
   firstAskedAt: number
+  /** Until when it is cold by its word. */
+  coldUntil: number | undefined
   askedAt: number
   /** Oldest first; none older than the span. */
   grants: Array<{ at: number, requests: number }>
@@ -43,6 +48,8 @@
   requests: number
   /** The most that the endpoint may get within any window. */
   bound: number
+  /** What it said last, by the clock of the ledger; none where it does not say. */
+  word?: { heardAt: number, coldMs: number } | undefined
 }
 
 export interface LedgerOptions {
@@ -65,8 +72,9 @@
   }
 
   /** Grants what may be sent to an endpoint, or tells after which time to ask again. */
-  grant ({ incarnation, requests, bound }: LedgerAsk, now: number): ColdGrant {
+  grant ({ incarnation, requests, bound, word }: LedgerAsk, now: number): ColdGrant {
     const account = this.accountOf(incarnation, now)
+    if (hasTurnedCold(account, word)) account.firstAskedAt = now
     account.askedAt = now
     account.grants = account.grants.filter(({ at }) => now - at <= this.spanMs)
     const opensAt = Math.max(this.opensAt, account.firstAskedAt + this.settleMs)
@@ -92,7 +100,7 @@
   private accountOf (incarnation: string, now: number): Account {
     const known = this.accounts.get(incarnation)
     if (known !== undefined) return known
-    const account: Account = { firstAskedAt: now, askedAt: now, grants: [] }
+    const account: Account = { firstAskedAt: now, coldUntil: undefined, askedAt: now, grants: [] }
     this.accounts.set(incarnation, account)
     return account
   }
@@ -110,6 +118,15 @@
   }
 }
 
+/** Notes the word of an endpoint; true if it was warm in between, so that boxes may still send as to a warm one. */
+function hasTurnedCold (account: Account, word: LedgerAsk['word']): boolean {
+  if (word === undefined || word.coldMs === 0) return false
+  const { coldUntil } = account
+  const until = word.heardAt + word.coldMs
+  account.coldUntil = Math.max(until, coldUntil ?? -Infinity)
+  return coldUntil !== undefined && word.heardAt > coldUntil && word.coldMs > TURNED_COLD_MS
+}
+
 function grantedSince ({ grants }: Account, since: number): number {
   return grants.reduce((sum, { at, requests }) => at >= since ? sum + requests : sum, 0)
 }
--- a/control/program/test/cold-ledger.test.ts
+++ b/control/program/test/cold-ledger.test.ts
@@ -50,4 +50,17 @@
     ledger.sweep(30_001)
     expect(ledger.size).toBe(0)
   })
+
+  it('grants nothing at first of an endpoint that has turned cold again, of which other boxes have not heard either', () => {
+    const ledger = new ColdLedger({ opensAt: 0 })
+    const told = (heardAt: number, coldMs: number) => ({ ...ask(), word: { heardAt, coldMs } })
+    ledger.grant(told(0, 3000), 0)
+    expect(ledger.grant(told(1000, 2010), SETTLE_MS).requests).toBe(MAX_GRANT)
+    // The last word of the same time, a little late by the clock of the endpoint.
+    expect(ledger.grant(told(3005, 40), 3050).requests).toBe(MAX_GRANT)
+    expect(ledger.grant(told(8000, 3000), 8050)).toEqual({ incarnation: 'a', requests: 0, withinMs: SETTLE_MS })
+    expect(ledger.grant(told(8000, 3000), 8050 + SETTLE_MS).requests).toBe(MAX_GRANT)
+    // It is cold for longer than it said: whoever asks knows it to be cold all along.
+    expect(ledger.grant(told(10_000, 6000), 12_000).requests).toBe(MAX_GRANT)
+  })
 })
