fix(gateway): requests count for each service whose cold engines they could have

Cause: a request was counted once, for the first service of its route that has a cold engine; for the others control was asked for one request at a time.

Change: a request is counted once a service. The test fails on the code before; the test box now knows a second service with a limit.

Not measured: no site has such a route.

--- a/entry/gateway/src/cold-asker.ts
+++ b/entry/gateway/src/cold-asker.ts
@@ -56,7 +56,8 @@
   readonly totals = { asks: 0, failed: 0 }
   private readonly wished = new Map<string, Wished>()
   private readonly arrivals = new Map<string, number[]>()
-  private readonly counted = new WeakSet<object>()
+  /** The requests of each service that were counted. */
+  private readonly counted = new Map<string, WeakSet<object>>()
   private isAsking = false
   private timer: NodeJS.Timeout | undefined
   private nextAskAt = -Infinity
@@ -65,8 +66,10 @@
 
   /** Counts a request of a service, once, however often it looks for an endpoint. */
   noteRequest (service: string, call: object): void {
-    if (this.counted.has(call)) return
-    this.counted.add(call)
+    const counted = this.counted.get(service) ?? new WeakSet()
+    this.counted.set(service, counted)
+    if (counted.has(call)) return
+    counted.add(call)
     const now = this.options.now()
     this.arrivals.set(service, [...this.recent(service, now), now])
   }
--- a/entry/gateway/test/cold-box.ts
+++ b/entry/gateway/test/cold-box.ts
@@ -26,7 +26,7 @@
       box: name,
       logger: silentLogger(),
       leaseOf: (incarnation) => this.leases.get(incarnation),
-      limitOf: (service) => service === 'lm' ? COLD_LIMIT : undefined,
+      limitOf: (service) => service === 'plain' ? undefined : COLD_LIMIT,
       endpoints: () => this.endpoints,
       entries: () => this.entries,
       ask: async (wishes) => {
--- a/entry/gateway/test/cold-engines.test.ts
+++ b/entry/gateway/test/cold-engines.test.ts
@@ -120,6 +120,17 @@
     expect([await asksOf(28), await asksOf(560)]).toEqual([20, 4])
   })
 
+  it('is asked for as many requests as came lately, also where its service is one of several of a route', async () => {
+    const box = new Box()
+    box.hear('i-1', LONG_COLD_MS)
+    box.hear('i-2', LONG_COLD_MS, { service: 'lm-next' })
+    for (let calls = 0; calls < 3; calls += 1) box.eligible()
+    await settle()
+    expect(box.asked.flat().map(({ service, requests }) => ({ service, requests }))).toEqual([
+      { service: 'lm', requests: 4 }, { service: 'lm-next', requests: 4 }
+    ])
+  })
+
   it('is not asked for while half of what is needed is at hand', async () => {
     const box = new Box()
     box.hear('i-1', LONG_COLD_MS)
