fix(gateway): what may have run waits for an endpoint as long as what is new

Cause: requests wait for an endpoint until a quarter of their target after their arrival. A stream that broke later, or a call that was repeated later, failed in the moment in which no endpoint could have it: all others evacuated, cold without a grant, or full. Its grant would have come within 50 ms or so.

Ruled out: waiting where every endpoint was tried, since nothing can come.

Change: once a request may have run, it waits a quarter of its target from the end of its attempt, within its deadline, if an endpoint is left that it has not tried. The test fails on the code before.

--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -96,7 +96,9 @@
   /** Chooses an endpoint, and waits a little for one where none is known or has room. */
   private async nextCandidate (): Promise<Candidate | undefined> {
     const { call } = this
-    const patience = Math.min(call.deadline, call.arrivedAt + PATIENCE_SHARE * call.route.targetMs)
+    // What may have run can't be refused any more; it fails where no endpoint takes it.
+    const waitsFrom = this.history.mayHaveRun && this.hasUntried ? performance.now() : call.arrivedAt
+    const patience = Math.min(call.deadline, waitsFrom + PATIENCE_SHARE * call.route.targetMs)
     for (;;) {
       const candidate = chooseEndpoint(this.choiceOptions)
       const left = patience - performance.now()
@@ -105,6 +107,13 @@
     }
   }
 
+  /** Whether an endpoint takes work that this request has not tried, though a rule may keep it from there now. */
+  private get hasUntried (): boolean {
+    const { call, history, services: { view } } = this
+    const usable = call.route.split.flatMap(({ service }) => view.usable(service))
+    return usable.some(({ description }) => !history.excluded.has(description.incarnation))
+  }
+
   private async attempt (candidate: Candidate): Promise<AttemptEnd> {
     const { call, services } = this
     const { endpoint, unreadTokens, urgency } = candidate
--- a/entry/gateway/test/evacuation.test.ts
+++ b/entry/gateway/test/evacuation.test.ts
@@ -12,6 +12,9 @@
 const deployment = new GatewayDeployment(both, { dc1: 'north', dc2: 'north' })
 const caller: OrderCaller = { hasLeft: false, leftBefore: async () => false }
 
+/** For how long a new request waits for an endpoint, in ms: a quarter of its target. */
+const PATIENCE_MS = 100
+
 let ids = 0
 
 interface Reply {
@@ -132,6 +135,23 @@
     expect(far.arrived.length).toBe(before)
   })
 
+  it('gets a stream that broke elsewhere and waits for an endpoint when the order is withdrawn', async () => {
+    let isWithdrawn = false
+    vi.spyOn(places(), 'isEvacuated').mockImplementation((dataCentre) => dataCentre === 'dc2' && !isWithdrawn)
+    vi.spyOn(deployment.gateway.get('view'), 'changeWithin').mockImplementation(async () => { isWithdrawn = true })
+    const first = 'id: 1\ndata: 1\n\n'
+    near.behaviour = (incoming, response) => {
+      response.writeHead(200, { 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+      response.write(first)
+      setTimeout(() => response.destroy(), PATIENCE_MS + 50)
+    }
+    far.behaviour = (incoming, response) => {
+      response.writeHead(200, { 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+      response.end('id: 2\ndata: 2\n\n')
+    }
+    expect(await call('/draft/1', {}, 'x')).toMatchObject({ status: 200, text: `${first}id: 2\ndata: 2\n\n` })
+  })
+
   it('does not get a request that was chosen for it before the order, nor is its endpoint blamed', async () => {
     const headers = await promptKeptAt(far)
     const before = far.arrived.length
