fix(gateway): an engine that turns cold while a request connects does not get it

Cause: whether an engine is cold was asked at the dispatch only.

Ruled out: asking for grants already given; they cover the connection.

Change: right before the first byte a request to an engine that was warm takes a grant if the engine is cold by now, and is withheld without one, at no cost to its budget or to the engine's standing. The document's limit is looked up before the lease, so that services without one cost one look-up an engine. The test fails on the code before.

--- a/entry/gateway/src/cold-engines.ts
+++ b/entry/gateway/src/cold-engines.ts
@@ -99,6 +99,11 @@
     return 2 * settled.length >= endpoints.length ? settled : endpoints
   }
 
+  /** Whether an endpoint has requests under a grant only. */
+  isCold (endpoint: EndpointState): boolean {
+    return this.lookAt(endpoint, this.now())?.isCold === true
+  }
+
   /** Takes leave for one request that is sent now; false if its endpoint is cold and another request has used the grant. */
   take (endpoint: EndpointState): boolean {
     const now = this.now()
@@ -135,8 +140,9 @@
   private lookAt ({ description }: EndpointState, now: number): Warmth | undefined {
     const { incarnation, service } = description
     const limit = this.options.limitOf(service)
+    if (limit === undefined) return undefined
     const lease = this.options.leaseOf(incarnation)
-    if (limit === undefined || lease === undefined) return undefined
+    if (lease === undefined) return undefined
     const warmth = this.warmths.get(incarnation) ?? this.firstMet(lease, limit, now)
     if (!warmth.look(lease, now)) return warmth
     this.logTurn(lease, warmth, now)
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -76,9 +76,10 @@
         this.refuse(admission.why, admission.afterMs)
         return
       }
+      const isGranted = this.services.coldEngines.isCold(candidate.endpoint)
       // Another request may have used the grant since the choice.
       if (!this.services.coldEngines.take(candidate.endpoint)) continue
-      const end = await this.attempt(candidate)
+      const end = await this.attempt(candidate, isGranted)
       if (this.isOver) return
       this.follow(nextStep(this.state, candidate.endpoint.description.incarnation, end))
     }
@@ -114,7 +115,7 @@
     return usable.some(({ description }) => !history.excluded.has(description.incarnation))
   }
 
-  private async attempt (candidate: Candidate): Promise<AttemptEnd> {
+  private async attempt (candidate: Candidate, isGranted: boolean): Promise<AttemptEnd> {
     const { call, services } = this
     const { endpoint, unreadTokens, urgency } = candidate
     services.workExchange.noteSending(endpoint, call.prompt)
@@ -130,7 +131,7 @@
     this.recorder.dispatched(candidate)
     const noteCrossing = services.crossings.begin(call, endpoint)
     const receiver = new AnswerReceiver(this, work, candidate)
-    const exchange = this.send(candidate, receiver)
+    const exchange = this.send(candidate, receiver, isGranted)
     this.exchange = exchange
     const watch = setInterval(() => this.watch(candidate, work), WATCH_MS)
     const end = receiver.endOf(await exchange.ended)
@@ -144,7 +145,7 @@
     return end
   }
 
-  private send (candidate: Candidate, receiver: AnswerReceiver): Exchange {
+  private send (candidate: Candidate, receiver: AnswerReceiver, isGranted: boolean): Exchange {
     const { call, services } = this
     const { description } = candidate.endpoint
     const service = services.view.table?.service(description.service)
@@ -155,11 +156,16 @@
       headers: this.headersFor(candidate),
       body: call.body,
       connectMs: CONNECT_MS,
-      whyNot: () => whyNoPlace(services.eligibility, description.dataCentre, call),
+      whyNot: () => whyNoPlace(services.eligibility, description.dataCentre, call) ?? (isGranted ? undefined : this.whyCold(candidate)),
       wasClosedWell: async () => await services.connections.wasClosedWell()
     }, receiver)
   }
 
+  /** Why a request that was to go to a warm endpoint is not sent: it has turned cold, and no grant is at hand for it either. */
+  private whyCold ({ endpoint }: Candidate): string | undefined {
+    return this.services.coldEngines.take(endpoint) ? undefined : 'it has turned cold, and no grant is at hand'
+  }
+
   private headersFor ({ endpoint, source, urgency }: Candidate): string[] {
     const { call, services } = this
     return services.dialect.attemptHeaders(call.rawHeaders, {
--- a/entry/gateway/test/cold-path.test.ts
+++ b/entry/gateway/test/cold-path.test.ts
@@ -1,4 +1,4 @@
-import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { afterAll, afterEach, beforeAll, describe, expect, it, vi } from 'vitest'
 import { request } from 'undici'
 import { until } from '@gullwall/bench.deployment'
 import { GatewayDeployment, StandIn } from './stand-in.ts'
@@ -22,6 +22,7 @@
   await deployment.configure(1, {}, { coldLimit: { perSecond: 10, startMs: 6000 } })
 })
 afterAll(async () => await deployment.stop())
+afterEach(() => { vi.restoreAllMocks() })
 
 describe('requests to a cold endpoint', () => {
   it('are refused until there are grants, with the reason and when to come back', async () => {
@@ -46,4 +47,26 @@
     const kept = replies.flatMap(({ id }) => deployment.story(id)).filter(({ why }) => String(why).endsWith('; kept from 1 cold without a grant'))
     expect(kept.length).toBeGreaterThan(0)
   })
+
+  it('are not sent to one that has turned cold while they waited for a connection', async () => {
+    const { connections, view } = deployment.gateway.services
+    const to = connections.to.bind(connections)
+    let turned = ''
+    vi.spyOn(connections, 'to').mockImplementation((description, ...rest) => {
+      if (turned === '' && description.incarnation === warm.incarnation) {
+        const [lease] = view.leases.toWire([view.leases.get(warm.incarnation)].filter((held) => held !== undefined))
+        if (lease !== undefined) view.leases.merge([{ ...lease, sequence: lease.sequence + 1, coldMs: LONG_COLD_MS, ageMs: 0 }])
+        turned = description.incarnation
+      }
+      return to(description, ...rest)
+    })
+    const before = warm.arrived.length
+    let last = ''
+    await until('a request that was chosen for it', async () => {
+      last = (await call()).id
+      return turned !== ''
+    })
+    expect(warm.arrived.length).toBe(before)
+    expect(deployment.story(last).map(({ why }) => why)).toContainEqual(expect.stringContaining('not sent: it has turned cold'))
+  })
 })
