fix(gateway): control processes that are gone for good are dialled no more

Cause: an address was dialled for ever once it was known. After the seeds were exchanged for other machines a gateway dialled each old one about twice a second, and took the old ones for processes that it does not hear: with all exchanged, 5 links of 10 are not most of them, so that the count of entries never fell again and every control process counted as cut off from its peers.

Ruled out: dropping what one list does not name; a process that is behind names the members of before, and a voter that is down is named all along.

Change: an address that is in no seed list in force, is not linked and was named by no control process for 30 s is given up, with a log line.

Not measured: processor time of the dials.

--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -3,6 +3,7 @@
 import { GullwallError, messageOf } from '@gullwall/core.error'
 import { Dialer, type Link } from '@gullwall/transport.link'
 import { type ColdGrant, type ColdWish, type Message, type MessageOf } from '@gullwall/transport.messages'
+import { ControlAddresses } from './control-addresses.ts'
 import { EntryCount } from './entry-count.ts'
 import { type GatewayServices } from './index.ts'
 import { ListeningChoice } from './listening-choice.ts'
@@ -27,6 +28,7 @@
 
 export class ControlLinks {
   private readonly dialers = new Map<string, Dialer>()
+  private readonly addresses = new ControlAddresses()
   private confirmedRevision: number | undefined
   private readonly startedAt = performance.now()
   private stopped = false
@@ -50,7 +52,26 @@
 
   /** Links to the control processes that settings name. */
   dialSeeds ({ seeds, linkPort }: Pick<GatewaySettings, 'seeds' | 'linkPort'>): void {
-    this.dialAll(linkAddresses(seeds, linkPort))
+    const addresses = linkAddresses(seeds, linkPort)
+    this.addresses.noteSeeds(addresses, performance.now())
+    this.dialAll(addresses)
+  }
+
+  /** Gives up control processes that are gone for good. */
+  forgetControls (now: number): void {
+    const linked = this.links().map(({ address }) => address)
+    for (const address of this.addresses.takeForgotten(linked, now)) {
+      const dialer = this.dialers.get(address)
+      if (dialer === undefined) continue
+      dialer.stop()
+      this.dialers.delete(address)
+      this.services.logger.info({ channel: 'link', event: 'closed', peer: address, why: 'not linked, and named by nobody any more' })
+    }
+  }
+
+  /** The addresses that are linked or dialled. */
+  get dialled (): string[] {
+    return [...this.dialers.keys()]
   }
 
   stop (): void {
@@ -141,6 +162,8 @@
     if (message.kind === 'readings') this.services.workExchange.learn(message)
     if (message.kind === 'leases') view.leases.merge(message.leases)
     if (message.kind !== 'controls') return
+    this.addresses.noteNamed(message.addresses, performance.now())
+    this.forgetControls(performance.now())
     this.countEntries(link.address, message.entries)
     this.dialOthers(message.addresses)
   }
