perf(control): large files of counts are written less often

Cause: counts of all gateways, organisations and windows were put together and written ten times a second whatever their number. With 33,000 organisations that is megabytes each time (by arithmetic, not run), beyond the 3.8% of a core that control may take.

Change: the spacing grows with the time that it took to put the file together, so that this stays at 2% of the time, up to one file a second. Up to 2 ms nothing changes. The test fails on the code before.

Not measured: the time for files of the large size; for the two new customers the files hold some 2,000 counts.

--- a/control/program/src/usage-store.ts
+++ b/control/program/src/usage-store.ts
@@ -13,6 +13,10 @@
 const FILE = 'usage'
 /** The file is written so often at most, in ms. With what entries have not told yet it is what a kill of all loses. */
 const SAVE_SPACING_MS = 100
+/** To put together what is written takes this share of the time: about half of what control may take of a core (3.8%). */
+const SAVE_SHARE = 0.02
+/** The file is written so often at least where it is large, in ms. */
+const MAX_SAVE_SPACING_MS = 1000
 
 const fileSchema = z.array(z.object({ source: z.string(), window: z.number().int().min(0), counts: z.array(usageCountSchema) }))
 
@@ -20,10 +24,12 @@
   services: Pick<ControlServices, 'disk' | 'logger'>
   /** What is to be kept now. */
   take: () => SourceWindow[]
+  now?: () => number
 }
 
 export class UsageStore {
-  private readonly saving = new PacedAction(() => SAVE_SPACING_MS, () => { void this.save() })
+  private readonly saving = new PacedAction(() => this.spacingMs, () => { void this.save() })
+  private spacingMs = SAVE_SPACING_MS
   private isSaving = false
   private isStopped = false
   /** Until the file has been read nothing is written: entries tell a process that starts before it has come to that. */
@@ -64,7 +70,7 @@
     }
     this.isSaving = true
     try {
-      await writeChecked(this.options.services.disk, FILE, JSON.stringify(this.options.take()))
+      await writeChecked(this.options.services.disk, FILE, this.textOf())
     } catch (error) {
       this.warn('the counts can\'t be written', error)
       this.changed()
@@ -73,6 +79,14 @@
     }
   }
 
+  private textOf (): string {
+    const { take, now = () => performance.now() } = this.options
+    const beganAt = now()
+    const text = JSON.stringify(take())
+    this.spacingMs = Math.min(MAX_SAVE_SPACING_MS, Math.max(SAVE_SPACING_MS, (now() - beganAt) / SAVE_SHARE))
+    return text
+  }
+
   private warn (what: string, error: unknown): void {
     this.options.services.logger.warn({ channel: 'process', event: 'failed', why: `${what}: ${messageOf(error)}` })
   }
--- a/control/program/test/usage-store.test.ts
+++ b/control/program/test/usage-store.test.ts
@@ -27,6 +27,28 @@
     expect(JSON.parse(await readChecked(disk, 'usage') ?? '')).toEqual([counted('after'), counted('before')])
   })
 
+  it('are written less often where there are so many that it takes long', async () => {
+    const writesWithin = async (ms: number, tookMs: number) => {
+      let clock = 0
+      let writes = 0
+      const take = () => {
+        clock += tookMs
+        writes += 1
+        return []
+      }
+      const store = new UsageStore({ services: { disk: new MemoryDisk(), logger: silentLogger() }, take, now: () => clock })
+      await store.read()
+      for (let passed = 0; passed < ms; passed += 10) {
+        store.changed()
+        await vi.advanceTimersByTimeAsync(10)
+      }
+      store.stop()
+      return writes
+    }
+    // The first is written at once.
+    expect([await writesWithin(LONG_MS, 1), await writesWithin(LONG_MS, 10), await writesWithin(LONG_MS, 1000)]).toEqual([101, 21, 11])
+  })
+
   it('are not told to the process that reports before they were read, which would take the rest for all', async () => {
     const disk = new MemoryDisk()
     await writeChecked(disk, 'usage', JSON.stringify([counted('before')]))
