--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -81,9 +81,10 @@
         this.refuse(admission.why, admission.afterMs)
         return
       }
+      const isGranted = this.services.coldEngines.isCold(candidate.endpoint)
       // Another request may have used the grant since the choice.
       if (!this.services.coldEngines.take(candidate.endpoint)) continue
-      const end = await this.attempt(candidate)
+      const end = await this.attempt(candidate, isGranted)
       if (this.isOver) return
       this.follow(nextStep(this.state, candidate.endpoint.description.incarnation, end))
     }
@@ -101,7 +102,9 @@
   /** Chooses an endpoint, and waits a little for one where none is known or has room. */
   private async nextCandidate (): Promise<Candidate | undefined> {
     const { call } = this
-    const patience = Math.min(call.deadline, call.arrivedAt + PATIENCE_SHARE * call.route.targetMs)
+    // What may have run can't be refused any more; it fails where no endpoint takes it.
+    const waitsFrom = this.history.mayHaveRun && this.hasUntried ? performance.now() : call.arrivedAt
+    const patience = Math.min(call.deadline, waitsFrom + PATIENCE_SHARE * call.route.targetMs)
     for (;;) {
       const candidate = chooseEndpoint(this.choiceOptions)
       const left = patience - performance.now()
@@ -110,7 +113,14 @@
     }
   }
 
-  private async attempt (candidate: Candidate): Promise<AttemptEnd> {
+  /** Whether an endpoint takes work that this request has not tried, though a rule may keep it from there now. */
+  private get hasUntried (): boolean {
+    const { call, history, services: { view } } = this
+    const usable = call.route.split.flatMap(({ service }) => view.usable(service))
+    return usable.some(({ description }) => !history.excluded.has(description.incarnation))
+  }
+
+  private async attempt (candidate: Candidate, isGranted: boolean): Promise<AttemptEnd> {
     const { call, services } = this
     const { endpoint, unreadTokens, urgency } = candidate
     services.workExchange.noteSending(endpoint, call.prompt)
@@ -127,7 +137,7 @@
     this.recorder.dispatched(candidate)
     const noteCrossing = services.crossings.begin(call, endpoint)
     const receiver = new AnswerReceiver(this, work, candidate)
-    const exchange = this.send(candidate, receiver)
+    const exchange = this.send(candidate, receiver, isGranted)
     this.exchange = exchange
     const watch = setInterval(() => this.watch(candidate, work), WATCH_MS)
     const end = receiver.endOf(await exchange.ended)
@@ -141,7 +151,7 @@
     return end
   }
 
-  private send (candidate: Candidate, receiver: AnswerReceiver): Exchange {
+  private send (candidate: Candidate, receiver: AnswerReceiver, isGranted: boolean): Exchange {
     const { call, services } = this
     const { description } = candidate.endpoint
     const service = services.view.table?.service(description.service)
@@ -152,11 +162,16 @@
       headers: this.headersFor(candidate),
       body: call.body,
       connectMs: CONNECT_MS,
-      whyNot: () => whyNotPlace(services.eligibility, description.dataCentre, call),
+      whyNot: () => whyNotPlace(services.eligibility, description.dataCentre, call) ?? (isGranted ? undefined : this.whyCold(candidate)),
       wasClosedWell: async () => await services.connections.wasClosedWell()
     }, receiver)
   }
 
+  /** Why a request that was to go to a warm endpoint is not sent: it has turned cold, and no grant is at hand for it either. */
+  private whyCold ({ endpoint }: Candidate): string | undefined {
+    return this.services.coldEngines.take(endpoint) ? undefined : 'it has turned cold, and no grant is at hand'
+  }
+
   private headersFor ({ endpoint, source, urgency }: Candidate): string[] {
     const { call, services } = this
     return services.dialect.attemptHeaders(call.rawHeaders, {
--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -57,13 +57,10 @@
    * would only wait here, and reading them would take the processor from what they wait for.
    */
   private async takeOverOnceReady (server: Server): Promise<void> {
-    const { settings, startedAt, logger } = this.services
+    const { settings, startedAt } = this.services
     await this.readyWithin(startedAt + START_UP_MS)
-    try {
-      await listenOn(server, settings.listen)
-    } catch (error) {
-      logger.error({ channel: 'process', event: 'failed', why: `${settings.listen} can't be taken over: ${messageOf(error)}` })
-    }
+    // Where this fails the process ends with the reason: it would say that it takes requests, and serve none.
+    await listenOn(server, settings.listen)
   }
 
   /** Stops taking work in the order in which callers notice: readiness, new connections, kept ones, requests in flight. */
@@ -72,7 +69,8 @@
     const startedAt = performance.now()
     const endsAt = startedAt + settings.graceMs - STOP_RESERVE_MS
     this.isStopping = true
-    await this.takeOver
+    // What fails here has been told as the process's end.
+    await this.takeOver?.catch(() => {})
     await this.until(() => false, Math.min(startedAt + TAKE_ON_MS, endsAt))
     this.takesNothing = true
     this.server?.close()
--- a/transport/http-server/src/listen.ts
+++ b/transport/http-server/src/listen.ts
@@ -46,11 +46,17 @@
   const { host, port } = splitAddress(address)
   const early = takeEarly(address)
   await new Promise<void>((resolve, reject) => {
-    server.once('error', (cause) => {
+    const failed = (cause: Error) => {
       reject(new GullwallError('ERR_GULLWALL_LISTEN', `can't listen on ${address}`, { step: 'listen', peer: address, cause }))
-    })
-    if (early === undefined) server.listen(port, host, resolve)
-    else server.listen(early.server, resolve)
+    }
+    const listening = () => {
+      // A later error of the server is not one of listening, and must not go unnoticed.
+      server.off('error', failed)
+      resolve()
+    }
+    server.once('error', failed)
+    if (early === undefined) server.listen(port, host, listening)
+    else server.listen(early.server, listening)
   })
   void serveAll(server, early?.waiting.splice(0) ?? [])
 }
