feat(balancer): requests that may not be repeated leave engines that fail, by what all entries saw

Ruled out: an ejection shared by all (nobody would probe the engine), a higher weight of own sights (0.7 attempts in the time). Change: entries tell how attempts ended with their observations, control tells the share with its readings, and the choice for requests that may not be repeated weighs what is beyond 0.1. Not measured on a site by itself.

--- a/control/program/src/work-relay.ts
+++ b/control/program/src/work-relay.ts
@@ -91,7 +91,7 @@
 
   /** What all entries have under way, as far as it was told here. */
   everything (): AllWork {
-    return { works: this.wholeOf(() => true).works, readings: this.readings.all(), peersHeard: this.peersHeard }
+    return { works: this.wholeOf(() => true).works, readings: this.readings.all(performance.now()), peersHeard: this.peersHeard }
   }
 
   /** Takes what an entry has under way. */
@@ -141,7 +141,7 @@
     }
     this.entries.set(link, { heardAt: now, toldAt: now })
     link.send(this.wholeOf((source) => source !== link))
-    link.send({ kind: 'readings', readings: this.readings.all() })
+    link.send({ kind: 'readings', readings: this.readings.all(now) })
   }
 
   private note (from: Link, incarnations: readonly string[]): void {
@@ -199,7 +199,7 @@
   }
 
   private tellReadings (): void {
-    const readings = this.readings.takeChanged()
+    const readings = this.readings.takeChanged(performance.now())
     if (readings.length === 0) return
     for (const link of this.entries.keys()) link.send({ kind: 'readings', readings })
   }
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -3,7 +3,7 @@
   candidateSet, choose, hasSlot, sizeOf, whyTooLarge, type Candidate, type Choosable, type Demand, type EndpointState
 } from '@gullwall/routing.balancer'
 import { type AttemptHistory } from './attempt-history.ts'
-import { type Call } from './call.ts'
+import { isRepeatable, type Call } from './call.ts'
 import { whyNotEligible, whyNotPlace, whyNotEndpoint } from './eligibility.ts'
 import { type GatewayServices } from './index.ts'
 
@@ -32,6 +32,7 @@
     tier: call.tier,
     isResumed,
     needsSlot: engine !== undefined,
+    isOnce: !isRepeatable(call) || call.route.maxAttempts === 1,
     dataCentre: settings.dataCentre,
     crossing: crossings.of(call),
     targetMs: call.route.targetMs,
--- a/entry/gateway/src/work-exchange.ts
+++ b/entry/gateway/src/work-exchange.ts
@@ -112,15 +112,20 @@
     this.toldAt = performance.now()
   }
 
-  /** Takes what control has learnt of how engines read. */
+  /** Takes what control has learnt of how engines read and how attempts end there. */
   learn ({ readings }: MessageOf<'readings'>): void {
-    for (const reading of readings) this.services.view.get(reading.incarnation)?.reading.adopt(reading)
+    const now = performance.now()
+    for (const reading of readings) {
+      const endpoint = this.services.view.get(reading.incarnation)
+      endpoint?.reading.adopt(reading)
+      if (reading.failureShare !== undefined) endpoint?.outcomes.adopt(reading.failureShare, now)
+    }
   }
 
   private takeObservations (): Observation[] {
-    return [...this.services.view.busy()].flatMap(({ description: { incarnation }, reading }) => {
-      const seen = reading.takeSeen()
-      return seen === undefined ? [] : [{ incarnation, ...seen }]
+    return [...this.services.view.busy()].flatMap(({ description: { incarnation }, reading, outcomes }) => {
+      if (!reading.hasSeen && !outcomes.hasSeen) return []
+      return [{ incarnation, ...(reading.takeSeen() ?? { pauses: [], reads: [] }), ...(outcomes.hasSeen ? outcomes.takeSeen() : {}) }]
     })
   }
 
--- a/routing/balancer/src/choose.ts
+++ b/routing/balancer/src/choose.ts
@@ -19,6 +19,8 @@
   isResumed: boolean
   /** Whether the endpoints are engines, which put requests back for more urgent ones once their slots are taken. */
   needsSlot: boolean
+  /** Whether an attempt that fails is the end of it. */
+  isOnce?: boolean
   /** When its first event is due, in ms. */
   targetMs: number
   /** The longest pause between events that it bears, in ms; none where the route sets none. */
@@ -72,6 +74,11 @@
   otherDataCentre: number
   /** For a share of failures of 1. */
   failures: number
+  /**
+   * For a request that may not be repeated, at an endpoint that fails all it takes: an engine that fails half of them costs
+   * more than one that is not reserved (1,000).
+   */
+  failuresOnce: number
   /**
    * For an endpoint that no other entry can connect to: more than twice what reading a shared part of 13,000 tokens costs
    * elsewhere (4,400 ms), so that a dead home is left. Not varied.
@@ -96,6 +103,7 @@
   fullMemory: 3000,
   otherDataCentre: 20,
   failures: 400,
+  failuresOnce: 4000,
   unreachable: 10_000,
   suspect: 100_000
 }
@@ -263,7 +271,8 @@
 /** The cost of an endpoint whatever the prompt, but for what waits there. */
 function loadCost (endpoint: EndpointState, demand: Demand, now: number, weights: ChoiceWeights): number {
   const distance = distanceCost(demand, endpoint, weights.otherDataCentre)
-  const failures = endpoint.failureShare * weights.failures + endpoint.unreachableShare * weights.unreachable
+  const failures = endpoint.failureShare * weights.failures + endpoint.unreachableShare * weights.unreachable +
+    (demand.isOnce === true ? weights.failuresOnce * endpoint.outcomes.excessAt(now) : 0)
   const suspicion = isSuspect(endpoint, now) ? weights.suspect : 0
   return weights.perRunning * endpoint.running + streamCost(endpoint, demand, weights) + crowdingCost(endpoint, weights) +
     memoryCost(endpoint, demand, weights) +
--- a/routing/balancer/src/endpoint-index.ts
+++ b/routing/balancer/src/endpoint-index.ts
@@ -48,7 +48,8 @@
   /** Leaves out endpoints of which there is nothing left to tell. */
   settle (now: number): void {
     for (const endpoint of this.busy) {
-      if (endpoint.inFlight === 0 && !endpoint.isDead(now) && !endpoint.reading.hasSeen) this.busy.delete(endpoint)
+      const isUntold = endpoint.reading.hasSeen || endpoint.outcomes.hasSeen
+      if (endpoint.inFlight === 0 && !endpoint.isDead(now) && !isUntold) this.busy.delete(endpoint)
     }
   }
 
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -1,6 +1,7 @@
 /** What one entry has seen of one incarnation of an endpoint. */
 import { HeldMemory, NO_MEMORY_USE, sizeOf, type MemoryUse, type RequestSize } from './engine-memory.ts'
 import { PrefixMemory, type PromptPart } from './prefix-memory.ts'
+import { OutcomeObserver } from './outcome-observer.ts'
 import { ReadingObserver } from './reading-observer.ts'
 import { rankOf } from './rendezvous.ts'
 
@@ -103,6 +104,8 @@
 export class EndpointState {
   readonly prefixes: PrefixMemory
   readonly reading = new ReadingObserver()
+  /** How attempts of all entries ended here. */
+  readonly outcomes = new OutcomeObserver()
   readonly works = new Set<Work>()
   /** What the requests of this entry hold of its memory. */
   readonly memory = new HeldMemory()
@@ -246,6 +249,7 @@
     this.works.delete(work)
     this.release(work)
     if (verdict === 'neutral') return
+    if (verdict === 'good' || verdict === 'failed') this.outcomes.note(verdict === 'good')
     const failed = verdict === 'good' ? 0 : 1
     this.failureShare += FAILURE_WEIGHT * (failed - this.failureShare)
     if (verdict === 'unreachable') this.eject(now)
--- /dev/null
+++ b/routing/balancer/test/failing-engine.test.ts
@@ -0,0 +1,119 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { describe, expect, it } from 'vitest'
+import { choose, EndpointState, OutcomeObserver, type Demand } from '../src/index.ts'
+
+const SEED = Number(process.env['FUZZ_SEED'] ?? 5)
+const ENGINES = 12
+const ENTRIES = 28
+/** Requests a second of all entries. */
+const PER_S = 134
+const FAILING = 0
+const FAILURE_SHARE = 0.47
+const TOLD_MS = 250
+const RUN_MS = 100
+
+interface Entry {
+  engines: EndpointState[]
+}
+
+function engines (): EndpointState[] {
+  return Array.from({ length: ENGINES }, (_, index) => (
+    new EndpointState({ incarnation: `i-${index}`, service: 'lm', address: `10.0.0.${index}:80`, dataCentre: 'dc1', slots: 64 })
+  ))
+}
+
+const DEMAND: Demand = {
+  prompt: [],
+  dataCentre: 'dc1',
+  tier: 1,
+  isResumed: false,
+  needsSlot: true,
+  isOnce: true,
+  targetMs: 500,
+  pauseMs: 250,
+  excluded: new Set(),
+  sources: [],
+  trustsHome: false,
+  isSensitive: false,
+  reserved: new Set()
+}
+
+/**
+ * Requests that may not be repeated arrive for six seconds, evenly, at entries drawn by lot; one engine fails 0.47 of what it
+ * takes while its health is good. Gives the share of them that failed.
+ */
+function replay (isShared: boolean, seed: number): number {
+  const generator = xoroshiro128plus(seed)
+  const random = () => uniformFloat64(generator)
+  const entries: Entry[] = Array.from({ length: ENTRIES }, () => ({ engines: engines() }))
+  const learnt = Array.from({ length: ENGINES }, () => new OutcomeObserver())
+  const running: Array<{ endsAt: number, end: () => void }> = []
+  let failed = 0
+  let requests = 0
+  let toldAt = 0
+  for (let now = 0; now < 6000; now += 1000 / PER_S) {
+    for (const run of running.filter(({ endsAt }) => endsAt <= now)) {
+      run.end()
+      running.splice(running.indexOf(run), 1)
+    }
+    if (isShared && now - toldAt >= TOLD_MS) {
+      toldAt = now
+      for (const [index, outcomes] of learnt.entries()) {
+        for (const entry of entries) outcomes.learn(entry.engines[index]?.outcomes.takeSeen() ?? { good: 0, failed: 0 }, now)
+        for (const entry of entries) entry.engines[index]?.outcomes.adopt(outcomes.shareAt(now), now)
+      }
+    }
+    const entry = entries[Math.floor(random() * ENTRIES)]
+    // The order of alike engines is left to chance, as others' work leaves it.
+    const shuffled = [...entry?.engines ?? []].sort(() => random() - 0.5)
+    const endpoint = choose(DEMAND, shuffled, now)?.endpoint
+    if (endpoint === undefined) continue
+    requests += 1
+    const isFailure = endpoint.description.incarnation === `i-${FAILING}` && random() < FAILURE_SHARE
+    if (isFailure) failed += 1
+    const work = endpoint.begin({ prompt: [], unreadTokens: 0, urgency: 1, strain: 0, isSensitive: false, outputTokens: 10 }, now)
+    running.push({ endsAt: now + RUN_MS, end: () => endpoint.end(work, isFailure ? 'failed' : 'good', now + RUN_MS) })
+  }
+  return failed / requests
+}
+
+describe('an engine that fails a part of its requests while its health is good', () => {
+  it('is left by requests that may not be repeated once all entries have told what they saw', () => {
+    const seeds = [SEED, SEED + 1, SEED + 2]
+    console.log(`seeds ${seeds.join(', ')}`)
+    const alone = seeds.map((seed) => replay(false, seed))
+    const together = seeds.map((seed) => replay(true, seed))
+    console.log(`failed alone ${alone.map((share) => share.toFixed(4)).join(', ')}; together ${together.map((share) => share.toFixed(4)).join(', ')}`)
+    for (const [index, share] of together.entries()) expect(share).toBeLessThan(0.5 * (alone[index] ?? 0))
+  })
+
+  it('is tried again after a while without news', () => {
+    const outcomes = new OutcomeObserver()
+    outcomes.learn({ good: 10, failed: 10 }, 0)
+    expect(outcomes.excessAt(0)).toBeGreaterThan(0.1)
+    expect(outcomes.excessAt(20_000)).toBe(0)
+  })
+})
+
+describe('the share of failures of an endpoint', () => {
+  it('that fails few of its calls by chance costs nothing', () => {
+    const generator = xoroshiro128plus(SEED)
+    const outcomes = new OutcomeObserver()
+    let most = 0
+    for (let now = 0; now < 60_000; now += 50) {
+      const isFailure = uniformFloat64(generator) < 0.02
+      outcomes.learn({ good: isFailure ? 0 : 1, failed: isFailure ? 1 : 0 }, now)
+      most = Math.max(most, outcomes.excessAt(now))
+    }
+    expect(most).toBeLessThan(0.1)
+  })
+
+  it('is told once', () => {
+    const outcomes = new OutcomeObserver()
+    outcomes.note(true)
+    outcomes.note(false)
+    expect(outcomes.takeSeen()).toEqual({ good: 1, failed: 1 })
+    expect(outcomes.hasSeen).toBe(false)
+  })
+})
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -115,16 +115,25 @@
   withinMs: z.number().min(0)
 })
 
-/** What an entry saw of how an endpoint reads prompts. */
+/** What an entry saw of how an endpoint reads prompts, and of how its attempts ended there. */
 export const observationSchema = z.object({
   incarnation: z.string(),
   /** Pauses of streams there while it read, in ms. */
   pauses: z.array(z.number()),
-  reads: z.array(z.object({ tokens: count, aheadTokens: count, tookMs: z.number() }))
+  reads: z.array(z.object({ tokens: count, aheadTokens: count, tookMs: z.number() })),
+  /** Attempts that it answered well, and such that it took and failed; none where it is not said. */
+  good: count.optional(),
+  failed: count.optional()
 })
 
-/** What was learnt of how an endpoint reads prompts. */
-export const readingSchema = z.object({ incarnation: z.string(), tokensPerMs: z.number().positive(), pauseMs: z.number().positive() })
+/** What was learnt of how an endpoint reads prompts, and of how attempts end there. */
+export const readingSchema = z.object({
+  incarnation: z.string(),
+  tokensPerMs: z.number().positive(),
+  pauseMs: z.number().positive(),
+  /** The share of attempts that it took and failed lately, from 0 to 1; none where it is not said. */
+  failureShare: z.number().min(0).max(1).optional()
+})
 
 /** Requests of one organisation that began to run, with their first token where an engine runs them. */
 export const usageCountSchema = z.object({ organisation: z.string(), begun: count })
