feat(bench): a soak of the real programs under faults from outside

Change: `npm run soak` starts gateways and control processes behind loopback proxies that tell by /proc who has opened a connection, with stand-in engines, callers and an operator; signals, harmed links, wiped and full disks and misbehaving engines come in seeded series. Each check is caught failing by a mutation made on the way into a test build only.

Ruled out: a flag or define in the programs (a product build could carry it); one proxy for each pair of processes (gateways learn the addresses of control from control).

--- /dev/null
+++ b/bench/soak/src/build.ts
@@ -0,0 +1,52 @@
+/** Builds the programs that a run starts; with a mutation, the one source file that it names is changed on the way. */
+import { readFileSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+import { join } from 'node:path'
+import { build, type Plugin } from 'esbuild'
+import { GullwallError } from '@gullwall/core.error'
+import { type Mutation } from './mutations.ts'
+
+export interface BuiltPrograms { gateway: string, control: string }
+
+const ROOT = fileURLToPath(new URL('../../../', import.meta.url))
+const REQUIRE_SHIM = "import { createRequire as gullwallRequire } from 'node:module'; const require = gullwallRequire(import.meta.url);"
+const ENTRY_POINTS = { gateway: 'entry/gateway/src/main.ts', control: 'control/program/src/main.ts' }
+
+/** Builds both programs into a folder. @throws ERR_GULLWALL_SOAK if the text that a mutation changes is not there */
+export async function buildPrograms (folder: string, mutation?: Mutation): Promise<BuiltPrograms> {
+  const built: BuiltPrograms = { gateway: join(folder, 'gateway.mjs'), control: join(folder, 'control.mjs') }
+  for (const [name, entryPoint] of Object.entries(ENTRY_POINTS)) {
+    await build({
+      absWorkingDir: ROOT,
+      entryPoints: [entryPoint],
+      outfile: built[name as keyof BuiltPrograms],
+      bundle: true,
+      platform: 'node',
+      target: 'node20',
+      format: 'esm',
+      banner: { js: REQUIRE_SHIM },
+      plugins: mutation === undefined ? [] : [mutating(mutation)],
+      logLevel: 'silent'
+    })
+  }
+  return built
+}
+
+/** The mutated text of a source file. */
+export function mutate ({ name, file, find, replace }: Mutation): string {
+  const text = readFileSync(join(ROOT, file), 'utf8')
+  const places = text.split(find).length - 1
+  if (places !== 1) throw new GullwallError('ERR_GULLWALL_SOAK', `mutation ${name}: ${places} places in ${file}, not 1`, { step: 'mutate' })
+  return text.replace(find, () => replace)
+}
+
+function mutating (mutation: Mutation): Plugin {
+  return {
+    name: 'mutation',
+    setup (builder) {
+      builder.onLoad({ filter: /\.ts$/ }, ({ path }) => (
+        path === join(ROOT, mutation.file) ? { contents: mutate(mutation), loader: 'ts' } : undefined
+      ))
+    }
+  }
+}
--- /dev/null
+++ b/bench/soak/src/checks/engines.ts
@@ -0,0 +1,63 @@
+/** Checks of what reaches engines: nothing for those that leave or are evacuated, little for cold ones, none abroad. */
+import { COLD, KINDS, REGIONS } from '../documents.ts'
+import { type Journal, type Run } from '../journal.ts'
+import { type Check, type Violation } from './violation.ts'
+
+const SECOND_MS = 1000
+
+/** An engine that leaves gets nothing a few seconds after that was acknowledged. */
+export const leavingGetNothing: Check = ({ journal, bounds }) => {
+  const ackedAtOf = new Map(journal.leavings.map(({ incarnation, ackedAt }) => [incarnation, ackedAt]))
+  return journal.runs.flatMap((run) => {
+    const lateMs = run.at - (ackedAtOf.get(run.incarnation) ?? Infinity)
+    if (lateMs <= bounds.leavingMs || !journal.isInTouch(run.from, run.at)) return []
+    return [violation('leaves', run, `${Math.round(lateMs)} ms after it was acknowledged that it leaves`)]
+  })
+}
+
+/** Nothing reaches a data centre some seconds after its evacuation was acknowledged, whatever was disturbed meanwhile. */
+export const evacuatedGetNothing: Check = ({ journal, bounds }) => {
+  const spells = evacuationsOf(journal)
+  return journal.runs.flatMap((run) => {
+    const spell = spells.find(({ dataCentre, from, to }) => (
+      dataCentre === run.dataCentre && run.at > from + bounds.evacuationMs && run.at < to
+    ))
+    if (spell === undefined || !journal.isInTouch(run.from, run.at)) return []
+    return [violation('evacuation', run, `${Math.round(run.at - spell.from)} ms after the evacuation of ${run.dataCentre} was acknowledged`)]
+  })
+}
+
+function evacuationsOf ({ orders }: Journal): Array<{ dataCentre: string, from: number, to: number }> {
+  return orders.flatMap((order, index) => {
+    if (order.kind !== 'evacuate' || order.ackedAt === undefined) return []
+    const back = orders.slice(index).find(({ kind, text }) => kind === 'return' && text === order.text)
+    return [{ dataCentre: order.text, from: order.ackedAt, to: back?.sentAt ?? Infinity }]
+  })
+}
+
+/** A cold engine gets no more in any second than its service allows, over all gateways. */
+export const coldSpared: Check = ({ journal }) => {
+  const most = COLD.perSecond * COLD.overrun + COLD.slack
+  return journal.coldSpells.flatMap(({ incarnation, from, to }) => {
+    const runs = journal.runs.filter((run) => run.incarnation === incarnation && run.service === 'model' && run.at >= from && run.at < to)
+    return runs.flatMap((run, index) => {
+      const within = runs.slice(index).filter(({ at }) => at < run.at + SECOND_MS).length
+      return within > most ? [violation('cold', run, `${within} requests within a second, ${most} allowed`)] : []
+    })
+  })
+}
+
+/** A request with regions of its own is seen by no engine of another one. */
+export const stayHome: Check = ({ journal }) => {
+  const kinds = new Map(journal.attempts.map(({ id, kind }) => [id, kind]))
+  const allowed = new Map(KINDS.map(({ name, allowedRegions }) => [name, allowedRegions]))
+  return journal.runs.flatMap((run) => {
+    const regions = allowed.get(kinds.get(run.id) ?? '')
+    const region = REGIONS[run.dataCentre as keyof typeof REGIONS]
+    return regions === undefined || regions.includes(region) ? [] : [violation('region', run, `in the region ${region}`)]
+  })
+}
+
+function violation (check: string, { id, at, engine, from }: Run, what: string): Violation {
+  return { check, at, subject: id, what: `at ${engine} from ${from}: ${what}` }
+}
--- /dev/null
+++ b/bench/soak/src/checks/index.ts
@@ -0,0 +1,27 @@
+/** All checks of a run. */
+import { noIntrusion, refusalsTrue, runsAtMost, unchanged, urgencyByTier, wholeAnswers } from './answers.ts'
+import { acknowledgements, inForce, keysDropped, noReturn, nothingLost, readBack } from './configuration.ts'
+import { coldSpared, evacuatedGetNothing, leavingGetNothing, stayHome } from './engines.ts'
+import { endsAsAsked, nothingStarves, recovers, stopsCutNothing } from './service.ts'
+import { type Check, type CheckInput, type Violation } from './violation.ts'
+
+export * from './violation.ts'
+export { RECOVER_MS } from './service.ts'
+
+/** What the programs promise only with parts that they may lack. */
+export interface Features { cold: boolean, regions: boolean }
+
+export function checksFor ({ cold, regions }: Features): Check[] {
+  return [
+    wholeAnswers, runsAtMost, refusalsTrue, unchanged, noIntrusion, urgencyByTier,
+    inForce, keysDropped, noReturn, readBack, acknowledgements, nothingLost,
+    leavingGetNothing, evacuatedGetNothing,
+    stopsCutNothing, endsAsAsked, nothingStarves, recovers,
+    ...cold ? [coldSpared] : [],
+    ...regions ? [stayHome] : []
+  ]
+}
+
+export function runChecks (checks: readonly Check[], input: CheckInput): Violation[] {
+  return checks.flatMap((check) => check(input))
+}
--- /dev/null
+++ b/bench/soak/src/checks/service.ts
@@ -0,0 +1,86 @@
+/** Checks of the service as a whole: planned stops cut nothing, no process ends by itself, nothing starves, all recovers. */
+import { KINDS } from '../documents.ts'
+import { type Attempt, CONTACT_MS, type Journal } from '../journal.ts'
+import { GRACE_MS } from '../site.ts'
+import { type Check } from './violation.ts'
+
+/** What a planned stop may take beyond its grace time, on a machine that does other work, in ms. */
+const STOP_SLACK_MS = 1500
+const WINDOW_MS = 5000
+/** Fewer requests of a kind than this in a window tell nothing. */
+const MIN_REQUESTS = 20
+const SERVED_SHARE = 0.5
+const RECOVERED_SHARE = 0.9
+/** After the last fault so much time is left until all must be well, in ms. */
+export const RECOVER_MS = 10_000
+
+/** A request that was passed on gets its whole answer while its gateway stops as planned. */
+export const stopsCutNothing: Check = ({ journal }) => {
+  const stops = journal.disturbances.filter(({ what }) => what === 'SIGTERM')
+  return journal.attempts.flatMap((attempt) => {
+    const { gateway, sentAt, endedAt } = attempt
+    if (attempt.failure !== 'closed' || endedAt === undefined) return []
+    const isPlanned = stops.some(({ who, from, to }) => who === gateway && from <= endedAt && to >= sentAt)
+    const runs = journal.runsOf(attempt.id)
+    if (!isPlanned || runs.length === 0 || runs.some(({ isBrokenOff }) => isBrokenOff === true)) return []
+    const engines = runs.map(({ engine }) => engine)
+    if (hasOtherTrouble(journal, [gateway, 'core', ...engines], sentAt, endedAt)) return []
+    return [{ check: 'planned-stop', at: sentAt, subject: attempt.id, what: `${attempt.kind} was cut off by the planned stop of ${gateway}` }]
+  })
+}
+
+function hasOtherTrouble (journal: Journal, who: readonly string[], from: number, to: number): boolean {
+  return journal.disturbances.some((disturbance) => (
+    disturbance.what !== 'SIGTERM' && (disturbance.who === 'all' || who.includes(disturbance.who)) &&
+    disturbance.from <= to && disturbance.to >= from - CONTACT_MS
+  ))
+}
+
+/** No process ends unless it was asked to, and one that was asked ends well and in time. */
+export const endsAsAsked: Check = ({ journal }) => journal.ends.flatMap(({ who, at, asked, askedAt, code }) => {
+  if (asked === 'SIGKILL') return []
+  const tookMs = Math.round(at - askedAt)
+  const isWell = asked === 'SIGTERM' && code === 0 && tookMs <= GRACE_MS + STOP_SLACK_MS
+  if (isWell) return []
+  const what = asked === undefined ? `ended by itself with code ${code}` : `ended with code ${code}, ${tookMs} ms after SIGTERM`
+  return [{ check: 'ends', at, subject: `${who} ${Math.round(at)}`, what: `${who} ${what}` }]
+})
+
+/** While nothing is disturbed, every kind of request is served. */
+export const nothingStarves: Check = ({ journal }) => {
+  const windows = Math.floor((journal.now - WINDOW_MS) / WINDOW_MS)
+  return Array.from({ length: Math.max(0, windows) }, (_, index) => index * WINDOW_MS).flatMap((from) => {
+    if (!isQuiet(journal, from, from + WINDOW_MS)) return []
+    return kindsBelow(journal, from, from + WINDOW_MS, SERVED_SHARE).map((what) => (
+      { check: 'starve', at: from, subject: `${what.split(':')[0] ?? ''} from ${from}`, what }
+    ))
+  })
+}
+
+function isQuiet ({ disturbances }: Journal, from: number, to: number): boolean {
+  return !disturbances.some((disturbance) => disturbance.from <= to + WINDOW_MS && disturbance.to >= from - CONTACT_MS)
+}
+
+/** Some seconds after the last fault nearly everything is served. */
+export const recovers: Check = ({ journal, healedAt, isOver }) => {
+  if (!isOver || healedAt === undefined) return []
+  return kindsBelow(journal, healedAt + RECOVER_MS, Infinity, RECOVERED_SHARE).map((what) => (
+    { check: 'recover', at: healedAt, subject: what.split(':')[0] ?? '', what }
+  ))
+}
+
+function kindsBelow (journal: Journal, from: number, to: number, share: number): string[] {
+  return KINDS.flatMap(({ name }) => {
+    const asked = journal.attempts.filter(({ kind, sentAt, endedAt, failure }) => (
+      kind === name && sentAt >= from && sentAt < to && endedAt !== undefined && failure !== 'left'
+    ))
+    const served = asked.filter(isServed).length
+    if (asked.length < MIN_REQUESTS || served >= share * asked.length) return []
+    const statuses = [...new Set(asked.filter((attempt) => !isServed(attempt)).map(({ status, failure }) => status ?? failure))]
+    return [`${name}: ${served} of ${asked.length} served; others ${statuses.join(', ')}`]
+  })
+}
+
+function isServed ({ status, isWhole }: Attempt): boolean {
+  return status === 200 && isWhole === true
+}
--- /dev/null
+++ b/bench/soak/src/engine.ts
@@ -0,0 +1,205 @@
+/** A stand-in engine: answers with what its caller can check, and notes what has reached it. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { type AddressInfo } from 'node:net'
+import { answerBody, eventCount, eventOf, sentBody } from './answers.ts'
+import { type Journal, type Run } from './journal.ts'
+import { type Random } from './random.ts'
+
+export type Behaviour =
+  | 'well' | 'silent' | 'slow'
+  /** Ends some answers in the middle. */
+  | 'cutting'
+  /** Turns requests away without running them. */
+  | 'refusing'
+  /** Runs requests and fails. */
+  | 'failing'
+
+export interface EnginePlan {
+  name: string
+  service: string
+  dataCentre: string
+  /** The address that others know. */
+  address: string
+}
+
+interface EngineOptions extends EnginePlan {
+  journal: Journal
+  random: Random
+  sourceAt: (port: number) => string
+}
+
+const SLOTS = 8
+const WORK_MS = { from: 10, to: 60 }
+const EVENT_MS = 15
+const SLOW_FACTOR = 10
+const CUT_SHARE = 0.4
+const UNFRAMED_SHARE = 0.1
+const SECOND_WHOLE_FRAME = 2
+/** Headers that a gateway sets, as engines see them. */
+const OWN_HEADERS = ['x-gullwall-incarnation', 'x-gullwall-organisation', 'x-gullwall-urgency', 'x-gullwall-prefix-source', 'x-gullwall-wait-ms']
+/** What callers put into headers that they have no business to set. */
+export const SMUGGLED = '7331'
+
+let serial = 0
+
+export class Engine {
+  behaviour: Behaviour = 'well'
+  incarnation = ''
+  state: 'ready' | 'draining' | 'gone' = 'ready'
+  sequence = 0
+  coldUntil = 0
+  target = ''
+  private server: Server | undefined
+  private running = new Set<ServerResponse>()
+  private starts = 0
+
+  constructor (readonly options: EngineOptions) {}
+
+  /** Starts anew under a new incarnation. */
+  async start (coldMs = 0): Promise<void> {
+    const { name, journal } = this.options
+    this.starts += 1
+    this.incarnation = `${name}-${this.starts}`
+    this.state = 'ready'
+    this.behaviour = 'well'
+    this.sequence = 0
+    this.running = new Set()
+    this.coldUntil = journal.now + coldMs
+    if (coldMs > 0) journal.coldSpells.push({ incarnation: this.incarnation, from: journal.now, to: this.coldUntil })
+    const server = createServer({ keepAliveTimeout: 0 }, (request, response) => this.receive(request, response))
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    this.server = server
+    this.target = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+
+  /** Ends at once. */
+  stop (): void {
+    this.server?.close()
+    this.server?.closeAllConnections()
+    this.server = undefined
+  }
+
+  private receive (request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = []
+    request.on('data', (chunk: Buffer) => chunks.push(chunk))
+    request.on('end', () => { this.take(request, response, Buffer.concat(chunks).toString()) })
+  }
+
+  private take (request: IncomingMessage, response: ServerResponse, body: string): void {
+    const id = headerOf(request, 'x-gullwall-request-id')
+    if (headerOf(request, 'x-gullwall-incarnation') !== this.incarnation) {
+      response.writeHead(421, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
+      return
+    }
+    if (this.behaviour === 'refusing' || this.running.size >= SLOTS) {
+      response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
+      return
+    }
+    const run = this.runOf(request, id, body)
+    this.options.journal.noteRun(run)
+    const { running } = this
+    running.add(response)
+    response.once('close', () => running.delete(response))
+    if (this.behaviour === 'silent') return
+    const isStream = /^\/(draft|scan)\//.test(run.path)
+    const isCut = this.behaviour === 'cutting' && this.options.random.chance(CUT_SHARE)
+    if (isStream) this.stream(run, response, isCut)
+    else this.answer(run, response, isCut)
+  }
+
+  private runOf (request: IncomingMessage, id: string, body: string): Run {
+    const { journal, name, dataCentre, service, sourceAt } = this.options
+    serial += 1
+    const path = request.url ?? ''
+    return {
+      id,
+      serial,
+      at: journal.now,
+      engine: name,
+      incarnation: this.incarnation,
+      dataCentre,
+      service,
+      from: sourceAt(request.socket.remotePort ?? 0),
+      path,
+      isAsSent: path.endsWith(`/${id}`) && body === sentBody(id),
+      urgency: Number(headerOf(request, 'x-gullwall-urgency')),
+      organisation: headerOf(request, 'x-gullwall-organisation'),
+      lastEventId: Number(headerOf(request, 'last-event-id')),
+      smuggled: smuggledIn(request)
+    }
+  }
+
+  private answer (run: Run, response: ServerResponse, isCut: boolean): void {
+    const { random } = this.options
+    const body = answerBody(run.id, run.serial)
+    const headers: Record<string, string | number> = { 'x-gullwall-request-id': run.id }
+    const isFramed = !random.chance(UNFRAMED_SHARE)
+    if (isFramed) headers['content-length'] = body.length
+    else unframe(response)
+    this.after(random.between(WORK_MS.from, WORK_MS.to), response, () => {
+      response.writeHead(this.behaviour === 'failing' ? 500 : 200, headers)
+      if (isCut) {
+        response.write(body.slice(0, body.length / SECOND_WHOLE_FRAME))
+        this.breakOff(run, response)
+        return
+      }
+      response.end(body, () => { run.wroteAllAt = this.options.journal.now })
+    })
+  }
+
+  private stream (run: Run, response: ServerResponse, isCut: boolean): void {
+    const total = eventCount(run.id)
+    const cutAfter = isCut ? Math.ceil(total / SECOND_WHOLE_FRAME) : Infinity
+    const begin = (): void => {
+      response.writeHead(this.behaviour === 'failing' ? 500 : 200, { 'x-gullwall-request-id': run.id, 'content-type': 'text/event-stream' })
+    }
+    const finish = (): void => { response.end(() => { run.wroteAllAt = this.options.journal.now }) }
+    if (run.lastEventId >= total) {
+      begin()
+      finish()
+      return
+    }
+    const next = (number: number): void => this.after(EVENT_MS, response, () => {
+      if (number === run.lastEventId + 1) begin()
+      if (number > cutAfter) {
+        response.write(eventOf(run.id, number).slice(0, -4))
+        this.breakOff(run, response)
+        return
+      }
+      response.write(eventOf(run.id, number))
+      if (number < total) next(number + 1)
+      else finish()
+    })
+    next(run.lastEventId + 1)
+  }
+
+  /** Half of the broken answers end with a reset, the others with a close. */
+  private breakOff (run: Run, response: ServerResponse): void {
+    run.isBrokenOff = true
+    setImmediate(() => {
+      if (this.options.random.chance(0.5)) response.socket?.resetAndDestroy()
+      else response.destroy()
+    })
+  }
+
+  private after (ms: number, response: ServerResponse, then: () => void): void {
+    const factor = this.behaviour === 'slow' ? SLOW_FACTOR : 1
+    setTimeout(() => { if (!response.destroyed && this.behaviour !== 'silent') then() }, ms * factor)
+  }
+}
+
+/** Has an answer end with its connection, without a length. */
+function unframe (response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false
+  response.shouldKeepAlive = false
+}
+
+function headerOf (request: IncomingMessage, name: string): string {
+  return String(request.headers[name] ?? '')
+}
+
+function smuggledIn (request: IncomingMessage): string[] {
+  return Object.entries(request.headers)
+    .filter(([name, value]) => OWN_HEADERS.includes(name.replaceAll('_', '-')) && String(value).includes(SMUGGLED))
+    .map(([name]) => name)
+}
--- /dev/null
+++ b/bench/soak/src/faults.ts
@@ -0,0 +1,241 @@
+/** The kinds of faults. Each comes from outside: signals to process ids, harmed links, lost disks, engines that misbehave. */
+import { readdirSync, rmSync, statSync } from 'node:fs'
+import { join } from 'node:path'
+import { type Callers } from './callers.ts'
+import { REGIONS } from './documents.ts'
+import { type Behaviour, type Engine } from './engine.ts'
+import { tellGone, tellLeaving } from './heartbeats.ts'
+import { CORE } from './journal.ts'
+import { type Harm } from './network.ts'
+import { type Operator } from './operator.ts'
+import { type Program } from './program.ts'
+import { GRACE_MS, OPERATOR_TOKEN, type Site } from './site.ts'
+import { ask, pause } from './waiting.ts'
+
+export interface World { site: Site, callers: Callers, operator: Operator }
+
+/** One fault of a plan; what it hits is drawn beforehand, so that a seed gives the same series again. */
+export interface PlannedFault {
+  atMs: number
+  kind: FaultKind
+  /** Names of gateways, control processes, engines and data centres, one of each drawn. */
+  gateway: string
+  control: string
+  engine: string
+  dataCentre: string
+  durationMs: number
+}
+
+type Act = (world: World, fault: PlannedFault) => Promise<void>
+
+const DELAY_MS = 150
+const BURST = 3
+const LINGER_MS = 6000
+const COLD_MS = 3000
+const VOTERS = 3
+/** A process that lacks so many entries of the log has not caught up. */
+const MAX_BEHIND = 3
+
+export const FAULTS = {
+  'stop gateway': async ({ site }, { gateway, durationMs }) => await downAndUp(site, [gateway], 'SIGTERM', durationMs / 2),
+  'kill gateway': async ({ site }, { gateway, durationMs }) => await downAndUp(site, [gateway], 'SIGKILL', durationMs / 2),
+  'stop all gateways': async ({ site }) => await downAndUp(site, [...site.gateways.keys()], 'SIGTERM', 0),
+  'kill everything': async ({ site }) => await downAndUp(site, [...site.gateways.keys(), ...site.controls.keys()], 'SIGKILL', 0),
+  'stop control': async ({ site }, { control, durationMs }) => await downAndUp(site, [control], 'SIGTERM', durationMs),
+  'kill control': async ({ site }, { control, durationMs }) => await downAndUp(site, [control], 'SIGKILL', durationMs),
+  'wipe control': wipe,
+  'fill disk': fillDisk,
+  'freeze gateway': async ({ site }, { gateway, durationMs }) => await freeze(site, gateway, durationMs),
+  'freeze control': async ({ site }, { control, durationMs }) => await freeze(site, control, durationMs),
+  'hang up gateway': async ({ site }, { gateway }) => { site.gateways.get(gateway)?.signal('SIGHUP') },
+  'hang up control': async ({ site }, { control }) => { site.controls.get(control)?.signal('SIGHUP') },
+  'cut gateway off': async ({ site }, { gateway, durationMs }) => await harm(site, [gateway], {
+    from: (name) => name === gateway, to: (name) => site.controls.has(name), holdsThere: true, holdsBack: true
+  }, durationMs),
+  'cut control off': async ({ site }, { control, durationMs }) => await harm(site, [control], {
+    from: (name) => name === control, to: () => true, holdsThere: true, holdsBack: true
+  }, durationMs),
+  'cut control one way': async ({ site }, { control, durationMs }) => await harm(site, [control], {
+    from: () => true, to: (name) => name === control, holdsThere: true
+  }, durationMs),
+  'silence control': async ({ site }, { control, durationMs }) => await harm(site, [control], {
+    from: () => true, to: (name) => name === control, holdsBack: true
+  }, durationMs),
+  'cut regions': cutRegions,
+  'slow links': async ({ site }, { gateway, control, durationMs }) => await harm(site, [gateway, control], {
+    from: (name) => name === gateway || name === control, to: () => true, delayMs: DELAY_MS
+  }, durationMs),
+  'reset links': async ({ site }, { gateway, control }) => {
+    const ends = [gateway, control].map((name) => site.journal.disturb(site.partOf(name), 'reset'))
+    site.network.reset(({ from, to }) => from === gateway || from === control || to === control)
+    for (const end of ends) end()
+  },
+  'engine crashes': crash,
+  'engine leaves': leave,
+  'engine silent': async (world, fault) => await misbehave(world, fault, 'silent'),
+  'engine slow': async (world, fault) => await misbehave(world, fault, 'slow'),
+  'engine cuts answers': async (world, fault) => await misbehave(world, fault, 'cutting'),
+  'engine refuses': async (world, fault) => await misbehave(world, fault, 'refusing'),
+  'engine fails': async (world, fault) => await misbehave(world, fault, 'failing'),
+  'engine forgets connections': async ({ site }, { engine }) => {
+    const end = site.journal.disturb(engine, 'forgot connections')
+    site.network.forgetIdle(engine)
+    end()
+  },
+  evacuation: evacuate,
+  burst: async ({ callers }, { durationMs }) => {
+    callers.load *= BURST
+    await pause(durationMs)
+    callers.load /= BURST
+  }
+} satisfies Record<string, Act>
+
+export type FaultKind = keyof typeof FAULTS
+
+export async function inject (world: World, fault: PlannedFault): Promise<void> {
+  const act: Act = FAULTS[fault.kind]
+  await act(world, fault)
+}
+
+/** Ends programs and starts them again; those that somebody else works on are left alone. */
+async function downAndUp (site: Site, names: readonly string[], signal: 'SIGTERM' | 'SIGKILL', downMs: number): Promise<void> {
+  await Promise.all(claim(site, names).map(async (program) => {
+    const end = site.journal.disturb(site.partOf(program.name), signal)
+    await program.end(signal)
+    await site.network.close(program.name)
+    await pause(downMs)
+    await upAgain(site, program)
+    end()
+  }))
+}
+
+function claim (site: Site, names: readonly string[]): Program[] {
+  const programs = site.programs().filter(({ name, isBusy }) => names.includes(name) && !isBusy)
+  for (const program of programs) program.isBusy = true
+  return programs
+}
+
+async function upAgain (site: Site, program: Program): Promise<void> {
+  await site.network.reopen(program.name)
+  site.run(program)
+  program.isBusy = false
+}
+
+/** Only while all others have their disks: the programs bear the loss of one at once. */
+async function wipe ({ site }: World, { control, durationMs }: PlannedFault): Promise<void> {
+  if (!await isFullyReplicated(site)) return
+  for (const program of claim(site, [control])) {
+    const end = site.journal.disturb(CORE, 'wiped')
+    await program.end('SIGKILL')
+    await site.network.close(control)
+    rmSync(site.dataFolder(control), { recursive: true })
+    await pause(durationMs)
+    await upAgain(site, program)
+    end()
+  }
+}
+
+interface Status { quorum: { role: string, voters: string[], commitIndex: number } }
+
+/** Whether every control process runs and a leader counts all as voters. */
+async function isFullyReplicated (site: Site): Promise<boolean> {
+  const replies = await Promise.all([...site.controls.keys()].map(async (name) => (
+    await ask({ address: site.controlAddress(name), method: 'GET', path: '/v1/status', token: OPERATOR_TOKEN })
+  )))
+  const statuses = replies.flatMap((reply) => reply?.status === 200 ? [JSON.parse(reply.body) as Status] : [])
+  const leader = statuses.find(({ quorum }) => quorum.role === 'leader')?.quorum
+  if (statuses.length < site.controls.size || leader === undefined) return false
+  return leader.voters.length >= VOTERS && statuses.every(({ quorum }) => quorum.commitIndex >= leader.commitIndex - MAX_BEHIND)
+}
+
+/** No file of the process grows any more, as on a full disk. */
+async function fillDisk ({ site }: World, { control, durationMs }: PlannedFault): Promise<void> {
+  const program = site.controls.get(control)
+  if (program === undefined || program.isBusy) return
+  const folder = site.dataFolder(control)
+  const sizes = readdirSync(folder).map((name) => statSync(join(folder, name)).size)
+  const end = site.journal.disturb(CORE, 'full disk')
+  await program.limitFiles(Math.max(0, ...sizes))
+  await pause(durationMs)
+  await program.limitFiles(undefined)
+  end()
+}
+
+async function freeze (site: Site, name: string, durationMs: number): Promise<void> {
+  for (const program of claim(site, [name])) {
+    const end = site.journal.disturb(site.partOf(name), 'frozen')
+    program.signal('SIGSTOP')
+    await pause(durationMs)
+    program.signal('SIGCONT')
+    end()
+    program.isBusy = false
+  }
+}
+
+async function harm (site: Site, names: readonly string[], what: Harm, durationMs: number): Promise<void> {
+  const ends = names.map((name) => site.journal.disturb(site.partOf(name), 'links harmed'))
+  const heal = site.network.harm(what)
+  await pause(durationMs)
+  heal()
+  for (const end of ends) end()
+}
+
+async function cutRegions ({ site }: World, { durationMs }: PlannedFault): Promise<void> {
+  const regionOf = (name: string) => (REGIONS as Record<string, string>)[site.dataCentreOf(name)]
+  const cut = ['north', 'south'].map((region) => site.network.harm({
+    from: (name) => regionOf(name) === region, to: (name) => regionOf(name) !== region, holdsThere: true, holdsBack: true
+  }))
+  const ends = [...site.gateways.keys(), CORE].map((who) => site.journal.disturb(who, 'regions cut'))
+  await pause(durationMs)
+  for (const heal of cut) heal()
+  for (const end of ends) end()
+}
+
+/** An engine dies without a word; another incarnation comes at its address. */
+async function crash ({ site }: World, { engine: name, durationMs }: PlannedFault): Promise<void> {
+  const engine = site.engineNamed(name)
+  if (engine === undefined || engine.state !== 'ready') return
+  const end = site.journal.disturb(name, 'crashed')
+  engine.state = 'gone'
+  await site.network.close(name)
+  engine.stop()
+  await pause(durationMs)
+  await comeBack(site, engine)
+  end()
+}
+
+/** An engine says that it leaves, goes on with what it has, and ends. */
+async function leave ({ site }: World, { engine: name }: PlannedFault): Promise<void> {
+  const engine = site.engineNamed(name)
+  if (engine === undefined || engine.state !== 'ready') return
+  const end = site.journal.disturb(name, 'leaves')
+  await tellLeaving(site, engine)
+  await pause(LINGER_MS)
+  await tellGone(site, engine)
+  await site.network.close(name)
+  engine.stop()
+  await comeBack(site, engine)
+  end()
+}
+
+async function comeBack (site: Site, engine: Engine): Promise<void> {
+  await engine.start(COLD_MS)
+  await site.network.reopen(engine.options.name, engine.target)
+}
+
+async function misbehave ({ site }: World, { engine: name, durationMs }: PlannedFault, behaviour: Behaviour): Promise<void> {
+  const engine = site.engineNamed(name)
+  if (engine === undefined) return
+  const { incarnation } = engine
+  const end = site.journal.disturb(name, behaviour)
+  engine.behaviour = behaviour
+  await pause(durationMs)
+  if (engine.incarnation === incarnation) engine.behaviour = 'well'
+  end()
+}
+
+async function evacuate ({ operator }: World, { dataCentre, durationMs }: PlannedFault): Promise<void> {
+  if (!await operator.evacuate(dataCentre, 'evacuate')) return
+  await pause(GRACE_MS + durationMs)
+  await operator.evacuate(dataCentre, 'return')
+}
--- /dev/null
+++ b/bench/soak/src/journal.ts
@@ -0,0 +1,129 @@
+/** What callers, engines and the operator have seen, for the checks. Times are in ms since the start of the run. */
+
+/** One request of a caller. */
+export interface Attempt {
+  id: string
+  kind: string
+  path: string
+  key: string
+  gateway: string
+  /** Which start of the gateway's process. */
+  life: number
+  sentAt: number
+  endedAt?: number
+  status?: number
+  headers?: Record<string, string | string[] | undefined>
+  body?: string
+  /** Whether the answer came to its end as the protocol has it. */
+  isWhole?: boolean
+  /** Why there is no answer. */
+  failure?: 'refused' | 'closed' | 'left'
+}
+
+/** One request that reached an engine and was not turned away. */
+export interface Run {
+  id: string
+  serial: number
+  at: number
+  engine: string
+  incarnation: string
+  dataCentre: string
+  service: string
+  /** The gateway that sent it, by its connection. */
+  from: string
+  path: string
+  isAsSent: boolean
+  urgency: number
+  organisation: string
+  lastEventId: number
+  /** Headers that only a gateway may set and whose value came from outside. */
+  smuggled: string[]
+  /** When the engine had written the whole answer. */
+  wroteAllAt?: number
+  /** Whether the engine itself ended it early. */
+  isBrokenOff?: boolean
+}
+
+/** A change that the operator asked for. */
+export interface Order {
+  kind: 'document' | 'evacuate' | 'return'
+  version: number
+  /** The text of a document, or a data centre. */
+  text: string
+  isValid: boolean
+  sentAt: number
+  ackedAt?: number
+  refusedWith?: number
+}
+
+/** A document that was read back. */
+export interface Reading { at: number, version: number, text: string, from: string }
+
+/** An engine said that it leaves, and that was acknowledged. */
+export interface Leaving { incarnation: string, ackedAt: number }
+
+/** A time in which a process, its machine or its links were not left alone. */
+export interface Disturbance { who: string, what: string, from: number, to: number }
+
+/** The end of a process: asked for by a signal, or by itself. */
+export interface ProcessEnd { who: string, at: number, asked: 'SIGTERM' | 'SIGKILL' | undefined, askedAt: number, code: number | null }
+
+/** A time in which an engine was cold. */
+export interface ColdSpell { incarnation: string, from: number, to: number }
+
+/** All processes of control together: what disturbs one of them disturbs all that depend on them. */
+export const CORE = 'core'
+/** Every process, for a disturbance of the whole machine. */
+export const ALL = 'all'
+/** So long after a disturbance a process counts as out of touch, in ms: it has to link and to hear again. */
+export const CONTACT_MS = 4000
+
+export class Journal {
+  readonly attempts: Attempt[] = []
+  readonly runs: Run[] = []
+  readonly orders: Order[] = []
+  readonly readings: Reading[] = []
+  readonly leavings: Leaving[] = []
+  readonly disturbances: Disturbance[] = []
+  readonly ends: ProcessEnd[] = []
+  readonly coldSpells: ColdSpell[] = []
+  /** Answers of control to callers without its token. */
+  readonly intrusions: Array<{ at: number, path: string, status: number }> = []
+  private readonly runsById = new Map<string, Run[]>()
+  private readonly startedAt = performance.now()
+
+  get now (): number {
+    return performance.now() - this.startedAt
+  }
+
+  noteRun (run: Run): void {
+    this.runs.push(run)
+    const known = this.runsById.get(run.id)
+    if (known === undefined) this.runsById.set(run.id, [run])
+    else known.push(run)
+  }
+
+  runsOf (id: string): readonly Run[] {
+    return this.runsById.get(id) ?? []
+  }
+
+  /** Notes the begin of a disturbance; the result ends it. */
+  disturb (who: string, what: string): () => void {
+    const disturbance: Disturbance = { who, what, from: this.now, to: Infinity }
+    this.disturbances.push(disturbance)
+    return () => { disturbance.to = Math.min(disturbance.to, this.now) }
+  }
+
+  /** Whether nothing has disturbed any of these from a while before a time on until another. */
+  isCalm (who: readonly string[], from: number, to = from): boolean {
+    return !this.disturbances.some((disturbance) => (
+      (disturbance.who === ALL || who.includes(disturbance.who)) &&
+      disturbance.from <= to && disturbance.to >= from - CONTACT_MS
+    ))
+  }
+
+  /** Whether a gateway could hear of everything at a time. */
+  isInTouch (gateway: string, from: number, to = from): boolean {
+    return this.isCalm([gateway, CORE], from, to)
+  }
+}
--- /dev/null
+++ b/bench/soak/src/mutations.ts
@@ -0,0 +1,155 @@
+/**
+ * Deliberate faults of the programs, each of which one check must catch. They are made in the sources on their way into a
+ * test build (`build.ts`), so that no product build can carry one; a mutation whose text is gone fails the build.
+ */
+import { type FaultKind } from './faults.ts'
+
+export interface Mutation {
+  name: string
+  /** The check that must catch it. */
+  check: string
+  file: string
+  find: string
+  replace: string
+  /** Faults that bring it about; none where the usual requests do. */
+  faults: FaultKind[]
+}
+
+const GATEWAY = 'entry/gateway/src'
+const CALM: FaultKind = 'hang up gateway'
+
+export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: 'broken-taken-for-whole',
+    check: 'whole',
+    file: `${GATEWAY}/answer-receiver.ts`,
+    find: "if (end.type === 'broken' || head === undefined)",
+    replace: 'if (head === undefined)',
+    faults: ['engine cuts answers']
+  },
+  {
+    name: 'answer-of-another',
+    check: 'whole',
+    file: `${GATEWAY}/answer-receiver.ts`,
+    find: 'answer.whole(head.status, head.headers, Buffer.concat(this.chunks))',
+    replace: `const before = (globalThis as any).lastAnswer ?? head.headers
+      ;(globalThis as any).lastAnswer = head.headers
+      answer.whole(head.status, Math.random() < 0.05 ? before : head.headers, Buffer.concat(this.chunks))`,
+    faults: [CALM]
+  },
+  {
+    name: 'all-repeatable',
+    check: 'once',
+    file: `${GATEWAY}/call.ts`,
+    find: "return route.kind === 'repeatable' || (route.kind === 'stream' && route.isResumable)",
+    replace: 'return route !== undefined',
+    faults: ['engine cuts answers', 'engine crashes']
+  },
+  {
+    name: 'refused-after-run',
+    check: 'not-run',
+    file: `${GATEWAY}/forward.ts`,
+    find: "this.end({ status, code, message: why, ran: this.answer.hasBegun ? 'partly' : 'unknown' }, 'fail')",
+    replace: "this.end({ status: 503, code, message: why, ran: 'no' }, 'fail')",
+    faults: ['engine cuts answers', 'engine crashes']
+  },
+  {
+    name: 'callers-order-engines',
+    check: 'outside',
+    file: `${GATEWAY}/native-dialect.ts`,
+    find: "dropped: new Set([WAIT, ORGANISATION, URGENCY, INCARNATION, LAST_EVENT, PREFIX_SOURCE, 'authorization'])",
+    replace: "dropped: new Set([WAIT, ORGANISATION, INCARNATION, LAST_EVENT, 'authorization'])",
+    faults: [CALM]
+  },
+  {
+    name: 'no-token-needed',
+    check: 'outside',
+    file: 'control/program/src/operator-api.ts',
+    find: 'if (timingSafeEqual(hash(given), hash(token)))',
+    replace: "if (timingSafeEqual(hash(given), hash(token)) || context.path === '/v1/leases/nobody')",
+    faults: [CALM]
+  },
+  {
+    name: 'urgency-upside-down',
+    check: 'tier',
+    file: 'routing/balancer/src/urgency.ts',
+    find: 'return LEVELS * tier + level',
+    replace: 'return LEVELS * (2 - tier) + level',
+    faults: [CALM]
+  },
+  {
+    name: 'document-not-taken',
+    check: 'config',
+    file: `${GATEWAY}/deployment-view.ts`,
+    find: 'if (this.table !== undefined && stored.version <= this.table.version) return',
+    replace: 'if (this.table !== undefined) return',
+    faults: [CALM]
+  },
+  {
+    name: 'document-reverts',
+    check: 'config',
+    file: `${GATEWAY}/deployment-view.ts`,
+    find: 'const before = this.table?.version',
+    replace: `const before = this.table?.version
+        const old = this.table
+        setTimeout(() => { if (old !== undefined) this.table = old }, 600)`,
+    faults: [CALM]
+  },
+  {
+    name: 'key-stays',
+    check: 'config',
+    file: 'config/document/src/route-table.ts',
+    find: 'return this.organisations.get(key)',
+    replace: "return this.organisations.get(key) ?? (key.startsWith('key-of-the-guest') ? this.document.organisations[1] : undefined)",
+    faults: [CALM]
+  },
+  {
+    name: 'acknowledged-before-accepted',
+    check: 'config',
+    file: 'control/program/src/documents.ts',
+    find: 'return Right(await this.services.proposer.document(',
+    replace: `if (version > 10 && version % 2 === 0) return Right({ taken: true, version })
+    return Right(await this.services.proposer.document(`,
+    faults: [CALM]
+  },
+  {
+    name: 'leaving-ones-used',
+    check: 'leaves',
+    file: 'control/registry/src/lease-table.ts',
+    find: "return lease?.state === 'ready' &&",
+    replace: "return lease !== undefined && lease.state !== 'gone' &&",
+    faults: ['engine leaves']
+  },
+  {
+    name: 'stop-cuts-off',
+    check: 'planned-stop',
+    file: `${GATEWAY}/ingress.ts`,
+    find: 'await this.until(() => this.inFlight === 0, endsAt)',
+    replace: '',
+    faults: ['stop gateway']
+  },
+  {
+    name: 'ends-on-hang-up',
+    check: 'ends',
+    file: 'core/kernel/src/program.ts',
+    find: "process.on('SIGHUP', () => {})",
+    replace: '',
+    faults: ['hang up gateway', 'hang up control']
+  },
+  {
+    name: 'low-tier-starves',
+    check: 'starve',
+    file: `${GATEWAY}/attempt-policy.ts`,
+    find: 'const isBound = history.mayHaveRun',
+    replace: "if (tier === 2) return { type: 'refuse', why: 'starved', afterMs: 0 }\n  const isBound = history.mayHaveRun",
+    faults: [CALM]
+  },
+  {
+    name: 'no-later-elections',
+    check: 'recover',
+    file: 'control/quorum/src/election.ts',
+    find: 'if (!prevote || node.isStopped) return',
+    replace: 'if (!prevote || node.isStopped || node.vote.term > 2) return',
+    faults: ['kill everything', 'kill control']
+  }
+]
--- /dev/null
+++ b/bench/soak/src/pipe.ts
@@ -0,0 +1,62 @@
+/** One direction of a connection through a proxy: passes bytes, an end or a reset on, late or not at all. */
+import { type Socket } from 'node:net'
+
+interface Piece { due: number, content: Buffer | 'end' | 'reset' }
+
+export interface PipeState {
+  isHeld: boolean
+  delayMs: number
+}
+
+export class Pipe {
+  /** When a byte last came, by the monotonic clock. */
+  usedAt = performance.now()
+  /** What comes is thrown away. */
+  isLost = false
+  private state: PipeState = { isHeld: false, delayMs: 0 }
+  private readonly pieces: Piece[] = []
+  private timer: NodeJS.Timeout | undefined
+
+  constructor (source: Socket, private readonly target: Socket) {
+    source.on('data', (chunk: Buffer) => {
+      this.usedAt = performance.now()
+      this.take(chunk)
+    })
+    source.on('end', () => this.take('end'))
+    source.on('error', () => {})
+    source.on('close', (hadError) => { if (hadError || !source.readableEnded) this.take('reset') })
+  }
+
+  set (state: PipeState): void {
+    this.state = state
+    this.pump()
+  }
+
+  private take (content: Piece['content']): void {
+    if (this.isLost) return
+    this.pieces.push({ due: performance.now() + this.state.delayMs, content })
+    this.pump()
+  }
+
+  private pump (): void {
+    clearTimeout(this.timer)
+    const now = performance.now()
+    while (!this.state.isHeld) {
+      const [next] = this.pieces
+      if (next === undefined) return
+      if (next.due > now + 1) {
+        this.timer = setTimeout(() => this.pump(), next.due - now)
+        return
+      }
+      this.pieces.shift()
+      this.pass(next.content)
+    }
+  }
+
+  private pass (content: Piece['content']): void {
+    if (this.target.destroyed) return
+    if (content === 'reset') this.target.resetAndDestroy()
+    else if (content === 'end') this.target.end()
+    else this.target.write(content)
+  }
+}
--- /dev/null
+++ b/bench/soak/src/soak.ts
@@ -0,0 +1,189 @@
+/** One run: starts a deployment, injects the faults of a plan, checks while it goes on, and gives a verdict. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { messageOf } from '@gullwall/core.error'
+import { buildPrograms } from './build.ts'
+import { Callers } from './callers.ts'
+import { type Bounds, BOUNDS, checksFor, RECOVER_MS, runChecks, type Violation } from './checks/index.ts'
+import { REGIONS } from './documents.ts'
+import { type FaultKind, inject, type PlannedFault, type World } from './faults.ts'
+import { type Mutation } from './mutations.ts'
+import { Operator } from './operator.ts'
+import { planFaults } from './plan.ts'
+import { Random } from './random.ts'
+import { Site } from './site.ts'
+import { until } from './waiting.ts'
+
+export interface SoakOptions {
+  seed: number
+  /** How long faults are injected, in ms. */
+  durationMs: number
+  /** Gateways and control processes together. */
+  processes: number
+  /** Kinds of faults to draw from; all where none are given. */
+  kinds?: readonly FaultKind[]
+  mutation?: Mutation
+  /** Multiplies the times that the rules allow, for a machine that does other work. */
+  slack?: number
+  /** Whether to wait after the last fault until all should be well again, and to check that; so by default. */
+  waitsForRecovery?: boolean
+  /** Ends with the first broken rule of this check. */
+  stopAt?: string
+  tell?: (line: string) => void
+}
+
+export interface Verdict {
+  violations: Violation[]
+  plan: PlannedFault[]
+  attempts: number
+  served: number
+  runs: number
+  orders: number
+  /** Where logs and disks are kept if a rule was broken. */
+  folder: string
+}
+
+/** Whether the programs hold the rules for cold engines and for regions. */
+const FEATURES = { cold: false, regions: false }
+const CHECK_MS = 4000
+const MIN_CONTROLS = 3
+const MANY_PROCESSES = 9
+const MANY_CONTROLS = 5
+/** What is served after all has healed is counted for so long, in ms. */
+const LAST_MS = 5000
+const READ_MS = 15_000
+const SECOND_MS = 1000
+
+/** @throws ERR_GULLWALL_SOAK if the deployment does not come up at all */
+export async function soak (options: SoakOptions): Promise<Verdict> {
+  const controls = options.processes >= MANY_PROCESSES ? MANY_CONTROLS : MIN_CONTROLS
+  const site = new Site({ random: new Random(options.seed + 1), controls, gateways: Math.max(2, options.processes - controls) })
+  const run = new SoakRun(site, options)
+  try {
+    await site.start(await buildPrograms(site.folder, options.mutation))
+    return await run.play()
+  } finally {
+    await site.stop()
+    if (run.violations.length === 0) site.removeFolder()
+  }
+}
+
+class SoakRun {
+  readonly violations: Violation[] = []
+  private readonly broken = new Set<string>()
+  private readonly callers: Callers
+  private readonly operator: Operator
+  private readonly acting: Promise<void>[] = []
+
+  constructor (private readonly site: Site, private readonly options: SoakOptions) {
+    this.callers = new Callers(site)
+    this.operator = new Operator(site, (versions) => { this.callers.versions = versions })
+  }
+
+  async play (): Promise<Verdict> {
+    const { site, operator, callers, options } = this
+    await until('the first document', READ_MS, async () => (await operator.change()).ackedAt !== undefined)
+    await site.settled()
+    const plan = this.plan()
+    operator.start()
+    callers.start()
+    await this.injectAll(plan)
+    const healedAt = options.waitsForRecovery === false ? undefined : site.journal.now
+    if (healedAt !== undefined) await this.checkUntil(healedAt + RECOVER_MS + LAST_MS)
+    await operator.stop()
+    await callers.stop()
+    await this.readAtLast()
+    this.check(true, healedAt)
+    this.tell(`seed ${options.seed}: ${this.violations.length} broken`)
+    return this.verdict(plan)
+  }
+
+  private plan (): PlannedFault[] {
+    const { site, options } = this
+    return planFaults({
+      random: new Random(options.seed),
+      durationMs: options.durationMs,
+      gateways: [...site.gateways.keys()],
+      controls: [...site.controls.keys()],
+      engines: site.engines.map(({ options: { name } }) => name),
+      dataCentres: Object.keys(REGIONS),
+      kinds: options.kinds
+    })
+  }
+
+  /** Injects each fault at its time, and waits until the last one has ended. */
+  private async injectAll (plan: readonly PlannedFault[]): Promise<void> {
+    const { journal } = this.site
+    const startedAt = journal.now
+    for (const fault of plan) {
+      await this.checkUntil(startedAt + fault.atMs)
+      if (this.isDecided) break
+      this.tell(`${seconds(journal.now)} ${fault.kind} (${fault.gateway}, ${fault.control}, ${fault.engine}, ${seconds(fault.durationMs)})`)
+      const world: World = { site: this.site, callers: this.callers, operator: this.operator }
+      this.acting.push(inject(world, fault))
+    }
+    if (!this.isDecided) await this.checkUntil(startedAt + this.options.durationMs)
+    await Promise.all(this.acting)
+  }
+
+  private get isDecided (): boolean {
+    return this.options.stopAt !== undefined && this.violations.some(({ check }) => check === this.options.stopAt)
+  }
+
+  /** Checks from time to time until a time of the run. */
+  private async checkUntil (at: number): Promise<void> {
+    const { journal } = this.site
+    while (journal.now < at && !this.isDecided) {
+      await sleep(Math.min(CHECK_MS, Math.max(0, at - journal.now)))
+      if (at - journal.now > CHECK_MS) this.check(false)
+    }
+  }
+
+  private check (isOver: boolean, healedAt?: number): void {
+    const { journal } = this.site
+    const slack = this.options.slack ?? 1
+    const bounds = Object.fromEntries(Object.entries(BOUNDS).map(([name, ms]) => [name, ms * slack])) as unknown as Bounds
+    for (const violation of runChecks(checksFor(FEATURES), { journal, bounds, isOver, healedAt })) {
+      const id = `${violation.check} ${violation.subject}`
+      if (this.broken.has(id)) continue
+      this.broken.add(id)
+      this.violations.push(violation)
+      this.tell(`BROKEN ${violation.check} at ${seconds(violation.at)}: ${violation.subject}: ${violation.what}`)
+    }
+  }
+
+  /** Reads the document back until somebody is sure of it. */
+  private async readAtLast (): Promise<void> {
+    const { operator, site } = this
+    const ask = async () => {
+      for (const control of site.controls.keys()) {
+        if (await operator.read(control) !== undefined) return true
+      }
+      return false
+    }
+    await until('the document to be read back', READ_MS, ask).catch((error) => {
+      this.violations.push({ check: 'recover', at: site.journal.now, subject: 'reading', what: messageOf(error) })
+    })
+  }
+
+  private verdict (plan: PlannedFault[]): Verdict {
+    const { attempts, runs, orders } = this.site.journal
+    const served = attempts.filter(({ status, isWhole }) => status === 200 && isWhole === true).length
+    return {
+      violations: this.violations,
+      plan,
+      attempts: attempts.length,
+      served,
+      runs: runs.length,
+      orders: orders.length,
+      folder: this.site.folder
+    }
+  }
+
+  private tell (line: string): void {
+    this.options.tell?.(line)
+  }
+}
+
+function seconds (ms: number): string {
+  return `${(ms / SECOND_MS).toFixed(1)} s`
+}
