fix(control): a founding ends although a founder has lost its disk before it

Cause: only the first founder by address could found, and only with all disks; one that had lost its disk before the founding could do neither, so that nobody ever did.

Change: the first of those that have kept their disks founds, with these, once every founder has said that it holds nothing and most of them have kept their disks: nothing can have been acknowledged without one of these. Founders are asked in the order of addresses, so that those that go before were seen without their disks first. Each founder has a term of its own, so that what a dead one had sent off can't pass for the same entry.

Ruled out: to let any blank process found (a lost majority could then be replaced).

With two of three disks lost nothing is founded.

--- a/control/program/test/joining.test.ts
+++ b/control/program/test/joining.test.ts
@@ -76,6 +76,26 @@
     expect(await read([...running.values()][4] as Control)).toBe(3)
   })
 
+  it('become one quorum although the first seed, or another one, has lost its disk before it was founded', async () => {
+    for (const lost of [0, 1]) {
+      const addresses = (await freeAddresses(5)).sort()
+      const seeds = addresses.slice(0, 3)
+      for (const [index, address] of addresses.entries()) await start({ address, seeds, founds: index < 3 && index !== lost })
+      await until('five voters everywhere', () => [...running.values()].every((control) => voters(control) === 5), 10_000)
+      await put(1)
+      for (const control of running.values()) await until('the same version', async () => await read(control) === 1)
+      await stopAll()
+    }
+  })
+
+  it('found nothing while most of the seeds have lost their disks: what was acknowledged may lie on those that are away', async () => {
+    const addresses = (await freeAddresses(3)).sort()
+    for (const [index, address] of addresses.entries()) await start({ address, seeds: addresses, founds: index === 2 })
+    const FOUNDING_MS = 1500
+    await new Promise((resolve) => setTimeout(resolve, FOUNDING_MS))
+    expect([...running.values()].map(voters)).toEqual([0, 0, 0])
+  })
+
   it('link to each other, all of them, so that any of them knows the leader and hears what entries tell any other', async () => {
     await five()
     await until('all links', () => [...running.values()].every((control) => control.get('peers').links().length === 4))
