fix(entry): what is learnt of routes is forgotten with them

Cause: a gateway kept the usual length of prompts, and the number of sensitive streams, by name for every route and service that it had ever had, some 100 bytes each.

Change: a document that comes into force has the names that it lacks forgotten.

Figures: with the call left out, entry/gateway/test 'is forgotten once the document has no such route' fails (two names more); with it, none is kept.

--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -110,6 +110,7 @@
       Right: (document) => {
         const before = this.table?.version
         this.table = new RouteTable({ ...document, version: stored.version })
+        this.reserved.keepOnly({ routes: namesOf(document.routes), services: namesOf(document.services) })
         this.documentAt = performance.now()
         const why = `document version ${stored.version}, before ${before ?? 'none'}, ${document.routes.length} routes`
         logger.info({ channel: 'configuration', event: 'applied', revision: store.revision, why })
@@ -146,3 +147,7 @@
     for (const waiter of [...this.waiters]) waiter()
   }
 }
+
+function namesOf (items: ReadonlyArray<{ name: string }>): Set<string> {
+  return new Set(items.map(({ name }) => name))
+}
--- a/entry/gateway/test/gateway.test.ts
+++ b/entry/gateway/test/gateway.test.ts
@@ -248,6 +248,16 @@
   })
 })
 
+describe('what a gateway has learnt of a route', () => {
+  it('is forgotten once the document has no such route', async () => {
+    const { reserved } = deployment.gateway.get('view')
+    const before = reserved.knownRoutes
+    for (const route of ['dropped-1', 'dropped-2']) reserved.noteRequest({ route }, 100)
+    await deployment.configure(2)
+    expect(reserved.knownRoutes).toBe(before)
+  })
+})
+
 describe('a planned stop', () => {
   it('finishes what is in flight and closes kept connections by asking', async () => {
     let release: (() => void) | undefined
--- a/routing/balancer/src/reserved-engines.ts
+++ b/routing/balancer/src/reserved-engines.ts
@@ -31,6 +31,12 @@
   pauseMs: number | undefined
 }
 
+/** What a document has, by name. */
+export interface DocumentNames {
+  routes: ReadonlySet<string>
+  services: ReadonlySet<string>
+}
+
 export class ReservedEngines {
   /** The prompt tokens that requests of a route usually bring besides the shared parts. */
   private readonly ownTokens = new Map<string, number>()
@@ -46,6 +52,23 @@
     this.ownTokens.set(route, known + OWN_TOKENS_WEIGHT * (ownTokens - known))
   }
 
+  /** Of how many routes something is kept. */
+  get knownRoutes (): number {
+    return this.ownTokens.size
+  }
+
+  /** Forgets the routes and services that a document no longer has, so that what is kept is bounded by the document in force. */
+  keepOnly (names: DocumentNames): void {
+    for (const route of this.ownTokens.keys()) {
+      if (!names.routes.has(route)) this.ownTokens.delete(route)
+    }
+    for (const known of [this.byService, this.sensitive, this.pauses]) {
+      for (const service of known.keys()) {
+        if (!names.services.has(service)) known.delete(service)
+      }
+    }
+  }
+
   /** Whether requests of a route are sensitive to reading and read little themselves. */
   isSensitive ({ route, pauseMs }: StreamKind, service: string): boolean {
     const readingPauseMs = this.pauses.get(service)
--- a/routing/balancer/test/reserved-engines.test.ts
+++ b/routing/balancer/test/reserved-engines.test.ts
@@ -72,6 +72,15 @@
     expect(reserved.isSensitive({ route: 'unknown', pauseMs: 300 }, SERVICE)).toBe(false)
   })
 
+  it('keep nothing of routes and services that the document has dropped', () => {
+    const reserved = reservedWith(engines(10))
+    reserved.keepOnly({ routes: new Set(['short']), services: new Set([SERVICE]) })
+    expect(reserved.knownRoutes).toBe(1)
+    expect(reserved.isSensitive(SHORT, SERVICE)).toBe(true)
+    reserved.keepOnly({ routes: new Set(['short']), services: new Set() })
+    expect(reserved.isSensitive(SHORT, SERVICE)).toBe(false)
+  })
+
   it('take sensitive streams, also where others read nothing, and other prompts only when the rest are far behind', () => {
     const all = engines(4)
     const reserved = new Set(all.slice(0, 1))
