test(control): an old term's entry committed by count is caught by a directed sequence

Cause: 6,000 random sequences did not show that mutation of the quorum, so that it stood as unproved.

Change: a sequence brings it about: two entries longer than an append at an old leader only, a leader of a later term with its first entry on its own disk only, the old one leading again and spreading its entries one by one, and the one in between coming back.

Ruled out: a sequence with short entries, since the new leader's own entry goes in the same append.

--- a/control/quorum/test/cluster.ts
+++ b/control/quorum/test/cluster.ts
@@ -75,12 +75,12 @@
     return leaders.sort((left, right) => right.vote.term - left.vote.term)[0]
   }
 
-  /** Proposes to whoever says it leads; notes the command if it is acknowledged. */
-  propose (name: string): void {
+  /** Proposes to whoever says it leads; notes the command if it is acknowledged. A long one goes in an append of its own. */
+  propose (name: string, characters = 0): void {
     const { node, isUp } = this.get(name)
     if (!isUp) return
     this.proposed += 1
-    const command = `command ${this.proposed}`
+    const command = `command ${this.proposed}`.padEnd(characters, '.')
     node.propose(command).then(() => this.acknowledged.push(command), () => {})
   }
 
