--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -32,6 +32,8 @@
 const BURST = 3
 const LINGER_MS = 6000
 const COLD_MS = 3000
+/** A data centre that stays evacuated would spoil the rest of a run. */
+const RETURN_TRIES = 4
 const VOTERS = 3
 /** A process that lacks so many entries of the log has not caught up. */
 const MAX_BEHIND = 3
@@ -237,5 +239,5 @@
 async function evacuate ({ operator }: World, { dataCentre, durationMs }: PlannedFault): Promise<void> {
   if (!await operator.evacuate(dataCentre, 'evacuate')) return
   await pause(GRACE_MS + durationMs)
-  await operator.evacuate(dataCentre, 'return')
+  for (let tries = 0; tries < RETURN_TRIES && !operator.isTakenBack(dataCentre); tries++) await operator.evacuate(dataCentre, 'return')
 }
--- a/bench/soak/src/operator.ts
+++ b/bench/soak/src/operator.ts
@@ -63,6 +63,12 @@
     return order.refusedWith !== 404
   }
 
+  /** Whether it was acknowledged that a data centre takes work again. */
+  isTakenBack (dataCentre: string): boolean {
+    const last = this.site.journal.orders.filter(({ kind, text }) => kind !== 'document' && text === dataCentre).at(-1)
+    return last?.kind === 'return' && last.ackedAt !== undefined
+  }
+
   /** Reads the document back at one control process; undefined where it can't be sure or does not answer. */
   async read (control: string): Promise<Reading | undefined> {
     const { journal } = this.site
