--- a/bench/soak/src/network.ts
+++ b/bench/soak/src/network.ts
@@ -1,6 +1,6 @@
 /** The links between processes: each address that a process tells others is that of a proxy, where links can be harmed. */
 import { connect, createServer, type Server, type Socket } from 'node:net'
-import { sourceOf } from './connection-source.ts'
+import { ConnectionSources } from './connection-source.ts'
 import { Pipe } from './pipe.ts'
 
 /** What is done to the links from some processes to others. */
@@ -24,6 +24,7 @@
 export class Network {
   /** The processes by name; connections of any other are taken to come from outside. */
   readonly pids = new Map<string, number>()
+  private readonly openers = new ConnectionSources(this.pids)
   private readonly harms = new Set<Harm>()
   private readonly connections = new Set<ProxiedConnection>()
   private readonly sources = new Map<number, string>()
@@ -97,7 +98,7 @@
   private async accept (to: string, near: Socket, proxy: Proxy): Promise<void> {
     near.on('error', () => {})
     near.pause()
-    const from = await sourceOf({ from: near.remotePort ?? 0, to: near.localPort ?? 0 }, this.pids) ?? OUTSIDE
+    const from = await this.openers.of({ from: near.remotePort ?? 0, to: near.localPort ?? 0 }) ?? OUTSIDE
     if (near.destroyed) return
     const [host = '', port = ''] = proxy.target.split(':')
     const far = connect({ host, port: Number(port), allowHalfOpen: true, noDelay: true })
