--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -160,6 +160,7 @@
       Right: (document) => {
         const before = this.table?.version
         this.table = new RouteTable({ ...document, version: stored.version })
+        this.reserved.keepOnly({ routes: namesOf(document.routes), services: namesOf(document.services) })
         this.documentAt = performance.now()
         this.noteMemory()
         const why = `document version ${stored.version}, before ${before ?? 'none'}, ${document.routes.length} routes`
@@ -216,3 +217,7 @@
     for (const waiter of [...this.waiters]) waiter()
   }
 }
+
+function namesOf (items: ReadonlyArray<{ name: string }>): Set<string> {
+  return new Set(items.map(({ name }) => name))
+}
--- a/entry/gateway/src/region-crossings.ts
+++ b/entry/gateway/src/region-crossings.ts
@@ -16,6 +16,9 @@
   metrics: Pick<GatewayMetrics, 'leavingRequests' | 'leavingBytes'>
 }
 
+/** Of so many routes a mean is kept; the one that was met first gives way: names come and go with documents. */
+const MAX_ROUTES = 5000
+
 export class RegionCrossings {
   readonly regions: Regions
   readonly link: RegionLink
@@ -73,6 +76,8 @@
   private noteAnswer (route: string, bytes: number): void {
     const known = this.answerBytes.get(route) ?? bytes
     this.answerBytes.set(route, known + ANSWER_WEIGHT * (bytes - known))
+    const [oldest] = this.answerBytes.keys()
+    if (this.answerBytes.size > MAX_ROUTES && oldest !== undefined) this.answerBytes.delete(oldest)
   }
 }
 
--- a/routing/balancer/src/output-estimate.ts
+++ b/routing/balancer/src/output-estimate.ts
@@ -9,6 +9,9 @@
 /** How far an estimate is drawn to the usual, on a logarithmic scale. */
 const USUAL_SHARE = 0.5
 
+/** Of so many routes something is kept; the one that was met first gives way: names come and go with documents. */
+const MAX_ROUTES = 5000
+
 /** What a caller says of the length of its answer. */
 export interface OutputWord {
   /** The tokens it expects. */
@@ -26,6 +29,8 @@
     if (hint === undefined || hint <= 0) return
     const known = this.usual.get(route) ?? Math.log(hint)
     this.usual.set(route, known + USUAL_WEIGHT * (Math.log(hint) - known))
+    const [oldest] = this.usual.keys()
+    if (this.usual.size > MAX_ROUTES && oldest !== undefined) this.usual.delete(oldest)
   }
 
   /** The tokens to expect; none where nothing is known. */
--- a/routing/balancer/src/reserved-engines.ts
+++ b/routing/balancer/src/reserved-engines.ts
@@ -61,6 +61,12 @@
   engines: ReadonlySet<EndpointState>
 }
 
+/** What a document has, by name. */
+export interface DocumentNames {
+  routes: ReadonlySet<string>
+  services: ReadonlySet<string>
+}
+
 export class ReservedEngines {
   /** The prompt tokens that requests of a route usually bring besides the shared parts. */
   private readonly ownTokens = new Map<string, number>()
@@ -78,6 +84,26 @@
     this.ownTokens.set(route, known + OWN_TOKENS_WEIGHT * (ownTokens - known))
   }
 
+  /** Of how many routes something is kept. */
+  get knownRoutes (): number {
+    return this.ownTokens.size
+  }
+
+  /** Forgets the routes and services that a document no longer has, so that what is kept is bounded by the document in force. */
+  keepOnly (names: DocumentNames): void {
+    for (const route of this.ownTokens.keys()) {
+      if (!names.routes.has(route)) this.ownTokens.delete(route)
+    }
+    for (const known of [this.byService, this.firsts, this.pauses]) {
+      for (const service of known.keys()) {
+        if (!names.services.has(service)) known.delete(service)
+      }
+    }
+    for (const key of this.sensitive.keys()) {
+      if (!names.services.has(key.slice(key.indexOf('/') + 1))) this.sensitive.delete(key)
+    }
+  }
+
   /** Whether requests of a route are sensitive to reading and read little themselves. */
   isSensitive ({ route, pauseMs }: StreamKind, service: string): boolean {
     const readingPauseMs = this.pauses.get(service)
@@ -119,7 +145,7 @@
       return
     }
     const { size, census: { meanSlots, meanPauseMs, sensitive } } = pool
-    const count = this.countFor(service, { size, meanSlots, sensitive })
+    const count = this.countFor(`/${service}`, { size, meanSlots, sensitive })
     if (count === undefined) {
       this.byService.delete(service)
       return
