--- a/bench/soak/src/main.ts
+++ b/bench/soak/src/main.ts
@@ -36,14 +36,19 @@
       kinds: kinds.length > 0 ? kinds as FaultKind[] : undefined,
       tell: (line) => console.log(line)
     })
-    const { violations, plan, attempts, served, outcomes, runs, orders, folder } = verdict
+    const { violations, plan, attempts, served, outcomes, done, runs, orders, folder } = verdict
     console.log(`${plan.length} faults, ${attempts} requests, ${served} served, ${runs} runs, ${orders} orders, ${violations.length} broken`)
-    console.log(`how requests ended: ${Object.entries(outcomes).map(([outcome, count]) => `${outcome} ${count}`).join(', ')}`)
+    console.log(`how requests ended: ${told(outcomes)}`)
+    console.log(`what was done: ${told(done)}`)
     if (violations.length > 0) console.log(`logs and disks: ${folder}`)
     process.exitCode = violations.length > 0 ? 1 : 0
   }
 })
 
+function told (counts: Record<string, number>): string {
+  return Object.entries(counts).map(([name, count]) => `${name} ${count}`).join(', ')
+}
+
 await run(program, process.argv.slice(2))
 // Connections that a fault left half open would keep this process for minutes; all others have ended by now.
 process.exit()
--- a/bench/soak/src/soak.ts
+++ b/bench/soak/src/soak.ts
@@ -6,7 +6,6 @@
 import { type Bounds, BOUNDS, checksFor, RECOVER_MS, runChecks, type Violation } from './checks/index.ts'
 import { REGIONS } from './documents.ts'
 import { type FaultKind, inject, type PlannedFault, type World } from './faults.ts'
-import { type Attempt } from './journal.ts'
 import { type Mutation } from './mutations.ts'
 import { Operator } from './operator.ts'
 import { planFaults } from './plan.ts'
@@ -39,6 +38,8 @@
   served: number
   /** How the attempts ended: by status, or why there was no answer. */
   outcomes: Record<string, number>
+  /** What was really done; a fault is left out where its process is being started, or a disk may not be lost yet. */
+  done: Record<string, number>
   runs: number
   orders: number
   /** Where logs and disks are kept if a rule was broken. */
@@ -175,14 +176,15 @@
   }
 
   private verdict (plan: PlannedFault[]): Verdict {
-    const { attempts, runs, orders } = this.site.journal
+    const { attempts, runs, orders, disturbances } = this.site.journal
     const served = attempts.filter(({ status, isWhole }) => status === 200 && isWhole === true).length
     return {
       violations: this.violations,
       plan,
       attempts: attempts.length,
       served,
-      outcomes: outcomesOf(attempts),
+      outcomes: countOf(attempts.map(({ status, failure }) => String(failure ?? status))),
+      done: countOf(disturbances.map(({ what }) => what.replace(/ for \d+ ms/, ''))),
       runs: runs.length,
       orders: orders.length,
       folder: this.site.folder
@@ -194,13 +196,10 @@
   }
 }
 
-function outcomesOf (attempts: readonly Attempt[]): Record<string, number> {
-  const outcomes: Record<string, number> = {}
-  for (const { status, failure } of attempts) {
-    const outcome = String(failure ?? status)
-    outcomes[outcome] = (outcomes[outcome] ?? 0) + 1
-  }
-  return outcomes
+function countOf (names: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {}
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1
+  return counts
 }
 
 function seconds (ms: number): string {
