--- a/bench/soak/src/soak.ts
+++ b/bench/soak/src/soak.ts
@@ -47,7 +47,7 @@
 }
 
 /** Whether the programs hold the rules for cold engines and for regions. */
-const FEATURES = { cold: false, regions: false }
+const FEATURES = { cold: true, regions: true }
 const CHECK_MS = 4000
 const MIN_CONTROLS = 3
 const MANY_PROCESSES = 9
