feat(gateway): lines of attempts that an endpoint broke off tell which request it is

The lines could not tell whether engines end under one request that comes again under new ids, or under many: nothing in them stays the same from one arrival to the next. The fingerprint (caller, method, path and body, 128 bits) does, in every process. It is taken only where an attempt breaks off. No decision uses it. Ruled out: the body's length or the route alone, which many requests share.

--- a/bench/experiment/src/choice.ts
+++ b/bench/experiment/src/choice.ts
@@ -181,7 +181,8 @@
       tier: 1,
       arrivedAt,
       deadline: arrivedAt + ROUTE.timeoutMs,
-      documentVersion: 1
+      documentVersion: 1,
+      fingerprint: () => ''
     }
   }
 }
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -63,6 +63,8 @@
   tookMs?: number
   firstEventMs?: number
   longestPauseMs?: number
+  /** Of a request that may have crashed an endpoint: the same for the same caller, path and body, whatever the id. */
+  fingerprint?: string
   why: string
 }
 
--- a/entry/gateway/src/call.ts
+++ b/entry/gateway/src/call.ts
@@ -1,6 +1,7 @@
 /** One request of a caller, resolved against the routing document. */
 import { type IncomingMessage } from 'node:http'
 import { type OrganisationDescription, type Route, type RouteTable } from '@gullwall/config.document'
+import { fingerprintOf } from '@gullwall/routing.quarantine'
 import { regionLimitsOf, type RegionLimits } from './allowed-regions.ts'
 import { type CallDialect, type CallHead } from './dialect.ts'
 
@@ -20,6 +21,8 @@
   /** When the caller or the route gives up, by the monotonic clock. */
   deadline: number
   documentVersion: number
+  /** Knows the same request again when it comes under another id; taken from the body when it is first asked for. */
+  fingerprint: () => string
 }
 
 /** Why a request is refused before it is routed. */
@@ -47,9 +50,10 @@
   if (table.hasOrganisations && !route.isPublic && organisation === undefined) {
     return { status: 401, code: 'ERR_GULLWALL_KEY', message: 'the key is missing or not known' }
   }
+  const method = request.method ?? 'GET'
   return {
     ...head,
-    method: request.method ?? 'GET',
+    method,
     path,
     rawHeaders: request.rawHeaders,
     body,
@@ -59,7 +63,8 @@
     tier: organisation?.tier ?? route.tier,
     arrivedAt,
     deadline: arrivedAt + Math.min(head.waitMs ?? Infinity, route.timeoutMs),
-    documentVersion: table.version
+    documentVersion: table.version,
+    fingerprint: once(() => fingerprintOf({ organisation: organisation?.name, method, path, body }))
   }
 }
 
@@ -68,6 +73,15 @@
   return route.kind === 'repeatable' || (route.kind === 'stream' && route.isResumable)
 }
 
+/** Does the work with the first call only. */
+function once<Value> (make: () => Value): () => Value {
+  let made: { value: Value } | undefined
+  return () => {
+    made ??= { value: make() }
+    return made.value
+  }
+}
+
 function pathOnly (path: string): string {
   const query = path.indexOf('?')
   return query < 0 ? path : path.slice(0, query)
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -148,6 +148,7 @@
     endpoint.end(work, verdict, performance.now())
     if (verdict === 'unreachable' || verdict === 'ended') services.workExchange.noteUnreachable()
     services.view.wake()
+    if (end.type === 'broken') this.recorder.brokenOff()
     return end
   }
 
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -14,6 +14,7 @@
   private longestPauseMs = 0
   /** The endpoint of the latest attempt. */
   private latest: Candidate | undefined
+  private fingerprint: string | undefined
 
   constructor (private readonly services: GatewayServices, private readonly call: Call, private readonly history: AttemptHistory) {}
 
@@ -42,6 +43,11 @@
     this.latestEventAt = now
   }
 
+  /** Notes that the endpoint broke off the latest attempt; from now on lines tell which request it is. */
+  brokenOff (): void {
+    this.fingerprint = this.call.fingerprint()
+  }
+
   /** Notes what was decided between two attempts. */
   decided (decision: 'retry' | 'resume' | 'stop', why: string): void {
     this.services.logger.info({ ...this.record(decision), why })
@@ -105,7 +111,8 @@
       documentVersion: call.documentVersion,
       documentAgeMs: services.view.documentAgeMs,
       elapsedMs: Math.round(this.elapsedMs),
-      ...(latest === undefined ? {} : this.factsOf(latest))
+      ...(latest === undefined ? {} : this.factsOf(latest)),
+      fingerprint: this.fingerprint
     }
   }
 
--- a/entry/gateway/test/allowed-regions.fuzz.test.ts
+++ b/entry/gateway/test/allowed-regions.fuzz.test.ts
@@ -94,7 +94,8 @@
     tier,
     arrivedAt: 0,
     deadline: Infinity,
-    documentVersion: document.version
+    documentVersion: document.version,
+    fingerprint: () => ''
   }
 }
 
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -46,7 +46,8 @@
     tier,
     arrivedAt: 0,
     deadline: 6000,
-    documentVersion: 1
+    documentVersion: 1,
+    fingerprint: () => ''
   }
   const budget = new RetryBudget({ ratio: 0, windowMs: 10_000, slack, entries: () => 1 })
   return { call, history: new AttemptHistory(call), budget, patienceMs: TARGET_MS }
--- /dev/null
+++ b/routing/quarantine/src/index.ts
@@ -0,0 +1,2 @@
+/** Which requests crash the endpoints that run them. */
+export * from './fingerprint.ts'
