--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   test: {
-    include: ['*/*/test/**/*.test.ts'],
+    include: ['*/*/test/**/*.test.ts', 'tools/test/**/*.test.mjs'],
     testTimeout: 30_000,
     pool: 'forks'
   }
