test(gateway): a request that ends each engine that runs it is sent no more after three (known red)

Two gateways before six engines whose process ends when it runs one body and is back 250 ms later: 16 arrivals of the request under new ids end 32 engines, two each. Other bodies of the same caller on the same path are served, which passes already and must go on to.

--- /dev/null
+++ b/entry/gateway/test/crashing-engines.ts
@@ -0,0 +1,95 @@
+/** Engines whose process ends when it begins to run a certain body, and starts again at the same address. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { type IncomingMessage, type ServerResponse } from 'node:http'
+import { answerWell, StandIn, type GatewayDeployment } from './stand-in.ts'
+
+/** After a crash the process is back after so long, in ms. */
+export const BACK_AFTER_MS = 250
+
+export interface CrashingOptions {
+  /** Whether a request with this body ends the process that runs it. */
+  crashes: (body: string) => boolean
+  /** How long a request runs before it is answered, or ends its engine, in ms. */
+  runsForMs?: number
+}
+
+export class CrashingEngines {
+  /** The bodies that each process that has ended was running then. */
+  readonly crashes: string[][] = []
+  /** The bodies that were run, with their time. */
+  readonly runs: Array<{ body: string, at: number }> = []
+  private readonly places: Array<{ standIn: StandIn, running: string[] }> = []
+  private starts = 0
+  private isOver = false
+
+  constructor (private readonly deployment: GatewayDeployment, private readonly options: CrashingOptions) {}
+
+  async start (count: number): Promise<void> {
+    for (let place = 0; place < count; place += 1) await this.startAt(place)
+  }
+
+  /** Ends all processes for good. */
+  stop (): void {
+    this.isOver = true
+    for (const { standIn } of this.places) standIn.stop()
+  }
+
+  /** How many processes are up. */
+  get up (): number {
+    return this.places.filter(({ standIn }) => standIn.isUp).length
+  }
+
+  /** Ends the process at a place as a crash does, whatever it runs. */
+  crash (place: number): void {
+    const { standIn, running } = this.places[place] ?? this.missing(place)
+    if (!standIn.isUp) return
+    this.crashes.push([...running])
+    standIn.stop()
+    void this.backLater(place)
+  }
+
+  private async backLater (place: number): Promise<void> {
+    await sleep(BACK_AFTER_MS)
+    if (!this.isOver) await this.startAt(place)
+  }
+
+  private async startAt (place: number): Promise<void> {
+    this.starts += 1
+    const running: string[] = []
+    const standIn = new StandIn(`i-${place}-${this.starts}`, 'app', (request, response, body) => {
+      void this.run({ place, running, request, response, body })
+    })
+    const port = Number(this.places[place]?.standIn.address.split(':')[1] ?? 0)
+    await standIn.start(port)
+    this.places[place] = { standIn, running }
+    const { incarnation, service, address, dataCentre } = standIn
+    await this.deployment.control.get('registrar').hear({
+      incarnation, service, address, dataCentre, slots: 4, state: 'ready', sequence: 1, ageMs: 0
+    })
+  }
+
+  private async run ({ place, running, request, response, body }: Run): Promise<void> {
+    const { crashes, runsForMs = 20 } = this.options
+    running.push(body)
+    this.runs.push({ body, at: performance.now() })
+    await sleep(runsForMs)
+    if (crashes(body)) {
+      this.crash(place)
+    } else if (!response.destroyed) {
+      running.splice(running.indexOf(body), 1)
+      answerWell(request, response, body)
+    }
+  }
+
+  private missing (place: number): never {
+    throw new Error(`no place ${place}`)
+  }
+}
+
+interface Run {
+  place: number
+  running: string[]
+  request: IncomingMessage
+  response: ServerResponse
+  body: string
+}
--- a/entry/gateway/test/stand-in.ts
+++ b/entry/gateway/test/stand-in.ts
@@ -42,8 +42,8 @@
     })
   }
 
-  async start (): Promise<void> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve))
+  async start (port = 0): Promise<void> {
+    await new Promise<void>((resolve) => this.server.listen(port, '127.0.0.1', resolve))
     this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`
   }
 
@@ -51,6 +51,10 @@
     this.server.close()
     this.server.closeAllConnections()
   }
+
+  get isUp (): boolean {
+    return this.server.listening
+  }
 }
 
 export class GatewayDeployment {
@@ -114,6 +118,14 @@
     await until(`${standIn.incarnation} ${state}`, () => isUsable() === wanted)
   }
 
+  /** Starts another gateway before the same endpoints; the test stops it. */
+  async startGateway (box: string): Promise<Kernel<GatewayServices>> {
+    const gateway = createGateway({ ...this.gateway.get('settings'), box }, { write: (line) => this.lines.push(line) })
+    await gateway.start()
+    await until(`${box} is ready`, () => gateway.get('controlLinks').notReady() === undefined)
+    return gateway
+  }
+
   url (path: string): string {
     return `http://${this.gateway.get('ingress').address}${path}`
   }
