feat(gateway,control): requests under which endpoints crash are held, at every box

Cause: a gateway judged each arrival of a request by itself. One that ends each engine that runs it was sent on after each end, and again with each arrival, since nothing knew it under another id or at another box. Change: gateways tell apart crashes (the address refuses, or another incarnation is heard there, and the endpoint said nothing of leaving) from cut links, planned stops and power losses, and tell control what was running.

--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -13,6 +13,7 @@
 import { linkMetrics, type Link } from '@gullwall/transport.link'
 import { nativeFormat, type DocumentFormat } from '@gullwall/config.document'
 import { ColdGranter } from './cold-granter.ts'
+import { CrashJudge } from './crash-judge.ts'
 import { ControlServer } from './control-server.ts'
 import { Documents } from './documents.ts'
 import { Evacuations } from './evacuations.ts'
@@ -52,6 +53,7 @@
   quorum: QuorumNode
   proposer: Proposer
   coldGranter: ColdGranter
+  crashJudge: CrashJudge
   leases: LeaseTable
   leaseStore: LeaseStore
   registrar: Registrar
@@ -114,6 +116,7 @@
     .service('quorum', createQuorum)
     .service('proposer', (services) => new Proposer(services))
     .service('coldGranter', (services) => new ColdGranter(services))
+    .service('crashJudge', (services) => new CrashJudge(services))
     .service('usageReporter', (services) => new UsageReporter(services))
     .service('scalingOrderer', scalingOrdererOf)
     .service('joiner', (services) => new Joiner(services))
@@ -172,6 +175,7 @@
     linkMetrics(registry)
     evacuations.addMetrics(registry)
     this.services.coldGranter.addMetrics(registry)
+    this.services.crashJudge.addMetrics(registry)
     this.services.scalingOrderer.addMetrics(registry)
     this.http = createAdminServer({
       registry,
--- a/control/program/src/proposer.ts
+++ b/control/program/src/proposer.ts
@@ -3,8 +3,9 @@
 import { type Applied } from '@gullwall/control.quorum'
 import {
   type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type DecideScalingCommand, type DecideUsageCommand,
-  type DocumentCommand, type DocumentResult, type EvacuateCommand, type EvacuationResult, type ScalingResult,
-  type UsageDeliveredCommand, type UsageReport
+  type DocumentCommand, type DocumentResult, type EvacuateCommand, type EvacuationResult, type ForgetCrashesCommand,
+  type JudgeCrashesCommand, type NoteCrashesCommand, type QuarantineResult, type ScalingResult, type UsageDeliveredCommand,
+  type UsageReport
 } from '@gullwall/control.state'
 import { type MessageOf } from '@gullwall/transport.messages'
 import { targetVoters } from './membership.ts'
@@ -68,6 +69,11 @@
     return JSON.parse((await this.propose(command)).result) as ScalingResult
   }
 
+  /** Brings what is known of crashed endpoints, or has it judged or forgotten; gives the requests that are held or let go by it. */
+  async quarantine (command: NoteCrashesCommand | JudgeCrashesCommand | ForgetCrashesCommand): Promise<QuarantineResult> {
+    return JSON.parse((await this.propose(command)).result) as QuarantineResult
+  }
+
   /** Gives a revision that is not older than any accepted before the call. */
   async confirm (): Promise<MessageOf<'confirmed'>> {
     const { quorum, store } = this.services
--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -70,6 +70,14 @@
     return lease?.state === 'ready' && this.holders.get(lease.address) === incarnation
   }
 
+  /** Whether another incarnation has been heard at the endpoint's address since, though the endpoint said nothing of leaving. */
+  isReplaced (incarnation: string): boolean {
+    const lease = this.held.get(incarnation)
+    if (lease?.state !== 'ready') return false
+    const holder = this.holders.get(lease.address)
+    return holder !== undefined && holder !== incarnation
+  }
+
   /** Every lease, those that are gone included. */
   all (): HeldLease[] {
     return [...this.held.values()]
--- a/control/state/src/commands.ts
+++ b/control/state/src/commands.ts
@@ -3,6 +3,7 @@
 import { type RecordChange } from '@gullwall/config.records'
 import { type UsageCount } from '@gullwall/transport.messages'
 import { type Ran } from '@gullwall/core.types'
+import { type Crash } from '@gullwall/routing.quarantine'
 import { type StoredEvacuation } from './evacuations.ts'
 
 /** An operator's change. The same operation id again gives the first answer again. */
@@ -75,9 +76,35 @@
   seen: number
 }
 
+/** Brings what an entry saw of crashed endpoints, and requests that ran well after they had been running at one. */
+export interface NoteCrashesCommand {
+  type: 'note-crashes'
+  crashes: Crash[]
+  ranWell: string[]
+}
+
+/** Has the crashes judged that have come in: what a request is to be held for is held from then on. */
+export interface JudgeCrashesCommand {
+  type: 'judge-crashes'
+}
+
+/** Forgets crashes, and lets held requests run again. */
+export interface ForgetCrashesCommand {
+  type: 'forget-crashes'
+  endpoints: string[]
+  /** Fingerprints of held requests. */
+  requests: string[]
+}
+
+/** The requests that a command has newly held, and those that it has let run again, by fingerprint. */
+export interface QuarantineResult {
+  held: string[]
+  released: string[]
+}
+
 export type Command = (
   ApplyCommand | ClaimCommand | SettleCommand | DocumentCommand | DecideUsageCommand | UsageDeliveredCommand | EvacuateCommand |
-  DecideScalingCommand
+  DecideScalingCommand | NoteCrashesCommand | JudgeCrashesCommand | ForgetCrashesCommand
 )
 
 /** How many endpoints a service is to have in a data centre. */
--- a/control/state/src/control-state.ts
+++ b/control/state/src/control-state.ts
@@ -1,13 +1,15 @@
 /** The state machine of control: applies commands in the order of the log. */
 import { checkReferences, RecordMap, type RecordChange } from '@gullwall/config.records'
 import { type Mistake } from '@gullwall/config.checker'
+import { type EvidenceDump } from '@gullwall/routing.quarantine'
 import { Claims } from './claims.ts'
 import {
   DOCUMENT_KEY, type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type Difference, type DocumentCommand,
   type DocumentResult, type EvacuateCommand, type EvacuationResult, type HistoryEntry, type ScalingOrder, type ScalingResult,
-  type StoredDocument, type UsageReport
+  type QuarantineResult, type StoredDocument, type UsageReport
 } from './commands.ts'
 import { decideEvacuation } from './evacuations.ts'
+import { Quarantine } from './quarantine.ts'
 import { ScalingOrders } from './scaling-orders.ts'
 import { UsageReports } from './usage-reports.ts'
 
@@ -24,6 +26,12 @@
   onRestored?: () => void
 }
 
+type CommandResult = (
+  ApplyResult | ClaimResult | DocumentResult | UsageReport | EvacuationResult | ScalingResult | QuarantineResult | Record<string, never>
+)
+
+const NO_EVIDENCE: EvidenceDump = { crashes: [], held: [], suspected: [], isJudged: true }
+
 /** What a snapshot holds. */
 interface Dump {
   revision: number
@@ -35,6 +43,8 @@
   usageReports?: UsageReport[]
   /** Missing in snapshots of processes that ordered no endpoints. */
   scalingOrders?: ScalingOrder[]
+  /** Missing in snapshots of processes that held no requests for crashes. */
+  crashEvidence?: EvidenceDump
 }
 
 export class ControlState {
@@ -42,6 +52,7 @@
   readonly claims = new Claims()
   readonly usageReports = new UsageReports()
   readonly scalingOrders = new ScalingOrders()
+  readonly quarantine = new Quarantine((change) => this.put(change))
   revision = 0
   private operations = new Map<string, ApplyResult>()
   private past: HistoryEntry[] = []
@@ -67,7 +78,8 @@
       history: this.past,
       claims: this.claims.dump(),
       usageReports: this.usageReports.dump(),
-      scalingOrders: this.scalingOrders.dump()
+      scalingOrders: this.scalingOrders.dump(),
+      crashEvidence: this.quarantine.evidence.dump()
     }
     return JSON.stringify(dump)
   }
@@ -81,10 +93,11 @@
     this.claims.restore(dump.claims)
     this.usageReports.restore(dump.usageReports ?? [])
     this.scalingOrders.restore(dump.scalingOrders ?? [])
+    this.quarantine.evidence.restore(dump.crashEvidence ?? NO_EVIDENCE)
     this.options.onRestored?.()
   }
 
-  private run (command: Command): ApplyResult | ClaimResult | DocumentResult | UsageReport | EvacuationResult | ScalingResult | object {
+  private run (command: Command): CommandResult {
     switch (command.type) {
       case 'apply': return this.runApply(command)
       case 'claim': return this.claims.claim(command)
@@ -98,6 +111,9 @@
         return {}
       case 'evacuate': return this.runEvacuate(command)
       case 'decide-scaling': return this.scalingOrders.decide(command)
+      case 'note-crashes': return this.quarantine.note(command)
+      case 'judge-crashes': return this.quarantine.judge()
+      case 'forget-crashes': return this.quarantine.forget(command)
     }
   }
 
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -134,6 +134,19 @@
   why: string
 }
 
+/** What is known of requests under which endpoints crash. */
+export interface QuarantineRecord {
+  channel: 'quarantine'
+  /** `crashed`: an endpoint did, with this request running; `held`, `released`: whether it may run; `postponed`: nobody was told. */
+  event: 'crashed' | 'held' | 'released' | 'postponed'
+  /** The same for the same caller, path and body; empty where it concerns no single request. */
+  fingerprint: string
+  endpoint?: string
+  /** The request that was running, where the line is about one. */
+  request?: string
+  why: string
+}
+
 /** Start, stop and failures of a program. */
 export interface ProcessRecord {
   channel: 'process'
@@ -153,4 +166,5 @@
   | UsageRecord
   | ScalingRecord
   | EvacuationRecord
+  | QuarantineRecord
   | ProcessRecord
--- a/entry/gateway/src/answer-receiver.ts
+++ b/entry/gateway/src/answer-receiver.ts
@@ -11,13 +11,13 @@
   /** It certainly did not run. */
   | { type: 'not-run', why: string, verdict: AttemptVerdict }
   /** Not even the connection was made. */
-  | { type: 'unsent', why: string }
+  | { type: 'unsent', why: string, isRefused?: boolean }
   /** It was no longer to be sent there once a connection was free. */
   | { type: 'withheld', why: string }
   /** It ran, and the endpoint answered with a failure. */
   | { type: 'failed', head: ExchangeHead, body: Buffer }
-  /** It may have run. */
-  | { type: 'broken', why: string }
+  /** It may have run; `isClosed`: the endpoint, or the way to it, ended the connection. */
+  | { type: 'broken', why: string, isClosed: boolean }
   | { type: 'cancelled' }
 
 const MAX_WHOLE_BYTES = 32 * 1024 * 1024
@@ -62,11 +62,11 @@
   endOf (end: ExchangeEnd): AttemptEnd {
     const { head } = this
     if (end.type === 'cancelled') return { type: 'cancelled' }
-    if (end.type === 'unsent' || end.type === 'withheld') return { type: end.type, why: end.why }
+    if (end.type === 'unsent' || end.type === 'withheld') return end
     if (this.isNotRun && head !== undefined) {
       return { type: 'not-run', why: `the endpoint answered ${head.status}, not run`, verdict: head.status === MISDIRECTED ? 'ended' : 'shed' }
     }
-    if (end.type === 'broken' || head === undefined) return { type: 'broken', why: end.type === 'broken' ? end.why : 'no head' }
+    if (end.type === 'broken' || head === undefined) return end.type === 'broken' ? end : { type: 'broken', why: 'no head', isClosed: false }
     if (head.status >= SERVER_ERROR) return { type: 'failed', head, body: Buffer.concat(this.chunks) }
     return this.complete(head)
   }
@@ -78,7 +78,7 @@
       this.forwarding.noteAnswered()
       answer.endStream(this.cutter.remainder())
     } else {
-      if (this.bytes > MAX_WHOLE_BYTES) return { type: 'broken', why: 'the answer is too large' }
+      if (this.bytes > MAX_WHOLE_BYTES) return { type: 'broken', why: 'the answer is too large', isClosed: false }
       this.forwarding.noteAnswered()
       answer.whole(head.status, head.headers, Buffer.concat(this.chunks))
     }
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -14,6 +14,8 @@
 const CONFIRM_TIMEOUT_MS = 1000
 /** A grant that comes later than this after it was asked for can't be used any more, in ms. */
 const COLD_TIMEOUT_MS = 500
+/** Another control process is told of crashes when one has not answered for so long, in ms: several times a quorum's round. */
+const CRASHES_TIMEOUT_MS = 1000
 /** The first question for the newest revision is asked again soon, since a quorum may just be forming; later ones more rarely. In ms. */
 const FIRST_CONFIRM_RETRY_MS = 25
 const MAX_CONFIRM_RETRY_MS = 200
@@ -37,8 +39,8 @@
   private listensTo: Link | undefined
   private readonly listening: ListeningChoice
   private readonly entryCount = new EntryCount()
-  /** Asks for grants that failed. */
-  private coldFailures = 0
+  /** Requests that failed. */
+  private failures = 0
   private confirmRetryMs = FIRST_CONFIRM_RETRY_MS
 
   constructor (private readonly services: GatewayServices) {
@@ -101,18 +103,30 @@
   }
 
   /**
-   * Asks control for leave to send to cold endpoints; after a failure another control process is asked, since the first may
-   * be cut off from the one that grants.
+   * Asks control for leave to send to cold endpoints.
    * @throws ERR_GULLWALL_LINK_CLOSED, ERR_GULLWALL_LINK_TIMEOUT, ERR_GULLWALL_PEER_FAILED
    */
   async askCold (wishes: ColdWish[]): Promise<ColdGrant[]> {
+    return (await this.ask({ kind: 'coldAsk', entry: this.services.settings.box, wishes }, 'coldGranted', COLD_TIMEOUT_MS)).grants
+  }
+
+  /**
+   * Tells control of crashed endpoints; a quorum has it once this resolves.
+   * @throws ERR_GULLWALL_LINK_CLOSED, ERR_GULLWALL_LINK_TIMEOUT, ERR_GULLWALL_PEER_FAILED; the same may be told again
+   */
+  async tellCrashes (word: Omit<MessageOf<'crashes'>, 'kind'>): Promise<void> {
+    await this.ask({ kind: 'crashes', ...word }, 'done', CRASHES_TIMEOUT_MS)
+  }
+
+  /** Asks one control process; after a failure another one, since the first may be cut off from the one that leads. */
+  private async ask<Kind extends 'coldGranted' | 'done'> (message: Message, expected: Kind, timeoutMs: number): Promise<MessageOf<Kind>> {
     const links = [...new Set([this.listened, ...this.links()])].filter((link) => link !== undefined)
-    const link = links[this.coldFailures % Math.max(1, links.length)]
-    if (link === undefined) throw new GullwallError('ERR_GULLWALL_LINK_CLOSED', 'no link to control', { step: 'ask for grants' })
+    const link = links[this.failures % Math.max(1, links.length)]
+    if (link === undefined) throw new GullwallError('ERR_GULLWALL_LINK_CLOSED', 'no link to control', { step: message.kind })
     try {
-      return (await link.request({ kind: 'coldAsk', entry: this.services.settings.box, wishes }, 'coldGranted', COLD_TIMEOUT_MS)).grants
+      return await link.request(message, expected, timeoutMs)
     } catch (error) {
-      this.coldFailures += 1
+      this.failures += 1
       throw error
     }
   }
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -30,14 +30,15 @@
 }
 
 /**
- * How an exchange ended. `unsent`: not a byte was written, so that it certainly
- * did not run. `withheld`: the same, though the endpoint could be reached. `broken`: it may have run.
+ * How an exchange ended. `unsent`: not a byte was written, so that it certainly did not run; `isRefused` says that nothing
+ * listens at its address. `withheld`: the same, though the endpoint could be reached. `broken`: it may have run; `isClosed`
+ * says that the connection ended by itself, and not because it was given up here.
  */
 export type ExchangeEnd =
   | { type: 'complete' }
-  | { type: 'unsent', why: string }
+  | { type: 'unsent', why: string, isRefused?: boolean }
   | { type: 'withheld', why: string }
-  | { type: 'broken', why: string }
+  | { type: 'broken', why: string, isClosed: boolean }
   | { type: 'cancelled' }
 
 /** Answers that have no body, and so no need of a length. */
@@ -79,7 +80,7 @@
 
   /** Ends the exchange in favour of another attempt. */
   giveUp (why: string): void {
-    this.end(this.isSent ? { type: 'broken', why } : { type: 'unsent', why })
+    this.end(this.isSent ? { type: 'broken', why, isClosed: false } : { type: 'unsent', why })
   }
 
   pause (): void {
@@ -92,7 +93,7 @@
 
   /** Ends an answer that has no length: it is whole only if its connection was closed and not reset. */
   private async endWith (closedWell: Promise<boolean>): Promise<void> {
-    this.end(await closedWell ? { type: 'complete' } : { type: 'broken', why: 'the connection was reset' })
+    this.end(await closedWell ? { type: 'complete' } : { type: 'broken', why: 'the connection was reset', isClosed: true })
   }
 
   private end (end: ExchangeEnd): void {
@@ -126,7 +127,8 @@
         const isInterim = status < 200
         if (this.isOver || isInterim) return
         this.isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || NO_BODY.has(status)
-        if (!this.listener.onHead({ status, headers })) this.end({ type: 'broken', why: 'the head is not that of an answer to this request' })
+        if (this.listener.onHead({ status, headers })) return
+        this.end({ type: 'broken', why: 'the head is not that of an answer to this request', isClosed: false })
       },
       onResponseData: (_controller, chunk) => {
         if (!this.isOver) this.listener.onData(chunk)
@@ -137,8 +139,12 @@
       },
       onResponseError: (_controller, error) => {
         const why = messageOf(error)
-        this.end(this.isSent ? { type: 'broken', why } : { type: 'unsent', why })
+        this.end(this.isSent ? { type: 'broken', why, isClosed: true } : { type: 'unsent', why, isRefused: isRefusal(error) })
       }
     }
   }
 }
+
+function isRefusal (error: NodeJS.ErrnoException): boolean {
+  return error.code === 'ECONNREFUSED'
+}
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -1,6 +1,6 @@
 /** Carries one request: chooses endpoints, sends attempts one after the other, and ends the caller's answer. */
 import { setImmediate as nextTurn } from 'node:timers/promises'
-import { strainOf, type Candidate, type Work } from '@gullwall/routing.balancer'
+import { strainOf, type Candidate, type EndpointState, type Work } from '@gullwall/routing.balancer'
 import { type CallerAnswer, type ErrorAnswer } from './answer.ts'
 import { AnswerReceiver, hasRun, verdictOf, type AttemptEnd } from './answer-receiver.ts'
 import { AttemptHistory } from './attempt-history.ts'
@@ -13,6 +13,7 @@
 import { whyNotPlace } from './eligibility.ts'
 import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
+import { HELD_RETRY_MS } from './quarantine.ts'
 import { RequestRecorder } from './request-recorder.ts'
 
 /** An address that takes no connection for so long is left, in ms: many round trips between data centres of one region. */
@@ -70,8 +71,9 @@
     const never = whyNever(this.services, this.call)
     if (never !== undefined) this.refuse(never)
     while (!this.isOver) {
+      if (this.isHeld()) return
       const candidate = await this.nextCandidate()
-      if (this.isOver) return
+      if (this.isOver || this.isHeld()) return
       if (candidate === undefined) {
         this.refuse(whyNone(this.choiceOptions))
         return
@@ -90,6 +92,16 @@
     }
   }
 
+  /** Refuses a request under which endpoints crash. */
+  private isHeld (): boolean {
+    const why = this.services.quarantine.whyNot(this.call)
+    if (why === undefined) return false
+    this.services.quarantine.refused += 1
+    this.recorder.tellFingerprint()
+    this.refuse(why, HELD_RETRY_MS)
+    return true
+  }
+
   private get state (): RequestState {
     const { call, history, services } = this
     return { call, history, budget: services.budget, patienceMs: services.view.table?.longestTargetMs(call.route) ?? call.route.targetMs }
@@ -148,10 +160,19 @@
     endpoint.end(work, verdict, performance.now())
     if (verdict === 'unreachable' || verdict === 'ended') services.workExchange.noteUnreachable()
     services.view.wake()
-    if (end.type === 'broken') this.recorder.brokenOff()
+    this.noteCrashOf(endpoint, end)
     return end
   }
 
+  /** What the end of an attempt tells of crashes: that its endpoint may have crashed, has ended, or lives. */
+  private noteCrashOf (endpoint: EndpointState, end: AttemptEnd): void {
+    const { quarantine } = this.services
+    if (end.type === 'broken') this.recorder.tellFingerprint()
+    if (end.type === 'broken' && end.isClosed) quarantine.noteBroken(endpoint, this.call)
+    if ((end.type === 'unsent' && end.isRefused === true) || verdictOf(end) === 'ended') quarantine.noteEnded(endpoint.description.incarnation)
+    if (end.type === 'answered' || end.type === 'failed') quarantine.noteRanWell(this.call)
+  }
+
   private send (candidate: Candidate, receiver: AnswerReceiver, isGranted: boolean): Exchange {
     const { call, services } = this
     const { description } = candidate.endpoint
@@ -163,11 +184,18 @@
       headers: this.headersFor(candidate),
       body: call.body,
       connectMs: CONNECT_MS,
-      whyNot: () => whyNotPlace(services.eligibility, description.dataCentre, call) ?? (isGranted ? undefined : this.whyCold(candidate)),
+      whyNot: () => this.whyNotNow(candidate, isGranted),
       wasClosedWell: async () => await services.connections.wasClosedWell()
     }, receiver)
   }
 
+  /** Why a request is not sent after all, once a connection is free. */
+  private whyNotNow (candidate: Candidate, isGranted: boolean): string | undefined {
+    const { services, call } = this
+    const whyNot = whyNotPlace(services.eligibility, candidate.endpoint.description.dataCentre, call) ?? services.quarantine.whyNot(call)
+    return whyNot ?? (isGranted ? undefined : this.whyCold(candidate))
+  }
+
   /** Why a request that was to go to a warm endpoint is not sent: it has turned cold, and no grant is at hand for it either. */
   private whyCold ({ endpoint }: Candidate): string | undefined {
     return this.services.coldEngines.take(endpoint) ? undefined : 'it has turned cold, and no grant is at hand'
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -19,6 +19,7 @@
 import { Ingress } from './ingress.ts'
 import { gatewayMetrics, type GatewayMetrics } from './metrics.ts'
 import { nativeDialect } from './native-dialect.ts'
+import { Quarantine } from './quarantine.ts'
 import { RegionCrossings } from './region-crossings.ts'
 import { UsageTeller } from './usage-teller.ts'
 import { WorkExchange } from './work-exchange.ts'
@@ -56,6 +57,7 @@
   controlLinks: ControlLinks
   workExchange: WorkExchange
   usage: UsageTeller
+  quarantine: Quarantine
   ingress: Ingress
   admin: GatewayAdmin
 }
@@ -94,6 +96,7 @@
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('workExchange', (services) => new WorkExchange(services))
     .service('usage', (services) => new UsageTeller(services))
+    .service('quarantine', (services) => new Quarantine(services))
     .service('admin', (services) => new GatewayAdmin(services))
     .service('ingress', (services) => new Ingress(services))
 }
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -27,7 +27,7 @@
 
 /** Gauges of what this process believes, read when they are asked for. */
 export function beliefGauges (registry: Registry, services: GatewayServices): void {
-  const { view, controlLinks, budget, evacuatedPlaces, crossings, coldEngines } = services
+  const { view, controlLinks, budget, evacuatedPlaces, crossings, coldEngines, quarantine } = services
   const add = (name: string, help: string, value: () => number) => {
     const metric = gauge(registry, name, help)
     Object.assign(metric, { collect: () => metric.set(value()) })
@@ -43,6 +43,9 @@
   add('gullwall_cold_endpoints', 'Endpoints that are cold, as this process knows', () => coldEngines.coldCount)
   add('gullwall_cold_kept_requests_total', 'Requests kept from a cold endpoint for want of a grant', () => coldEngines.totals.kept)
   add('gullwall_cold_sent_requests_total', 'Requests sent to cold endpoints under a grant', () => coldEngines.totals.sent)
+  add('gullwall_endpoint_crashes_total', 'Crashes of endpoints at which requests of this process were running', () => quarantine.crashes)
+  add('gullwall_quarantined_requests', 'Requests that are held because endpoints crash under them, as this process knows', () => quarantine.size)
+  add('gullwall_quarantine_refusals_total', 'Requests that were refused since they are held', () => quarantine.refused)
   add('gullwall_cold_asks_total', 'Asks for grants', () => coldEngines.asker.totals.asks)
   add('gullwall_cold_failed_asks_total', 'Asks for grants that nobody answered', () => coldEngines.asker.totals.failed)
 }
--- /dev/null
+++ b/entry/gateway/src/quarantine.ts
@@ -0,0 +1,95 @@
+/** Keeps requests under which endpoints crash from being sent to further ones, and learns which these are. */
+import { heldRequest, heldRequestsIn } from '@gullwall/control.state'
+import { type EndpointState } from '@gullwall/routing.balancer'
+import { type Call } from './call.ts'
+import { CrashReporter } from './crash-reporter.ts'
+import { CrashWatch, type BrokenRequest } from './crash-watch.ts'
+import { type GatewayServices } from './index.ts'
+
+/** When a caller is asked to come back with a request that is held, in ms: it is held for minutes, and each try costs both sides. */
+export const HELD_RETRY_MS = 60_000
+
+export class Quarantine {
+  /** Requests that were refused since the start. */
+  refused = 0
+  private readonly watch: CrashWatch
+  private readonly reporter: CrashReporter
+  private held: ReadonlySet<string> = new Set()
+
+  constructor (private readonly services: Pick<GatewayServices, 'store' | 'view' | 'logger' | 'controlLinks'>) {
+    const { store, view, logger, controlLinks } = services
+    this.reporter = new CrashReporter({ logger, tell: async (word) => await controlLinks.tellCrashes(word) })
+    this.watch = new CrashWatch({
+      stateOf: (incarnation) => view.leases.get(incarnation)?.state,
+      isReplaced: (incarnation) => view.leases.isReplaced(incarnation),
+      onCrash: (endpoint, requests) => this.crashed(endpoint, requests)
+    })
+    this.recordsChanged()
+    store.onChange(() => this.recordsChanged())
+  }
+
+  start (): void {
+    this.watch.start()
+  }
+
+  stop (): void {
+    this.watch.stop()
+    this.reporter.stop()
+  }
+
+  /** How many requests are held, as this process knows. */
+  get size (): number {
+    return this.held.size
+  }
+
+  /** Crashes of endpoints with requests of this process, since the start. */
+  get crashes (): number {
+    return this.reporter.crashes
+  }
+
+  /** Why a request is sent to no endpoint; undefined if it may be. */
+  whyNot ({ fingerprint }: Pick<Call, 'fingerprint'>): string | undefined {
+    const alone = this.reporter.heldWithoutControl
+    if (this.held.size + alone.size === 0) return undefined
+    const known = heldRequest(this.services.store.records, fingerprint())
+    if (known !== undefined) return `${known.crashes} endpoints crashed while this request was running there`
+    return alone.has(fingerprint()) ? 'endpoints crashed while this request was running there, and control can not be told' : undefined
+  }
+
+  /** Notes that the connection to an endpoint ended by itself while a request was running there. */
+  noteBroken ({ description: { incarnation, address }, heardAt }: EndpointState, { requestId, fingerprint }: Call): void {
+    const leaseHeardAt = this.services.view.leases.get(incarnation)?.heardAt ?? -Infinity
+    this.watch.noteBroken({ incarnation, address, heardAt: Math.max(heardAt, leaseHeardAt) }, { requestId, fingerprint: fingerprint() })
+  }
+
+  /** Notes that an endpoint's process is no longer at its address. */
+  noteEnded (incarnation: string): void {
+    this.watch.noteEnded(incarnation)
+  }
+
+  /** Notes that an endpoint has run a request and lives. */
+  noteRanWell ({ fingerprint }: Call): void {
+    this.reporter.noteRanWell(fingerprint)
+  }
+
+  private crashed (endpoint: string, requests: BrokenRequest[]): void {
+    for (const { fingerprint, requestId } of requests) {
+      const why = `${endpoint} crashed while it was running there, with ${requests.length - 1} others of this box`
+      this.services.logger.info({ channel: 'quarantine', event: 'crashed', fingerprint, endpoint, request: requestId, why })
+    }
+    this.reporter.note({ endpoint, requests: [...new Set(requests.map(({ fingerprint }) => fingerprint))] })
+  }
+
+  private recordsChanged (): void {
+    const { store, logger, view } = this.services
+    const before = this.held
+    this.held = heldRequestsIn(store.records)
+    const fresh = [...this.held].filter((fingerprint) => !before.has(fingerprint))
+    for (const fingerprint of fresh) logger.info({ channel: 'quarantine', event: 'held', fingerprint, why: 'sent to no endpoint from now on' })
+    for (const fingerprint of before) {
+      if (!this.held.has(fingerprint)) logger.info({ channel: 'quarantine', event: 'released', fingerprint, why: 'it may run again' })
+    }
+    // What waits for an endpoint is refused at once.
+    if (fresh.length > 0) view.wake()
+  }
+}
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -43,8 +43,8 @@
     this.latestEventAt = now
   }
 
-  /** Notes that the endpoint broke off the latest attempt; from now on lines tell which request it is. */
-  brokenOff (): void {
+  /** Notes that the latest attempt broke off, or that the request is held; from now on lines tell which request it is. */
+  tellFingerprint (): void {
     this.fingerprint = this.call.fingerprint()
   }
 
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -64,7 +64,7 @@
   waitMs: 0,
   isHome: true
 }
-const broken: AttemptEnd = { type: 'broken', why: 'reset' }
+const broken: AttemptEnd = { type: 'broken', why: 'reset', isClosed: true }
 const failed: AttemptEnd = { type: 'failed', head: { status: 500, headers: {} }, body: Buffer.alloc(0) }
 const notRun: AttemptEnd = { type: 'not-run', why: 'full', verdict: 'shed' }
 const unsent: AttemptEnd = { type: 'unsent', why: 'no connection' }
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -144,6 +144,9 @@
 /** Counts of one start of an entry. */
 export const usageSourceSchema = z.object({ source: z.string(), counts: z.array(usageCountSchema) })
 
+/** An endpoint that has crashed, and the requests that one entry had running there, by fingerprint. */
+export const crashSchema = z.object({ endpoint: z.string(), requests: z.array(z.string()) })
+
 export const recordChangeSchema = z.object({ key: z.string(), value: z.string().nullable() })
 
 /** One entry of the replicated log. */
@@ -225,6 +228,8 @@
   /** An entry asks for leave to send to cold endpoints; a control process that does not grant passes it to the one that does. */
   coldAsk: z.object({ kind: z.literal('coldAsk'), entry: z.string(), wishes: z.array(coldWishSchema) }),
   coldGranted: z.object({ kind: z.literal('coldGranted'), grants: z.array(coldGrantSchema) }),
+  /** An entry tells of crashed endpoints, and of requests that ran well after they had been running at one; answered by `done`. */
+  crashes: z.object({ kind: z.literal('crashes'), crashes: z.array(crashSchema), ranWell: z.array(z.string()) }),
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
   // Among control processes: the quorum protocol. `to` is the incarnation that the sender takes the receiver for.
