--- a/cli/story/src/index.ts
+++ b/cli/story/src/index.ts
@@ -30,11 +30,14 @@
   const last = Math.max(...times)
   const boxes = new Set(own.map(({ box }) => box))
   const endpoints = new Set(own.flatMap((line) => endpointOf(line) ?? []))
+  const fingerprints = new Set(own.flatMap((line) => fingerprintOf(line) ?? []))
   const isNear = (line: LogLine) => timeOf(line) >= first - AROUND_MS && timeOf(line) <= last + AROUND_MS
   // An order holds until the next one, however long ago it came.
   const isInForce = (line: LogLine) => line.channel === 'evacuation' && line.event === 'applied' && timeOf(line) <= last
-  const around = lines.filter((line) => (
-    requestOf(line) === undefined && (isNear(line) || isInForce(line)) && isBelief(line, boxes, endpoints)
+  // What was seen of the same request under other ids, at any box and however long ago, is why it is held.
+  const isOfSame = (line: LogLine) => line.channel === 'quarantine' && fingerprints.has(line.fingerprint) && timeOf(line) <= last
+  const around = lines.filter((line) => requestOf(line) === undefined && (
+    isOfSame(line) || ((isNear(line) || isInForce(line)) && isBelief(line, boxes, endpoints))
   ))
   return [...own, ...around].sort((left, right) => timeOf(left) - timeOf(right)).map((line) => ({
     time: line.time,
@@ -66,6 +69,10 @@
   return 'endpoint' in line ? line.endpoint : undefined
 }
 
+function fingerprintOf (line: LogLine): string | undefined {
+  return line.channel === 'forward' ? line.fingerprint : undefined
+}
+
 function timeOf (line: LogLine): number {
   return Date.parse(line.time)
 }
@@ -79,6 +86,7 @@
 function factsOf (line: LogLine): string {
   const why = 'why' in line ? line.why : ''
   if (line.channel === 'endpoint') return `${line.endpoint}: ${why}`
+  if (line.channel === 'quarantine') return `${line.request === undefined ? '' : `as ${line.request}: `}${why}`
   if (line.channel === 'evacuation') return `${line.dataCentre}: ${why}`
   if (line.channel === 'link') return `${line.peer}: ${why}`
   if (line.channel !== 'forward') return why
--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -78,6 +78,15 @@
     return holder !== undefined && holder !== incarnation
   }
 
+  /**
+   * For how long an endpoint has been silent while others were heard, in ms; 0 where it has no lease. A process that hears of
+   * none, since it is cut off, finds none of them silent.
+   */
+  silentMs (incarnation: string): number {
+    const lease = this.held.get(incarnation)
+    return lease === undefined ? 0 : this.newestWord() - lease.heardAt
+  }
+
   /** Every lease, those that are gone included. */
   all (): HeldLease[] {
     return [...this.held.values()]
@@ -126,8 +135,7 @@
   sweep (): void {
     const now = this.now()
     const leaseMs = this.options.leaseMs ?? DEFAULT_LEASE_MS
-    let newest = -Infinity
-    for (const { heardAt } of this.held.values()) newest = Math.max(newest, heardAt)
+    const newest = this.newestWord()
     for (const [incarnation, lease] of this.held) {
       if (now - lease.heardAt > TOMBSTONE_MS && lease.state === 'gone') this.held.delete(incarnation)
       const silentMs = newest - lease.heardAt
@@ -140,6 +148,13 @@
     }
   }
 
+  /** When any endpoint was last heard, by this process's monotonic clock. */
+  private newestWord (): number {
+    let newest = -Infinity
+    for (const { heardAt } of this.held.values()) newest = Math.max(newest, heardAt)
+    return newest
+  }
+
   private mergeOne (lease: Lease): Merged {
     const { ageMs, ...rest } = lease
     const heardAt = this.now() - ageMs
--- a/entry/gateway/src/crash-watch.ts
+++ b/entry/gateway/src/crash-watch.ts
@@ -19,8 +19,8 @@
 export interface BrokenEndpoint {
   incarnation: string
   address: string
-  /** When anything was last heard of it, by the monotonic clock. */
-  heardAt: number
+  /** For how long nothing was heard of it though others were, in ms. */
+  silentMs: number
 }
 
 export interface CrashWatchOptions {
@@ -75,7 +75,7 @@
 
   /** Notes that a connection ended by itself while a request was running there. */
   noteBroken (endpoint: BrokenEndpoint, request: BrokenRequest): void {
-    const { incarnation, address, heardAt } = endpoint
+    const { incarnation, address, silentMs } = endpoint
     const known = this.watched.get(incarnation)
     if (known !== undefined) {
       known.requests.push(request)
@@ -83,7 +83,7 @@
       return
     }
     const now = this.now()
-    if (this.options.stateOf(incarnation) !== 'ready' || now - heardAt > SILENT_MS) return
+    if (this.options.stateOf(incarnation) !== 'ready' || silentMs > SILENT_MS) return
     this.watched.set(incarnation, { requests: [request], since: now, hasCrashed: false })
     void this.probe(address).then((result) => {
       if (result === 'refused') this.noteEnded(incarnation)
--- a/entry/gateway/src/quarantine.ts
+++ b/entry/gateway/src/quarantine.ts
@@ -58,8 +58,8 @@
 
   /** Notes that the connection to an endpoint ended by itself while a request was running there. */
   noteBroken ({ description: { incarnation, address }, heardAt }: EndpointState, { requestId, fingerprint }: Call): void {
-    const leaseHeardAt = this.services.view.leases.get(incarnation)?.heardAt ?? -Infinity
-    this.watch.noteBroken({ incarnation, address, heardAt: Math.max(heardAt, leaseHeardAt) }, { requestId, fingerprint: fingerprint() })
+    const silentMs = Math.min(performance.now() - heardAt, this.services.view.leases.silentMs(incarnation))
+    this.watch.noteBroken({ incarnation, address, silentMs }, { requestId, fingerprint: fingerprint() })
   }
 
   /** Notes that an endpoint's process is no longer at its address. */
--- a/entry/gateway/test/crashing-engines.ts
+++ b/entry/gateway/test/crashing-engines.ts
@@ -6,6 +6,8 @@
 /** After a crash the process is back after so long, in ms. */
 export const BACK_AFTER_MS = 250
 
+const HEARTBEAT_MS = 500
+
 export interface CrashingOptions {
   /** Whether a request with this body ends the process that runs it. */
   crashes: (body: string) => boolean
@@ -18,19 +20,22 @@
   readonly crashes: string[][] = []
   /** The bodies that were run, with their time. */
   readonly runs: Array<{ body: string, at: number }> = []
-  private readonly places: Array<{ standIn: StandIn, running: string[] }> = []
+  private readonly places: Array<{ standIn: StandIn, running: string[], sequence: number }> = []
   private starts = 0
   private isOver = false
+  private timer: NodeJS.Timeout | undefined
 
   constructor (private readonly deployment: GatewayDeployment, private readonly options: CrashingOptions) {}
 
   async start (count: number): Promise<void> {
     for (let place = 0; place < count; place += 1) await this.startAt(place)
+    this.timer = setInterval(() => { void this.beat() }, HEARTBEAT_MS)
   }
 
   /** Ends all processes for good. */
   stop (): void {
     this.isOver = true
+    clearInterval(this.timer)
     for (const { standIn } of this.places) standIn.stop()
   }
 
@@ -61,11 +66,20 @@
     })
     const port = Number(this.places[place]?.standIn.address.split(':')[1] ?? 0)
     await standIn.start(port)
-    this.places[place] = { standIn, running }
-    const { incarnation, service, address, dataCentre } = standIn
-    await this.deployment.control.get('registrar').hear({
-      incarnation, service, address, dataCentre, slots: 4, state: 'ready', sequence: 1, ageMs: 0
-    })
+    this.places[place] = { standIn, running, sequence: 0 }
+    await this.beat(place)
+  }
+
+  /** Has the endpoints that are up say so, or the one at a place. */
+  private async beat (only?: number): Promise<void> {
+    for (const [place, known] of this.places.entries()) {
+      if (!known.standIn.isUp || (only !== undefined && only !== place)) continue
+      known.sequence += 1
+      const { incarnation, service, address, dataCentre } = known.standIn
+      await this.deployment.control.get('registrar').hear({
+        incarnation, service, address, dataCentre, slots: 4, state: 'ready', sequence: known.sequence, ageMs: 0
+      })
+    }
   }
 
   private async run ({ place, running, request, response, body }: Run): Promise<void> {
