--- a/bench/fake-engine/src/engine-server.ts
+++ b/bench/fake-engine/src/engine-server.ts
@@ -18,6 +18,11 @@
   checksFence?: boolean
 }
 
+/** A prompt that holds this text ends the process that begins to run it. */
+export const CRASHING_TEXT = 'no engine survives this'
+/** A process that has ended is back after so long, in ms. */
+const BACK_AFTER_MS = 250
+
 interface ChatBody {
   model: string
   messages: Array<{ role: string, content: string }>
@@ -45,7 +50,8 @@
   lies = false
   cancelled = 0
   lastCancelAt = 0
-  private readonly http: HttpServer
+  private http: HttpServer
+  private isStopped = false
   private readonly cache: PrefixCache
   private readonly connections = new Set<ServerResponse>()
   private readonly reports: Array<{ at: number, inFlight: number }> = []
@@ -66,7 +72,20 @@
     return this.http.address
   }
 
+  /** Ends the process as far as others see, and starts it again at the same address. */
+  async crashAndRestart (): Promise<void> {
+    const { address, http } = this
+    const closed = http.close()
+    this.crash()
+    await closed
+    await new Promise((resolve) => setTimeout(resolve, BACK_AFTER_MS))
+    if (this.isStopped) return
+    this.http = new HttpServer(this.createApp())
+    await this.http.listen(address)
+  }
+
   async stop (): Promise<void> {
+    this.isStopped = true
     this.crash()
     this.batch.stop()
     await this.http.close()
@@ -107,6 +126,7 @@
     }
     const job = jobOf(body)
     context.respond = false
+    if (job.prompt.includes(CRASHING_TEXT)) setImmediate(() => { void this.crashAndRestart() })
     if (body.stream === true) this.runStream(context.res, job)
     else this.runWhole(context.res, job)
   }
