feat(entry,sidecar): requests under which engines crash are held in the path with sidecars too

Cause: the same as at the gateway. A sidecar sees all that its engine was running, so it tells control of the crash; the entry sends the fingerprint with each attempt and refuses what is held, with ran: no where it never ran. What watches and tells is one package for both (endpoint/crashes). Ruled out: fewer attempts for what failed at an engine, which would also stop streams that only shared it.

--- a/control/client/src/index.ts
+++ b/control/client/src/index.ts
@@ -32,6 +32,7 @@
 
 const CONFIRM_RETRY_MS = 200
 const CLAIM_TIMEOUT_MS = 3000
+const CRASHES_TIMEOUT_MS = 1000
 
 export class ControlClient {
   private dialer: Dialer | undefined
@@ -108,6 +109,14 @@
     }
   }
 
+  /**
+   * Tells control of crashed endpoints; a quorum has it once this resolves.
+   * @throws ERR_GULLWALL_LINK_CLOSED, ERR_GULLWALL_LINK_TIMEOUT, ERR_GULLWALL_PEER_FAILED; the same may be told again
+   */
+  async tellCrashes (word: Omit<MessageOf<'crashes'>, 'kind'>): Promise<void> {
+    await this.openLink().request({ kind: 'crashes', ...word }, 'done', CRASHES_TIMEOUT_MS)
+  }
+
   private openLink (): Link {
     const link = this.dialer?.link
     if (link?.isOpen !== true) throw new GullwallError('ERR_GULLWALL_LINK_CLOSED', 'no link to control', { step: 'control link' })
--- a/control/state/src/quarantine.ts
+++ b/control/state/src/quarantine.ts
@@ -14,10 +14,11 @@
   crashes: number
 }
 
-/** What is known of a held request; undefined if it is not held. */
-export function heldRequest (records: RecordMap, fingerprint: string): HeldRequest | undefined {
+/** Why a request may not run; undefined if it is not held. */
+export function whyHeld (records: RecordMap, fingerprint: string): string | undefined {
   const text = records.text(KEY_PREFIX + fingerprint)
-  return text === undefined ? undefined : JSON.parse(text) as HeldRequest
+  if (text === undefined) return undefined
+  return `${(JSON.parse(text) as HeldRequest).crashes} endpoints crashed while this request was running there`
 }
 
 /** The fingerprints of all held requests. */
--- a/entry/answers/src/request-run.ts
+++ b/entry/answers/src/request-run.ts
@@ -20,6 +20,8 @@
   /** Whether its stream can go on elsewhere from the text so far. */
   resumable: boolean
   betweenTokensMs: number
+  /** Knows the request again when it comes under another id. */
+  fingerprint: string
 }
 
 /** What requests share in an entry. */
@@ -31,6 +33,8 @@
   startId: string
   maxAnswerBytes: number
   poolOf: (address: string) => Pool
+  /** Why a request is sent to no endpoint, since they crash under it; undefined if it may be. */
+  whyHeld: (fingerprint: string) => string | undefined
   /** Asks the sidecar of a grant whether an attempt started; `unknown` if it does not answer. */
   revoke: (grant: Grant, attemptId: string) => Promise<Ran>
 }
@@ -45,6 +49,8 @@
 }
 
 const MAX_ATTEMPTS = 6
+/** When a caller is asked to come back with a request that is held, in ms: it is held for minutes. */
+const HELD_RETRY_MS = 60_000
 /** A stream is cut off for higher tiers at most so many times, so that it ends at some time. */
 const MAX_PREEMPTIONS = 2
 const MAX_CANDIDATES_LOGGED = 3
@@ -74,6 +80,8 @@
   /** Runs the request to its end; the caller has been answered when it resolves. */
   async run (): Promise<RunResult> {
     for (;;) {
+      const held = this.services.whyHeld(this.request.fingerprint)
+      if (held !== undefined) return this.refuseHeld(held)
       const submitted = this.services.dispatcher.submit(this.request, { front: this.hasBeenGranted })
       this.logWait()
       const granted = await submitted
@@ -189,6 +197,21 @@
     return this.result('refused', 503)
   }
 
+  /** Refuses a request under which endpoints crash; it is not run any more, and says so where it never was. */
+  private refuseHeld (why: string): RunResult {
+    this.log('refuse', `held (${this.request.fingerprint}): ${why}`)
+    const hasNotRun = this.ran === 'no'
+    this.caller.fail({
+      status: hasNotRun ? 503 : 502,
+      code: 'crashes_endpoints',
+      message: why,
+      ran: this.ran,
+      step: 'quarantine',
+      retryAfterMs: hasNotRun ? HELD_RETRY_MS : undefined
+    })
+    return this.result('refused', hasNotRun ? 503 : 502)
+  }
+
   private fail (status: number, code: string, message: string, grant: Grant): RunResult {
     this.log('refuse', message, grant)
     this.caller.fail({ status, code, message, ran: this.ran, step: 'attempt', peer: `${grant.endpoint}@${grant.sidecar.name}` })
@@ -244,6 +267,7 @@
     return {
       attemptId,
       requestId: request.id,
+      fingerprint: request.fingerprint,
       entry: this.services.startId,
       endpoint: grant.endpoint,
       sidecarStartId: grant.sidecar.startId,
--- a/entry/gateway/src/quarantine.ts
+++ b/entry/gateway/src/quarantine.ts
@@ -1,9 +1,8 @@
 /** Keeps requests under which endpoints crash from being sent to further ones, and learns which these are. */
-import { heldRequest, heldRequestsIn } from '@gullwall/control.state'
+import { heldRequestsIn, whyHeld } from '@gullwall/control.state'
 import { type EndpointState } from '@gullwall/routing.balancer'
+import { CrashReporter, CrashWatch, type BrokenRequest } from '@gullwall/endpoint.crashes'
 import { type Call } from './call.ts'
-import { CrashReporter } from './crash-reporter.ts'
-import { CrashWatch, type BrokenRequest } from './crash-watch.ts'
 import { type GatewayServices } from './index.ts'
 
 /** When a caller is asked to come back with a request that is held, in ms: it is held for minutes, and each try costs both sides. */
@@ -51,8 +50,8 @@
   whyNot ({ fingerprint }: Pick<Call, 'fingerprint'>): string | undefined {
     const alone = this.reporter.heldWithoutControl
     if (this.held.size + alone.size === 0) return undefined
-    const known = heldRequest(this.services.store.records, fingerprint())
-    if (known !== undefined) return `${known.crashes} endpoints crashed while this request was running there`
+    const known = whyHeld(this.services.store.records, fingerprint())
+    if (known !== undefined) return known
     return alone.has(fingerprint()) ? 'endpoints crashed while this request was running there, and control can not be told' : undefined
   }
 
--- a/entry/program/src/caller-server.ts
+++ b/entry/program/src/caller-server.ts
@@ -1,5 +1,6 @@
 /** The server that callers reach, and its planned stop. */
 import { type IdSequence } from '@gullwall/core.ids'
+import { whyHeld } from '@gullwall/control.state'
 import { createApi } from '@gullwall/entry.server'
 import { OrganisationLimits, RetryBudget } from '@gullwall/routing.limits'
 import { HttpServer } from '@gullwall/transport.http-server'
@@ -39,6 +40,7 @@
         attemptIds: options.attemptIds,
         startId,
         maxAnswerBytes: settings.maxAnswerBytes,
+        whyHeld: (fingerprint) => whyHeld(store.records, fingerprint),
         poolOf: (address) => sidecars.poolOf(address),
         revoke: (grant, attemptId) => sidecars.revoke(grant, attemptId)
       }
--- a/entry/server/src/api.ts
+++ b/entry/server/src/api.ts
@@ -9,6 +9,7 @@
 import { endToEndHeaders } from '@gullwall/endpoint.http'
 import { chatRequestSchema, CHAT_PATH, isResumable, type ChatRequest } from '@gullwall/endpoint.openai'
 import { CallerResponse, errorBody, RequestRun, type CallerError, type RequestToRun, type RunResult, type RunServices } from '@gullwall/entry.answers'
+import { fingerprintOf } from '@gullwall/routing.quarantine'
 import { type OrganisationLimits } from '@gullwall/routing.limits'
 import { withoutOwnHeaders } from '@gullwall/transport.attempt'
 import { Koa, Router } from '@gullwall/transport.http-server'
@@ -218,6 +219,7 @@
       late: caller.class.late,
       selectors,
       avoid: new Set(),
+      fingerprint: fingerprintOf({ organisation: caller.organisationName, method: context.method, path: wanted.path, body: wanted.body }),
       repeatable: caller.repeatable,
       stream: wanted.stream,
       resumable: wanted.resumable,
--- a/sidecar/attempts/src/runner.ts
+++ b/sidecar/attempts/src/runner.ts
@@ -11,6 +11,7 @@
 import {
   ATTEMPT_PREFIX, readHead, REFUSED_STATUS, withoutOwnHeaders, writeRefusal, type AttemptHead, type AttemptRefused
 } from '@gullwall/transport.attempt'
+import { type AttemptCrashes, type ServedAttempt } from './crashes.ts'
 import { type AttemptRegistry } from './registry.ts'
 
 /** One endpoint of this box with all that belongs to it. */
@@ -24,6 +25,7 @@
   startId: string
   endpoints: ReadonlyMap<string, ServedEndpoint>
   registry: AttemptRegistry
+  crashes: AttemptCrashes
   logger: Logger
   /** Whether the sidecar is leaving and takes no new work. */
   isLeaving: () => boolean
@@ -84,6 +86,7 @@
   private endReason: EndReason | undefined
   private stallTimer: NodeJS.Timeout | undefined
   private isStream = false
+  private readonly attempt: ServedAttempt
 
   constructor (
     private readonly context: Context,
@@ -92,6 +95,8 @@
     private readonly options: RunnerOptions
   ) {
     this.response = context.res
+    const { endpoint, requestId, fingerprint } = head
+    this.attempt = { life: options.crashes.lifeOf(endpoint), address: served.local.address, requestId, fingerprint }
   }
 
   /** Cuts the attempt off; the entry is told why. */
@@ -106,9 +111,11 @@
     this.watchForStall(this.firstTokenStallMs())
     try {
       await this.callEndpoint()
+      this.options.crashes.noteRanWell(this.attempt)
       response.end()
       if (!this.isStream) this.served.slots.noteFirstToken(performance.now() - this.startedAt)
     } catch (error) {
+      this.noteCrash(error)
       if (response.headersSent) this.breakOff(error)
       else this.refuseFailed(error)
     } finally {
@@ -117,6 +124,13 @@
     }
   }
 
+  /** A break that this process did not make itself may be the crash of the endpoint. */
+  private noteCrash (error: unknown): void {
+    if (this.abort.signal.aborted || !(error instanceof GullwallError)) return
+    if (error.code === 'ERR_GULLWALL_ENDPOINT_REFUSED') this.options.crashes.noteRefused(this.attempt)
+    if (error.code === 'ERR_GULLWALL_ENDPOINT_FAILED') this.options.crashes.noteBroken(this.attempt)
+  }
+
   private callEndpoint (): Promise<void> {
     const { context } = this
     const hasBody = context.headers['content-length'] !== undefined || context.headers['transfer-encoding'] !== undefined
--- a/sidecar/program/src/entry-links.ts
+++ b/sidecar/program/src/entry-links.ts
@@ -86,8 +86,8 @@
   }
 
   private createApp (): Koa {
-    const { startId, endpoints, attempts, logger } = this.services
-    const runner = new AttemptRunner({ startId, endpoints, registry: attempts, logger, isLeaving: () => this.isLeaving })
+    const { startId, endpoints, attempts, crashes, logger } = this.services
+    const runner = new AttemptRunner({ startId, endpoints, registry: attempts, crashes, logger, isLeaving: () => this.isLeaving })
     const app = new Koa()
     app.silent = true
     app.use(async (context) => {
--- a/sidecar/program/src/index.ts
+++ b/sidecar/program/src/index.ts
@@ -12,6 +12,7 @@
 import { linkMetrics } from '@gullwall/transport.link'
 import { type Member } from '@gullwall/transport.messages'
 import { createServedEndpoints, ReportPoller, type EndpointTable } from './endpoints.ts'
+import { EngineCrashes } from './engine-crashes.ts'
 import { EntryLinks } from './entry-links.ts'
 import { sidecarMetrics } from './metrics.ts'
 
@@ -27,6 +28,7 @@
   reports: ReportPoller
   entryLinks: EntryLinks
   control: ControlClient
+  crashes: EngineCrashes
   admin: SidecarAdmin
   departure: Departure
 }
@@ -55,6 +57,7 @@
     .service('reports', ({ endpoints }) => new ReportPoller(endpoints))
     .service('entryLinks', (services) => new EntryLinks(services))
     .service('control', (services) => createControlClient(services))
+    .service('crashes', (services) => new EngineCrashes(services))
     .service('admin', (services) => new SidecarAdmin(services))
     .service('departure', (services) => new Departure(services))
 }
--- a/transport/attempt/src/index.ts
+++ b/transport/attempt/src/index.ts
@@ -9,6 +9,8 @@
 export interface AttemptHead {
   attemptId: string
   requestId: string
+  /** The same for the same caller, method, path and body, whatever the ids; see routing/quarantine. */
+  fingerprint: string
   /** The entry process, by its start id. */
   entry: string
   endpoint: string
@@ -52,12 +54,13 @@
 /** Reads an attempt's head; Left names the header that is missing. */
 export function readHead (headers: IncomingHttpHeaders): Either<string, AttemptHead> {
   const text = (name: string) => headers[PREFIX + name.toLowerCase()] as string | undefined
-  const required = ['attemptId', 'requestId', 'entry', 'endpoint', 'sidecarStartId', 'class', 'tier', 'firstTokenMs', 'betweenTokensMs']
+  const required = ['attemptId', 'requestId', 'fingerprint', 'entry', 'endpoint', 'sidecarStartId', 'class', 'tier', 'firstTokenMs', 'betweenTokensMs']
   const missing = required.find((name) => text(name) === undefined)
   if (missing !== undefined) return Left(missing)
   return Right({
     attemptId: text('attemptId') ?? '',
     requestId: text('requestId') ?? '',
+    fingerprint: text('fingerprint') ?? '',
     entry: text('entry') ?? '',
     endpoint: text('endpoint') ?? '',
     sidecarStartId: text('sidecarStartId') ?? '',
