--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -46,10 +46,20 @@
   endpoints: z.array(z.string())
 })
 
+/** One start of an endpoint that may start again under its name. */
+export const lifeSchema = z.object({
+  /** The endpoint's own name, the same over its starts. */
+  name: z.string(),
+  /** When it started, by its own clock, in Unix ms. Of two lives of one name the one born later holds. */
+  born: z.number().int()
+})
+
 /** The lease of an endpoint that registers itself by heartbeats. States only go forward. */
 export const leaseSchema = z.object({
   /** Names one start of the endpoint; another start has another. */
   incarnation: z.string(),
+  /** Which start of which endpoint it is, where the endpoint may start again under its name. */
+  life: lifeSchema.optional(),
   service: z.string(),
   address: z.string(),
   dataCentre: z.string(),
@@ -290,6 +300,7 @@
 export type UsageWindow = z.infer<typeof usageWindowSchema>
 export type UsageSource = z.infer<typeof usageSourceSchema>
 export type Lease = z.infer<typeof leaseSchema>
+export type Life = z.infer<typeof lifeSchema>
 export type DemandRow = z.infer<typeof demandRowSchema>
 export type LogEntry = z.infer<typeof logEntrySchema>
 export type Revision = z.infer<typeof revisionSchema>
