feat(registry,control,gateway): an endpoint's life is its name and its birth; words that can not be understood are refused and counted

Cause: the lease table knew a start by its id alone, so that an endpoint which started again under its id was out until its count had passed the old one. A word of leaving that names no life means the latest. Ruled out: comparing counts, which begin anew; clocks of our boxes. Six tests of the table fail before and pass now.

--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -176,6 +176,7 @@
     evacuations.addMetrics(registry)
     this.services.coldGranter.addMetrics(registry)
     this.services.crashJudge.addMetrics(registry)
+    this.services.registrar.addMetrics(registry)
     this.services.scalingOrderer.addMetrics(registry)
     this.http = createAdminServer({
       registry,
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -4,7 +4,8 @@
  * entry is linked to any of them is then told, also when this process is cut off.
  */
 import { GullwallError } from '@gullwall/core.error'
-import { type HeldLease } from '@gullwall/control.registry'
+import { gauge, type Registry } from '@gullwall/core.metrics'
+import { lifeOf, type HeldLease } from '@gullwall/control.registry'
 import { type Link } from '@gullwall/transport.link'
 import { type Lease } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
@@ -27,6 +28,9 @@
 /** An endpoint gives up on an answer after a second. */
 const CONFIRM_TIMEOUT_MS = 800
 
+/** Characters of a word that could not be understood which are logged, and of its endpoint's name. */
+const MAX_LOGGED = 200
+
 /** Stands for what this process does not know of an endpoint that it is told is gone. */
 const UNKNOWN_LEASE = { service: '', address: '', dataCentre: '', slots: 0, sequence: 0 }
 
@@ -34,6 +38,8 @@
   private readonly refreshed = new Set<string>()
   private timer: NodeJS.Timeout | undefined
   private rounds = 0
+  /** Words that could not be understood, since the start. */
+  private refusals = 0
   private readonly untoldNear = new Set<string>()
   private readonly untoldFar = new Set<string>()
   private readonly untoldFarthest = new Set<string>()
@@ -70,11 +76,31 @@
     }
   }
 
-  /** Takes word that an endpoint is gone, also of one that is not known here: its heartbeats may still arrive. */
-  async leave (incarnation: string): Promise<void> {
-    const lease = this.services.leases.get(incarnation) ?? UNKNOWN_LEASE
-    const { service, address, dataCentre, slots, sequence } = lease
-    await this.hear({ incarnation, service, address, dataCentre, slots, sequence: sequence + 1, state: 'gone', ageMs: 0 })
+  /**
+   * Takes word that an endpoint is gone, also of one that is not known here: its heartbeats may still arrive. Without a time
+   * of birth its latest life is meant.
+   */
+  async leave (name: string, born?: number): Promise<void> {
+    const { leases } = this.services
+    const meant = lifeOf(name, born)
+    const known = leases.get(born === undefined ? leases.incarnationOf(name) : meant.incarnation)
+    const { service, address, dataCentre, slots, sequence } = known ?? UNKNOWN_LEASE
+    const { incarnation, life } = known ?? meant
+    await this.hear({ incarnation, life, service, address, dataCentre, slots, sequence: sequence + 1, state: 'gone', ageMs: 0 })
+  }
+
+  /** Notes a word about an endpoint that could not be understood, from whoever wrote it; it changes nothing. */
+  refused (name: string, why: string): void {
+    this.refusals += 1
+    this.services.logger.sampled('word refused', {
+      channel: 'endpoint', event: 'refused', endpoint: name.slice(0, MAX_LOGGED), why: `${why.slice(0, MAX_LOGGED)}; ${this.refusals} since the start`
+    })
+  }
+
+  /** Adds the figures of this process to a registry. */
+  addMetrics (registry: Registry): void {
+    const refusals = gauge(registry, 'gullwall_endpoint_words_refused_total', 'Words about endpoints that could not be understood')
+    Object.assign(refusals, { collect: () => refusals.set(this.refusals) })
   }
 
   /** Passes changes on to the entries linked here. */
--- a/control/registry/src/index.ts
+++ b/control/registry/src/index.ts
@@ -1,2 +1,3 @@
 /** Leases of endpoints that register themselves. */
 export * from './lease-table.ts'
+export * from './life.ts'
--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -1,11 +1,12 @@
 /**
  * The leases that one process knows. Control processes take them from heartbeats
  * and from each other, entries from control. Merging is commutative: the state of
- * an incarnation never goes back, and the higher sequence holds. That a lease ran
- * out is never told to others.
+ * an incarnation never goes back, and the higher sequence holds. Of an endpoint that
+ * starts again under its name the life born last holds, by the endpoint's own word,
+ * and nothing is kept of the others. That a lease ran out is never told to others.
  */
 import { type Logger } from '@gullwall/core.logger'
-import { type Lease } from '@gullwall/transport.messages'
+import { type Lease, type Life } from '@gullwall/transport.messages'
 
 const STATE_ORDER = { ready: 0, draining: 1, gone: 2 }
 
@@ -14,6 +15,8 @@
 /** An incarnation that is gone is remembered for so long, so that a late heartbeat does not bring it back, in ms. */
 const TOMBSTONE_MS = 120_000
 const SWEEP_MS = 1000
+/** Lives that have been followed by another are remembered for those whose requests they had: as many as start within some minutes. */
+const MAX_OUTLIVED = 256
 /** An endpoint that is cold for so much longer than was told before has turned cold again, in ms: more than clocks and rounding do. */
 const TURNED_COLD_MS = 500
 
@@ -23,6 +26,11 @@
   heardAt: number
 }
 
+interface HeldLife {
+  incarnation: string
+  born: number
+}
+
 export interface LeaseTableOptions {
   logger: Logger
   leaseMs?: number
@@ -40,6 +48,10 @@
   private readonly held = new Map<string, HeldLease>()
   /** The incarnation that was last heard at each address. */
   private readonly holders = new Map<string, string>()
+  /** The life born last of each endpoint that may start again under its name. */
+  private readonly lives = new Map<string, HeldLife>()
+  /** What lives had last said of themselves when a later one was heard; the oldest gives way. */
+  private readonly outlived = new Map<string, Lease['state']>()
   /** Leases from before a restart that no heartbeat has confirmed yet. */
   private readonly unconfirmed = new Set<string>()
   private readonly now: () => number
@@ -70,10 +82,16 @@
     return lease?.state === 'ready' && this.holders.get(lease.address) === incarnation
   }
 
-  /** Whether another incarnation has been heard at the endpoint's address since, though the endpoint said nothing of leaving. */
+  /** What an incarnation last said of itself, also one that has started again since; undefined if it is not known. */
+  stateOf (incarnation: string): Lease['state'] | undefined {
+    return this.held.get(incarnation)?.state ?? this.outlived.get(incarnation)
+  }
+
+  /** Whether another incarnation has been heard in its place since, though it said nothing of leaving. */
   isReplaced (incarnation: string): boolean {
     const lease = this.held.get(incarnation)
-    if (lease?.state !== 'ready') return false
+    if (lease === undefined) return this.outlived.get(incarnation) === 'ready'
+    if (lease.state !== 'ready') return false
     const holder = this.holders.get(lease.address)
     return holder !== undefined && holder !== incarnation
   }
@@ -95,7 +113,8 @@
   /** Takes leases from a heartbeat or a peer. */
   merge (leases: readonly Lease[]): Merged[] {
     const changed: HeldLease[] = []
-    const outcomes = leases.map((lease) => {
+    const outcomes = leases.map((given) => {
+      const lease = this.ofLatestLife(given)
       const addressBefore = this.held.get(lease.incarnation)?.address
       const outcome = this.mergeOne(lease)
       const held = this.held.get(lease.incarnation)
@@ -122,6 +141,11 @@
     for (const { incarnation } of leases) this.unconfirmed.add(incarnation)
   }
 
+  /** The incarnation that an endpoint has now, by its name; its name where it tells no lives. */
+  incarnationOf (name: string): string {
+    return this.lives.get(name)?.incarnation ?? name
+  }
+
   /** Leases for the wire, with their age instead of a local time. */
   toWire (leases: readonly HeldLease[] = this.all()): Lease[] {
     const now = this.now()
@@ -137,12 +161,10 @@
     const leaseMs = this.options.leaseMs ?? DEFAULT_LEASE_MS
     const newest = this.newestWord()
     for (const [incarnation, lease] of this.held) {
-      if (now - lease.heardAt > TOMBSTONE_MS && lease.state === 'gone') this.held.delete(incarnation)
+      if (now - lease.heardAt > TOMBSTONE_MS && lease.state === 'gone') this.forget(incarnation, lease)
       const silentMs = newest - lease.heardAt
       if (lease.state === 'gone' || silentMs <= leaseMs) continue
-      this.held.delete(incarnation)
-      this.unconfirmed.delete(incarnation)
-      if (this.holders.get(lease.address) === incarnation) this.holders.delete(lease.address)
+      this.forget(incarnation, lease)
       this.options.onTouched?.(incarnation)
       this.log({ ...lease, state: 'gone' }, `no heartbeat for ${Math.round(silentMs)} ms while others were heard`)
     }
@@ -155,12 +177,45 @@
     return newest
   }
 
+  private forget (incarnation: string, { address, life }: Pick<Lease, 'address' | 'life'>): void {
+    this.held.delete(incarnation)
+    this.unconfirmed.delete(incarnation)
+    if (this.holders.get(address) === incarnation) this.holders.delete(address)
+    // A clock that stepped back between two lives makes the later one seem older; once the other has run out it counts.
+    if (life !== undefined && this.lives.get(life.name)?.incarnation === incarnation) this.lives.delete(life.name)
+  }
+
+  /** Whether a life is the latest one of its endpoint; ends the one that was. */
+  private isLatest (incarnation: string, { name, born }: Life): boolean {
+    const known = this.lives.get(name)
+    if (known !== undefined && known.born > born) return false
+    this.lives.set(name, { incarnation, born })
+    const earlier = known === undefined || known.incarnation === incarnation ? undefined : this.held.get(known.incarnation)
+    if (earlier === undefined) return true
+    this.held.delete(earlier.incarnation)
+    this.unconfirmed.delete(earlier.incarnation)
+    this.outlived.set(earlier.incarnation, earlier.state)
+    const [oldest] = this.outlived.keys()
+    if (this.outlived.size > MAX_OUTLIVED && oldest !== undefined) this.outlived.delete(oldest)
+    this.options.onTouched?.(earlier.incarnation)
+    this.log({ ...earlier, state: 'gone' }, `it has started again, as ${incarnation}`)
+    return true
+  }
+
+  /** A word without a life about an endpoint that tells its lives can only mean the latest. */
+  private ofLatestLife (lease: Lease): Lease {
+    if (lease.life !== undefined) return lease
+    const incarnation = this.incarnationOf(lease.incarnation)
+    return incarnation === lease.incarnation ? lease : { ...lease, incarnation, life: this.held.get(incarnation)?.life }
+  }
+
   private mergeOne (lease: Lease): Merged {
     const { ageMs, ...rest } = lease
     const heardAt = this.now() - ageMs
     const known = this.held.get(lease.incarnation)
+    const isTooOld = known === undefined && ageMs > (this.options.leaseMs ?? DEFAULT_LEASE_MS) && lease.state !== 'gone'
+    if (isTooOld || (lease.life !== undefined && !this.isLatest(lease.incarnation, lease.life))) return 'stale'
     if (known === undefined) {
-      if (ageMs > (this.options.leaseMs ?? DEFAULT_LEASE_MS) && lease.state !== 'gone') return 'stale'
       this.held.set(lease.incarnation, { ...rest, heardAt })
       this.log(lease, `sequence ${lease.sequence}, heard ${Math.round(ageMs)} ms ago`)
       return 'changed'
--- a/control/registry/test/lives.test.ts
+++ b/control/registry/test/lives.test.ts
@@ -32,7 +32,9 @@
   return { leases, clock, touched }
 }
 
-const usable = (leases: LeaseTable) => leases.all().map(({ incarnation }) => incarnation).filter((incarnation) => leases.isUsable(incarnation))
+function usable (leases: LeaseTable): string[] {
+  return leases.all().map(({ incarnation }) => incarnation).filter((incarnation) => leases.isUsable(incarnation))
+}
 
 describe('an endpoint that starts again under its name', () => {
   it('is usable with its first word, though its count begins anew', () => {
@@ -41,6 +43,7 @@
     expect(leases.merge([word(2000, 1)])).toEqual(['changed'])
     expect(usable(leases)).toEqual(['e@2000'])
     expect(leases.get('e@1000')).toBeUndefined()
+    expect([leases.stateOf('e@1000'), leases.isReplaced('e@1000')]).toEqual(['ready', true])
     expect(touched).toContain('e@1000')
   })
 
@@ -82,7 +85,9 @@
 
   it(`ends up the same at two processes, whatever they hear in which order (seed ${SEED})`, () => {
     const words = fc.array(fc.record({
-      born: fc.constantFrom(1000, 2000, 3000), sequence: fc.integer({ min: 1, max: 5 }), state: fc.constantFrom<Lease['state']>('ready', 'draining', 'gone')
+      born: fc.constantFrom(1000, 2000, 3000),
+      sequence: fc.integer({ min: 1, max: 5 }),
+      state: fc.constantFrom<Lease['state']>('ready', 'draining', 'gone')
     }), { minLength: 1, maxLength: 10 })
     fc.assert(fc.property(words, fc.array(fc.nat(), { maxLength: 10 }), (heard, keys) => {
       const told = heard.map(({ born, sequence, state }) => word(born, sequence, state))
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -204,7 +204,7 @@
   private headersFor ({ endpoint, source, urgency }: Candidate): string[] {
     const { call, services } = this
     return services.dialect.attemptHeaders(call.rawHeaders, {
-      incarnation: endpoint.description.incarnation,
+      incarnation: endpoint.description.life?.name ?? endpoint.description.incarnation,
       remainingMs: Math.max(1, Math.floor(call.deadline - performance.now() - DEADLINE_SLACK_MS)),
       organisation: call.organisation?.name,
       urgency,
--- a/entry/gateway/src/quarantine.ts
+++ b/entry/gateway/src/quarantine.ts
@@ -19,7 +19,7 @@
     const { store, view, logger, controlLinks } = services
     this.reporter = new CrashReporter({ logger, tell: async (word) => await controlLinks.tellCrashes(word) })
     this.watch = new CrashWatch({
-      stateOf: (incarnation) => view.leases.get(incarnation)?.state,
+      stateOf: (incarnation) => view.leases.stateOf(incarnation),
       isReplaced: (incarnation) => view.leases.isReplaced(incarnation),
       onCrash: (endpoint, requests) => this.crashed(endpoint, requests)
     })
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -77,6 +77,8 @@
 
 export interface EndpointDescription {
   incarnation: string
+  /** Of an endpoint that may start again under its name. */
+  life?: { name: string } | undefined
   service: string
   address: string
   dataCentre: string
