feat(core,gateway,control): leases, grants and deadlines end with a suspension that the steady clock did not count

Cause: a box that is suspended for seconds wakes with a steady clock that stood still. A lease or a grant seemed to hold on, and a request in hand was sent on with time that it no longer had. One watch tells how long the process has slept, by the time of day beside the steady clock; what it tells ends things sooner and never shortens a wait (a new holder of the duty lease waits by the steady clock alone). A time of day that is set forward looks the same: requests in hand then have less time, leases and grants are asked for anew. Ruled out: the uptime of the box, which the runtime may read from elsewhere; a timer that ticks, which a suspension and a clock step leave alike.

--- a/bench/experiment/src/choice.ts
+++ b/bench/experiment/src/choice.ts
@@ -182,6 +182,7 @@
       arrivedAt,
       deadline: arrivedAt + ROUTE.timeoutMs,
       documentVersion: 1,
+      sleptMs: 0,
       fingerprint: () => ''
     }
   }
--- a/control/program/src/duty-lease.ts
+++ b/control/program/src/duty-lease.ts
@@ -4,11 +4,15 @@
  * term is the fencing token.
  */
 
+import { suspensions } from '@gullwall/core.clock'
+
 /** What a holder shows with each act; a higher token replaces all lower ones. */
 export interface Fence {
   token: number
   /** Until when the holder may begin to act, by the monotonic clock. */
   validUntil: number
+  /** For how long this process had been suspended when it asked for the fence, in ms; what it sleeps since counts against it. */
+  sleptMs: number
 }
 
 export interface DutyLeaseOptions {
@@ -19,6 +23,8 @@
   /** Resolves once a majority has answered that this process still leads, to questions asked after the call. */
   confirm: () => Promise<unknown>
   now?: () => number
+  /** For how long this process has been suspended so far, in ms. */
+  slept?: () => number
 }
 
 /**
@@ -33,9 +39,11 @@
   /** The token that the outside has refused because it has seen a higher one. */
   private refusedToken: number | undefined
   private readonly now: () => number
+  private readonly slept: () => number
 
   constructor (private readonly options: DutyLeaseOptions) {
     this.now = options.now ?? (() => performance.now())
+    this.slept = options.slept ?? (() => suspensions.slept())
   }
 
   /** Gives the fence under which this process may act now; undefined while it may not. */
@@ -46,6 +54,7 @@
     // The leader before may have been confirmed until just before this one was elected.
     if (this.now() - this.ledSince < leaseMs) return undefined
     const askedAt = this.now()
+    const sleptMs = this.slept()
     try {
       await confirm()
     } catch {
@@ -53,11 +62,12 @@
       return undefined
     }
     if (this.observeTerm() !== token) return undefined
-    return { token, validUntil: askedAt + ACTING_SHARE * leaseMs }
+    return { token, validUntil: askedAt + ACTING_SHARE * leaseMs, sleptMs }
   }
 
-  isValid ({ token, validUntil }: Fence): boolean {
-    return this.observeTerm() === token && token !== this.refusedToken && this.now() < validUntil
+  isValid ({ token, validUntil, sleptMs }: Fence): boolean {
+    const now = this.now() + this.slept() - sleptMs
+    return this.observeTerm() === token && token !== this.refusedToken && now < validUntil
   }
 
   /** Notes that a higher token was seen outside: this term acts no more. */
--- a/control/program/test/duty-lease.fuzz.test.ts
+++ b/control/program/test/duty-lease.fuzz.test.ts
@@ -88,12 +88,26 @@
     expect(acted).toBeGreaterThan(0)
   })
 
+  it('does not act on a lease from before it was suspended, nor wait less for having been', async () => {
+    let [now, slept] = [0, 0]
+    const lease = new DutyLease({ leaseMs: LEASE_MS, leadingTerm: () => 4, confirm: async () => {}, now: () => now, slept: () => slept })
+    expect(await lease.acquire()).toBeUndefined()
+    slept = 5 * LEASE_MS
+    expect(await lease.acquire()).toBeUndefined()
+    now = LEASE_MS
+    const fence = await lease.acquire() as Fence
+    expect(lease.isValid(fence)).toBe(true)
+    slept += LEASE_MS
+    expect(lease.isValid(fence)).toBe(false)
+    expect(lease.isValid(await lease.acquire() as Fence)).toBe(true)
+  })
+
   it('is given up for good in a term whose token was refused', async () => {
     let now = 0
     const lease = new DutyLease({ leaseMs: LEASE_MS, leadingTerm: () => 4, confirm: async () => {}, now: () => now })
     expect(await lease.acquire()).toBeUndefined()
     now = LEASE_MS
-    expect(await lease.acquire()).toEqual({ token: 4, validUntil: 1.5 * LEASE_MS })
+    expect(await lease.acquire()).toEqual({ token: 4, validUntil: 1.5 * LEASE_MS, sleptMs: 0 })
     lease.noteRefused(4)
     expect(await lease.acquire()).toBeUndefined()
   })
--- a/entry/gateway/src/call.ts
+++ b/entry/gateway/src/call.ts
@@ -1,5 +1,6 @@
 /** One request of a caller, resolved against the routing document. */
 import { type IncomingMessage } from 'node:http'
+import { suspensions } from '@gullwall/core.clock'
 import { type OrganisationDescription, type Route, type RouteTable } from '@gullwall/config.document'
 import { fingerprintOf } from '@gullwall/routing.quarantine'
 import { regionLimitsOf, type RegionLimits } from './allowed-regions.ts'
@@ -18,8 +19,10 @@
   regionLimits: RegionLimits
   tier: number
   arrivedAt: number
-  /** When the caller or the route gives up, by the monotonic clock. */
+  /** When the caller or the route gives up, by the monotonic clock; sooner by what the box has slept since the arrival. */
   deadline: number
+  /** For how long the box had been suspended when the request arrived, in ms. */
+  sleptMs: number
   documentVersion: number
   /** Knows the same request again when it comes under another id; taken from the body when it is first asked for. */
   fingerprint: () => string
@@ -63,11 +66,17 @@
     tier: organisation?.tier ?? route.tier,
     arrivedAt,
     deadline: arrivedAt + Math.min(head.waitMs ?? Infinity, route.timeoutMs),
+    sleptMs: suspensions.slept(),
     documentVersion: table.version,
     fingerprint: once(() => fingerprintOf({ organisation: organisation?.name, method, path, body }))
   }
 }
 
+/** How much of its time a request has left, in ms; what the box has slept since it arrived counts. */
+export function remainingMs ({ deadline, sleptMs }: Pick<Call, 'deadline' | 'sleptMs'>, slept = suspensions.slept()): number {
+  return deadline - performance.now() - (slept - sleptMs)
+}
+
 /** Whether a request may run more than once. */
 export function isRepeatable ({ route }: Call): boolean {
   return route.kind === 'repeatable' || (route.kind === 'stream' && route.isResumable)
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -5,7 +5,7 @@
 import { AnswerReceiver, hasRun, verdictOf, type AttemptEnd } from './answer-receiver.ts'
 import { AttemptHistory } from './attempt-history.ts'
 import { admit, nextStep, silenceOf, WATCH_MS, type NextStep, type RequestState } from './attempt-policy.ts'
-import { type Call } from './call.ts'
+import { remainingMs, type Call } from './call.ts'
 import { originOf } from './connections.ts'
 import {
   chooseEndpoint, hasAlternative, isSensitive, outputTokensOf, whyNever, whyNone, type EndpointChoiceOptions
@@ -72,6 +72,10 @@
     if (never !== undefined) this.refuse(never)
     while (!this.isOver) {
       if (this.isHeld()) return
+      if (remainingMs(this.call) <= 0) {
+        this.deadlinePassed()
+        return
+      }
       const candidate = await this.nextCandidate()
       if (this.isOver || this.isHeld()) return
       if (candidate === undefined) {
@@ -205,7 +209,7 @@
     const { call, services } = this
     return services.dialect.attemptHeaders(call.rawHeaders, {
       incarnation: endpoint.description.life?.name ?? endpoint.description.incarnation,
-      remainingMs: Math.max(1, Math.floor(call.deadline - performance.now() - DEADLINE_SLACK_MS)),
+      remainingMs: Math.max(1, Math.floor(remainingMs(call) - DEADLINE_SLACK_MS)),
       organisation: call.organisation?.name,
       urgency,
       lastEventId: this.lastEventId,
@@ -244,6 +248,11 @@
   private watch (candidate: Candidate, work: Work): void {
     const { exchange, recorder } = this
     if (this.isOver || exchange === undefined) return
+    // A box that was suspended finds its timers late.
+    if (remainingMs(this.call) <= 0) {
+      this.deadlinePassed()
+      return
+    }
     const running = {
       ...this.state,
       candidate,
--- a/entry/gateway/test/allowed-regions.fuzz.test.ts
+++ b/entry/gateway/test/allowed-regions.fuzz.test.ts
@@ -95,6 +95,7 @@
     arrivedAt: 0,
     deadline: Infinity,
     documentVersion: document.version,
+    sleptMs: 0,
     fingerprint: () => ''
   }
 }
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -47,6 +47,7 @@
     arrivedAt: 0,
     deadline: 6000,
     documentVersion: 1,
+    sleptMs: 0,
     fingerprint: () => ''
   }
   const budget = new RetryBudget({ ratio: 0, windowMs: 10_000, slack, entries: () => 1 })
