fix(crashes): a look that times out does not take back a crash; status tells what is held

Found by reading the change: a look at the address that found nothing within 400 ms dropped the watch although another request had shown meanwhile that the process was gone, so that what broke later was not told. Test: fails before, passes now. What is kept of one endpoint is bounded to 128 requests.

--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -182,7 +182,14 @@
       registry,
       notReady: () => quorum.leaderName === undefined ? 'no leader is known' : undefined,
       pages: {
-        '/status': () => ({ role: 'control', box: settings.box, revision: store.revision, quorum: quorum.status(), boxes: members.all().length })
+        '/status': () => ({
+          role: 'control',
+          box: settings.box,
+          revision: store.revision,
+          quorum: quorum.status(),
+          boxes: members.all().length,
+          quarantined: [...this.services.state.quarantine.evidence.held]
+        })
       }
     })
     this.address = await this.http.listen(settings.admin)
--- a/endpoint/crashes/src/crash-watch.ts
+++ b/endpoint/crashes/src/crash-watch.ts
@@ -40,6 +40,8 @@
 /** A box that was silent for so long before lost its power or its link, in ms; its connections are reset when it is back. */
 const SILENT_MS = 4000
 const LOOK_MS = 100
+/** Requests that are kept of one endpoint: as many as control keeps of one crash. */
+const MAX_REQUESTS = 128
 /** An address that neither takes nor refuses a connection within this time says nothing, in ms: many round trips. */
 const PROBE_MS = 400
 
@@ -78,16 +80,17 @@
     const { incarnation, address, silentMs } = endpoint
     const known = this.watched.get(incarnation)
     if (known !== undefined) {
-      known.requests.push(request)
+      if (known.requests.length < MAX_REQUESTS) known.requests.push(request)
       if (known.hasCrashed) this.options.onCrash(incarnation, [request])
       return
     }
     const now = this.now()
     if (this.options.stateOf(incarnation) !== 'ready' || silentMs > SILENT_MS) return
-    this.watched.set(incarnation, { requests: [request], since: now, hasCrashed: false })
+    const watched: Watched = { requests: [request], since: now, hasCrashed: false }
+    this.watched.set(incarnation, watched)
     void this.probe(address).then((result) => {
       if (result === 'refused') this.noteEnded(incarnation)
-      if (result === 'silent') this.watched.delete(incarnation)
+      if (result === 'silent' && !watched.hasCrashed) this.watched.delete(incarnation)
     })
   }
 
--- a/endpoint/crashes/test/crash-watch.test.ts
+++ b/endpoint/crashes/test/crash-watch.test.ts
@@ -95,6 +95,15 @@
     expect(told).toEqual([])
   })
 
+  it('has crashed for good where that showed before a look at its address timed out', async () => {
+    probed = 'silent'
+    watch.noteBroken(ENGINE, FIRST)
+    watch.noteEnded('i-1')
+    await settled()
+    watch.noteBroken(ENGINE, SECOND)
+    expect(told.map(({ requests }) => requests)).toEqual([[FIRST], [SECOND]])
+  })
+
   it('is forgotten some seconds after a crash', async () => {
     watch.noteBroken(ENGINE, FIRST)
     await settled()
