--- a/bench/soak/src/checks/engines.ts
+++ b/bench/soak/src/checks/engines.ts
@@ -4,6 +4,8 @@
 import { type Check, type Violation } from './violation.ts'
 
 const SECOND_MS = 1000
+/** With so many engines ended under a request it is to be known. */
+const CRASHES_TO_KNOW = 3
 
 /** An engine that leaves gets nothing a few seconds after that was acknowledged. */
 export const leavingGetNothing: Check = ({ journal, bounds }) => {
@@ -47,6 +49,20 @@
   })
 }
 
+/** A request under which engines crash reaches few more once it has ended three and all could know. */
+export const crashingIsHeld: Check = ({ journal, bounds }) => {
+  const bodies = new Set(journal.crashes.map(({ body }) => body))
+  return [...bodies].flatMap((body) => {
+    const runs = journal.crashes.filter((run) => run.body === body)
+    const knownFrom = (runs[CRASHES_TO_KNOW - 1]?.at ?? Infinity) + bounds.knownMs
+    const late = runs.filter(({ from, at }) => at > knownFrom && journal.isInTouch(from, at))
+    const [, , , oneTooMany] = late
+    if (oneTooMany === undefined) return []
+    const { at, engine, from } = oneTooMany
+    return [{ check: 'crashing', at, subject: body, what: `at ${engine} from ${from}: reached ${runs.length} engines, ${late.length} of them once it was known` }]
+  })
+}
+
 /** A request with regions of its own is seen by no engine of another one. */
 export const stayHome: Check = ({ journal }) => {
   const kinds = new Map(journal.attempts.map(({ id, kind }) => [id, kind]))
--- a/bench/soak/src/checks/index.ts
+++ b/bench/soak/src/checks/index.ts
@@ -1,7 +1,7 @@
 /** All checks of a run. */
 import { noIntrusion, refusalsTrue, runsAtMost, unchanged, urgencyByTier, wholeAnswers } from './answers.ts'
 import { acknowledgements, inForce, keysDropped, noReturn, nothingLost, readBack } from './configuration.ts'
-import { coldSpared, evacuatedGetNothing, leavingGetNothing, stayHome } from './engines.ts'
+import { coldSpared, crashingIsHeld, evacuatedGetNothing, leavingGetNothing, stayHome } from './engines.ts'
 import { endsAsAsked, nothingStarves, recovers, stopsCutNothing } from './service.ts'
 import { type Check, type CheckInput, type Violation } from './violation.ts'
 
@@ -15,7 +15,7 @@
   return [
     wholeAnswers, runsAtMost, refusalsTrue, unchanged, noIntrusion, urgencyByTier,
     inForce, keysDropped, noReturn, readBack, acknowledgements, nothingLost,
-    leavingGetNothing, evacuatedGetNothing,
+    leavingGetNothing, evacuatedGetNothing, crashingIsHeld,
     stopsCutNothing, endsAsAsked, nothingStarves, recovers,
     ...cold ? [coldSpared] : [],
     ...regions ? [stayHome] : []
--- a/bench/soak/src/engine.ts
+++ b/bench/soak/src/engine.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type AddressInfo } from 'node:net'
 import { answerBody, eventCount, eventOf, sentBody } from './answers.ts'
+import { CRASHING } from './crashing-requests.ts'
 import { type Journal, type Run } from './journal.ts'
 import { type Random } from './random.ts'
 
@@ -26,6 +27,8 @@
   journal: Journal
   random: Random
   sourceAt: (port: number) => string
+  /** Ends this engine's process, and brings it back. */
+  crash: (engine: Engine) => void
 }
 
 const SLOTS = 8
@@ -95,6 +98,10 @@
       response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
       return
     }
+    if (body.startsWith(CRASHING)) {
+      this.crashUnder(request, body, response)
+      return
+    }
     const run = this.runOf(request, id, body)
     this.options.journal.noteRun(run)
     const { running } = this
@@ -107,6 +114,12 @@
     else this.answer(run, response, isCut)
   }
 
+  private crashUnder (request: IncomingMessage, body: string, response: ServerResponse): void {
+    const { journal, name, sourceAt, crash } = this.options
+    journal.crashes.push({ body, at: journal.now, engine: name, from: sourceAt(request.socket.remotePort ?? 0) })
+    this.after(WORK_MS.from, response, () => crash(this))
+  }
+
   private runOf (request: IncomingMessage, id: string, body: string): Run {
     const { journal, name, dataCentre, service, sourceAt } = this.options
     serial += 1
--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -2,6 +2,7 @@
 import { readdirSync, rmSync, statSync } from 'node:fs'
 import { join } from 'node:path'
 import { type Callers } from './callers.ts'
+import { sendCrashing } from './crashing-requests.ts'
 import { REGIONS } from './documents.ts'
 import { type Behaviour, type Engine } from './engine.ts'
 import { tellGone, tellLeaving } from './heartbeats.ts'
@@ -85,6 +86,7 @@
     end()
   },
   evacuation: evacuate,
+  'request crashes engines': async ({ site }, fault) => await sendCrashing(site, fault),
   burst: async ({ callers }, { durationMs }) => {
     callers.load *= BURST
     await pause(durationMs)
--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -68,6 +68,9 @@
 /** The end of a process: asked for by a signal, or by itself. */
 export interface ProcessEnd { who: string, at: number, asked: 'SIGTERM' | 'SIGKILL' | undefined, askedAt: number, code: number | null }
 
+/** A request under which an engine's process ends reached one. */
+export interface CrashingRun { body: string, at: number, engine: string, from: string }
+
 /** A time in which an engine was cold. */
 export interface ColdSpell { incarnation: string, from: number, to: number }
 
@@ -87,6 +90,7 @@
   readonly disturbances: Disturbance[] = []
   readonly ends: ProcessEnd[] = []
   readonly coldSpells: ColdSpell[] = []
+  readonly crashes: CrashingRun[] = []
   /** Answers of control to callers without its token. */
   readonly intrusions: Array<{ at: number, path: string, status: number }> = []
   private readonly runsById = new Map<string, Run[]>()
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -120,6 +120,14 @@
     replace: "return lease !== undefined && lease.state !== 'gone' &&",
     faults: ['engine leaves']
   },
+  {
+    name: 'crashing-sent-on',
+    check: 'crashing',
+    file: 'control/program/src/crash-judge.ts',
+    find: 'if (now - this.unjudgedSince < SETTLE_MS) return',
+    replace: 'if (now - this.unjudgedSince < 1e9) return',
+    faults: ['request crashes engines']
+  },
   {
     name: 'stop-cuts-off',
     check: 'planned-stop',
--- a/bench/soak/src/plan.ts
+++ b/bench/soak/src/plan.ts
@@ -25,12 +25,42 @@
 /** Kinds that disturb so much that they are drawn more rarely. */
 const RARE: Partial<Record<FaultKind, number>> = { 'kill everything': 0.4, 'stop all gateways': 0.4, burst: 0.5 }
 
-export function planFaults ({ random, durationMs, gateways, controls, engines, dataCentres, kinds }: PlanOptions): PlannedFault[] {
+/** Drawn by itself after all others, so that a seed from before it still gives the same series of the others. */
+const APART: FaultKind = 'request crashes engines'
+const APART_MS = { from: 15_000, to: 35_000 }
+const APART_LENGTH_MS = { from: 6000, to: 15_000 }
+
+/** Draws the faults of a run. */
+export function planFaults (options: PlanOptions): PlannedFault[] {
+  const planned = [...planSeries(options), ...planApart(options)]
+  return planned.sort((left, right) => left.atMs - right.atMs)
+}
+
+function planApart ({ random, durationMs, gateways, controls, engines, dataCentres, kinds }: PlanOptions): PlannedFault[] {
+  if (kinds !== undefined && !kinds.includes(APART)) return []
+  const planned: PlannedFault[] = []
+  for (let atMs = FIRST_MS; atMs < durationMs; atMs += random.between(APART_MS.from, APART_MS.to)) {
+    planned.push({
+      atMs,
+      kind: APART,
+      gateway: random.pick(gateways),
+      control: random.pick(controls),
+      engine: random.pick(engines),
+      dataCentre: random.pick(dataCentres),
+      durationMs: Math.min(random.between(APART_LENGTH_MS.from, APART_LENGTH_MS.to), durationMs - atMs)
+    })
+  }
+  return planned
+}
+
+function planSeries ({ random, durationMs, gateways, controls, engines, dataCentres, kinds }: PlanOptions): PlannedFault[] {
+  const drawn = (kinds ?? Object.keys(FAULTS) as FaultKind[]).filter((kind) => kind !== APART)
+  if (drawn.length === 0) return []
   const planned: PlannedFault[] = []
   let wipedAt = -Infinity
   for (let atMs = FIRST_MS; atMs < durationMs; atMs += random.between(CALM_MS.from, CALM_MS.to)) {
     for (let left = 1 + Math.floor(random.next() * MAX_SERIES); left > 0 && atMs < durationMs; left--) {
-      const kind = drawKind(random, kinds ?? Object.keys(FAULTS) as FaultKind[])
+      const kind = drawKind(random, drawn)
       const fault: PlannedFault = {
         atMs,
         kind,
--- a/bench/soak/src/site.ts
+++ b/bench/soak/src/site.ts
@@ -5,6 +5,7 @@
 import { stringify } from 'smol-toml'
 import { freeAddress, freeAddresses } from '@gullwall/bench.deployment'
 import { type BuiltPrograms } from './build.ts'
+import { crashAndReturn } from './crashing-requests.ts'
 import { COLD, REGIONS } from './documents.ts'
 import { Engine } from './engine.ts'
 import { Heartbeats } from './heartbeats.ts'
@@ -166,7 +167,8 @@
       address,
       journal: this.journal,
       random: this.options.random,
-      sourceAt: (port) => this.network.sourceAt(port)
+      sourceAt: (port) => this.network.sourceAt(port),
+      crash: (crashed) => { void crashAndReturn(this, crashed) }
     })
     await engine.start()
     await this.network.open(name, address, engine.target)
