feat(endpoint,gateway): lines tell what endpoints say of themselves in their answers

Cause: the line of an attempt that was turned away told the status only, so that an endpoint that is full just now could not be told from one that wants nothing for some seconds, nor one that drains from one that stays. Change: the heads of answers are read for Retry-After (seconds, fractions, dates; what can not be understood is told) and for the header of draining, in one package that both paths can use; a sampled line channel endpoint, event notice. No decision depends on it yet.

--- /dev/null
+++ b/endpoint/notices/src/index.ts
@@ -0,0 +1,3 @@
+/** What endpoints say of themselves in the heads of their answers. */
+export * from './notices.ts'
+export * from './retry-after.ts'
--- /dev/null
+++ b/endpoint/notices/test/notices.test.ts
@@ -0,0 +1,61 @@
+/** What endpoints say of themselves, in the forms in which they say it. */
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { MAX_BACKOFF_MS, readNotices, readRetryAfter } from '../src/index.ts'
+
+const NOW = Date.parse('Thu, 03 Dec 2026 10:00:00 GMT')
+const read = (text: string, date?: string) => readRetryAfter(text, { date, now: NOW })
+const notices = (status: number, headers: Record<string, string | string[]>) => (
+  readNotices({ status, headers, drainingHeader: 'x-leaving', now: NOW })
+)
+
+describe('the time that is asked for', () => {
+  it.each([
+    ['3', 3000], ['0', 0], ['0.25', 250], ['.5', 500], [' 7 ', 7000], ['3.', 3000], ['7200', 7_200_000], ['99999999999', MAX_BACKOFF_MS]
+  ])('is read from the seconds %j', (text, ms) => expect(read(text)).toBe(ms))
+
+  it.each([
+    ['Thu, 03 Dec 2026 10:00:04 GMT', 4000],
+    ['Thursday, 03-Dec-26 10:00:04 GMT', 4000],
+    ['Thu Dec  3 10:00:04 2026', 4000],
+    ['Thu, 03 Dec 2026 09:00:00 GMT', 0],
+    ['Fri, 03 Dec 2027 10:00:00 GMT', MAX_BACKOFF_MS]
+  ])('is read from the date %j', (text, ms) => expect(read(text)).toBe(ms))
+
+  it('goes by the clock of whoever wrote the date', () => {
+    expect(read('Thu, 03 Dec 2026 09:00:05 GMT', 'Thu, 03 Dec 2026 09:00:00 GMT')).toBe(5000)
+  })
+
+  it.each(['', 'soon', '-1', '+3', '3s', '1e3', 'Infinity', 'NaN', '3,5', '0x10', 'Thu, no date 99:99:99 GMT', '2026-12-03T10:00:04Z'])(
+    'is not guessed from %j', (text) => expect(read(text)).toBeUndefined()
+  )
+
+  it('is a bounded number of ms or nothing, whatever is written', () => {
+    const dates = fc.date({ noInvalidDate: true }).map((date) => date.toUTCString())
+    fc.assert(fc.property(fc.oneof(fc.string(), fc.double().map(String), dates), (text) => {
+      const ms = read(text)
+      expect(ms === undefined || (ms >= 0 && ms <= MAX_BACKOFF_MS)).toBe(true)
+    }), { numRuns: 1000 })
+  })
+})
+
+describe('the notices of an answer', () => {
+  it('tell of leaving with any status', () => {
+    for (const status of [200, 206, 400, 421, 429, 500, 503]) expect(notices(status, { 'x-leaving': '1' }).isDraining, String(status)).toBe(true)
+    expect(notices(200, {}).isDraining).toBe(false)
+    expect(notices(200, { 'x-leaving': '0' }).isDraining).toBe(false)
+    expect(notices(200, { 'x-leaving': ['0', '1'] }).isDraining).toBe(true)
+  })
+
+  it('ask for a rest only where work is turned away', () => {
+    expect(notices(503, { 'retry-after': '3' }).backOffMs).toBe(3000)
+    expect(notices(429, { 'retry-after': '3' }).backOffMs).toBe(3000)
+    for (const status of [200, 301, 413, 500]) expect(notices(status, { 'retry-after': '3' }).backOffMs).toBeUndefined()
+    expect(notices(503, {})).toEqual({ isDraining: false, backOffMs: undefined })
+  })
+
+  it('take the longest of several values, and pass over what can not be understood', () => {
+    expect(notices(503, { 'retry-after': ['1', 'soon', '4'] }).backOffMs).toBe(4000)
+    expect(notices(503, { 'retry-after': ['soon', 'later'] })).toEqual({ isDraining: false, backOffMs: undefined, unreadable: 'soon | later' })
+  })
+})
--- a/entry/gateway/src/answer-receiver.ts
+++ b/entry/gateway/src/answer-receiver.ts
@@ -1,4 +1,5 @@
 /** Takes the answer of one attempt and passes it on as far as it is whole. */
+import { describeNotices, type Notices } from '@gullwall/endpoint.notices'
 import { type AttemptVerdict, type Candidate, type Work } from '@gullwall/routing.balancer'
 import { EventCutter } from './events.ts'
 import { type ExchangeEnd, type ExchangeHead, type ExchangeListener } from './exchange.ts'
@@ -40,13 +41,23 @@
   onHead (head: ExchangeHead): boolean {
     const { call, services } = this.forwarding.facts
     this.candidate.endpoint.heardAt = performance.now()
-    const { requestId, isSigned, isNotRun } = services.dialect.readAnswer(head.status, head.headers)
+    const { requestId, isSigned, isNotRun, notices } = services.dialect.readAnswer(head.status, head.headers)
     this.head = head
+    this.noteNotices(notices, head.status)
     this.isNotRun = isNotRun || head.status === MISDIRECTED
     if (this.isNotRun) return true
     return requestId === call.requestId && isSigned && head.headers['content-encoding'] === undefined
   }
 
+  /** Tells what the endpoint says of itself. */
+  private noteNotices (notices: Notices, status: number): void {
+    const said = describeNotices(notices)
+    if (said === undefined) return
+    const { logger } = this.forwarding.facts.services
+    const { incarnation } = this.candidate.endpoint.description
+    logger.sampled('notice', { channel: 'endpoint', event: 'notice', endpoint: incarnation, why: `answered ${status}, ${said}` })
+  }
+
   onData (chunk: Buffer): void {
     this.receivedBytes += chunk.length
     this.candidate.endpoint.heardAt = performance.now()
--- a/entry/gateway/src/dialect.ts
+++ b/entry/gateway/src/dialect.ts
@@ -1,4 +1,5 @@
 /** The headers that carry meaning between callers, this process and endpoints. An adapter brings other names. */
+import { type Notices } from '@gullwall/endpoint.notices'
 import { type OutputWord, type PromptPart } from '@gullwall/routing.balancer'
 
 /** Headers with lower-case names. */
@@ -38,6 +39,8 @@
   isSigned: boolean
   /** Whether the endpoint says that it has not run the request. */
   isNotRun: boolean
+  /** What the endpoint says of itself. */
+  notices: Notices
 }
 
 export interface CallDialect {
--- a/entry/gateway/src/native-dialect.ts
+++ b/entry/gateway/src/native-dialect.ts
@@ -1,4 +1,5 @@
 /** The product's own headers. */
+import { readNotices } from '@gullwall/endpoint.notices'
 import { countOf, headerOf, passedOn, type CallDialect, type HeaderRules } from './dialect.ts'
 
 const REQUEST_ID = 'x-gullwall-request-id'
@@ -11,6 +12,7 @@
 const URGENCY = 'x-gullwall-urgency'
 const PREFIX_SOURCE = 'x-gullwall-prefix-source'
 const RAN = 'x-gullwall-ran'
+const DRAINING = 'x-gullwall-draining'
 const LAST_EVENT = 'last-event-id'
 
 const HEADER_RULES: HeaderRules = {
@@ -41,9 +43,10 @@
     if (facts.prefixSource !== undefined) headers.push(PREFIX_SOURCE, facts.prefixSource)
     return headers
   },
-  readAnswer: (_status, headers) => ({
+  readAnswer: (status, headers) => ({
     requestId: headerOf(headers, REQUEST_ID),
     isSigned: headers[REQUEST_ID] !== undefined,
-    isNotRun: headerOf(headers, RAN) === 'no'
+    isNotRun: headerOf(headers, RAN) === 'no',
+    notices: readNotices({ status, headers, drainingHeader: DRAINING })
   })
 }
