test(entry,gateway): endpoints that ask for rest, or say in an answer that they drain (known red)

Cause: not mended here. A gateway reads of an answer that turns a request away only that it has not run; a sidecar passes it on. Endpoints that turn everything away run nothing and are the cheapest choice as the others fill. Seen: 63 requests within the rest of 2 s at the gateway and 57 behind a sidecar, 2 are allowed; 34 and 32 after the word of draining, none is allowed. Ruled out by the lines of the play: a late queue (requests went on for 8 s), a refreshed lease (they began 215 ms after the word).

--- a/bench/fake-engine/src/engine-server.ts
+++ b/bench/fake-engine/src/engine-server.ts
@@ -1,6 +1,6 @@
 /** One stand-in engine: the chat API, a load report with a lag, cache events and fenced orders. */
 import { type ServerResponse } from 'node:http'
-import { type Context } from 'koa'
+import { type Context, type Next } from 'koa'
 import { answerToken, countTokens, readPrompt } from '@gullwall/bench.answers'
 import { HttpServer, Koa, Router } from '@gullwall/transport.http-server'
 import { Batch, type EngineSpeed, type Fault, type Stream } from './batch.ts'
@@ -48,6 +48,12 @@
   readonly batch: Batch
   /** Whether the load report says that all is well, whatever is. */
   lies = false
+  /** With how much rest asked for requests are turned away, in s; they are taken where it is not set. */
+  restS: number | undefined
+  /** Whether all answers say that this engine drains. */
+  isDraining = false
+  /** When chats and reports were asked for, by the monotonic clock in ms. */
+  readonly asked: Array<{ at: number, path: string }> = []
   cancelled = 0
   lastCancelAt = 0
   private http: HttpServer
@@ -113,10 +119,24 @@
     router.post('/orders', async (context) => await this.order(context))
     const app = new Koa()
     app.silent = true
+    app.use(async (context, next) => await this.turnAwayOr(context, next))
     app.use(router.routes())
     return app
   }
 
+  /** Turns a request away while this engine wants none; says with any answer that it drains. */
+  private async turnAwayOr (context: Context, next: Next): Promise<void> {
+    this.asked.push({ at: performance.now(), path: context.path })
+    if (this.isDraining) context.res.setHeader('x-gullwall-draining', '1')
+    if (this.restS === undefined) {
+      await next()
+      return
+    }
+    context.status = 503
+    context.set({ 'retry-after': String(this.restS), 'x-gullwall-ran': 'no' })
+    context.body = { error: { message: 'no room', type: 'server_error', code: 'overloaded', param: null } }
+  }
+
   private async chat (context: Context): Promise<void> {
     const body = await readJson(context) as ChatBody
     if (body.model !== this.options.model) {
