fix(registry): an endpoint that has said that it leaves is not brought back by an old heartbeat after its lease has run out

Cause: the state of an incarnation only goes forward, but was forgotten with the lease: a heartbeat of before the word, held back by a cut for longer than the lease of 12 s, made it ready again. Change: who has said that it leaves is remembered beyond the lease, 4,096 of them; for the life where lives are told, else for two minutes, since another start may have the same name. An answer's word can be noted too.

--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -15,6 +15,11 @@
 /** An incarnation that is gone is remembered for so long, so that a late heartbeat does not bring it back, in ms. */
 const TOMBSTONE_MS = 120_000
 const SWEEP_MS = 1000
+/**
+ * Incarnations that have said that they leave are remembered beyond their lease, so many: more than the 2,100 endpoints that are
+ * replaced in a day of the largest deployment. The oldest gives way.
+ */
+const MAX_LEAVERS = 4096
 /** Lives that have been followed by another are remembered for those whose requests they had: as many as start within some minutes. */
 const MAX_OUTLIVED = 256
 /** An endpoint that is cold for so much longer than was told before has turned cold again, in ms: more than clocks and rounding do. */
@@ -26,6 +31,13 @@
   heardAt: number
 }
 
+interface Leaver {
+  state: Lease['state']
+  /** Whether the endpoint tells its lives; another start of one that does not has the same name. */
+  hasLife: boolean
+  since: number
+}
+
 interface HeldLife {
   incarnation: string
   born: number
@@ -52,6 +64,8 @@
   private readonly lives = new Map<string, HeldLife>()
   /** What lives had last said of themselves when a later one was heard; the oldest gives way. */
   private readonly outlived = new Map<string, Lease['state']>()
+  /** Incarnations that have said that they drain or are gone, and when that was heard first. */
+  private readonly leavers = new Map<string, Leaver>()
   /** Leases from before a restart that no heartbeat has confirmed yet. */
   private readonly unconfirmed = new Set<string>()
   private readonly now: () => number
@@ -82,6 +96,25 @@
     return lease?.state === 'ready' && this.holders.get(lease.address) === incarnation
   }
 
+  /** The incarnation that was last heard at an address, and said that it is ready. */
+  holderOf (address: string): string | undefined {
+    return this.holders.get(address)
+  }
+
+  /**
+   * Notes that an endpoint has said by another way than a heartbeat that it drains. It holds for the rest of its life,
+   * whatever heartbeats that were on their way still say. Gives whether that is news.
+   */
+  noteDraining (incarnation: string): boolean {
+    const held = this.held.get(incarnation)
+    if (held === undefined) {
+      this.rememberLeaver({ incarnation, state: 'draining' })
+      return false
+    }
+    const [lease] = this.toWire([held])
+    return lease !== undefined && held.state === 'ready' && this.merge([{ ...lease, state: 'draining' }])[0] === 'changed'
+  }
+
   /** What an incarnation last said of itself, also one that has started again since; undefined if it is not known. */
   stateOf (incarnation: string): Lease['state'] | undefined {
     return this.held.get(incarnation)?.state ?? this.outlived.get(incarnation)
@@ -209,12 +242,14 @@
     return incarnation === lease.incarnation ? lease : { ...lease, incarnation, life: this.held.get(incarnation)?.life }
   }
 
-  private mergeOne (lease: Lease): Merged {
+  private mergeOne (given: Lease): Merged {
+    const known = this.held.get(given.incarnation)
+    const lease = known === undefined ? this.asRemembered(given) : given
     const { ageMs, ...rest } = lease
     const heardAt = this.now() - ageMs
-    const known = this.held.get(lease.incarnation)
     const isTooOld = known === undefined && ageMs > (this.options.leaseMs ?? DEFAULT_LEASE_MS) && lease.state !== 'gone'
     if (isTooOld || (lease.life !== undefined && !this.isLatest(lease.incarnation, lease.life))) return 'stale'
+    if (lease.state !== 'ready') this.rememberLeaver(lease)
     if (known === undefined) {
       this.held.set(lease.incarnation, { ...rest, heardAt })
       this.log(lease, `sequence ${lease.sequence}, heard ${Math.round(ageMs)} ms ago`)
@@ -235,6 +270,23 @@
     return 'changed'
   }
 
+  /** A lease of an incarnation that is not held any more, in the state that it had come to. */
+  private asRemembered (lease: Lease): Lease {
+    const leaver = this.leavers.get(lease.incarnation)
+    if (leaver === undefined || STATE_ORDER[leaver.state] <= STATE_ORDER[lease.state]) return lease
+    const isAnotherStart = !leaver.hasLife && this.now() - leaver.since > TOMBSTONE_MS
+    return isAnotherStart ? lease : { ...lease, state: leaver.state }
+  }
+
+  private rememberLeaver ({ incarnation, state, life }: Pick<Lease, 'incarnation' | 'state' | 'life'>): void {
+    const known = this.leavers.get(incarnation)
+    if (known !== undefined && STATE_ORDER[known.state] >= STATE_ORDER[state] && known.hasLife) return
+    this.leavers.delete(incarnation)
+    this.leavers.set(incarnation, { state, hasLife: life !== undefined, since: this.now() })
+    const [oldest] = this.leavers.keys()
+    if (this.leavers.size > MAX_LEAVERS && oldest !== undefined) this.leavers.delete(oldest)
+  }
+
   /**
    * Gives whether the address has another holder now. Later words win, so that a heartbeat that arrives late is put right by
    * the next one of the successor.
--- /dev/null
+++ b/routing/backoff/src/backoff-table.ts
@@ -0,0 +1,135 @@
+/** The endpoints that asked one process to be left alone. Each process keeps what it was asked itself: the word is meant for it. */
+import { Backoff, IDLE_MS, OPEN_PERMIT, type Permit } from './backoff.ts'
+
+/** So many endpoints are remembered at most, more than one process reaches in the largest deployment (12,000); the oldest gives way. */
+const MAX_ENDPOINTS = 16_384
+const MS_PER_SECOND = 1000
+
+export interface BackoffTableOptions {
+  /** The time of one endpoint is over, or it takes more: requests that wait look again. */
+  onRoom: () => void
+  /** Told when an endpoint first asks, and when its time is over. */
+  onTurn?: (endpoint: string, turn: { event: 'began', ms: number } | { event: 'ended' }) => void
+  now?: () => number
+}
+
+export class BackoffTable {
+  /** How often endpoints asked, since the start. */
+  asked = 0
+  private readonly backoffs = new Map<string, Backoff>()
+  private readonly timers = new Map<string, NodeJS.Timeout>()
+  private readonly now: () => number
+
+  constructor (private readonly options: BackoffTableOptions) {
+    this.now = options.now ?? (() => performance.now())
+  }
+
+  stop (): void {
+    for (const endpoint of [...this.backoffs.keys()]) this.forget(endpoint)
+  }
+
+  /** Endpoints that are left alone, or come back from it. */
+  get size (): number {
+    return this.backoffs.size
+  }
+
+  /** The endpoints that are left alone now, with what is left of their time in ms. */
+  resting (): Array<{ endpoint: string, leftMs: number }> {
+    const now = this.now()
+    return [...this.backoffs].flatMap(([endpoint, backoff]) => {
+      const leftMs = backoff.remainingMs(now)
+      return leftMs > 0 ? [{ endpoint, leftMs: Math.round(leftMs) }] : []
+    })
+  }
+
+  /** Takes word of an endpoint that wants nothing more for so long, in ms. */
+  note (endpoint: string, ms: number): void {
+    if (ms <= 0) return
+    this.asked += 1
+    const backoff = this.backoffs.get(endpoint) ?? this.add(endpoint)
+    const now = this.now()
+    if (backoff.extend(ms, now)) this.options.onTurn?.(endpoint, { event: 'began', ms })
+    this.lookIn(endpoint, backoff.remainingMs(now))
+  }
+
+  /** For how long an endpoint is left alone, in ms; 0 where it is not. */
+  remainingMs (endpoint: string): number {
+    if (this.backoffs.size === 0) return 0
+    return this.backoffs.get(endpoint)?.remainingMs(this.now()) ?? 0
+  }
+
+  /** How many requests may be sent to an endpoint now; no bound where it asked for nothing. */
+  room (endpoint: string): number {
+    if (this.backoffs.size === 0) return Infinity
+    return this.backoffs.get(endpoint)?.room(this.now()) ?? Infinity
+  }
+
+  /** Why an endpoint gets nothing now; undefined if it does. */
+  whyNot (endpoint: string): string | undefined {
+    if (this.room(endpoint) > 0) return undefined
+    const leftMs = this.remainingMs(endpoint)
+    return leftMs > 0
+      ? `${endpoint} wants nothing for ${(leftMs / MS_PER_SECOND).toFixed(1)} s more`
+      : `${endpoint} comes back from a rest, and is being tried`
+  }
+
+  /** Takes leave for one request that is sent now; undefined if there is none. The caller must release it in the end. */
+  acquire (endpoint: string): Permit | undefined {
+    const backoff = this.backoffs.get(endpoint)
+    if (backoff === undefined) return OPEN_PERMIT
+    const permit = backoff.acquire(this.now())
+    if (permit === undefined) return undefined
+    const settled = (settle: () => void) => () => {
+      settle()
+      this.lookAt(endpoint, backoff)
+      this.options.onRoom()
+    }
+    return { answered: settled(permit.answered), released: settled(permit.released) }
+  }
+
+  /** Forgets what an endpoint asked for, since it has ended. */
+  forget (endpoint: string): void {
+    clearTimeout(this.timers.get(endpoint))
+    this.timers.delete(endpoint)
+    this.backoffs.delete(endpoint)
+  }
+
+  private add (endpoint: string): Backoff {
+    const [oldest] = this.backoffs.keys()
+    if (this.backoffs.size >= MAX_ENDPOINTS && oldest !== undefined) this.forget(oldest)
+    const backoff = new Backoff()
+    this.backoffs.set(endpoint, backoff)
+    return backoff
+  }
+
+  /** A timer that is set already looks again by itself. */
+  private lookIn (endpoint: string, ms: number): void {
+    if (this.timers.has(endpoint)) return
+    // Timers may fire up to 1 ms early.
+    this.timers.set(endpoint, setTimeout(() => {
+      this.timers.delete(endpoint)
+      this.timePassed(endpoint)
+    }, ms + 1))
+  }
+
+  private timePassed (endpoint: string): void {
+    const backoff = this.backoffs.get(endpoint)
+    if (backoff === undefined) return
+    const leftMs = backoff.remainingMs(this.now())
+    if (leftMs > 0) {
+      this.lookIn(endpoint, leftMs)
+      return
+    }
+    this.lookAt(endpoint, backoff)
+    if (!this.backoffs.has(endpoint)) return
+    this.lookIn(endpoint, IDLE_MS)
+    if (backoff.hasEnded) return
+    backoff.hasEnded = true
+    this.options.onTurn?.(endpoint, { event: 'ended' })
+    this.options.onRoom()
+  }
+
+  private lookAt (endpoint: string, backoff: Backoff): void {
+    if (this.backoffs.get(endpoint) === backoff && backoff.isOver(this.now())) this.forget(endpoint)
+  }
+}
