fix(gateway,control): endpoints that ask for rest get none, and those that say in an answer that they drain nothing more

Cause: a gateway read of the head of an answer what concerned the request, and of what the endpoint said of itself nothing. Class: what an endpoint says is heard on one way only (heartbeats), and read for one purpose only. Ruled out: a queue for connections (350 ms at most), refreshed leases. Change: the head of every answer, interim ones and those to other requests included, is read for both words. - Rest is kept by incarnation, for as long as was asked, and asked anew in the moment before the first byte is written. What may have run and goes on elsewhere waits up to 2 s.

--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -126,6 +126,10 @@
       this.services.workRelay.fromEntry(link, message)
       return
     }
+    if (message.kind === 'draining') {
+      this.services.registrar.hearDraining(message.incarnations)
+      return
+    }
     if (message.kind === 'usage') {
       this.services.usageReporter.fromEntry(link, message)
       return
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -76,6 +76,12 @@
     }
   }
 
+  /** Takes an entry's word of endpoints that said in an answer that they drain. */
+  hearDraining (incarnations: readonly string[]): void {
+    const news = incarnations.filter((incarnation) => this.services.leases.noteDraining(incarnation))
+    if (news.length > 0) this.tellPeers(news)
+  }
+
   /**
    * Takes word that an endpoint is gone, also of one that is not known here: its heartbeats may still arrive. Without a time
    * of birth its latest life is meant.
--- a/entry/gateway/src/answer-receiver.ts
+++ b/entry/gateway/src/answer-receiver.ts
@@ -1,6 +1,7 @@
 /** Takes the answer of one attempt and passes it on as far as it is whole. */
-import { describeNotices, type Notices } from '@gullwall/endpoint.notices'
 import { type AttemptVerdict, type Candidate, type Work } from '@gullwall/routing.balancer'
+import { type Permit } from '@gullwall/routing.backoff'
+import { type AnswerHead } from './dialect.ts'
 import { EventCutter } from './events.ts'
 import { type ExchangeEnd, type ExchangeHead, type ExchangeListener } from './exchange.ts'
 import { type Forwarding } from './forward.ts'
@@ -36,26 +37,35 @@
   private bytes = 0
   private isNotRun = false
 
-  constructor (private readonly forwarding: Forwarding, private readonly work: Work, private readonly candidate: Candidate) {}
+  constructor (
+    private readonly forwarding: Forwarding,
+    private readonly work: Work,
+    private readonly candidate: Candidate,
+    private readonly permit: Permit
+  ) {}
+
+  onInterim (head: ExchangeHead): void {
+    this.readHead(head)
+  }
 
   onHead (head: ExchangeHead): boolean {
-    const { call, services } = this.forwarding.facts
-    this.candidate.endpoint.heardAt = performance.now()
-    const { requestId, isSigned, isNotRun, notices } = services.dialect.readAnswer(head.status, head.headers)
+    const { call } = this.forwarding.facts
+    const { requestId, isSigned, isNotRun } = this.readHead(head)
     this.head = head
-    this.noteNotices(notices, head.status)
     this.isNotRun = isNotRun || head.status === MISDIRECTED
     if (this.isNotRun) return true
+    this.permit.answered()
     return requestId === call.requestId && isSigned && head.headers['content-encoding'] === undefined
   }
 
-  /** Tells what the endpoint says of itself. */
-  private noteNotices (notices: Notices, status: number): void {
-    const said = describeNotices(notices)
-    if (said === undefined) return
-    const { logger } = this.forwarding.facts.services
-    const { incarnation } = this.candidate.endpoint.description
-    logger.sampled('notice', { channel: 'endpoint', event: 'notice', endpoint: incarnation, why: `answered ${status}, ${said}` })
+  /** Reads a head, whatever it is the head of: what the endpoint says of itself holds also in an answer to something else. */
+  private readHead ({ status, headers }: ExchangeHead): AnswerHead {
+    const { services } = this.forwarding.facts
+    const { endpoint } = this.candidate
+    endpoint.heardAt = performance.now()
+    const head = services.dialect.readAnswer(status, headers)
+    services.notices.take(endpoint.description, status, head.notices)
+    return head
   }
 
   onData (chunk: Buffer): void {
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -2,7 +2,7 @@
 import { linkAddresses, Regions, type GatewaySettings } from '@gullwall/config.settings'
 import { GullwallError, messageOf } from '@gullwall/core.error'
 import { Dialer, type Link } from '@gullwall/transport.link'
-import { type ColdGrant, type ColdWish, type Message, type MessageOf } from '@gullwall/transport.messages'
+import { type ColdGrant, type ColdWish, type Lease, type Message, type MessageOf } from '@gullwall/transport.messages'
 import { ControlAddresses } from './control-addresses.ts'
 import { EntryCount } from './entry-count.ts'
 import { type GatewayServices } from './index.ts'
@@ -118,6 +118,11 @@
     await this.ask({ kind: 'crashes', ...word }, 'done', CRASHES_TIMEOUT_MS)
   }
 
+  /** Tells control of endpoints that said in an answer that they drain; who can't be reached now is told once it speaks of them. */
+  tellDraining (incarnations: string[]): void {
+    for (const link of this.links()) link.send({ kind: 'draining', incarnations })
+  }
+
   /** Asks one control process; after a failure another one, since the first may be cut off from the one that leads. */
   private async ask<Kind extends 'coldGranted' | 'done'> (message: Message, expected: Kind, timeoutMs: number): Promise<MessageOf<Kind>> {
     const links = [...new Set([this.listened, ...this.links()])].filter((link) => link !== undefined)
@@ -170,11 +175,11 @@
   }
 
   private receive (link: Link, message: Message): void {
-    const { view, spreader } = this.services
+    const { spreader } = this.services
     if (spreader.receive(link, message)) return
     if (message.kind === 'workSums' && link === this.listensTo) this.receiveWork(link, message)
     if (message.kind === 'readings') this.services.workExchange.learn(message)
-    if (message.kind === 'leases') view.leases.merge(message.leases)
+    if (message.kind === 'leases') this.takeLeases(link, message.leases)
     if (message.kind !== 'controls') return
     this.addresses.noteNamed(message.addresses, performance.now())
     this.forgetControls(performance.now())
@@ -182,6 +187,13 @@
     this.dialOthers(message.addresses)
   }
 
+  /** Takes leases; a process that has not heard yet that an endpoint drains is told so again. */
+  private takeLeases (link: Link, leases: readonly Lease[]): void {
+    this.services.view.leases.merge(leases)
+    const incarnations = this.services.notices.contradicted(leases)
+    if (incarnations.length > 0) link.send({ kind: 'draining', incarnations })
+  }
+
   /**
    * Links to the control processes that the first ones name. A process that has just started first takes what it needs from
    * those of its settings: each further link costs processor time in which callers wait.
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -27,6 +27,12 @@
   turns: number
 }
 
+/** A request that waits for a change. */
+interface Waiter {
+  rank: number
+  done: () => void
+}
+
 export class DeploymentView {
   /** The document in force; none before the first. */
   table: RouteTable | undefined
@@ -43,7 +49,7 @@
   /** Endpoints without a lease, or whose lease is gone: they are forgotten once nothing runs there. */
   private readonly leaving = new Set<string>()
   private rotation: Iterator<EndpointState> | undefined
-  private readonly waiters = new Set<() => void>()
+  private readonly waiters = new Set<Waiter>()
   private timer: NodeJS.Timeout | undefined
 
   constructor (private readonly options: DeploymentViewOptions) {
@@ -109,6 +115,11 @@
     return others
   }
 
+  /** Whether an endpoint takes new work now, as far as this process knows. */
+  takesWork (incarnation: string): boolean {
+    return this.endpoints.get(incarnation)?.hasEnded === false && this.leases.isUsable(incarnation)
+  }
+
   /** Every endpoint with work or a lease; not for what happens with each request or turn, since it is made anew. */
   all (): EndpointState[] {
     return [...this.endpoints.values()]
@@ -133,16 +144,17 @@
     return Math.round(performance.now() - this.documentAt)
   }
 
-  /** Resolves at the next change, or when the time has passed. */
-  async changeWithin (ms: number): Promise<void> {
+  /** Resolves at the next change, or when the time has passed; of those who wait, the ones of lower rank look first. */
+  async changeWithin (ms: number, rank = -Infinity): Promise<void> {
     await new Promise<void>((resolve) => {
       const done = () => {
         clearTimeout(timer)
-        this.waiters.delete(done)
+        this.waiters.delete(waiter)
         resolve()
       }
+      const waiter: Waiter = { rank, done }
       const timer = setTimeout(done, ms)
-      this.waiters.add(done)
+      this.waiters.add(waiter)
     })
   }
 
@@ -184,7 +196,7 @@
   private noteUsable (incarnation: string): void {
     const endpoint = this.endpoints.get(incarnation)
     if (endpoint === undefined) return
-    this.index.setUsable(endpoint, !endpoint.hasEnded && this.leases.isUsable(incarnation))
+    this.index.setUsable(endpoint, this.takesWork(incarnation))
     if ((this.leases.get(incarnation)?.state ?? 'gone') === 'gone') this.leaving.add(incarnation)
     else this.leaving.delete(incarnation)
   }
@@ -214,7 +226,8 @@
 
   /** Has whoever waits for a change look again. */
   wake (): void {
-    for (const waiter of [...this.waiters]) waiter()
+    if (this.waiters.size === 0) return
+    for (const { done } of [...this.waiters].sort((left, right) => left.rank - right.rank)) done()
   }
 }
 
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -88,6 +88,22 @@
   return view.reserved.isSensitive({ route: route.name, pauseMs: route.pauseMs }, service)
 }
 
+/** For how long every endpoint that a request might have wants nothing, in ms; 0 where one takes work, or none is known. */
+export function restMsOfAll ({ view, eligibility, notices: { backoffs } }: GatewayServices, call: Call): number {
+  if (backoffs.size === 0) return 0
+  let soonest = Infinity
+  for (const { service } of call.route.split.filter(({ weight }) => weight > 0)) {
+    for (const { dataCentre, members } of view.pool(service).places) {
+      if (whyNotPlace(eligibility, dataCentre, call) !== undefined) continue
+      for (const { description: { incarnation } } of members.items) {
+        soonest = Math.min(soonest, backoffs.remainingMs(incarnation))
+        if (soonest === 0) return 0
+      }
+    }
+  }
+  return Number.isFinite(soonest) ? soonest : 0
+}
+
 /** Why no endpoint was chosen. */
 export function whyNone ({ services: { view, eligibility, crossings }, call, history }: EndpointChoiceOptions): string {
   const usable = call.route.split.flatMap(({ service }) => view.usable(service).slice(0, MAX_LOOKS))
--- /dev/null
+++ b/entry/gateway/src/endpoint-notices.ts
@@ -0,0 +1,108 @@
+/**
+ * Carries out what endpoints say of themselves in the heads of their answers: one that drains gets nothing more, and one that
+ * wants to be left alone gets nothing for so long. Both are kept by this process from the moment in which it read the head, also
+ * while no control process can be reached.
+ */
+import { setImmediate as nextTurn } from 'node:timers/promises'
+import { describeNotices, type Notices } from '@gullwall/endpoint.notices'
+import { type EndpointDescription, type EndpointState } from '@gullwall/routing.balancer'
+import { BackoffTable, type Permit } from '@gullwall/routing.backoff'
+import { type Lease } from '@gullwall/transport.messages'
+import { type EndpointRule } from './eligibility.ts'
+import { type GatewayServices } from './index.ts'
+
+/** Another process than the meant one answered with this status. */
+const MISDIRECTED = 421
+/** Endpoints whose draining control is told of again where it says otherwise; the oldest gives way. */
+const MAX_TOLD = 4096
+
+/** What was heard since the start, for the metrics. */
+export interface NoticeTotals {
+  /** Endpoints that said in an answer, before anybody else told so, that they drain. */
+  draining: number
+  /** Times asked for that could not be understood. */
+  unreadable: number
+}
+
+export class EndpointNotices {
+  readonly totals: NoticeTotals = { draining: 0, unreadable: 0 }
+  readonly backoffs: BackoffTable
+  private readonly heardDraining = new Set<string>()
+  private isWaking = false
+
+  constructor (private readonly services: Pick<GatewayServices, 'logger' | 'view' | 'controlLinks'>) {
+    const { logger } = services
+    this.backoffs = new BackoffTable({
+      onRoom: () => { void this.wakeSoon() },
+      onTurn: (endpoint, turn) => logger.sampled(`backoff ${turn.event}`, {
+        channel: 'endpoint',
+        event: turn.event === 'began' ? 'backs-off' : 'back',
+        endpoint,
+        why: turn.event === 'began' ? `it wants nothing for ${Math.round(turn.ms)} ms` : 'its time is over; slow start'
+      })
+    })
+  }
+
+  stop (): void {
+    this.backoffs.stop()
+  }
+
+  /** The rule: an endpoint that wants nothing gets nothing, and one that comes back as much as its slow start allows. */
+  readonly rule: EndpointRule = ({ description }) => this.backoffs.whyNot(description.incarnation)
+
+  /** Why a request is not sent to an endpoint after all, though it was chosen. */
+  whyNotNow ({ description: { incarnation } }: EndpointState): string | undefined {
+    const { view } = this.services
+    if (!view.takesWork(incarnation)) return `${incarnation} takes no new work any more`
+    return this.backoffs.remainingMs(incarnation) > 0 ? this.backoffs.whyNot(incarnation) : undefined
+  }
+
+  /** Takes leave to send a request; undefined if another one has used the room since the choice. */
+  acquire ({ description }: EndpointState): Permit | undefined {
+    return this.backoffs.acquire(description.incarnation)
+  }
+
+  /** Takes the notices of an answer to a request that was sent to an endpoint. */
+  take (sentTo: EndpointDescription, status: number, notices: Notices): void {
+    const said = describeNotices(notices)
+    if (said === undefined) return
+    const incarnation = this.answeredBy(sentTo, status)
+    const why = `answered ${status}, ${said}`
+    this.services.logger.sampled('notice', { channel: 'endpoint', event: 'notice', endpoint: incarnation ?? sentTo.address, why })
+    if (notices.unreadable !== undefined) this.totals.unreadable += 1
+    if (incarnation === undefined) return
+    this.backoffs.note(incarnation, notices.backOffMs ?? 0)
+    if (notices.isDraining) this.noteDraining(incarnation)
+  }
+
+  /** Gives the endpoints that said here that they drain, of those that another process takes to be ready. */
+  contradicted (leases: readonly Lease[]): string[] {
+    if (this.heardDraining.size === 0) return []
+    return leases.filter(({ state, incarnation }) => state === 'ready' && this.heardDraining.has(incarnation)).map(({ incarnation }) => incarnation)
+  }
+
+  /** The process that has the address of the one that was meant, if that is known; the one that was meant has said nothing. */
+  private answeredBy ({ incarnation, address }: EndpointDescription, status: number): string | undefined {
+    if (status !== MISDIRECTED) return incarnation
+    const holder = this.services.view.leases.holderOf(address)
+    return holder === incarnation ? undefined : holder
+  }
+
+  private noteDraining (incarnation: string): void {
+    if (!this.services.view.leases.noteDraining(incarnation)) return
+    this.totals.draining += 1
+    this.heardDraining.add(incarnation)
+    const [oldest] = this.heardDraining
+    if (this.heardDraining.size > MAX_TOLD && oldest !== undefined) this.heardDraining.delete(oldest)
+    this.services.controlLinks.tellDraining([incarnation])
+  }
+
+  /** Has requests that wait look again, once for all endpoints whose time ends in the same moment. */
+  private async wakeSoon (): Promise<void> {
+    if (this.isWaking) return
+    this.isWaking = true
+    await nextTurn()
+    this.isWaking = false
+    this.services.view.wake()
+  }
+}
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -24,6 +24,8 @@
 
 /** Told what arrives, in order. */
 export interface ExchangeListener {
+  /** A head that is not that of the answer itself (1xx). */
+  onInterim (head: ExchangeHead): void
   /** False ends the exchange: the head is not one of the expected answer. */
   onHead (head: ExchangeHead): boolean
   onData (chunk: Buffer): void
@@ -41,6 +43,8 @@
   | { type: 'broken', why: string, isClosed: boolean }
   | { type: 'cancelled' }
 
+/** The lowest status of an answer; those below it precede one. */
+const FINAL = 200
 /** Answers that have no body, and so no need of a length. */
 const NO_BODY = new Set([204, 304])
 
@@ -124,8 +128,8 @@
         }
       },
       onResponseStart: (_controller, status, headers) => {
-        const isInterim = status < 200
-        if (this.isOver || isInterim) return
+        if (status < FINAL) this.listener.onInterim({ status, headers })
+        if (this.isOver || status < FINAL) return
         this.isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || NO_BODY.has(status)
         if (this.listener.onHead({ status, headers })) return
         this.end({ type: 'broken', why: 'the head is not that of an answer to this request', isClosed: false })
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -1,18 +1,20 @@
 /** Carries one request: chooses endpoints, sends attempts one after the other, and ends the caller's answer. */
-import { setImmediate as nextTurn } from 'node:timers/promises'
 import { strainOf, type Candidate, type EndpointState, type Work } from '@gullwall/routing.balancer'
+import { type Permit } from '@gullwall/routing.backoff'
 import { type CallerAnswer, type ErrorAnswer } from './answer.ts'
 import { AnswerReceiver, hasRun, verdictOf, type AttemptEnd } from './answer-receiver.ts'
 import { AttemptHistory } from './attempt-history.ts'
 import { admit, nextStep, silenceOf, WATCH_MS, type NextStep, type RequestState } from './attempt-policy.ts'
 import { remainingMs, type Call } from './call.ts'
 import { originOf } from './connections.ts'
+import { connectionsSeen } from './connections-seen.ts'
 import {
-  chooseEndpoint, hasAlternative, isSensitive, outputTokensOf, whyNever, whyNone, type EndpointChoiceOptions
+  chooseEndpoint, hasAlternative, isSensitive, outputTokensOf, restMsOfAll, whyNever, whyNone, type EndpointChoiceOptions
 } from './endpoint-choice.ts'
 import { whyNotPlace } from './eligibility.ts'
 import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
+import { returnAfterMs, waitRank, waitsUntil } from './patience.ts'
 import { HELD_RETRY_MS } from './quarantine.ts'
 import { RequestRecorder } from './request-recorder.ts'
 
@@ -24,17 +26,13 @@
 const DEADLINE_SLACK_MS = 4
 /** The shortest time after which a refused caller is asked to come back, in ms. */
 const RETRY_AFTER_MS = 300
-/** The share of its target that a request waits for an endpoint to be known. */
-const PATIENCE_SHARE = 0.25
 
-/**
- * Lets the event loop look at its connections once more. A loop that was held finds a request and the end of its connection
- * together; without this it would send on a request whose caller has left (19 in a play of 300 processes at their start).
- */
-async function connectionsSeen (): Promise<void> {
-  // The first turn ends the one in which the request was read, the second follows the next look at the connections.
-  await nextTurn()
-  await nextTurn()
+/** One attempt that is about to be sent. */
+interface Attempt {
+  candidate: Candidate
+  permit: Permit
+  /** Whether its endpoint is cold, and the attempt has a grant. */
+  isGranted: boolean
 }
 
 export class Forwarding {
@@ -88,14 +86,23 @@
         return
       }
       const isGranted = this.services.coldEngines.isCold(candidate.endpoint)
-      // Another request may have used the grant since the choice.
-      if (!this.services.coldEngines.take(candidate.endpoint)) continue
-      const end = await this.attempt(candidate, isGranted)
+      const permit = this.takeLeave(candidate.endpoint)
+      if (permit === undefined) continue
+      const end = await this.attempt({ candidate, permit, isGranted })
       if (this.isOver) return
       this.follow(nextStep(this.state, candidate.endpoint.description.incarnation, end))
     }
   }
 
+  /** Takes leave to send to an endpoint; undefined where another request has used it since the choice. */
+  private takeLeave (endpoint: EndpointState): Permit | undefined {
+    const { notices, coldEngines } = this.services
+    const permit = notices.acquire(endpoint)
+    if (permit === undefined || coldEngines.take(endpoint)) return permit
+    permit.released()
+    return undefined
+  }
+
   /** Refuses a request under which endpoints crash. */
   private isHeld (): boolean {
     const why = this.services.quarantine.whyNot(this.call)
@@ -117,15 +124,16 @@
 
   /** Chooses an endpoint, and waits a little for one where none is known or has room. */
   private async nextCandidate (): Promise<Candidate | undefined> {
-    const { call } = this
+    const { call, services, history } = this
     // What may have run can't be refused any more; it fails where no endpoint takes it.
-    const waitsFrom = this.history.mayHaveRun && this.hasUntried ? performance.now() : call.arrivedAt
-    const patience = Math.min(call.deadline, waitsFrom + PATIENCE_SHARE * call.route.targetMs)
+    const resumedAt = history.mayHaveRun && this.hasUntried ? performance.now() : undefined
     for (;;) {
       const candidate = chooseEndpoint(this.choiceOptions)
-      const left = patience - performance.now()
-      if (candidate !== undefined || left <= 0 || this.isOver) return candidate
-      await this.services.view.changeWithin(left)
+      if (candidate !== undefined || this.isOver) return candidate
+      const now = performance.now()
+      const left = waitsUntil({ call, resumedAt, restMs: restMsOfAll(services, call), now }) - now
+      if (left <= 0) return undefined
+      await services.view.changeWithin(left, waitRank(call))
     }
   }
 
@@ -136,7 +144,7 @@
     return usable.some(({ description }) => !history.excluded.has(description.incarnation))
   }
 
-  private async attempt (candidate: Candidate, isGranted: boolean): Promise<AttemptEnd> {
+  private async attempt ({ candidate, permit, isGranted }: Attempt): Promise<AttemptEnd> {
     const { call, services } = this
     const { endpoint, unreadTokens, urgency } = candidate
     services.workExchange.noteSending(endpoint, call.prompt)
@@ -152,29 +160,22 @@
     services.workExchange.noteSent(unreadTokens)
     this.recorder.dispatched(candidate)
     const noteCrossing = services.crossings.begin(call, endpoint)
-    const receiver = new AnswerReceiver(this, work, candidate)
+    const receiver = new AnswerReceiver(this, work, candidate, permit)
     const exchange = this.send(candidate, receiver, isGranted)
     this.exchange = exchange
     const watch = setInterval(() => this.watch(candidate, work), WATCH_MS)
     const end = receiver.endOf(await exchange.ended)
     clearInterval(watch)
+    permit.released()
     noteCrossing(receiver.receivedBytes)
     const verdict = verdictOf(end)
     if (call.route.kind !== 'stream' && hasRun(end)) this.noteBegun(work.startedAt)
     endpoint.end(work, verdict, performance.now())
     if (verdict === 'unreachable' || verdict === 'ended') services.workExchange.noteUnreachable()
     services.view.wake()
-    this.noteCrashOf(endpoint, end)
-    return end
-  }
-
-  /** What the end of an attempt tells of crashes: that its endpoint may have crashed, has ended, or lives. */
-  private noteCrashOf (endpoint: EndpointState, end: AttemptEnd): void {
-    const { quarantine } = this.services
     if (end.type === 'broken') this.recorder.tellFingerprint()
-    if (end.type === 'broken' && end.isClosed) quarantine.noteBroken(endpoint, this.call)
-    if ((end.type === 'unsent' && end.isRefused === true) || verdictOf(end) === 'ended') quarantine.noteEnded(endpoint.description.incarnation)
-    if (end.type === 'answered' || end.type === 'failed') quarantine.noteRanWell(this.call)
+    services.quarantine.noteEnd(endpoint, call, end)
+    return end
   }
 
   private send (candidate: Candidate, receiver: AnswerReceiver, isGranted: boolean): Exchange {
@@ -196,7 +197,8 @@
   /** Why a request is not sent after all, once a connection is free. */
   private whyNotNow (candidate: Candidate, isGranted: boolean): string | undefined {
     const { services, call } = this
-    const whyNot = whyNotPlace(services.eligibility, candidate.endpoint.description.dataCentre, call) ?? services.quarantine.whyNot(call)
+    const whyNot = whyNotPlace(services.eligibility, candidate.endpoint.description.dataCentre, call) ??
+      services.quarantine.whyNot(call) ?? services.notices.whyNotNow(candidate.endpoint)
     return whyNot ?? (isGranted ? undefined : this.whyCold(candidate))
   }
 
@@ -315,7 +317,9 @@
 
   /** Refuses a request that has not run; says so where it is certain. */
   private refuse (why: string, afterMs = 0): void {
-    const retryAfterMs = Math.round(Math.max(RETRY_AFTER_MS, afterMs))
+    const restMs = restMsOfAll(this.services, this.call)
+    const returnMs = restMs > 0 ? returnAfterMs(restMs, this.call.tier) : RETRY_AFTER_MS
+    const retryAfterMs = Math.round(Math.max(returnMs, afterMs))
     if (this.history.mayHaveRun) this.fail(502, 'ERR_GULLWALL_BROKEN', why)
     else this.end({ status: 503, code: 'ERR_GULLWALL_REFUSED', message: why, ran: 'no', retryAfterMs }, 'refuse')
   }
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -15,6 +15,7 @@
 import { DeploymentView } from './deployment-view.ts'
 import { type CallDialect } from './dialect.ts'
 import { type EligibilityRules } from './eligibility.ts'
+import { EndpointNotices } from './endpoint-notices.ts'
 import { EvacuatedPlaces } from './evacuated-places.ts'
 import { Ingress } from './ingress.ts'
 import { gatewayMetrics, type GatewayMetrics } from './metrics.ts'
@@ -58,6 +59,7 @@
   workExchange: WorkExchange
   usage: UsageTeller
   quarantine: Quarantine
+  notices: EndpointNotices
   ingress: Ingress
   admin: GatewayAdmin
 }
@@ -97,6 +99,7 @@
     .service('workExchange', (services) => new WorkExchange(services))
     .service('usage', (services) => new UsageTeller(services))
     .service('quarantine', (services) => new Quarantine(services))
+    .service('notices', (services) => new EndpointNotices(services))
     .service('admin', (services) => new GatewayAdmin(services))
     .service('ingress', (services) => new Ingress(services))
 }
@@ -108,10 +111,10 @@
 }
 
 function createEligibility (services: GatewayServices): EligibilityRules {
-  const { evacuatedPlaces, coldEngines } = services
+  const { evacuatedPlaces, coldEngines, notices } = services
   // What an engine said of itself before its data centre was emptied may not hold any more.
   evacuatedPlaces.onWithdrawn((dataCentre) => coldEngines.assumeCold(dataCentre))
-  return { places: [evacuatedPlaces.rule, allowedRegions(services)], endpoints: [coldEngines.rule] }
+  return { places: [evacuatedPlaces.rule, allowedRegions(services)], endpoints: [notices.rule, coldEngines.rule] }
 }
 
 function createColdEngines (services: GatewayServices): ColdEngines {
--- a/entry/gateway/src/quarantine.ts
+++ b/entry/gateway/src/quarantine.ts
@@ -2,6 +2,7 @@
 import { heldRequestsIn, whyHeld } from '@gullwall/control.state'
 import { type EndpointState } from '@gullwall/routing.balancer'
 import { CrashReporter, CrashWatch, type BrokenRequest } from '@gullwall/endpoint.crashes'
+import { verdictOf, type AttemptEnd } from './answer-receiver.ts'
 import { type Call } from './call.ts'
 import { type GatewayServices } from './index.ts'
 
@@ -55,22 +56,19 @@
     return alone.has(fingerprint()) ? 'endpoints crashed while this request was running there, and control can not be told' : undefined
   }
 
+  /** Notes what the end of an attempt tells of crashes: that its endpoint may have crashed, has ended, or lives. */
+  noteEnd (endpoint: EndpointState, call: Call, end: AttemptEnd): void {
+    if (end.type === 'broken' && end.isClosed) this.noteBroken(endpoint, call)
+    if ((end.type === 'unsent' && end.isRefused === true) || verdictOf(end) === 'ended') this.watch.noteEnded(endpoint.description.incarnation)
+    if (end.type === 'answered' || end.type === 'failed') this.reporter.noteRanWell(call.fingerprint)
+  }
+
   /** Notes that the connection to an endpoint ended by itself while a request was running there. */
-  noteBroken ({ description: { incarnation, address }, heardAt }: EndpointState, { requestId, fingerprint }: Call): void {
+  private noteBroken ({ description: { incarnation, address }, heardAt }: EndpointState, { requestId, fingerprint }: Call): void {
     const silentMs = Math.min(performance.now() - heardAt, this.services.view.leases.silentMs(incarnation))
     this.watch.noteBroken({ incarnation, address, silentMs }, { requestId, fingerprint: fingerprint() })
   }
 
-  /** Notes that an endpoint's process is no longer at its address. */
-  noteEnded (incarnation: string): void {
-    this.watch.noteEnded(incarnation)
-  }
-
-  /** Notes that an endpoint has run a request and lives. */
-  noteRanWell ({ fingerprint }: Call): void {
-    this.reporter.noteRanWell(fingerprint)
-  }
-
   private crashed (endpoint: string, requests: BrokenRequest[]): void {
     for (const { fingerprint, requestId } of requests) {
       const why = `${endpoint} crashed while it was running there, with ${requests.length - 1} others of this box`
--- a/entry/gateway/test/evacuated-places.test.ts
+++ b/entry/gateway/test/evacuated-places.test.ts
@@ -76,7 +76,7 @@
     const why = 'data centre dc1 is evacuated'
     const exchange = new Exchange(dispatcher, 'http://127.0.0.1:1', {
       method: 'GET', path: '/', headers: [], body: undefined, connectMs: 60_000, whyNot: () => isEvacuated ? why : undefined, wasClosedWell: async () => true
-    }, { onHead: () => true, onData: () => {} })
+    }, { onInterim: () => {}, onHead: () => true, onData: () => {} })
     isEvacuated = true
     const abort = vi.fn()
     handler?.onRequestStart?.({ abort } as unknown as Dispatcher.DispatchController, {})
--- a/entry/gateway/test/exchange.test.ts
+++ b/entry/gateway/test/exchange.test.ts
@@ -10,7 +10,7 @@
   const dispatcher = { dispatch: (_options: unknown, its: Dispatcher.DispatchHandler) => { handler = its } } as unknown as Dispatcher
   const exchange = new Exchange(dispatcher, 'http://10.0.0.1:80', {
     method: 'GET', path: '/', headers: [], body: undefined, connectMs: CONNECT_MS, whyNot: () => undefined, wasClosedWell: async () => true
-  }, { onHead: () => true, onData: () => {} })
+  }, { onInterim: () => {}, onHead: () => true, onData: () => {} })
   const abort = vi.fn()
   return { exchange, abort, connected: () => handler?.onRequestStart?.({ abort } as unknown as Dispatcher.DispatchController, {}) }
 }
--- a/entry/gateway/test/rest-asked-for.test.ts
+++ b/entry/gateway/test/rest-asked-for.test.ts
@@ -98,6 +98,8 @@
 describe('an endpoint that says in an answer that it drains', () => {
   it('gets nothing that comes later, though its leases say that it is ready', async () => {
     const [, draining] = engines as [StandIn, StandIn]
+    // The first engine was tried after its rest, and has asked for another one; without both there is no room for all.
+    await sleep(1000 * REST_S)
     let said = 0
     const arrivals: number[] = []
     draining.behaviour = (incoming, response, body) => {
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -240,6 +240,8 @@
   coldGranted: z.object({ kind: z.literal('coldGranted'), grants: z.array(coldGrantSchema) }),
   /** An entry tells of crashed endpoints, and of requests that ran well after they had been running at one; answered by `done`. */
   crashes: z.object({ kind: z.literal('crashes'), crashes: z.array(crashSchema), ranWell: z.array(z.string()) }),
+  /** An entry tells of endpoints that said in an answer that they drain, by incarnation. */
+  draining: z.object({ kind: z.literal('draining'), incarnations: z.array(z.string()) }),
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
   // Among control processes: the quorum protocol. `to` is the incarnation that the sender takes the receiver for.
