fix(sidecar,entry): the same two words are heard behind a sidecar

Cause: as at the gateways; a sidecar passed an engine's 503 on as the answer, went on offering the engine's slots, and asked it for its load each second. Change: every head that an endpoint sends (answers, reports, interim ones) is read in one place. One that asks for rest has no slots, is asked for nothing, and comes back by slow start; entries hear for how long, refuse what can't wait so long at once, and tell the time. One that drains is offered to nobody until an answer to a later request shows its next life. What an endpoint has turned away without running it goes on elsewhere, for a repeat of the budget.

--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -45,4 +45,6 @@
   reportedInFlight: number
   /** The lowest tier among the streams that may be preempted; -1 if there is none. */
   preemptableTier: number
+  /** For how much longer the endpoint wants nothing, by its own word, in ms; none from sidecars of before. */
+  backOffMs?: number | undefined
 }
--- a/endpoint/dialect/src/index.ts
+++ b/endpoint/dialect/src/index.ts
@@ -27,6 +27,17 @@
   inFlight: number
 }
 
+/** The head of any answer of a back end, interim ones included. */
+export interface AnyHead {
+  status: number
+  headers: IncomingHttpHeaders
+  /** When the request was sent that it answers, by the monotonic clock. */
+  sentAt: number
+}
+
+/** Told of each head that a back end sends, whatever it was asked. */
+export type HeadListener = (head: AnyHead) => void
+
 /** One back end. */
 export interface Endpoint {
   /**
@@ -37,5 +48,7 @@
   run (call: EndpointCall, receiver: AnswerReceiver): Promise<void>
   /** Reads the load report, where the dialect has one. */
   reportedLoad? (): Promise<ReportedLoad>
+  /** Asks for a head only, for what the back end says of itself; it is no work. */
+  probe (): Promise<void>
   close (): Promise<void>
 }
--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -4,10 +4,16 @@
  * them, which would cost a turn of the event loop and a buffer for each chunk.
  */
 import { type Dispatcher, type Pool } from 'undici'
-import { type AnswerReceiver } from '@gullwall/endpoint.dialect'
+import { type AnswerReceiver, type HeadListener } from '@gullwall/endpoint.dialect'
+
+/** The lowest status of an answer; those below it precede one. */
+const FINAL = 200
 
 /** Sends a request; resolves when the answer is whole, rejects if it breaks or the signal aborts it. */
-export function exchange (pool: Pool, options: Dispatcher.DispatchOptions, receiver: AnswerReceiver, signal: AbortSignal): Promise<void> {
+export function exchange (
+  pool: Pool, options: Dispatcher.DispatchOptions, receiver: AnswerReceiver, signal: AbortSignal, onAnyHead: HeadListener = () => {}
+): Promise<void> {
+  let sentAt = performance.now()
   return new Promise((resolve, reject) => {
     let controller: Dispatcher.DispatchController | undefined
     const abort = () => controller?.abort(abortReason(signal))
@@ -20,9 +26,13 @@
     pool.dispatch(options, {
       onRequestStart: (started) => {
         controller = started
+        sentAt = performance.now()
         if (signal.aborted) abort()
       },
-      onResponseStart: (_controller, status, headers) => receiver.onHead(status, headers),
+      onResponseStart: (_controller, status, headers) => {
+        onAnyHead({ status, headers, sentAt })
+        if (status >= FINAL) receiver.onHead(status, headers)
+      },
       onResponseData: (started, chunk) => {
         const busy = receiver.onData(chunk)
         if (busy === undefined) return
--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -1,7 +1,7 @@
 /** What the HTTP dialects have in common: one pool of connections to a back end by undici. */
 import { Pool, type Dispatcher } from 'undici'
 import { GullwallError } from '@gullwall/core.error'
-import { type AnswerReceiver, type Endpoint, type EndpointCall } from '@gullwall/endpoint.dialect'
+import { type AnswerReceiver, type Endpoint, type EndpointCall, type HeadListener } from '@gullwall/endpoint.dialect'
 import { exchange } from './exchange.ts'
 
 export { exchange } from './exchange.ts'
@@ -42,14 +42,15 @@
 export class HttpEndpoint implements Endpoint {
   private readonly pool: Pool
 
-  constructor (private readonly name: string, private readonly address: string) {
+  /** @param onAnyHead told of each head that arrives */
+  constructor (private readonly name: string, private readonly address: string, private readonly onAnyHead: HeadListener = () => {}) {
     this.pool = createPool(address)
   }
 
   async run (call: EndpointCall, receiver: AnswerReceiver): Promise<void> {
     const options = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers: call.headers, body: call.body }
     try {
-      await exchange(this.pool, options, receiver, call.signal)
+      await exchange(this.pool, options, receiver, call.signal, this.onAnyHead)
     } catch (cause) {
       const certain = wasNotSent(cause)
       throw new GullwallError(certain ? 'ERR_GULLWALL_ENDPOINT_REFUSED' : 'ERR_GULLWALL_ENDPOINT_FAILED',
@@ -60,8 +61,18 @@
 
   /** Reads a JSON page of the back end. */
   async getJson (path: string): Promise<unknown> {
-    const answer = await this.pool.request({ method: 'GET', path, headersTimeout: CONNECT_TIMEOUT_MS, bodyTimeout: CONNECT_TIMEOUT_MS })
-    return await answer.body.json()
+    return await (await this.ask('GET', path)).body.json()
+  }
+
+  async probe (): Promise<void> {
+    await (await this.ask('HEAD', '/')).body.dump()
+  }
+
+  private async ask (method: Dispatcher.HttpMethod, path: string): Promise<Dispatcher.ResponseData> {
+    const sentAt = performance.now()
+    const answer = await this.pool.request({ method, path, headersTimeout: CONNECT_TIMEOUT_MS, bodyTimeout: CONNECT_TIMEOUT_MS })
+    this.onAnyHead({ status: answer.statusCode, headers: answer.headers, sentAt })
+    return answer
   }
 
   close (): Promise<void> {
--- a/endpoint/notices/src/notices.ts
+++ b/endpoint/notices/src/notices.ts
@@ -17,12 +17,14 @@
 export interface NoticesOptions {
   status: number
   headers: AnswerHeaders
-  /** The header by which endpoints say that they drain, in lower case. */
-  drainingHeader: string
+  /** The header by which endpoints say that they drain, in lower case; the product's own unless an adapter brings another. */
+  drainingHeader?: string
   /** The time of day, Unix ms. */
   now?: number
 }
 
+/** The product's own header by which endpoints say that they drain. */
+const DRAINING_HEADER = 'x-gullwall-draining'
 /** The statuses with which an endpoint turns work away for a time; `Retry-After` of others is meant for the caller. */
 const TURNED_AWAY: ReadonlySet<number> = new Set([429, 503])
 /** Characters of an unreadable value that are told. */
@@ -31,7 +33,7 @@
 const DENIALS: ReadonlySet<string> = new Set(['', '0', 'false', 'no'])
 
 /** Reads the notices of an answer, whatever it is an answer to. */
-export function readNotices ({ status, headers, drainingHeader, now = Date.now() }: NoticesOptions): Notices {
+export function readNotices ({ status, headers, drainingHeader = DRAINING_HEADER, now = Date.now() }: NoticesOptions): Notices {
   const isDraining = valuesOf(headers, drainingHeader).some((value) => !DENIALS.has(value.trim().toLowerCase()))
   const asked = TURNED_AWAY.has(status) ? valuesOf(headers, 'retry-after') : []
   if (asked.length === 0) return { isDraining, backOffMs: undefined }
--- a/endpoint/openai/src/engine.ts
+++ b/endpoint/openai/src/engine.ts
@@ -1,6 +1,6 @@
 /** A model engine. */
 import { z } from 'zod'
-import { type AnswerReceiver, type Endpoint, type EndpointCall, type ReportedLoad } from '@gullwall/endpoint.dialect'
+import { type AnswerReceiver, type Endpoint, type EndpointCall, type HeadListener, type ReportedLoad } from '@gullwall/endpoint.dialect'
 import { HttpEndpoint } from '@gullwall/endpoint.http'
 
 export const CHAT_PATH = '/v1/chat/completions'
@@ -10,8 +10,9 @@
 export class OpenAiEngine implements Endpoint {
   private readonly http: HttpEndpoint
 
-  constructor (name: string, address: string) {
-    this.http = new HttpEndpoint(name, address)
+  /** @param onAnyHead told of each head that arrives */
+  constructor (name: string, address: string, onAnyHead?: HeadListener) {
+    this.http = new HttpEndpoint(name, address, onAnyHead)
   }
 
   run (call: EndpointCall, receiver: AnswerReceiver): Promise<void> {
@@ -23,6 +24,10 @@
     return { inFlight: report.in_flight }
   }
 
+  probe (): Promise<void> {
+    return this.http.probe()
+  }
+
   close (): Promise<void> {
     return this.http.close()
   }
--- a/entry/answers/src/request-run.ts
+++ b/entry/answers/src/request-run.ts
@@ -155,6 +155,8 @@
       return undefined
     }
     this.request.avoid.add(grant.endpoint)
+    // What an endpoint has turned away arrived there; to send it on is a repeat.
+    if (reason === 'turned-away' && !this.services.retryBudget.take()) return this.fail(503, 'retry_budget_spent', `not run: ${why}`, grant)
     if (this.attempts < MAX_ATTEMPTS) {
       this.log('retry', `not run: ${reason}`, grant, attemptId)
       return undefined
--- a/entry/gateway/src/native-dialect.ts
+++ b/entry/gateway/src/native-dialect.ts
@@ -12,7 +12,6 @@
 const URGENCY = 'x-gullwall-urgency'
 const PREFIX_SOURCE = 'x-gullwall-prefix-source'
 const RAN = 'x-gullwall-ran'
-const DRAINING = 'x-gullwall-draining'
 const LAST_EVENT = 'last-event-id'
 
 const HEADER_RULES: HeaderRules = {
@@ -47,6 +46,6 @@
     requestId: headerOf(headers, REQUEST_ID),
     isSigned: headers[REQUEST_ID] !== undefined,
     isNotRun: headerOf(headers, RAN) === 'no',
-    notices: readNotices({ status, headers, drainingHeader: DRAINING })
+    notices: readNotices({ status, headers })
   })
 }
--- a/routing/dispatcher/src/dispatcher.ts
+++ b/routing/dispatcher/src/dispatcher.ts
@@ -14,6 +14,7 @@
 import { EndpointDirectory } from './endpoint-directory.ts'
 import { PreemptionPlanner } from './preemption.ts'
 import { RunCosts } from './run-costs.ts'
+import { refuseForRest } from './rest.ts'
 import { chooseSpare } from './straight-path.ts'
 import { WaitEstimate } from './wait-estimate.ts'
 import { type EndpointView, type Grant, type Offer, type Refusal, type RoutedRequest, type SidecarPort } from './types.ts'
@@ -224,6 +225,8 @@
 
   private refuseEarly (request: RoutedRequest, now: number): Refusal | undefined {
     if (request.late !== 'refuse') return undefined
+    const resting = refuseForRest(request, this.directory.reachOf(request), now)
+    if (resting !== undefined) return { ...resting, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, resting.retryAfterMs) }
     const ahead = this.queue.countAhead(request.tier, this.sharingGroups(request))
     const waitMs = this.estimate.estimateMs(request.tier, request.floor, ahead, now)
     if (waitMs === undefined || waitMs <= request.maxWaitMs) return undefined
--- a/routing/dispatcher/src/endpoint-directory.ts
+++ b/routing/dispatcher/src/endpoint-directory.ts
@@ -53,6 +53,7 @@
     const view = this.views.get(load.name)
     if (view?.sidecar !== port) return false
     view.load = load
+    view.restsUntil = performance.now() + (load.backOffMs ?? 0)
     return true
   }
 
@@ -101,7 +102,7 @@
   private setEndpoint (port: SidecarPort, description: EndpointDescription): void {
     const known = this.views.get(description.name)
     if (known?.sidecar === port) known.description = description
-    else this.views.set(description.name, { description, sidecar: port, load: emptyLoad(description.name), outstanding: 0, probing: false })
+    else this.views.set(description.name, viewOf(description, port))
   }
 
   private isReachable (view: EndpointView, query: ReachQuery, selectors: readonly Selector[]): boolean {
@@ -133,6 +134,10 @@
   return parseSelector(text).orDefault([{ key: 'unreadable', operator: 'in', values: [] }])
 }
 
+function viewOf (description: EndpointDescription, sidecar: SidecarPort): EndpointView {
+  return { description, sidecar, load: emptyLoad(description.name), restsUntil: 0, outstanding: 0, probing: false }
+}
+
 function emptyLoad (name: string): EndpointLoad {
   return {
     name, inFlight: 0, limit: 0, spare: 0, tokenGapMs: 0, firstTokenMs: 0, failuresInRow: 0, reportedInFlight: 0, preemptableTier: -1
--- a/routing/dispatcher/src/types.ts
+++ b/routing/dispatcher/src/types.ts
@@ -30,7 +30,7 @@
   why: string
 }
 
-export type RefusalReason = 'queue-full' | 'wait-passed' | 'wait-too-long' | 'cancelled' | 'stopping'
+export type RefusalReason = 'resting' | 'queue-full' | 'wait-passed' | 'wait-too-long' | 'cancelled' | 'stopping'
 
 /** A request that was certainly not run. */
 export interface Refusal {
@@ -64,6 +64,8 @@
   description: EndpointDescription
   sidecar: SidecarPort
   load: EndpointLoad
+  /** Until when it wants nothing, by the monotonic clock. */
+  restsUntil: number
   /** Attempts of this entry in flight there. */
   outstanding: number
   /** Whether a probe of this entry is in flight there. */
--- a/routing/dispatcher/test/world.ts
+++ b/routing/dispatcher/test/world.ts
@@ -5,6 +5,7 @@
 import { IdSequence } from '@gullwall/core.ids'
 import { silentLogger } from '@gullwall/core.logger'
 import { RecordMap } from '@gullwall/config.records'
+import { BackoffTable } from '@gullwall/routing.backoff'
 import { Dispatcher, type Grant, type RoutedRequest, type SidecarPort } from '@gullwall/routing.dispatcher'
 import { ReservationBook } from '@gullwall/routing.reservations'
 import { EndpointSlots } from '@gullwall/sidecar.slots'
@@ -199,6 +200,7 @@
       maxLimit: this.options.limit,
       book,
       offerIds: new IdSequence(name, 'o'),
+      backoffs: new BackoffTable({ onRoom: () => {} }),
       admitWithoutSlot: false,
       onChange: () => {},
       sendOffer: (entryName, offer) => {
--- a/sidecar/attempts/src/runner.ts
+++ b/sidecar/attempts/src/runner.ts
@@ -33,6 +33,9 @@
   minStallMs?: number
 }
 
+/** In which endpoints say that they have not run a call, with a status from here on. */
+const RAN_HEADER = 'x-gullwall-ran'
+const CLIENT_ERROR = 400
 const DEFAULT_MIN_STALL_MS = 2000
 /** A stream stalls when no token comes for so many times its target. */
 const STALL_FACTOR = 20
@@ -86,6 +89,8 @@
   private endReason: EndReason | undefined
   private stallTimer: NodeJS.Timeout | undefined
   private isStream = false
+  /** Whether the endpoint has said that it does not run the attempt. */
+  private isTurnedAway = false
   private readonly attempt: ServedAttempt
 
   constructor (
@@ -111,6 +116,10 @@
     this.watchForStall(this.firstTokenStallMs())
     try {
       await this.callEndpoint()
+      if (this.isTurnedAway) {
+        this.refuseTurnedAway()
+        return
+      }
       this.options.crashes.noteRanWell(this.attempt)
       response.end()
       if (!this.isStream) this.served.slots.noteFirstToken(performance.now() - this.startedAt)
@@ -157,8 +166,16 @@
     answerRefusal(this.context, { reason, ran: certain ? 'no' : 'partly' }, messageOf(error))
   }
 
+  private refuseTurnedAway (): void {
+    this.options.registry.notStarted(this.head.attemptId)
+    answerRefusal(this.context, { reason: 'turned-away', ran: 'no' }, 'the endpoint has no room')
+  }
+
   private relayHead (status: number, headers: IncomingHttpHeaders): void {
     const { response } = this
+    this.isTurnedAway = status >= CLIENT_ERROR && headers[RAN_HEADER] === 'no'
+    if (this.isTurnedAway) return
+    this.served.slots.noteAnswered(this.head.attemptId)
     this.isStream = isEventStream(headers)
     this.context.respond = false
     response.writeHead(status, withoutOwnHeaders(endToEndHeaders(headers)))
@@ -166,6 +183,7 @@
   }
 
   private relayChunk (chunk: Buffer): Promise<void> | undefined {
+    if (this.isTurnedAway) return undefined
     this.noteChunk()
     return this.response.write(chunk) ? undefined : drained(this.response)
   }
--- a/sidecar/program/src/endpoints.ts
+++ b/sidecar/program/src/endpoints.ts
@@ -1,13 +1,16 @@
 /** The endpoints of this box with their slots, and the poll of what engines report. */
+import { messageOf } from '@gullwall/core.error'
 import { type IdSequence } from '@gullwall/core.ids'
 import { type LocalEndpoint, type SidecarSettings } from '@gullwall/config.settings'
-import { type Endpoint } from '@gullwall/endpoint.dialect'
+import { type Endpoint, type HeadListener } from '@gullwall/endpoint.dialect'
 import { HttpEndpoint } from '@gullwall/endpoint.http'
 import { OpenAiEngine } from '@gullwall/endpoint.openai'
 import { type ReservationBook } from '@gullwall/routing.reservations'
 import { type ServedEndpoint } from '@gullwall/sidecar.attempts'
 import { EndpointSlots } from '@gullwall/sidecar.slots'
+import { type EngineNotices } from './engine-notices.ts'
 import { type EntryLinks } from './entry-links.ts'
+import { type SidecarServices } from './index.ts'
 
 /** The endpoints by name. */
 export class EndpointTable extends Map<string, ServedEndpoint> {
@@ -23,12 +26,13 @@
   settings: SidecarSettings
   book: ReservationBook
   offerIds: IdSequence
+  notices: EngineNotices
   /** The links, which are made after the endpoints. */
   links: () => EntryLinks
 }
 
 export function createServedEndpoints (options: ServedEndpointsOptions): EndpointTable {
-  const { settings, book, offerIds, links } = options
+  const { settings, book, offerIds, links, notices } = options
   const table = new EndpointTable()
   for (const local of settings.endpoints) {
     const slots = new EndpointSlots({
@@ -37,26 +41,30 @@
       maxLimit: local.maxLimit,
       book,
       offerIds,
+      backoffs: notices.backoffs,
       admitWithoutSlot: settings.admitWithoutSlot,
       sendOffer: (entry, offer) => links().sendTo(entry, offer),
       onChange: () => links().loadChanged(local.name)
     })
-    table.set(local.name, { local, endpoint: connect(local), slots })
+    table.set(local.name, { local, endpoint: connect(local, (head) => notices.take(local.name, head)), slots })
   }
   return table
 }
 
-function connect (local: LocalEndpoint): Endpoint {
-  return local.kind === 'engine' ? new OpenAiEngine(local.name, local.address) : new HttpEndpoint(local.name, local.address)
+function connect ({ kind, name, address }: LocalEndpoint, onAnyHead: HeadListener): Endpoint {
+  return kind === 'engine' ? new OpenAiEngine(name, address, onAnyHead) : new HttpEndpoint(name, address, onAnyHead)
 }
 
 const POLL_MS = 1000
 
-/** Reads the engines' load reports, for the baselines and for the status page. */
+/**
+ * Reads the engines' load reports, for the baselines and for the status page, and looks whether an endpoint that drains has
+ * started again. One that wants to be left alone is asked for nothing.
+ */
 export class ReportPoller {
   private timer: NodeJS.Timeout | undefined
 
-  constructor (private readonly endpoints: EndpointTable) {}
+  constructor (private readonly services: Pick<SidecarServices, 'endpoints' | 'notices' | 'logger'>) {}
 
   start (): void {
     this.timer = setInterval(() => this.poll(), POLL_MS)
@@ -67,15 +75,20 @@
   }
 
   private poll (): void {
-    for (const served of this.endpoints.values()) void pollOne(served)
+    const { endpoints, notices } = this.services
+    for (const [name, served] of endpoints) {
+      if (notices.backoffs.remainingMs(name) === 0) void this.pollOne(served)
+    }
   }
-}
 
-async function pollOne ({ endpoint, slots }: ServedEndpoint): Promise<void> {
-  try {
-    const report = await endpoint.reportedLoad?.()
-    if (report !== undefined) slots.reportedInFlight = report.inFlight
-  } catch {
-    // A report that fails says nothing that attempts will not show better.
+  private async pollOne ({ endpoint, slots, local }: ServedEndpoint): Promise<void> {
+    try {
+      if (endpoint.reportedLoad !== undefined) slots.reportedInFlight = (await endpoint.reportedLoad()).inFlight
+      else if (slots.isDraining) await endpoint.probe()
+    } catch (error) {
+      // A report that fails says nothing that attempts will not show better.
+      const why = `no report: ${messageOf(error)}`
+      this.services.logger.debug({ channel: 'endpoint', event: 'notice', endpoint: local.name, why })
+    }
   }
 }
--- a/sidecar/program/src/engine-crashes.ts
+++ b/sidecar/program/src/engine-crashes.ts
@@ -9,7 +9,7 @@
   /** How often each endpoint has crashed: an endpoint of a box keeps its name over its lives. */
   private readonly crashes = new Map<string, number>()
 
-  constructor (private readonly services: Pick<SidecarServices, 'startId' | 'logger' | 'entryLinks' | 'control'>) {
+  constructor (private readonly services: Pick<SidecarServices, 'startId' | 'logger' | 'entryLinks' | 'control' | 'notices'>) {
     this.reporter = new CrashReporter({ logger: services.logger, tell: async (word) => await services.control.tellCrashes(word) })
     this.watch = new CrashWatch({
       // The links are made with this object in hand, and are there once anything runs.
@@ -47,7 +47,10 @@
   private crashed (life: string, requests: BrokenRequest[]): void {
     const endpoint = life.split('/').slice(1, -1).join('/')
     // What breaks later with the same crash names the life that has ended already.
-    if (life === this.lifeOf(endpoint)) this.crashes.set(endpoint, (this.crashes.get(endpoint) ?? 0) + 1)
+    if (life === this.lifeOf(endpoint)) {
+      this.crashes.set(endpoint, (this.crashes.get(endpoint) ?? 0) + 1)
+      this.services.notices.forget(endpoint)
+    }
     for (const { fingerprint, requestId } of requests) {
       const why = `${endpoint} crashed while it was running there, with ${requests.length - 1} others`
       this.services.logger.info({ channel: 'quarantine', event: 'crashed', fingerprint, endpoint, request: requestId, why })
--- a/sidecar/program/src/entry-links.ts
+++ b/sidecar/program/src/entry-links.ts
@@ -67,6 +67,11 @@
     }
   }
 
+  /** Tells every entry which endpoints take work. */
+  endpointsChanged (): void {
+    for (const link of this.byEntry.values()) this.sendEndpoints(link)
+  }
+
   /** Waits for the attempts that run. */
   drained (): Promise<void> {
     return this.http.drained()
@@ -138,9 +143,8 @@
   }
 
   private sendEndpoints (link: Link): void {
-    const endpoints: EndpointDescription[] = [...this.services.endpoints.values()].map(({ local }) => ({
-      name: local.name, kind: local.kind, serves: local.serves, labels: local.labels
-    }))
+    const staying = [...this.services.endpoints.values()].filter(({ slots }) => !slots.isDraining)
+    const endpoints: EndpointDescription[] = staying.map(({ local: { name, kind, serves, labels } }) => ({ name, kind, serves, labels }))
     link.send({ kind: 'endpoints', endpoints, leaving: this.isLeaving })
   }
 
@@ -169,6 +173,7 @@
 function isNews (load: EndpointLoad, before: EndpointLoad | undefined): boolean {
   if (before === undefined) return true
   const isSameLimit = load.limit === before.limit && load.preemptableTier === before.preemptableTier
+  if ((load.backOffMs ?? 0) > (before.backOffMs ?? 0) || (load.backOffMs === 0) !== (before.backOffMs === 0)) return true
   if (!isSameLimit || load.failuresInRow !== before.failuresInRow || (load.spare === 0) !== (before.spare === 0)) return true
   return Math.abs(load.spare - before.spare) > load.limit * SPARE_TOLERANCE || hasMoved(load.tokenGapMs, before.tokenGapMs)
 }
--- a/sidecar/program/src/index.ts
+++ b/sidecar/program/src/index.ts
@@ -13,6 +13,7 @@
 import { type Member } from '@gullwall/transport.messages'
 import { createServedEndpoints, ReportPoller, type EndpointTable } from './endpoints.ts'
 import { EngineCrashes } from './engine-crashes.ts'
+import { EngineNotices } from './engine-notices.ts'
 import { EntryLinks } from './entry-links.ts'
 import { sidecarMetrics } from './metrics.ts'
 
@@ -29,6 +30,7 @@
   entryLinks: EntryLinks
   control: ControlClient
   crashes: EngineCrashes
+  notices: EngineNotices
   admin: SidecarAdmin
   departure: Departure
 }
@@ -52,9 +54,10 @@
     .service('store', ({ logger }) => new RevisionStore({ logger }))
     .service('spreader', ({ store }) => new Spreader(store, { takes: true }))
     .service('endpoints', (services) => createServedEndpoints({
-      settings, book: services.book, offerIds: new IdSequence(startId, 'o'), links: () => services.entryLinks
+      settings, book: services.book, offerIds: new IdSequence(startId, 'o'), notices: services.notices, links: () => services.entryLinks
     }))
-    .service('reports', ({ endpoints }) => new ReportPoller(endpoints))
+    .service('notices', (services) => new EngineNotices(services))
+    .service('reports', (services) => new ReportPoller(services))
     .service('entryLinks', (services) => new EntryLinks(services))
     .service('control', (services) => createControlClient(services))
     .service('crashes', (services) => new EngineCrashes(services))
--- a/sidecar/slots/src/index.ts
+++ b/sidecar/slots/src/index.ts
@@ -4,6 +4,7 @@
  */
 import { type EndpointLoad, type Tier } from '@gullwall/core.types'
 import { type IdSequence } from '@gullwall/core.ids'
+import { type BackoffTable, type Permit } from '@gullwall/routing.backoff'
 import { AdaptiveLimit, SampleWindow } from '@gullwall/routing.limits'
 import { type ReservationBook } from '@gullwall/routing.reservations'
 import { type MessageOf } from '@gullwall/transport.messages'
@@ -28,6 +29,8 @@
   sendOffer: (entry: string, offer: MessageOf<'offer'>) => boolean
   /** Told when the load report has changed. */
   onChange: () => void
+  /** The endpoints that asked this box to be left alone. */
+  backoffs: BackoffTable
   /** Takes attempts bound early by a baseline, whatever runs. */
   admitWithoutSlot: boolean
 }
@@ -36,6 +39,7 @@
   startedAt: number
   /** Ends the attempt's stream so that it can go on elsewhere. */
   preempt: () => void
+  permit: Permit
 }
 
 interface OpenOffer {
@@ -60,6 +64,8 @@
 export class EndpointSlots {
   readonly limit: AdaptiveLimit
   reportedInFlight = 0
+  /** Whether the endpoint has said that it drains. */
+  isDraining = false
   failuresInRow = 0
   private readonly running = new Map<string, RunningAttempt>()
   private readonly offers = new Map<string, OpenOffer>()
@@ -78,13 +84,22 @@
   }
 
   get spare (): number {
-    return Math.max(0, this.limit.limit - this.running.size - this.offers.size)
+    const taken = this.running.size + this.offers.size
+    return this.isDraining ? 0 : Math.max(0, Math.min(this.limit.limit - taken, this.room - this.offers.size))
+  }
+
+  /** How many attempts the endpoint itself takes now: none in a rest that it asked for, few right after it. */
+  private get room (): number {
+    return this.options.backoffs.room(this.options.name)
   }
 
   /** Gives the attempt a slot, or false: then it is not run. */
   admit (attempt: SlotAttempt, preempt: () => void): boolean {
-    if (!this.takeOffer(attempt) && !this.options.admitWithoutSlot && !this.mayGoAhead(attempt)) return false
-    this.running.set(attempt.attemptId, { ...attempt, preempt, startedAt: performance.now() })
+    const mayRun = this.takeOffer(attempt) || this.options.admitWithoutSlot || this.mayGoAhead(attempt)
+    // What the endpoint has said of itself since the offer counts.
+    const permit = mayRun && !this.isDraining ? this.options.backoffs.acquire(this.options.name) : undefined
+    if (permit === undefined) return false
+    this.running.set(attempt.attemptId, { ...attempt, preempt, permit, startedAt: performance.now() })
     if (this.spare === 0) this.limit.noteFull()
     this.options.onChange()
     return true
@@ -92,7 +107,21 @@
 
   /** Frees the slot of an attempt that has ended and offers it on. */
   release (attemptId: string): void {
-    if (!this.running.delete(attemptId)) return
+    const attempt = this.running.get(attemptId)
+    if (attempt === undefined) return
+    this.running.delete(attemptId)
+    attempt.permit.released()
+    this.offerFree()
+    this.options.onChange()
+  }
+
+  /** The endpoint has begun to answer an attempt, and did not turn it away. */
+  noteAnswered (attemptId: string): void {
+    this.running.get(attemptId)?.permit.answered()
+  }
+
+  /** Tells of a change in what the endpoint takes, and offers what it takes now. */
+  roomChanged (): void {
     this.offerFree()
     this.options.onChange()
   }
@@ -116,6 +145,7 @@
 
   /** Cuts off the newest stream of the lowest tier below `tier` and holds its slot for the entry that asked. */
   preempt (entry: string, className: string, tier: Tier): boolean {
+    if (this.isDraining || this.room === 0) return false
     if (this.spare > 0) {
       this.offerFree()
       return false
@@ -168,7 +198,8 @@
       firstTokenMs: round(this.firstTokens.quantile(0.5)),
       failuresInRow: this.failuresInRow,
       reportedInFlight: this.reportedInFlight,
-      preemptableTier: this.lowestPreemptableTier()
+      preemptableTier: this.lowestPreemptableTier(),
+      backOffMs: Math.round(this.options.backoffs.remainingMs(this.options.name))
     }
   }
 
--- a/transport/attempt/src/index.ts
+++ b/transport/attempt/src/index.ts
@@ -30,7 +30,7 @@
 
 /** Why a sidecar did not run an attempt, or did not run it to its end. */
 export type AttemptRefusal =
-  | 'busy' | 'leaving' | 'revoked' | 'duplicate' | 'other-start' | 'unknown-endpoint' | 'bad-head' | 'endpoint-down' | 'endpoint-failed' | 'stalled' | 'preempted' | 'moved'
+  | 'busy' | 'leaving' | 'revoked' | 'duplicate' | 'other-start' | 'unknown-endpoint' | 'bad-head' | 'endpoint-down' | 'turned-away' | 'endpoint-failed' | 'stalled' | 'preempted' | 'moved'
 
 /** A sidecar's refusal as the entry reads it. */
 export interface AttemptRefused {
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -17,7 +17,9 @@
   firstTokenMs: z.number(),
   failuresInRow: count,
   reportedInFlight: count,
-  preemptableTier: z.number().int()
+  preemptableTier: z.number().int(),
+  /** For how much longer the endpoint wants nothing, by its own word, in ms; none from sidecars of before. */
+  backOffMs: z.number().min(0).optional()
 })
 
 /** One sidecar as control and its peers know it. */
