--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -27,7 +27,7 @@
 
 /** Gauges of what this process believes, read when they are asked for. */
 export function beliefGauges (registry: Registry, services: GatewayServices): void {
-  const { view, controlLinks, budget, evacuatedPlaces, crossings, coldEngines, quarantine } = services
+  const { view, controlLinks, budget, evacuatedPlaces, crossings, coldEngines, quarantine, notices } = services
   const add = (name: string, help: string, value: () => number) => {
     const metric = gauge(registry, name, help)
     Object.assign(metric, { collect: () => metric.set(value()) })
@@ -46,6 +46,10 @@
   add('gullwall_endpoint_crashes_total', 'Crashes of endpoints at which requests of this process were running', () => quarantine.crashes)
   add('gullwall_quarantined_requests', 'Requests that are held because endpoints crash under them, as this process knows', () => quarantine.size)
   add('gullwall_quarantine_refusals_total', 'Requests that were refused since they are held', () => quarantine.refused)
+  add('gullwall_backing_off_endpoints', 'Endpoints that asked this process to be left alone, or come back from that', () => notices.backoffs.size)
+  add('gullwall_backoffs_asked_total', 'Answers in which endpoints asked to be left alone', () => notices.backoffs.asked)
+  add('gullwall_draining_heard_total', 'Endpoints of which an answer first told that they drain', () => notices.totals.draining)
+  add('gullwall_unreadable_notices_total', 'Times asked for by endpoints that could not be understood', () => notices.totals.unreadable)
   add('gullwall_cold_asks_total', 'Asks for grants', () => coldEngines.asker.totals.asks)
   add('gullwall_cold_failed_asks_total', 'Asks for grants that nobody answered', () => coldEngines.asker.totals.failed)
 }
--- /dev/null
+++ b/entry/gateway/test/patience.test.ts
@@ -0,0 +1,54 @@
+/** For how long requests wait for endpoints that rest, who looks first, and when the others are asked to come back. */
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { type Call } from '../src/call.ts'
+import { returnAfterMs, waitRank, waitsUntil } from '../src/patience.ts'
+
+const TARGET_MS = 400
+const route = { targetMs: TARGET_MS } as Call['route']
+const call = { arrivedAt: 1000, deadline: 9000, route }
+
+describe('a request', () => {
+  it('waits a quarter of its target for an endpoint', () => {
+    expect(waitsUntil({ call, resumedAt: undefined, restMs: 0, now: 1010 })).toBe(1100)
+    expect(waitsUntil({ call: { ...call, deadline: 1050 }, resumedAt: undefined, restMs: 0, now: 1010 })).toBe(1050)
+  })
+
+  it('waits as long where the first rest ends by then, and not at all where it ends later', () => {
+    expect(waitsUntil({ call, resumedAt: undefined, restMs: 90, now: 1010 })).toBe(1100)
+    expect(waitsUntil({ call, resumedAt: undefined, restMs: 91, now: 1010 })).toBe(1010)
+  })
+
+  it('that may have run waits for a rest of up to two seconds, and for the slow start after it, within its time', () => {
+    expect(waitsUntil({ call, resumedAt: 3000, restMs: 1500, now: 3000 })).toBe(4600)
+    expect(waitsUntil({ call, resumedAt: 3000, restMs: 2001, now: 3000 })).toBe(3000)
+    expect(waitsUntil({ call: { ...call, deadline: 4550 }, resumedAt: 3000, restMs: 1500, now: 3000 })).toBe(4550)
+    expect(waitsUntil({ call: { ...call, deadline: 4400 }, resumedAt: 3000, restMs: 1500, now: 3000 })).toBe(3000)
+  })
+
+  it('never waits beyond its deadline, nor is kept waiting for what comes too late', () => {
+    fc.assert(fc.property(fc.nat(5000), fc.nat(5000), fc.option(fc.nat(3000), { nil: undefined }), (restMs, deadlineMs, resumed) => {
+      const deadline = call.arrivedAt + deadlineMs
+      const now = call.arrivedAt + (resumed ?? 0)
+      const until = waitsUntil({ call: { ...call, deadline }, resumedAt: resumed === undefined ? undefined : now, restMs, now })
+      expect(until).toBeLessThanOrEqual(Math.max(now, deadline))
+      if (restMs > 0 && until > now) expect(until).toBeGreaterThanOrEqual(now + restMs)
+    }), { numRuns: 1000 })
+  })
+})
+
+describe('callers that are sent away', () => {
+  it('come back after the rest, the more urgent first, over a second', () => {
+    expect([0, 1, 2, 3, 7].map((tier) => returnAfterMs(3000, tier, () => 0))).toEqual([3000, 3250, 3500, 3750, 3750])
+    expect(returnAfterMs(3000, 3, () => 0.999)).toBeLessThan(4000)
+  })
+})
+
+describe('of those that wait', () => {
+  it('the more urgent look first, but none waits for ever behind those that keep coming', () => {
+    const rank = (tier: number, arrivedAt: number) => waitRank({ tier, arrivedAt })
+    expect(rank(0, 1100)).toBeLessThan(rank(1, 1000))
+    expect(rank(1, 1000)).toBeLessThan(rank(1, 1001))
+    expect(rank(2, 1000)).toBeLessThan(rank(0, 1401))
+  })
+})
--- a/sidecar/program/src/index.ts
+++ b/sidecar/program/src/index.ts
@@ -104,10 +104,10 @@
   constructor (private readonly services: SidecarServices) {}
 
   async start (): Promise<void> {
-    const { settings, endpoints, entryLinks, store, attempts } = this.services
+    const { settings, endpoints, entryLinks, store, attempts, notices } = this.services
     const registry = createRegistry({ process: true })
     linkMetrics(registry)
-    sidecarMetrics(registry, endpoints, entryLinks)
+    sidecarMetrics(registry, this.services)
     this.server = createAdminServer({
       registry,
       notReady: () => entryLinks.isLeaving ? 'leaving' : undefined,
@@ -117,6 +117,7 @@
           box: settings.box,
           revision: store.revision,
           leaving: entryLinks.isLeaving,
+          resting: notices.backoffs.resting(),
           endpoints: [...endpoints.values()].map(({ slots }) => slots.load())
         }),
         '/attempts': () => ({ remembered: attempts.size })
