--- a/control/program/src/call-budget.ts
+++ b/control/program/src/call-budget.ts
@@ -42,8 +42,9 @@
     this.backoffMs = FIRST_BACKOFF_MS
   }
 
-  backOff (now: number): void {
-    this.nextTryAt = now + this.backoffMs * (0.5 + this.random())
+  /** @param leastMs for how long the outside has asked for no more calls */
+  backOff (now: number, leastMs = 0): void {
+    this.nextTryAt = now + Math.max(leastMs, this.backoffMs * (0.5 + this.random()))
     this.backoffMs = Math.min(MAX_BACKOFF_MS, 2 * this.backoffMs)
   }
 
--- a/control/program/src/scaling-orderer.ts
+++ b/control/program/src/scaling-orderer.ts
@@ -184,7 +184,7 @@
       case 'failed':
         this.calls.noteFailed(subject.key, order, this.now())
         this.log('postponed', subject, token, outcome.why)
-        this.budget.backOff(this.now())
+        this.budget.backOff(this.now(), outcome.backOffMs)
         break
     }
   }
--- a/control/program/src/usage-reporter.ts
+++ b/control/program/src/usage-reporter.ts
@@ -175,13 +175,13 @@
         break
       case 'failed':
         logger.warn({ ...facts, event: 'postponed', why: outcome.why })
-        this.backOff()
+        this.backOff(outcome.backOffMs)
         break
     }
   }
 
-  private backOff (): void {
-    this.nextTryAt = performance.now() + this.backoffMs * (0.5 + Math.random())
+  private backOff (leastMs = 0): void {
+    this.nextTryAt = performance.now() + Math.max(leastMs, this.backoffMs * (0.5 + Math.random()))
     this.backoffMs = Math.min(MAX_BACKOFF_MS, 2 * this.backoffMs)
   }
 
