--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -1,6 +1,6 @@
 /**
  * Bundles programs into one file each: those of the product into dist/, and with
- * the argument `platform` those for the users' platform into target/.
+ * the argument `platform` those for the users' platform into target/. A second argument names another folder.
  */
 import { resolve } from 'node:path'
 import { build } from 'esbuild'
@@ -70,4 +70,4 @@
 
 const [, , what, folder] = process.argv
 if (what === 'platform') await buildPlatform(folder ?? 'target')
-else await buildProduct('dist')
+else await buildProduct(folder ?? 'dist')
