fix(kernel,tools): programs take signals from their first line on, and a stop ends a start that is under way

Cause: until a program is loaded (some 0.3 s) nobody handled signals, whose default ends the process; and a kernel that was stopped while it started went on starting, beside its stop. Settings were read twice, so that a change between was missed. Change: the first lines of each long-running bundle take SIGTERM, SIGINT and SIGHUP; the program asks for what came. A stop waits for the service that is just starting, within its deadline, and nothing more starts. The text that is in force is the one that was read.

--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -194,7 +194,15 @@
  * @throws ERR_GULLWALL_BAD_CONFIGURATION with every mistake in it.
  */
 export function readSettings<T> (file: string, schema: z.ZodType<T>): T {
-  return orThrow(checkToml(readFileSync(file, 'utf8'), schema, { file }), 'read settings')
+  return parseSettings(readFileSync(file, 'utf8'), schema, file)
+}
+
+/**
+ * Checks the text of a settings file; `file` is for the message.
+ * @throws ERR_GULLWALL_BAD_CONFIGURATION with what was expected and found
+ */
+export function parseSettings<T> (text: string, schema: z.ZodType<T>, file: string): T {
+  return orThrow(checkToml(text, schema, { file }), 'read settings')
 }
 
 /** An address in its two parts. */
--- a/config/settings/src/reload.ts
+++ b/config/settings/src/reload.ts
@@ -9,6 +9,8 @@
 
 export interface SettingsReloadOptions<T> {
   file: string
+  /** The text that is in force; what is in the file now, where it is not given. */
+  text?: string | undefined
   schema: z.ZodType<T>
   logger: Logger
   /** Puts new settings in force, as far as a running process can. */
@@ -23,7 +25,7 @@
   private readonly onSignal = () => this.reload('SIGHUP')
 
   constructor (private readonly options: SettingsReloadOptions<T>) {
-    this.text = readFileSync(options.file, 'utf8')
+    this.text = options.text ?? readFileSync(options.file, 'utf8')
   }
 
   start (): void {
--- a/core/kernel/src/index.ts
+++ b/core/kernel/src/index.ts
@@ -27,6 +27,9 @@
   private readonly container: AwilixContainer<Services>
   private readonly names: string[] = []
   private readonly started: string[] = []
+  /** The start that is under way, if any; it never rejects. */
+  private starting: Promise<void> = Promise.resolve()
+  private isStopping = false
   private readonly stopDeadlineMs: number
 
   constructor (options: KernelOptions = {}) {
@@ -57,27 +60,40 @@
     return this.container.resolve(name)
   }
 
-  /** Starts every service in order; if one fails, those already started are stopped again. */
+  /** Starts every service in order; if one fails, those already started are stopped again. Ends early where a stop is asked for. */
   async start (): Promise<void> {
+    const started = this.startAll()
+    this.starting = started.catch(() => {})
+    await started
+  }
+
+  private async startAll (): Promise<void> {
     for (const name of this.names) {
+      if (this.isStopping) return
       try {
         const service = this.container.resolve(name) as Service
         await service.start?.()
         this.started.push(name)
       } catch (error) {
-        await this.stop()
+        await this.stopStarted(Promise.resolve())
         throw toGullwallError(error, { step: `start ${name}` })
       }
     }
   }
 
   /**
-   * Stops the started services in reverse order.
+   * Stops the started services in reverse order, after the one that is just starting.
    * @throws ERR_GULLWALL_STOP_DEADLINE naming the service that did not end in time.
    */
   async stop (): Promise<void> {
+    this.isStopping = true
+    await this.stopStarted(this.starting)
+  }
+
+  private async stopStarted (starting: Promise<void>): Promise<void> {
     let current = ''
     const stopAll = async () => {
+      await starting
       for (let name = this.started.pop(); name !== undefined; name = this.started.pop()) {
         current = name
         const service = this.container.resolve(name) as Service
--- a/core/kernel/src/program.ts
+++ b/core/kernel/src/program.ts
@@ -1,5 +1,6 @@
 /** What every program does alike: refuse unfit surroundings, start, and stop on a signal. */
 import { errorRecord, GullwallError } from '@gullwall/core.error'
+import { takeEarlySignals } from './early-signals.ts'
 import { type Kernel } from './index.ts'
 
 /** Exit code for wrong settings or records. */
@@ -36,8 +37,14 @@
   process.on('SIGINT', stop)
   process.on('uncaughtException', fail)
   process.on('unhandledRejection', fail)
+  // A signal to read settings again has nothing to do here: they were read after it, or are looked at again soon.
+  const early = takeEarlySignals()
+  if (early.has('SIGTERM') || early.has('SIGINT')) {
+    stop()
+    return
+  }
   await kernel.start()
-  watch?.started()
+  if (!stopping) watch?.started()
 }
 
 /** Prints an error as one JSON line and ends the process. */
--- a/core/kernel/test/kernel.test.ts
+++ b/core/kernel/test/kernel.test.ts
@@ -12,6 +12,8 @@
   const calls: string[] = []
   let ready = () => {}
   const started = new Promise<void>((resolve) => { ready = resolve })
+  let beginSlow = () => {}
+  const slowBegins = new Promise<void>((resolve) => { beginSlow = resolve })
   const service = (name: string, start: () => Promise<void> | void = () => {}): Service => ({
     start: async () => {
       await start()
@@ -21,15 +23,19 @@
   })
   const kernel = new Kernel<Services>({ stopDeadlineMs: 1000 })
     .service('first', () => service('first'))
-    .service('slow', () => service('slow', async () => await started))
+    .service('slow', () => service('slow', async () => {
+      beginSlow()
+      await started
+    }))
     .service('last', () => service('last'))
-  return { kernel, calls, ready }
+  return { kernel, calls, ready, slowBegins }
 }
 
 describe('a kernel that is stopped while it starts', () => {
   it('stops what has started, also what was just starting, and starts nothing more', async () => {
-    const { kernel, calls, ready } = build()
+    const { kernel, calls, ready, slowBegins } = build()
     const starting = kernel.start()
+    await slowBegins
     const stopping = kernel.stop()
     ready()
     await Promise.all([starting, stopping])
@@ -37,8 +43,9 @@
   })
 
   it('ends within its deadline where what was starting does not', async () => {
-    const { kernel, calls } = build()
+    const { kernel, calls, slowBegins } = build()
     void kernel.start()
+    await slowBegins
     await expect(kernel.stop()).rejects.toMatchObject({ code: 'ERR_GULLWALL_STOP_DEADLINE' })
     expect(calls).toEqual(['start first'])
   })
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -6,6 +6,7 @@
 import { build } from 'esbuild'
 import { warmUp } from '../platform/adapter/build/warm-up.mjs'
 import { makeCodeCache } from './code-cache.mjs'
+import { EARLY_SIGNALS } from './early-signals.mjs'
 import { leanLibraries } from './lean-libraries.mjs'
 import { NODE_OPTIONS } from './node-options.mjs'
 
@@ -24,6 +25,9 @@
   control: 'platform/adapter/src/control.ts'
 }
 
+/** Programs that end by themselves: a signal ends them at once. */
+const SHORT = new Set(['gullwall', 'gullwall-load', 'gullwall-fake-engine'])
+
 // Libraries in CommonJS form call require(), which an ES module does not have by itself.
 const REQUIRE_SHIM = "import { createRequire as gullwallRequire } from 'node:module'; const require = gullwallRequire(import.meta.url);"
 
@@ -36,7 +40,7 @@
       platform: 'node',
       target: 'node20',
       format: 'esm',
-      banner: { js: `#!/usr/bin/env node\n${REQUIRE_SHIM}` },
+      banner: { js: `#!/usr/bin/env node\n${SHORT.has(name) ? '' : EARLY_SIGNALS}${REQUIRE_SHIM}` },
       logLevel: 'warning'
     })
     console.log(`${folder}/${name}.mjs`)
--- a/tools/code-cache.mjs
+++ b/tools/code-cache.mjs
@@ -5,9 +5,10 @@
  */
 import { execFileSync } from 'node:child_process'
 import { writeFileSync } from 'node:fs'
+import { EARLY_SIGNALS } from './early-signals.mjs'
 
 const LOADER = `'use strict'
-const { readFileSync } = require('node:fs')
+${EARLY_SIGNALS}const { readFileSync } = require('node:fs')
 const { dirname, join } = require('node:path')
 const { Script } = require('node:vm')
 const { wrap } = require('node:module')
