test(bench): the soak asks for rest and drains unheard, and checks that both words are kept

Engines answer 503 with a rest (whole seconds, fractions, dates) and tell in each answer that they drain; one leaves while its heartbeats reach nobody. The soak's builds take signals from their first line on, as the product's do.

--- a/bench/soak/src/build.ts
+++ b/bench/soak/src/build.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { build, type Plugin } from 'esbuild'
 import { GullwallError } from '@gullwall/core.error'
+import { EARLY_SIGNALS } from '../../../tools/early-signals.mjs'
 import { type Mutation } from './mutations.ts'
 
 export interface BuiltPrograms { gateway: string, control: string }
@@ -24,7 +25,7 @@
       platform: 'node',
       target: 'node20',
       format: 'esm',
-      banner: { js: REQUIRE_SHIM },
+      banner: { js: EARLY_SIGNALS + REQUIRE_SHIM },
       plugins: mutation === undefined ? [] : [mutating(mutation)],
       logLevel: 'silent'
     })
--- a/bench/soak/src/checks/engines.ts
+++ b/bench/soak/src/checks/engines.ts
@@ -63,6 +63,34 @@
   })
 }
 
+/** A gateway that was asked for rest sends no more than what was under way, unless it was restarted, frozen or cut off since. */
+export const restIsKept: Check = ({ journal, bounds }) => journal.rests.flatMap(({ incarnation, from, at, ms }) => {
+  const until = at + ms
+  const within = journal.arrivals.filter((arrival) => (
+    arrival.incarnation === incarnation && arrival.from === from && arrival.at > at + bounds.underWayMs && arrival.at < until
+  ))
+  const [, , oneTooMany] = within
+  if (oneTooMany === undefined || !journal.isCalm([from], at, oneTooMany.at)) return []
+  const what = `at ${incarnation} from ${from}: ${within.length} within the ${ms} ms for which it wanted nothing`
+  return [{ check: 'rest', at: oneTooMany.at, subject: `${incarnation} ${Math.round(at)}`, what }]
+})
+
+/** A gateway that was told in an answer that an engine drains sends nothing there that came later, whatever else it hears. */
+export const drainWordIsKept: Check = ({ journal, bounds }) => journal.drainWords.flatMap(({ incarnation, from, at }) => {
+  const late = journal.runs.find((run) => (
+    run.incarnation === incarnation && run.from === from && (journal.sentAtOf(run.id) ?? -Infinity) > at + bounds.drainMs
+  ))
+  if (late === undefined || hasNewLife(journal, from, at, late.at)) return []
+  return [violation('drains', late, `${Math.round(late.at - at)} ms after it had told so in an answer`)]
+})
+
+/** Whether a gateway was started again, or stood still, between two times: it may have forgotten what it was told. */
+function hasNewLife ({ disturbances }: Journal, gateway: string, from: number, to: number): boolean {
+  return disturbances.some(({ who, what, ...spell }) => (
+    who === gateway && ['SIGTERM', 'SIGKILL', 'frozen'].includes(what) && spell.from <= to && spell.to >= from
+  ))
+}
+
 /** A request with regions of its own is seen by no engine of another one. */
 export const stayHome: Check = ({ journal }) => {
   const kinds = new Map(journal.attempts.map(({ id, kind }) => [id, kind]))
--- a/bench/soak/src/checks/violation.ts
+++ b/bench/soak/src/checks/violation.ts
@@ -17,13 +17,19 @@
   /** After its acknowledgement an engine that leaves gets nothing. */
   leavingMs: number
   evacuationMs: number
+  /** What was under way to an engine that asks for rest arrives within this time. */
+  underWayMs: number
+  /** A caller that sends later than this after an engine told that it drains has another one. */
+  drainMs: number
   /** After its third crash a request is known. */
   knownMs: number
   /** What reached a gateway before it took on a newer version may be decided later, by the older one. */
   crossingMs: number
 }
 
-export const BOUNDS: Bounds = { configurationMs: 4000, leavingMs: 3000, evacuationMs: 5000, knownMs: 3000, crossingMs: 250 }
+export const BOUNDS: Bounds = {
+  configurationMs: 4000, leavingMs: 3000, evacuationMs: 5000, underWayMs: 500, drainMs: 2000, knownMs: 3000, crossingMs: 250
+}
 
 export interface CheckInput {
   journal: Journal
--- a/bench/soak/src/engine.ts
+++ b/bench/soak/src/engine.ts
@@ -12,6 +12,8 @@
   | 'cutting'
   /** Turns requests away without running them. */
   | 'refusing'
+  /** The same, and asks for rest. */
+  | 'resting'
   /** Runs requests and fails. */
   | 'failing'
 
@@ -32,6 +34,8 @@
 }
 
 const SLOTS = 8
+const DATE_SHARE = 0.3
+const SECOND_MS = 1000
 const WORK_MS = { from: 10, to: 60 }
 const EVENT_MS = 15
 const SLOW_FACTOR = 10
@@ -49,11 +53,15 @@
   behaviour: Behaviour = 'well'
   incarnation = ''
   state: 'ready' | 'draining' | 'gone' = 'ready'
+  /** Whether its heartbeats reach nobody. */
+  isUnheard = false
   sequence = 0
   coldUntil = 0
   target = ''
   private server: Server | undefined
   private running = new Set<ServerResponse>()
+  /** Whether this process has asked anybody for rest. */
+  private hasRested = false
   private starts = 0
 
   constructor (readonly options: EngineOptions) {}
@@ -65,6 +73,8 @@
     this.incarnation = `${name}-${this.starts}`
     this.state = 'ready'
     this.behaviour = 'well'
+    this.isUnheard = false
+    this.hasRested = false
     this.sequence = 0
     this.running = new Set()
     this.coldUntil = journal.now + coldMs
@@ -90,10 +100,16 @@
 
   private take (request: IncomingMessage, response: ServerResponse, body: string): void {
     const id = headerOf(request, 'x-gullwall-request-id')
+    const from = this.options.sourceAt(request.socket.remotePort ?? 0)
+    if (headerOf(request, 'x-gullwall-incarnation') === this.incarnation) this.noteArrival(id, from, response)
     if (headerOf(request, 'x-gullwall-incarnation') !== this.incarnation) {
       response.writeHead(421, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
       return
     }
+    if (this.behaviour === 'resting') {
+      this.askForRest(id, from, response)
+      return
+    }
     if (this.behaviour === 'refusing' || this.running.size >= SLOTS) {
       response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
       return
@@ -114,6 +130,27 @@
     else this.answer(run, response, isCut)
   }
 
+  private noteArrival (id: string, from: string, response: ServerResponse): void {
+    const { journal } = this.options
+    if (this.hasRested) journal.arrivals.push({ id, incarnation: this.incarnation, from, at: journal.now })
+    if (this.state !== 'draining') return
+    response.setHeader('x-gullwall-draining', '1')
+    // The word is on its way from the first byte on, which any end of the answer has behind it.
+    response.once('finish', () => journal.drainWords.push({ incarnation: this.incarnation, from, at: journal.now }))
+  }
+
+  /** Turns a request away and asks for rest: for whole seconds, fractions, or until a date. */
+  private askForRest (id: string, from: string, response: ServerResponse): void {
+    const { journal, random } = this.options
+    const seconds = random.pick([0.7, 1, 2, 2.5, 4])
+    const isDate = Number.isInteger(seconds) && random.chance(DATE_SHARE)
+    const now = Date.now()
+    const text = isDate ? new Date(Math.ceil(now / SECOND_MS) * SECOND_MS + seconds * SECOND_MS).toUTCString() : String(seconds)
+    this.hasRested = true
+    journal.rests.push({ incarnation: this.incarnation, from, at: journal.now, ms: seconds * SECOND_MS })
+    response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id, date: new Date(now).toUTCString(), 'retry-after': text }).end()
+  }
+
   private crashUnder (request: IncomingMessage, body: string, response: ServerResponse): void {
     const { journal, name, sourceAt, crash } = this.options
     journal.crashes.push({ body, at: journal.now, engine: name, from: sourceAt(request.socket.remotePort ?? 0) })
--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -87,6 +87,8 @@
   },
   evacuation: evacuate,
   'request crashes engines': async ({ site }, fault) => await sendCrashing(site, fault),
+  'engine asks for rest': async (world, fault) => await misbehave(world, fault, 'resting'),
+  'engine leaves unheard': leaveUnheard,
   burst: async ({ callers }, { durationMs }) => {
     callers.load *= BURST
     await pause(durationMs)
@@ -222,6 +224,21 @@
   end()
 }
 
+/** An engine leaves while its heartbeats reach nobody: only its answers say so. */
+async function leaveUnheard ({ site }: World, { engine: name }: PlannedFault): Promise<void> {
+  const engine = site.engineNamed(name)
+  if (engine === undefined || engine.state !== 'ready') return
+  const end = site.journal.disturb(name, 'leaves unheard')
+  engine.isUnheard = true
+  engine.state = 'draining'
+  await pause(LINGER_MS)
+  engine.state = 'gone'
+  await site.network.close(name)
+  engine.stop()
+  await comeBack(site, engine)
+  end()
+}
+
 async function comeBack (site: Site, engine: Engine): Promise<void> {
   await engine.start(COLD_MS)
   await site.network.reopen(engine.options.name, engine.target)
--- a/bench/soak/src/heartbeats.ts
+++ b/bench/soak/src/heartbeats.ts
@@ -30,7 +30,7 @@
 export async function beat (site: Site, engine: Engine): Promise<boolean> {
   const { incarnation, state } = engine
   const { name, service, address, dataCentre } = engine.options
-  if (state === 'gone') return false
+  if (state === 'gone' || engine.isUnheard) return false
   engine.sequence += 1
   const coldMs = Math.max(0, Math.round(engine.coldUntil - site.journal.now))
   const body = JSON.stringify({ service, address, dataCentre, slots: 8, state, coldMs, sequence: engine.sequence })
--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -71,6 +71,15 @@
 /** A request under which an engine's process ends reached one. */
 export interface CrashingRun { body: string, at: number, engine: string, from: string }
 
+/** An engine turned a gateway away and asked it for rest. */
+export interface RestAsked { incarnation: string, from: string, at: number, ms: number }
+
+/** Any request that reached an engine which somebody had been asked to leave alone. */
+export interface Arrival { id: string, incarnation: string, from: string, at: number }
+
+/** An engine told a gateway, in the head of an answer, that it drains. */
+export interface DrainWord { incarnation: string, from: string, at: number }
+
 /** A time in which an engine was cold. */
 export interface ColdSpell { incarnation: string, from: number, to: number }
 
@@ -91,6 +100,9 @@
   readonly ends: ProcessEnd[] = []
   readonly coldSpells: ColdSpell[] = []
   readonly crashes: CrashingRun[] = []
+  readonly rests: RestAsked[] = []
+  readonly arrivals: Arrival[] = []
+  readonly drainWords: DrainWord[] = []
   /** Answers of control to callers without its token. */
   readonly intrusions: Array<{ at: number, path: string, status: number }> = []
   private readonly runsById = new Map<string, Run[]>()
@@ -107,6 +119,11 @@
     else known.push(run)
   }
 
+  /** When a caller sent a request. */
+  sentAtOf (id: string): number | undefined {
+    return this.attempts.find((attempt) => attempt.id === id)?.sentAt
+  }
+
   runsOf (id: string): readonly Run[] {
     return this.runsById.get(id) ?? []
   }
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -37,6 +37,22 @@
       answer.whole(head.status, Math.random() < 0.05 ? before : head.headers, Buffer.concat(this.chunks))`,
     faults: [CALM]
   },
+  {
+    name: 'rest-not-heard',
+    check: 'rest',
+    file: `${GATEWAY}/endpoint-notices.ts`,
+    find: 'this.backoffs.note(incarnation, notices.backOffMs ?? 0)',
+    replace: '',
+    faults: ['engine asks for rest']
+  },
+  {
+    name: 'draining-not-heard',
+    check: 'drains',
+    file: `${GATEWAY}/endpoint-notices.ts`,
+    find: 'if (notices.isDraining) this.noteDraining(incarnation)',
+    replace: '',
+    faults: ['engine leaves unheard']
+  },
   {
     name: 'all-repeatable',
     check: 'once',
--- a/bench/soak/src/plan.ts
+++ b/bench/soak/src/plan.ts
@@ -25,24 +25,24 @@
 /** Kinds that disturb so much that they are drawn more rarely. */
 const RARE: Partial<Record<FaultKind, number>> = { 'kill everything': 0.4, 'stop all gateways': 0.4, burst: 0.5 }
 
-/** Drawn by itself after all others, so that a seed from before it still gives the same series of the others. */
-const APART: FaultKind = 'request crashes engines'
+/** Drawn each by itself after all others, so that a seed from before them still gives the same series of the others. */
+const APART: readonly FaultKind[] = ['request crashes engines', 'engine asks for rest', 'engine leaves unheard']
 const APART_MS = { from: 15_000, to: 35_000 }
 const APART_LENGTH_MS = { from: 6000, to: 15_000 }
 
 /** Draws the faults of a run. */
 export function planFaults (options: PlanOptions): PlannedFault[] {
-  const planned = [...planSeries(options), ...planApart(options)]
+  const planned = [...planSeries(options), ...APART.flatMap((kind) => planApart(options, kind))]
   return planned.sort((left, right) => left.atMs - right.atMs)
 }
 
-function planApart ({ random, durationMs, gateways, controls, engines, dataCentres, kinds }: PlanOptions): PlannedFault[] {
-  if (kinds !== undefined && !kinds.includes(APART)) return []
+function planApart ({ random, durationMs, gateways, controls, engines, dataCentres, kinds }: PlanOptions, kind: FaultKind): PlannedFault[] {
+  if (kinds !== undefined && !kinds.includes(kind)) return []
   const planned: PlannedFault[] = []
   for (let atMs = FIRST_MS; atMs < durationMs; atMs += random.between(APART_MS.from, APART_MS.to)) {
     planned.push({
       atMs,
-      kind: APART,
+      kind,
       gateway: random.pick(gateways),
       control: random.pick(controls),
       engine: random.pick(engines),
@@ -54,7 +54,7 @@
 }
 
 function planSeries ({ random, durationMs, gateways, controls, engines, dataCentres, kinds }: PlanOptions): PlannedFault[] {
-  const drawn = (kinds ?? Object.keys(FAULTS) as FaultKind[]).filter((kind) => kind !== APART)
+  const drawn = (kinds ?? Object.keys(FAULTS) as FaultKind[]).filter((kind) => !APART.includes(kind))
   if (drawn.length === 0) return []
   const planned: PlannedFault[] = []
   let wipedAt = -Infinity
