--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -33,6 +33,8 @@
 const BURST = 3
 const LINGER_MS = 6000
 const COLD_MS = 3000
+/** Without any engine of a service nothing else shows there. */
+const MAX_TOGETHER_MS = 4000
 /** A data centre that stays evacuated would spoil the rest of a run. */
 const RETURN_TRIES = 4
 const VOTERS = 3
@@ -88,6 +90,7 @@
   evacuation: evacuate,
   'request crashes engines': async ({ site }, fault) => await sendCrashing(site, fault),
   'engine asks for rest': async (world, fault) => await misbehave(world, fault, 'resting'),
+  'all engines ask for rest': restTogether,
   'engine leaves unheard': leaveUnheard,
   burst: async ({ callers }, { durationMs }) => {
     callers.load *= BURST
@@ -224,6 +227,14 @@
   end()
 }
 
+/** All engines of one service turn everything away and ask for rest, for a while. */
+async function restTogether (world: World, fault: PlannedFault): Promise<void> {
+  const service = world.site.engineNamed(fault.engine)?.options.service
+  const names = world.site.engines.map(({ options }) => options).filter((options) => options.service === service).map(({ name }) => name)
+  const durationMs = Math.min(fault.durationMs, MAX_TOGETHER_MS)
+  await Promise.all(names.map(async (engine) => await misbehave(world, { ...fault, engine, durationMs }, 'resting')))
+}
+
 /** An engine leaves while its heartbeats reach nobody: only its answers say so. */
 async function leaveUnheard ({ site }: World, { engine: name }: PlannedFault): Promise<void> {
   const engine = site.engineNamed(name)
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -43,7 +43,7 @@
     file: `${GATEWAY}/endpoint-notices.ts`,
     find: 'this.backoffs.note(incarnation, notices.backOffMs ?? 0)',
     replace: '',
-    faults: ['engine asks for rest']
+    faults: ['all engines ask for rest', 'burst']
   },
   {
     name: 'draining-not-heard',
