--- a/bench/soak/src/build.ts
+++ b/bench/soak/src/build.ts
@@ -9,23 +9,30 @@
 
 export interface BuiltPrograms { gateway: string, control: string }
 
-const ROOT = fileURLToPath(new URL('../../../', import.meta.url))
+export const ROOT = fileURLToPath(new URL('../../../', import.meta.url))
 const REQUIRE_SHIM = "import { createRequire as gullwallRequire } from 'node:module'; const require = gullwallRequire(import.meta.url);"
 const ENTRY_POINTS = { gateway: 'entry/gateway/src/main.ts', control: 'control/program/src/main.ts' }
 
+export interface BuildOptions {
+  mutation?: Mutation | undefined
+  /** The sources; those of this checkout where it is not given. */
+  root?: string
+}
+
 /** Builds both programs into a folder. @throws ERR_GULLWALL_SOAK if the text that a mutation changes is not there */
-export async function buildPrograms (folder: string, mutation?: Mutation): Promise<BuiltPrograms> {
+export async function buildPrograms (folder: string, { mutation, root = ROOT }: BuildOptions = {}): Promise<BuiltPrograms> {
   const built: BuiltPrograms = { gateway: join(folder, 'gateway.mjs'), control: join(folder, 'control.mjs') }
   for (const [name, entryPoint] of Object.entries(ENTRY_POINTS)) {
     await build({
-      absWorkingDir: ROOT,
+      absWorkingDir: root,
       entryPoints: [entryPoint],
       outfile: built[name as keyof BuiltPrograms],
       bundle: true,
       platform: 'node',
       target: 'node20',
       format: 'esm',
-      banner: { js: EARLY_SIGNALS + REQUIRE_SHIM },
+      // Programs of before do not ask for what came early, and would never stop.
+      banner: { js: (root === ROOT ? EARLY_SIGNALS : '') + REQUIRE_SHIM },
       plugins: mutation === undefined ? [] : [mutating(mutation)],
       logLevel: 'silent'
     })
--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -33,6 +33,7 @@
 const BURST = 3
 const LINGER_MS = 6000
 const COLD_MS = 3000
+const CLAIM_POLL_MS = 50
 /** Without any engine of a service nothing else shows there. */
 const MAX_TOGETHER_MS = 4000
 /** A data centre that stays evacuated would spoil the rest of a run. */
@@ -118,6 +119,13 @@
   }))
 }
 
+/** Stops a program as planned and starts another build of it in its place; waits while somebody else works on it. */
+export async function replace (site: Site, program: Program, file: string): Promise<void> {
+  while (program.isBusy) await pause(CLAIM_POLL_MS)
+  program.file = file
+  await downAndUp(site, [program.name], 'SIGTERM', 0)
+}
+
 function claim (site: Site, names: readonly string[]): Program[] {
   const programs = site.programs().filter(({ name, isBusy }) => names.includes(name) && !isBusy)
   for (const program of programs) program.isBusy = true
--- a/bench/soak/src/main.ts
+++ b/bench/soak/src/main.ts
@@ -14,9 +14,10 @@
     slack: option({ type: number, long: 'slack', description: 'multiplies the bounds, on a loaded machine', defaultValue: () => 1 }),
     mutation: option({ type: optional(string), long: 'mutation', description: 'a deliberate fault of the programs' }),
     proves: flag({ long: 'prove', description: 'run every mutation, or the one that is named, until its check catches it' }),
+    from: option({ type: optional(string), long: 'from', description: 'a commit whose programs run at first, and are replaced meanwhile' }),
     kinds: multioption({ type: array(string), long: 'fault', description: 'only this kind of fault; may be given several times' })
   },
-  handler: async ({ seed, minutes, processes, slack, mutation: wanted, proves, kinds }) => {
+  handler: async ({ seed, minutes, processes, slack, mutation: wanted, proves, from, kinds }) => {
     const mutation = MUTATIONS.find(({ name }) => name === wanted)
     if (wanted !== undefined && mutation === undefined) throw new Error(`no mutation ${wanted}; there are ${MUTATIONS.map(({ name }) => name).join(', ')}`)
     const unknown = kinds.filter((kind) => !(kind in FAULTS))
@@ -33,6 +34,7 @@
       processes,
       slack,
       mutation,
+      from,
       kinds: kinds.length > 0 ? kinds as FaultKind[] : undefined,
       tell: (line) => console.log(line)
     })
--- a/bench/soak/src/program.ts
+++ b/bench/soak/src/program.ts
@@ -20,12 +20,16 @@
 export class Program {
   /** How many times it was started. */
   life = 0
+  /** The built program that the next start runs. */
+  file: string
   /** Somebody is stopping or starting it; others leave it alone meanwhile. */
   isBusy = false
   private child: ChildProcess | undefined
   private asked: { signal: 'SIGTERM' | 'SIGKILL', at: number } | undefined
 
-  constructor (readonly options: ProgramOptions) {}
+  constructor (readonly options: ProgramOptions) {
+    this.file = options.file
+  }
 
   get name (): string {
     return this.options.name
@@ -40,7 +44,8 @@
   }
 
   start (): void {
-    const { file, settings, log } = this.options
+    const { file } = this
+    const { settings, log } = this.options
     const child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MIB}`, file, '--settings', settings], { stdio: ['ignore', 'pipe', 'pipe'] })
     const lines = createWriteStream(log, { flags: 'a' })
     child.stdout.pipe(lines, { end: false })
--- a/bench/soak/src/soak.ts
+++ b/bench/soak/src/soak.ts
@@ -7,10 +7,12 @@
 import { REGIONS } from './documents.ts'
 import { type FaultKind, inject, type PlannedFault, type World } from './faults.ts'
 import { type Mutation } from './mutations.ts'
+import { buildOld } from './old-build.ts'
 import { Operator } from './operator.ts'
 import { planFaults } from './plan.ts'
 import { Random } from './random.ts'
 import { Site } from './site.ts'
+import { upgrade, type UpgradeOptions } from './upgrade.ts'
 import { until } from './waiting.ts'
 
 export interface SoakOptions {
@@ -26,6 +28,8 @@
   slack?: number
   /** Whether to wait after the last fault until all should be well again, and to check that; so by default. */
   waitsForRecovery?: boolean
+  /** The commit whose programs run at first; they are replaced by those of this checkout meanwhile. */
+  from?: string | undefined
   /** Ends with the first broken rule of this check. */
   stopAt?: string
   tell?: (line: string) => void
@@ -49,6 +53,8 @@
 /** Whether the programs hold the rules for cold engines and for regions. */
 const FEATURES = { cold: true, regions: true }
 const CHECK_MS = 4000
+/** So many upgrades go back half way before they go on. */
+const ROLLBACK_SHARE = 0.5
 const MIN_CONTROLS = 3
 const MANY_PROCESSES = 9
 const MANY_CONTROLS = 5
@@ -65,8 +71,10 @@
   const site = new Site({ random: new Random(options.seed + 1), controls, gateways: Math.max(2, options.processes - controls) })
   const run = new SoakRun(site, options)
   try {
-    await site.start(await buildPrograms(site.folder, options.mutation))
-    const verdict = await run.play()
+    const to = await buildPrograms(site.folder, { mutation: options.mutation })
+    const from = options.from === undefined ? undefined : await buildOld(options.from, site.folder)
+    await site.start(from ?? to)
+    const verdict = await run.play(from === undefined ? undefined : { from, to })
     if (verdict.violations.length === 0) site.removeFolder()
     return verdict
   } catch (error) {
@@ -89,13 +97,14 @@
     this.operator = new Operator(site, (versions) => { this.callers.versions = versions })
   }
 
-  async play (): Promise<Verdict> {
+  async play (builds?: Pick<UpgradeOptions, 'from' | 'to'>): Promise<Verdict> {
     const { site, operator, callers, options } = this
     await until('the first document', FIRST_DOCUMENT_MS, async () => (await operator.change()).ackedAt !== undefined)
     await site.settled()
     const plan = this.plan()
     operator.start()
     callers.start()
+    if (builds !== undefined) this.acting.push(this.upgrade(builds))
     await this.injectAll(plan)
     const healedAt = options.waitsForRecovery === false ? undefined : site.journal.now
     if (healedAt !== undefined) await this.checkUntil(healedAt + RECOVER_MS + LAST_MS)
@@ -107,6 +116,14 @@
     return this.verdict(plan)
   }
 
+  private async upgrade (builds: Pick<UpgradeOptions, 'from' | 'to'>): Promise<void> {
+    const { site, options: { seed, durationMs } } = this
+    const random = new Random(seed + 2)
+    await upgrade({
+      ...builds, site, random, durationMs, rollsBack: random.chance(ROLLBACK_SHARE), tell: (line) => this.tell(`${seconds(site.journal.now)} ${line}`)
+    })
+  }
+
   private plan (): PlannedFault[] {
     const { site, options } = this
     return planFaults({
