--- a/entry/gateway/src/endpoint-notices.ts
+++ b/entry/gateway/src/endpoint-notices.ts
@@ -6,7 +6,7 @@
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import { describeNotices, type Notices } from '@gullwall/endpoint.notices'
 import { type EndpointDescription, type EndpointState } from '@gullwall/routing.balancer'
-import { BackoffTable, type Permit } from '@gullwall/routing.backoff'
+import { BackoffTable, recordOfTurn, type Permit } from '@gullwall/routing.backoff'
 import { type Lease } from '@gullwall/transport.messages'
 import { type EndpointRule } from './eligibility.ts'
 import { type GatewayServices } from './index.ts'
@@ -34,12 +34,7 @@
     const { logger } = services
     this.backoffs = new BackoffTable({
       onRoom: () => { void this.wakeSoon() },
-      onTurn: (endpoint, turn) => logger.sampled(`backoff ${turn.event}`, {
-        channel: 'endpoint',
-        event: turn.event === 'began' ? 'backs-off' : 'back',
-        endpoint,
-        why: turn.event === 'began' ? `it wants nothing for ${Math.round(turn.ms)} ms` : 'its time is over; slow start'
-      })
+      onTurn: (endpoint, turn) => logger.sampled(`backoff ${turn.event}`, recordOfTurn(endpoint, turn))
     })
   }
 
--- a/routing/backoff/src/backoff-table.ts
+++ b/routing/backoff/src/backoff-table.ts
@@ -1,15 +1,26 @@
 /** The endpoints that asked one process to be left alone. Each process keeps what it was asked itself: the word is meant for it. */
+import { type EndpointRecord } from '@gullwall/core.logger'
 import { Backoff, IDLE_MS, OPEN_PERMIT, type Permit } from './backoff.ts'
 
 /** So many endpoints are remembered at most, more than one process reaches in the largest deployment (12,000); the oldest gives way. */
 const MAX_ENDPOINTS = 16_384
 const MS_PER_SECOND = 1000
 
+/** The time for which an endpoint is left alone has begun, or is over. */
+export type BackoffTurn = { event: 'began', ms: number } | { event: 'ended' }
+
+/** The log line of a turn. */
+export function recordOfTurn (endpoint: string, turn: BackoffTurn): EndpointRecord {
+  return turn.event === 'began'
+    ? { channel: 'endpoint', event: 'backs-off', endpoint, why: `it wants nothing for ${Math.round(turn.ms)} ms` }
+    : { channel: 'endpoint', event: 'back', endpoint, why: 'its time is over; slow start' }
+}
+
 export interface BackoffTableOptions {
   /** The time of one endpoint is over, or it takes more: requests that wait look again. */
   onRoom: () => void
   /** Told when an endpoint first asks, and when its time is over. */
-  onTurn?: (endpoint: string, turn: { event: 'began', ms: number } | { event: 'ended' }) => void
+  onTurn?: (endpoint: string, turn: BackoffTurn) => void
   now?: () => number
 }
 
--- a/sidecar/program/src/engine-notices.ts
+++ b/sidecar/program/src/engine-notices.ts
@@ -4,7 +4,7 @@
  */
 import { type AnyHead } from '@gullwall/endpoint.dialect'
 import { describeNotices, readNotices } from '@gullwall/endpoint.notices'
-import { BackoffTable } from '@gullwall/routing.backoff'
+import { BackoffTable, recordOfTurn } from '@gullwall/routing.backoff'
 import { type SidecarServices } from './index.ts'
 
 export class EngineNotices {
@@ -19,8 +19,7 @@
       // The endpoints are made with this object in hand, and are there once anything is asked of them.
       onRoom: () => { for (const { slots } of this.services.endpoints.values()) slots.roomChanged() },
       onTurn: (endpoint, turn) => {
-        const why = turn.event === 'began' ? `it wants nothing for ${Math.round(turn.ms)} ms` : 'its time is over; slow start'
-        services.logger.info({ channel: 'endpoint', event: turn.event === 'began' ? 'backs-off' : 'back', endpoint, why })
+        services.logger.info(recordOfTurn(endpoint, turn))
         this.services.endpoints.get(endpoint)?.slots.roomChanged()
       }
     })
