--- a/entry/program/test/rest-asked-for.test.ts
+++ b/entry/program/test/rest-asked-for.test.ts
@@ -5,7 +5,7 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { request } from 'undici'
 import { promptText } from '@gullwall/bench.answers'
-import { Deployment } from '@gullwall/bench.deployment'
+import { Deployment, until } from '@gullwall/bench.deployment'
 import { type FakeEngine } from '@gullwall/bench.fake-engine'
 import { newOrganisationKey } from '@gullwall/config.records'
 
@@ -82,4 +82,16 @@
     expect(later).toEqual([])
     expect(statusesThen.filter((status) => status !== 200)).toEqual([])
   })
+
+  it('that drained is offered again once it answers without the word, as its next life does', async () => {
+    const restarted = engine('g1')
+    restarted.isDraining = false
+    const chats = () => restarted.asked.filter(({ path }) => path.startsWith('/v1/')).length
+    const before = chats()
+    await until('a chat', async () => {
+      await ask(false)
+      return chats() > before
+    })
+    expect(deployment.sidecars.get('b2')?.get('endpoints').get('g1')?.slots.isDraining).toBe(false)
+  })
 })
