--- a/routing/backoff/test/backoff-table.test.ts
+++ b/routing/backoff/test/backoff-table.test.ts
@@ -78,6 +78,16 @@
     expect(acquireAll()).toHaveLength(1)
   })
 
+  it('that asks again while it comes back is told of when that time is over, and not later', () => {
+    table.note('a', 1000)
+    vi.advanceTimersByTime(1001)
+    table.note('a', 500)
+    rooms = 0
+    vi.advanceTimersByTime(502)
+    expect(rooms).toBe(1)
+    expect(turns.map(({ event }) => event)).toEqual(['began', 'ended', 'began', 'ended'])
+  })
+
   it('is like any other once nobody has tried it for ten seconds', () => {
     table.note('a', 1000)
     vi.advanceTimersByTime(11_100)
