feat(notices): the limit that an endpoint names is read, told in the log and counted

Each head is read now; the line 'notice' tells the limit, gullwall_limits_named_total counts. Nothing follows from it yet. 0, fractions and several values (the smallest) have their meaning; what is no decimal number changes nothing and is told in the same bounded line.

--- a/endpoint/notices/src/notices.ts
+++ b/endpoint/notices/src/notices.ts
@@ -1,4 +1,5 @@
 /** The notices in the head of one answer. */
+import { readLimit, type LimitWord } from './limit.ts'
 import { readRetryAfter } from './retry-after.ts'
 
 /** Header names in lower case. */
@@ -10,6 +11,8 @@
   isDraining: boolean
   /** For how long it wants nothing more, in ms from the answer on; undefined where it does not ask for that. */
   backOffMs: number | undefined
+  /** How many requests it takes from all boxes together; undefined where this head says nothing of that. */
+  limit?: LimitWord | undefined
   /** What it asked for where that can not be understood. */
   unreadable?: string | undefined
 }
@@ -19,28 +22,42 @@
   headers: AnswerHeaders
   /** The header by which endpoints say that they drain, in lower case; the product's own unless an adapter brings another. */
   drainingHeader?: string
+  /** The header by which endpoints name how many requests a second they take; likewise. */
+  limitHeader?: string
   /** The time of day, Unix ms. */
   now?: number
 }
 
 /** The product's own header by which endpoints say that they drain. */
 const DRAINING_HEADER = 'x-gullwall-draining'
+/** The product's own header by which endpoints name how many requests a second they take. */
+const LIMIT_HEADER = 'x-gullwall-limit'
 /** The statuses with which an endpoint turns work away for a time; `Retry-After` of others is meant for the caller. */
 const TURNED_AWAY: ReadonlySet<number> = new Set([429, 503])
+/** The lowest status of an answer; heads below it precede one. */
+const FINAL = 200
 /** Characters of an unreadable value that are told. */
 const MAX_TOLD = 60
 /** What says that a header's statement does not hold. */
 const DENIALS: ReadonlySet<string> = new Set(['', '0', 'false', 'no'])
 
 /** Reads the notices of an answer, whatever it is an answer to. */
-export function readNotices ({ status, headers, drainingHeader = DRAINING_HEADER, now = Date.now() }: NoticesOptions): Notices {
+export function readNotices (options: NoticesOptions): Notices {
+  const { headers, drainingHeader = DRAINING_HEADER, limitHeader = LIMIT_HEADER, status } = options
   const isDraining = valuesOf(headers, drainingHeader).some((value) => !DENIALS.has(value.trim().toLowerCase()))
+  const limit = readLimit(valuesOf(headers, limitHeader), { isInterim: status < FINAL })
+  const notices: Notices = { isDraining, limit: limit.word, ...readBackOff(options) }
+  const unreadable = [notices.unreadable, limit.unreadable].filter((text) => text !== undefined)
+  return unreadable.length === 0 ? notices : { ...notices, unreadable: unreadable.join(' | ').slice(0, MAX_TOLD) }
+}
+
+function readBackOff ({ status, headers, now = Date.now() }: NoticesOptions): Pick<Notices, 'backOffMs' | 'unreadable'> {
   const asked = TURNED_AWAY.has(status) ? valuesOf(headers, 'retry-after') : []
-  if (asked.length === 0) return { isDraining, backOffMs: undefined }
+  if (asked.length === 0) return { backOffMs: undefined }
   const [date] = valuesOf(headers, 'date')
   const times = asked.map((text) => readRetryAfter(text, { date, now })).filter((ms) => ms !== undefined)
-  if (times.length === 0) return { isDraining, backOffMs: undefined, unreadable: asked.join(' | ').slice(0, MAX_TOLD) }
-  return { isDraining, backOffMs: Math.max(...times) }
+  if (times.length === 0) return { backOffMs: undefined, unreadable: asked.join(' | ').slice(0, MAX_TOLD) }
+  return { backOffMs: Math.max(...times) }
 }
 
 /** All values of a header that came once or several times. */
@@ -51,11 +68,12 @@
 }
 
 /** What an endpoint says of itself, for a log line; undefined where that is nothing. */
-export function describeNotices ({ isDraining, backOffMs, unreadable }: Notices): string | undefined {
+export function describeNotices ({ isDraining, backOffMs, limit, unreadable }: Notices): string | undefined {
   const parts = [
     ...(isDraining ? ['it drains'] : []),
     ...(backOffMs === undefined ? [] : [`it wants nothing for ${Math.round(backOffMs)} ms`]),
-    ...(unreadable === undefined ? [] : [`it wants nothing for a time that can not be understood: ${unreadable}`])
+    ...(limit?.perSecond === undefined ? [] : [`it takes ${limit.perSecond} requests a second from all boxes`]),
+    ...(unreadable === undefined ? [] : [`something that can not be understood: ${unreadable}`])
   ]
   return parts.length === 0 ? undefined : parts.join(', ')
 }
--- a/endpoint/notices/test/notices.test.ts
+++ b/endpoint/notices/test/notices.test.ts
@@ -51,11 +51,37 @@
     expect(notices(503, { 'retry-after': '3' }).backOffMs).toBe(3000)
     expect(notices(429, { 'retry-after': '3' }).backOffMs).toBe(3000)
     for (const status of [200, 301, 413, 500]) expect(notices(status, { 'retry-after': '3' }).backOffMs).toBeUndefined()
-    expect(notices(503, {})).toEqual({ isDraining: false, backOffMs: undefined })
+    expect(notices(503, {})).toEqual({ isDraining: false, backOffMs: undefined, limit: { perSecond: undefined } })
   })
 
   it('take the longest of several values, and pass over what can not be understood', () => {
     expect(notices(503, { 'retry-after': ['1', 'soon', '4'] }).backOffMs).toBe(4000)
-    expect(notices(503, { 'retry-after': ['soon', 'later'] })).toEqual({ isDraining: false, backOffMs: undefined, unreadable: 'soon | later' })
+    expect(notices(503, { 'retry-after': ['soon', 'later'] })).toEqual({ isDraining: false, backOffMs: undefined, limit: { perSecond: undefined }, unreadable: 'soon | later' })
+  })
+})
+
+describe('the limit that an answer names', () => {
+  const limitOf = (value: string | string[], status = 200) => notices(status, { 'x-gullwall-limit': value })
+
+  it.each([['1', 1], ['0', 0], ['0.25', 0.25], ['.5', 0.5], ['12.', 12], [' 3 ', 3], ['100000000', 1e8]])('is a decimal number: %j', (text, perSecond) => {
+    expect(limitOf(text).limit).toEqual({ perSecond })
+  })
+
+  it('is the smallest of several values, whether they come in one line or in several', () => {
+    expect(limitOf('5, 2').limit).toEqual({ perSecond: 2 })
+    expect(limitOf(['5', '2', 'soon']).limit).toEqual({ perSecond: 2 })
+  })
+
+  it.each(['-1', 'many', '', '1e3', '0x10', 'NaN', 'Infinity', '1 000', '9'.repeat(400)])('changes nothing where it can not be understood: %j', (text) => {
+    const { limit, unreadable } = limitOf(text)
+    expect(limit).toBeUndefined()
+    expect(unreadable).toBe(text.slice(0, 60))
+  })
+
+  it('is over in an answer that names none, but not in an interim one', () => {
+    expect(notices(200, {}).limit).toEqual({ perSecond: undefined })
+    expect(notices(503, {}).limit).toEqual({ perSecond: undefined })
+    expect(notices(103, {}).limit).toBeUndefined()
+    expect(limitOf('2', 103).limit).toEqual({ perSecond: 2 })
   })
 })
--- a/entry/gateway/src/endpoint-notices.ts
+++ b/entry/gateway/src/endpoint-notices.ts
@@ -20,12 +20,14 @@
 export interface NoticeTotals {
   /** Endpoints that said in an answer, before anybody else told so, that they drain. */
   draining: number
-  /** Times asked for that could not be understood. */
+  /** Times and limits that could not be understood. */
   unreadable: number
+  /** Answers that named a limit. */
+  limits: number
 }
 
 export class EndpointNotices {
-  readonly totals: NoticeTotals = { draining: 0, unreadable: 0 }
+  readonly totals: NoticeTotals = { draining: 0, unreadable: 0, limits: 0 }
   readonly backoffs: BackoffTable
   private readonly heardDraining = new Set<string>()
   private isWaking = false
@@ -65,6 +67,7 @@
     const why = `answered ${status}, ${said}`
     this.services.logger.sampled('notice', { channel: 'endpoint', event: 'notice', endpoint: incarnation ?? sentTo.address, why })
     if (notices.unreadable !== undefined) this.totals.unreadable += 1
+    if (notices.limit?.perSecond !== undefined) this.totals.limits += 1
     if (incarnation === undefined) return
     this.backoffs.note(incarnation, notices.backOffMs ?? 0)
     if (notices.isDraining) this.noteDraining(incarnation)
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -49,7 +49,8 @@
   add('gullwall_backing_off_endpoints', 'Endpoints that asked this process to be left alone, or come back from that', () => notices.backoffs.size)
   add('gullwall_backoffs_asked_total', 'Answers in which endpoints asked to be left alone', () => notices.backoffs.asked)
   add('gullwall_draining_heard_total', 'Endpoints of which an answer first told that they drain', () => notices.totals.draining)
-  add('gullwall_unreadable_notices_total', 'Times asked for by endpoints that could not be understood', () => notices.totals.unreadable)
+  add('gullwall_unreadable_notices_total', 'Times and limits named by endpoints that could not be understood', () => notices.totals.unreadable)
+  add('gullwall_limits_named_total', 'Answers in which endpoints named a limit of requests a second', () => notices.totals.limits)
   add('gullwall_cold_asks_total', 'Asks for grants', () => coldEngines.asker.totals.asks)
   add('gullwall_cold_failed_asks_total', 'Asks for grants that nobody answered', () => coldEngines.asker.totals.failed)
 }
