test(gateway,entry): an endpoint that names a limit of requests a second (known red)

Five gateways before one endpoint that names 1 a second: 155 requests within 4 s. An engine behind a sidecar that names 2 a second: 33 requests and load reports within 4 s.

--- a/bench/fake-engine/src/engine-server.ts
+++ b/bench/fake-engine/src/engine-server.ts
@@ -52,6 +52,8 @@
   restS: number | undefined
   /** Whether all answers say that this engine drains. */
   isDraining = false
+  /** What it names in each answer as the requests a second that it takes from all boxes together. */
+  limitPerSecond: number | undefined
   /** When chats and reports were asked for, by the monotonic clock in ms. */
   readonly asked: Array<{ at: number, path: string }> = []
   cancelled = 0
@@ -128,6 +130,7 @@
   private async turnAwayOr (context: Context, next: Next): Promise<void> {
     this.asked.push({ at: performance.now(), path: context.path })
     if (this.isDraining) context.res.setHeader('x-gullwall-draining', '1')
+    if (this.limitPerSecond !== undefined) context.res.setHeader('x-gullwall-limit', String(this.limitPerSecond))
     if (this.restS === undefined) {
       await next()
       return
