refactor(control,gateway): what shares out requests is named for grants, not for cold endpoints

The ledger, its duty and the purse are to serve a second reason to bound requests. Files and names only; kinds of messages stay as they are on the wire.

--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -147,7 +147,7 @@
       case 'claim': return await proposer.claim(message)
       case 'settle': return await proposer.settle(message)
       case 'crashes': return await this.services.crashJudge.note(message)
-      case 'coldAsk': return await this.services.coldGranter.answer(message, { isForwarded: link.peer.role === 'control' })
+      case 'coldAsk': return await this.services.granter.answer(message, { isForwarded: link.peer.role === 'control' })
     }
     if (link.peer.role !== 'control') return { kind: 'failed', code: 'ERR_GULLWALL_NOT_ALLOWED', message: `${message.kind} from ${link.peer.role}` }
     switch (message.kind) {
--- a/control/program/src/cold-duty.ts
+++ b/control/program/src/grant-duty.ts
@@ -1,11 +1,11 @@
 /** When this process may grant requests to cold endpoints, and the ledger that it then keeps: one for each term in which it leads. */
-import { ColdLedger, SPAN_MS } from './cold-ledger.ts'
+import { GrantLedger, SPAN_MS } from './grant-ledger.ts'
 import { DutyLease, type Fence } from './duty-lease.ts'
 
 /** The lease under which the leader grants, in ms. A majority confirms it each half of it at most. */
-export const COLD_LEASE_MS = 1000
+export const GRANT_LEASE_MS = 1000
 
-export interface ColdDutyOptions {
+export interface GrantDutyOptions {
   /** The term in which this process leads; undefined while it does not. */
   leadingTerm: () => number | undefined
   /** Resolves once a majority has answered that this process still leads, to questions asked after the call. */
@@ -13,24 +13,24 @@
   now?: () => number
   leaseMs?: number
   /** Makes the ledger of a term that begins now. */
-  newLedger?: (now: number) => ColdLedger
+  newLedger?: (now: number) => GrantLedger
 }
 
 /** Whoever led before may have granted until its lease ran out, and what it granted is used for a span. */
-function afterTakeOver (now: number): ColdLedger {
-  return new ColdLedger({ opensAt: now + COLD_LEASE_MS + SPAN_MS })
+function afterTakeOver (now: number): GrantLedger {
+  return new GrantLedger({ opensAt: now + GRANT_LEASE_MS + SPAN_MS })
 }
 
-export class ColdDuty {
+export class GrantDuty {
   private readonly lease: DutyLease
   private readonly now: () => number
   private term: number | undefined
-  private ledger: ColdLedger | undefined
+  private ledger: GrantLedger | undefined
   private fence: Fence | undefined
   private acquiring: Promise<Fence | undefined> | undefined
 
-  constructor (private readonly options: ColdDutyOptions) {
-    const { leadingTerm, confirm, leaseMs = COLD_LEASE_MS } = options
+  constructor (private readonly options: GrantDutyOptions) {
+    const { leadingTerm, confirm, leaseMs = GRANT_LEASE_MS } = options
     this.now = options.now ?? (() => performance.now())
     this.lease = new DutyLease({ leaseMs, leadingTerm, confirm, now: this.now })
   }
@@ -47,7 +47,7 @@
   }
 
   /** Gives the ledger, to be used in the same turn of the event loop; undefined while this process may not grant. */
-  async held (): Promise<ColdLedger | undefined> {
+  async held (): Promise<GrantLedger | undefined> {
     if (!this.isHeld()) {
       this.acquiring ??= this.lease.acquire().finally(() => { this.acquiring = undefined })
       this.fence = await this.acquiring
--- a/control/program/src/cold-ledger.ts
+++ b/control/program/src/grant-ledger.ts
@@ -6,7 +6,7 @@
  * request that was dispatched by then has been sent, or never is, within `SENT_WITHIN_MS`. So whatever is sent to an endpoint
  * within one window comes from grants of one span, and their sum is bounded.
  */
-import { type ColdGrant } from '@gullwall/transport.messages'
+import { type Grant } from '@gullwall/transport.messages'
 
 /** The time in which an endpoint's requests are counted, in ms. */
 export const WINDOW_MS = 1000
@@ -59,7 +59,7 @@
   settleMs?: number
 }
 
-export class ColdLedger {
+export class GrantLedger {
   private readonly accounts = new Map<string, Account>()
   private readonly opensAt: number
   private readonly spanMs: number
@@ -72,7 +72,7 @@
   }
 
   /** Grants what may be sent to an endpoint, or tells after which time to ask again. */
-  grant ({ incarnation, requests, bound, word }: LedgerAsk, now: number): ColdGrant {
+  grant ({ incarnation, requests, bound, word }: LedgerAsk, now: number): Grant {
     const account = this.accountOf(incarnation, now)
     if (hasTurnedCold(account, word)) account.firstAskedAt = now
     account.askedAt = now
@@ -131,6 +131,6 @@
   return grants.reduce((sum, { at, requests }) => at >= since ? sum + requests : sum, 0)
 }
 
-function refusal (incarnation: string, waitMs: number): ColdGrant {
+function refusal (incarnation: string, waitMs: number): Grant {
   return { incarnation, requests: 0, withinMs: Math.max(LEAST_WAIT_MS, Math.ceil(waitMs)) }
 }
--- a/control/program/src/cold-granter.ts
+++ b/control/program/src/granter.ts
@@ -5,9 +5,9 @@
 import { RouteTable, type ColdLimit } from '@gullwall/config.document'
 import { GullwallError } from '@gullwall/core.error'
 import { counter, gauge, type Counter, type Registry } from '@gullwall/core.metrics'
-import { type ColdGrant, type ColdWish, type MessageOf } from '@gullwall/transport.messages'
-import { ColdDuty } from './cold-duty.ts'
-import { type ColdLedger, type LedgerAsk } from './cold-ledger.ts'
+import { type Grant, type GrantWish, type MessageOf } from '@gullwall/transport.messages'
+import { GrantDuty } from './grant-duty.ts'
+import { type GrantLedger, type LedgerAsk } from './grant-ledger.ts'
 import { type ControlServices } from './index.ts'
 
 /** How often it is seen whether this process leads, in ms. */
@@ -29,14 +29,14 @@
   return Math.floor(perSecond * cold.overrun + cold.slack)
 }
 
-export class ColdGranter {
-  private readonly duty: ColdDuty
+export class Granter {
+  private readonly duty: GrantDuty
   private table: RouteTable | undefined
   private metrics: GranterMetrics | undefined
   private timer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: ControlServices) {
-    this.duty = new ColdDuty({
+    this.duty = new GrantDuty({
       leadingTerm: () => services.quorum.role === 'leader' ? services.quorum.status().term : undefined,
       confirm: async () => await services.quorum.confirmRead()
     })
@@ -66,7 +66,7 @@
    */
   async answer (message: MessageOf<'coldAsk'>, { isForwarded }: AskOptions): Promise<MessageOf<'coldGranted'>> {
     if (this.services.quorum.role !== 'leader') {
-      if (!isForwarded) return await this.services.proposer.askCold(message)
+      if (!isForwarded) return await this.services.proposer.askGrants(message)
       throw new GullwallError('ERR_GULLWALL_NOT_LEADER', 'this process does not lead', { step: 'grant', hint: 'ask again' })
     }
     const ledger = await this.duty.held()
@@ -76,7 +76,7 @@
     return { kind: 'coldGranted', grants: message.wishes.map((wish) => this.decide(ledger, wish, message.entry)) }
   }
 
-  private decide (ledger: ColdLedger, { incarnation, service, requests }: ColdWish, entry: string): ColdGrant {
+  private decide (ledger: GrantLedger, { incarnation, service, requests }: GrantWish, entry: string): Grant {
     const limit = this.limitOf(service)
     const bound = limit === undefined ? 0 : coldBound(limit, this.services.settings.cold)
     const grant = ledger.grant({ incarnation, requests, bound, word: this.wordOf(incarnation) }, performance.now())
@@ -92,7 +92,7 @@
     return lease?.coldMs === undefined ? undefined : { heardAt: lease.heardAt, coldMs: lease.coldMs }
   }
 
-  private log ({ entry, requests, bound, grant }: { entry: string, requests: number, bound: number, grant: ColdGrant }): void {
+  private log ({ entry, requests, bound, grant }: { entry: string, requests: number, bound: number, grant: Grant }): void {
     const { incarnation, withinMs } = grant
     const lease = this.services.leases.get(incarnation)
     const word = lease === undefined ? 'not known here' : `word ${Math.round(performance.now() - lease.heardAt)} ms old, cold for ${lease.coldMs ?? '?'} ms then`
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -12,7 +12,7 @@
 import { createAdminServer, type HttpServer, type Koa } from '@gullwall/transport.http-server'
 import { linkMetrics, type Link } from '@gullwall/transport.link'
 import { nativeFormat, type DocumentFormat } from '@gullwall/config.document'
-import { ColdGranter } from './cold-granter.ts'
+import { Granter } from './granter.ts'
 import { CrashJudge } from './crash-judge.ts'
 import { ControlServer } from './control-server.ts'
 import { Documents } from './documents.ts'
@@ -52,7 +52,7 @@
   nearness: Nearness
   quorum: QuorumNode
   proposer: Proposer
-  coldGranter: ColdGranter
+  granter: Granter
   crashJudge: CrashJudge
   leases: LeaseTable
   leaseStore: LeaseStore
@@ -115,7 +115,7 @@
     .service('server', (services) => new ControlServer(services))
     .service('quorum', createQuorum)
     .service('proposer', (services) => new Proposer(services))
-    .service('coldGranter', (services) => new ColdGranter(services))
+    .service('granter', (services) => new Granter(services))
     .service('crashJudge', (services) => new CrashJudge(services))
     .service('usageReporter', (services) => new UsageReporter(services))
     .service('scalingOrderer', scalingOrdererOf)
@@ -174,7 +174,7 @@
     const registry = createRegistry({ process: true })
     linkMetrics(registry)
     evacuations.addMetrics(registry)
-    this.services.coldGranter.addMetrics(registry)
+    this.services.granter.addMetrics(registry)
     this.services.crashJudge.addMetrics(registry)
     this.services.registrar.addMetrics(registry)
     this.services.scalingOrderer.addMetrics(registry)
--- a/control/program/src/proposer.ts
+++ b/control/program/src/proposer.ts
@@ -83,7 +83,7 @@
   }
 
   /** Passes an entry's wishes for cold endpoints to the leader, which alone grants. */
-  async askCold (message: MessageOf<'coldAsk'>): Promise<MessageOf<'coldGranted'>> {
+  async askGrants (message: MessageOf<'coldAsk'>): Promise<MessageOf<'coldGranted'>> {
     return await this.forward(message, 'coldGranted')
   }
 
--- a/control/program/test/cold-ledger.test.ts
+++ b/control/program/test/grant-ledger.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from 'vitest'
-import { ColdLedger, GRANT_USE_MS, MAX_GRANT, SETTLE_MS, SPAN_MS } from '../src/cold-ledger.ts'
+import { GrantLedger, GRANT_USE_MS, MAX_GRANT, SETTLE_MS, SPAN_MS } from '../src/grant-ledger.ts'
 
 const BOUND = 21
 
 /** A ledger that was asked for the endpoint before, so that it grants from now on. */
-function settled (): ColdLedger {
-  const ledger = new ColdLedger({ opensAt: 0 })
+function settled (): GrantLedger {
+  const ledger = new GrantLedger({ opensAt: 0 })
   ledger.grant({ incarnation: 'a', requests: 0, bound: BOUND }, -SETTLE_MS)
   return ledger
 }
@@ -31,7 +31,7 @@
   })
 
   it('grants nothing of an endpoint at first, nor before it opens', () => {
-    const ledger = new ColdLedger({ opensAt: 5000 })
+    const ledger = new GrantLedger({ opensAt: 5000 })
     expect(ledger.grant(ask(), 0)).toEqual({ incarnation: 'a', requests: 0, withinMs: 5000 })
     expect(ledger.grant(ask(), 5000).requests).toBe(MAX_GRANT)
     expect(ledger.grant({ ...ask(), incarnation: 'b' }, 5000)).toEqual({ incarnation: 'b', requests: 0, withinMs: SETTLE_MS })
@@ -52,7 +52,7 @@
   })
 
   it('grants nothing at first of an endpoint that has turned cold again, of which other boxes have not heard either', () => {
-    const ledger = new ColdLedger({ opensAt: 0 })
+    const ledger = new GrantLedger({ opensAt: 0 })
     const told = (heardAt: number, coldMs: number) => ({ ...ask(), word: { heardAt, coldMs } })
     ledger.grant(told(0, 3000), 0)
     expect(ledger.grant(told(1000, 2010), SETTLE_MS).requests).toBe(MAX_GRANT)
--- a/control/program/test/cold-model.ts
+++ b/control/program/test/grant-model.ts
@@ -2,9 +2,9 @@
  * A model of everything that is asked, granted and sent for one cold endpoint: control processes of which one leads, boxes that
  * ask them, messages that take any time or are lost, clocks that run unevenly, and processes that start again.
  */
-import { ColdPurse } from '../../../entry/gateway/src/cold-purse.ts'
-import { ColdDuty } from '../src/cold-duty.ts'
-import { SENT_WITHIN_MS, WINDOW_MS, type ColdLedger } from '../src/cold-ledger.ts'
+import { GrantPurse } from '../../../entry/gateway/src/grant-purse.ts'
+import { GrantDuty } from '../src/grant-duty.ts'
+import { SENT_WITHIN_MS, WINDOW_MS, type GrantLedger } from '../src/grant-ledger.ts'
 
 const ENDPOINT = 'i-cold'
 
@@ -28,7 +28,7 @@
   /** How fast the clocks run, in the order of the control processes and then of the boxes. */
   rates: readonly number[]
   /** Ways in which the code could be wrong; none where the model is of the code as it is. */
-  newLedger?: (now: number) => ColdLedger
+  newLedger?: (now: number) => GrantLedger
   leaseMs?: number
   /** A leader takes its own word for it that it leads. */
   neverConfirms?: boolean
@@ -44,7 +44,7 @@
 const CONTROLS = 3
 export const BOXES = 4
 
-export class ColdModel {
+export class GrantModel {
   /** When requests were sent to the endpoint. */
   readonly sentAt: number[] = []
   granted = 0
@@ -52,14 +52,14 @@
   private term = 0
   private leader: number | undefined
   private readonly believed: Array<number | undefined> = Array.from({ length: CONTROLS }, () => undefined)
-  private readonly duties: ColdDuty[]
-  private readonly purses: ColdPurse[]
+  private readonly duties: GrantDuty[]
+  private readonly purses: GrantPurse[]
   private readonly starts = Array.from({ length: BOXES }, () => 0)
   private events: Event[] = []
 
   constructor (private readonly options: ModelOptions) {
     this.duties = this.believed.map((_unused, control) => this.newDuty(control))
-    this.purses = this.starts.map(() => new ColdPurse())
+    this.purses = this.starts.map(() => new GrantPurse())
   }
 
   async play (steps: readonly Step[]): Promise<void> {
@@ -94,7 +94,7 @@
       case 'elect': this.elect(step); break
       case 'observe': this.duties[step.control]?.observe(); break
       case 'restartBox':
-        this.purses[step.box] = new ColdPurse()
+        this.purses[step.box] = new GrantPurse()
         this.starts[step.box] = (this.starts[step.box] as number) + 1
         break
       case 'restartControl':
@@ -141,9 +141,9 @@
     this.believed[control] = this.term
   }
 
-  private newDuty (control: number): ColdDuty {
+  private newDuty (control: number): GrantDuty {
     const { newLedger, leaseMs, neverConfirms } = this.options
-    return new ColdDuty({
+    return new GrantDuty({
       newLedger,
       leaseMs,
       leadingTerm: () => this.believed[control],
--- a/control/program/test/cold-granter.test.ts
+++ b/control/program/test/granter.test.ts
@@ -2,9 +2,9 @@
 import { freeAddresses, until } from '@gullwall/bench.deployment'
 import { createLogger } from '@gullwall/core.logger'
 import { Dialer, type Link } from '@gullwall/transport.link'
-import { type ColdGrant, type ColdWish } from '@gullwall/transport.messages'
-import { coldBound } from '../src/cold-granter.ts'
-import { GRANT_USE_MS, MAX_GRANT } from '../src/cold-ledger.ts'
+import { type Grant, type GrantWish } from '@gullwall/transport.messages'
+import { coldBound } from '../src/granter.ts'
+import { GRANT_USE_MS, MAX_GRANT } from '../src/grant-ledger.ts'
 import { running, start, stopAll, type Control } from './control-processes.ts'
 
 const ANSWER_MS = 2000
@@ -43,9 +43,9 @@
   return dialer.link as Link
 }
 
-const wishFor = (incarnation: string, service = 'lm'): ColdWish => ({ incarnation, service, requests: MAX_GRANT })
+const wishFor = (incarnation: string, service = 'lm'): GrantWish => ({ incarnation, service, requests: MAX_GRANT })
 
-async function ask (link: Link, wishes: ColdWish[]): Promise<ColdGrant[]> {
+async function ask (link: Link, wishes: GrantWish[]): Promise<Grant[]> {
   return (await link.request({ kind: 'coldAsk', entry: 'entry', wishes }, 'coldGranted', ANSWER_MS)).grants
 }
 
@@ -72,8 +72,8 @@
 })
 
 /** Asks until the leader answers: on a busy machine its lease may have run out for a moment, and then it grants nothing. */
-async function askUntilAnswered (link: Link, wishes: ColdWish[]): Promise<ColdGrant[]> {
-  let grants: ColdGrant[] | undefined
+async function askUntilAnswered (link: Link, wishes: GrantWish[]): Promise<Grant[]> {
+  let grants: Grant[] | undefined
   await until('an answer', async () => {
     grants = await ask(link, wishes).catch(() => undefined)
     return grants !== undefined
@@ -104,7 +104,7 @@
 
   it('are not given by a process that is asked by a peer but does not lead', async () => {
     const { followers } = await threeProcesses()
-    const granter = (followers[0] as Control).get('coldGranter')
+    const granter = (followers[0] as Control).get('granter')
     const asked = granter.answer({ kind: 'coldAsk', entry: 'entry', wishes: [wishFor('a')] }, { isForwarded: true })
     await expect(asked).rejects.toMatchObject({ code: 'ERR_GULLWALL_NOT_LEADER' })
   }, 20_000)
--- a/control/program/test/cold-grants.fuzz.test.ts
+++ b/control/program/test/grants.fuzz.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import fc from 'fast-check'
-import { ColdLedger, GRANT_USE_MS, SPAN_MS, WINDOW_MS } from '../src/cold-ledger.ts'
-import { BOXES, ColdModel, type ModelOptions, type Step, type Use } from './cold-model.ts'
+import { GrantLedger, GRANT_USE_MS, SPAN_MS, WINDOW_MS } from '../src/grant-ledger.ts'
+import { BOXES, GrantModel, type ModelOptions, type Step, type Use } from './grant-model.ts'
 
 const SEED = Number(process.env['FUZZ_SEED'] ?? 20_262)
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 100)
@@ -48,7 +48,7 @@
     let granted = 0
     let most = 0
     await fc.assert(fc.asyncProperty(plays, rates, async (steps, clocks) => {
-      const model = new ColdModel({ bound: BOUND, rates: clocks })
+      const model = new GrantModel({ bound: BOUND, rates: clocks })
       await model.play(steps)
       granted += model.granted
       most = Math.max(most, model.most)
@@ -61,19 +61,19 @@
 
   it.each([
     ['a leader that does not wait for what the one before has granted', {
-      leaseMs: 1, newLedger: (now: number) => new ColdLedger({ opensAt: now, settleMs: 0 })
+      leaseMs: 1, newLedger: (now: number) => new GrantLedger({ opensAt: now, settleMs: 0 })
     }],
     ['a leader that does not have its lease confirmed', { neverConfirms: true }],
     ['a ledger that forgets a grant after the window', {
-      newLedger: (now: number) => new ColdLedger({ opensAt: now + 2 * SPAN_MS, spanMs: WINDOW_MS })
+      newLedger: (now: number) => new GrantLedger({ opensAt: now + 2 * SPAN_MS, spanMs: WINDOW_MS })
     }],
     ['a ledger that forgets that grants are used late', {
-      newLedger: (now: number) => new ColdLedger({ opensAt: now + 2 * SPAN_MS, spanMs: SPAN_MS - GRANT_USE_MS })
+      newLedger: (now: number) => new GrantLedger({ opensAt: now + 2 * SPAN_MS, spanMs: SPAN_MS - GRANT_USE_MS })
     }],
     ['a box that counts the time of a grant from its answer', { countsFromAnswer: true }]
   ])('would exceed it with %s', async (_name, mistake: Partial<ModelOptions>) => {
     const run = await fc.check(fc.asyncProperty(plays, rates, async (steps, clocks) => {
-      const model = new ColdModel({ bound: BOUND, rates: clocks, ...mistake })
+      const model = new GrantModel({ bound: BOUND, rates: clocks, ...mistake })
       await model.play(steps)
       return model.most <= BOUND
     }), { seed: SEED, numRuns: Math.max(RUNS, 200), endOnFailure: true })
--- a/entry/gateway/src/cold-engines.ts
+++ b/entry/gateway/src/cold-engines.ts
@@ -6,10 +6,10 @@
 import { type HeldLease } from '@gullwall/control.registry'
 import { type Logger } from '@gullwall/core.logger'
 import { type EndpointState, rankOf } from '@gullwall/routing.balancer'
-import { type ColdGrant, type ColdWish } from '@gullwall/transport.messages'
+import { type Grant, type GrantWish } from '@gullwall/transport.messages'
 import { type Call } from './call.ts'
-import { ColdAsker } from './cold-asker.ts'
-import { ColdPurse } from './cold-purse.ts'
+import { GrantAsker } from './grant-asker.ts'
+import { GrantPurse } from './grant-purse.ts'
 import { type EndpointRule } from './eligibility.ts'
 import { RAMP_MS, Warmth } from './warmth.ts'
 
@@ -31,7 +31,7 @@
   /** How many entries there are. */
   entries: () => number
   /** Asks control. */
-  ask: (wishes: ColdWish[]) => Promise<ColdGrant[]>
+  ask: (wishes: GrantWish[]) => Promise<Grant[]>
   /** Has requests that wait for an endpoint look again. */
   wake: () => void
   now?: () => number
@@ -47,8 +47,8 @@
 
 export class ColdEngines {
   readonly totals: ColdTotals = { kept: 0, sent: 0 }
-  readonly asker: ColdAsker
-  private readonly purse = new ColdPurse()
+  readonly asker: GrantAsker
+  private readonly purse = new GrantPurse()
   private readonly warmths = new Map<string, Warmth>()
   private readonly firstLooks = new Map<string, number>()
   /** The endpoints from which a request was kept. */
@@ -61,7 +61,7 @@
   constructor (private readonly options: ColdEnginesOptions) {
     this.now = options.now ?? (() => performance.now())
     const { box, logger, ask, wake, entries } = options
-    this.asker = new ColdAsker({ box, logger, ask, wake, entries, now: this.now, purse: this.purse })
+    this.asker = new GrantAsker({ box, logger, ask, wake, entries, now: this.now, purse: this.purse })
   }
 
   start (): void {
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -2,7 +2,7 @@
 import { linkAddresses, Regions, type GatewaySettings } from '@gullwall/config.settings'
 import { GullwallError, messageOf } from '@gullwall/core.error'
 import { Dialer, type Link } from '@gullwall/transport.link'
-import { type ColdGrant, type ColdWish, type Lease, type Message, type MessageOf } from '@gullwall/transport.messages'
+import { type Grant, type GrantWish, type Lease, type Message, type MessageOf } from '@gullwall/transport.messages'
 import { ControlAddresses } from './control-addresses.ts'
 import { EntryCount } from './entry-count.ts'
 import { type GatewayServices } from './index.ts'
@@ -106,7 +106,7 @@
    * Asks control for leave to send to cold endpoints.
    * @throws ERR_GULLWALL_LINK_CLOSED, ERR_GULLWALL_LINK_TIMEOUT, ERR_GULLWALL_PEER_FAILED
    */
-  async askCold (wishes: ColdWish[]): Promise<ColdGrant[]> {
+  async askGrants (wishes: GrantWish[]): Promise<Grant[]> {
     return (await this.ask({ kind: 'coldAsk', entry: this.services.settings.box, wishes }, 'coldGranted', COLD_TIMEOUT_MS)).grants
   }
 
--- a/entry/gateway/src/cold-asker.ts
+++ b/entry/gateway/src/grant-asker.ts
@@ -6,8 +6,8 @@
 import { messageOf } from '@gullwall/core.error'
 import { type Logger } from '@gullwall/core.logger'
 import { rankOf } from '@gullwall/routing.balancer'
-import { type ColdGrant, type ColdWish } from '@gullwall/transport.messages'
-import { type ColdPurse } from './cold-purse.ts'
+import { type Grant, type GrantWish } from '@gullwall/transport.messages'
+import { type GrantPurse } from './grant-purse.ts'
 
 /** Grants are wished for the requests of this time, in ms: for so long a grant is usable. */
 const USE_MS = 500
@@ -28,13 +28,13 @@
 /** One ask names so many endpoints at most; the next one names others. */
 const MAX_WISHES = 32
 
-export interface ColdAskerOptions {
+export interface GrantAskerOptions {
   box: string
   logger: Logger
-  ask: (wishes: ColdWish[]) => Promise<ColdGrant[]>
+  ask: (wishes: GrantWish[]) => Promise<Grant[]>
   wake: () => void
   now: () => number
-  purse: ColdPurse
+  purse: GrantPurse
   /** How many boxes ask. */
   entries: () => number
 }
@@ -51,7 +51,7 @@
   wishedAt: number
 }
 
-export class ColdAsker {
+export class GrantAsker {
   /** Asks since the start, and those of them that nobody answered. */
   readonly totals = { asks: 0, failed: 0 }
   private readonly wished = new Map<string, Wished>()
@@ -62,7 +62,7 @@
   private timer: NodeJS.Timeout | undefined
   private nextAskAt = -Infinity
 
-  constructor (private readonly options: ColdAskerOptions) {}
+  constructor (private readonly options: GrantAskerOptions) {}
 
   /** Counts a request of a service, once, however often it looks for an endpoint. */
   noteRequest (service: string, call: object): void {
@@ -112,7 +112,7 @@
     clearTimeout(this.timer)
   }
 
-  private async askFor (wishes: ColdWish[], askedAt: number): Promise<void> {
+  private async askFor (wishes: GrantWish[], askedAt: number): Promise<void> {
     const { ask, wake, logger, now, entries } = this.options
     this.totals.asks += 1
     this.nextAskAt = askedAt + Math.max(SPACING_MS, 1000 * entries() / ASKS_PER_SECOND)
@@ -127,7 +127,7 @@
   }
 
   /** The time of a grant and of a refusal runs from the ask: control can't know for how long the answer was under way. */
-  private note ({ incarnation, requests, withinMs }: ColdGrant, askedAt: number): void {
+  private note ({ incarnation, requests, withinMs }: Grant, askedAt: number): void {
     const now = this.options.now()
     const until = askedAt + withinMs
     if (requests > 0) this.options.purse.add(incarnation, { requests, until }, now)
@@ -136,8 +136,8 @@
   }
 
   /** What to ask for: as much as the requests of late need beyond what is at hand, at the endpoints that this box prefers. */
-  private wishes (now: number): ColdWish[] {
-    const wishes: ColdWish[] = []
+  private wishes (now: number): GrantWish[] {
+    const wishes: GrantWish[] = []
     const missing = this.missing(now)
     for (const wished of this.askable(now)) {
       const requests = Math.min(MAX_WISH, missing.get(wished.service) ?? 0)
--- a/entry/gateway/src/cold-purse.ts
+++ b/entry/gateway/src/grant-purse.ts
@@ -14,7 +14,7 @@
   sleptMs: number
 }
 
-export class ColdPurse {
+export class GrantPurse {
   private readonly grants = new Map<string, KeptGrant[]>()
 
   /** @param slept tells for how long this box has been suspended so far, in ms */
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -126,7 +126,7 @@
     limitOf: (service) => view.table?.service(service)?.coldLimit,
     endpoints: () => view.all(),
     entries: () => view.entries,
-    ask: async (wishes) => await services.controlLinks.askCold(wishes),
+    ask: async (wishes) => await services.controlLinks.askGrants(wishes),
     wake: () => view.wake()
   })
 }
--- a/entry/gateway/test/cold-box.ts
+++ b/entry/gateway/test/cold-box.ts
@@ -2,7 +2,7 @@
 import { type HeldLease } from '@gullwall/control.registry'
 import { silentLogger } from '@gullwall/core.logger'
 import { EndpointState } from '@gullwall/routing.balancer'
-import { type ColdGrant, type ColdWish } from '@gullwall/transport.messages'
+import { type Grant, type GrantWish } from '@gullwall/transport.messages'
 import { type Call } from '../src/call.ts'
 import { ColdEngines } from '../src/cold-engines.ts'
 
@@ -13,10 +13,10 @@
 /** One box before a control process whose answers a test gives. */
 export class Box {
   readonly endpoints: EndpointState[] = []
-  readonly asked: ColdWish[][] = []
+  readonly asked: GrantWish[][] = []
   woken = 0
   entries = 1
-  answer: (wishes: ColdWish[]) => Promise<ColdGrant[]> = async () => []
+  answer: (wishes: GrantWish[]) => Promise<Grant[]> = async () => []
   readonly engines: ColdEngines
   private readonly leases = new Map<string, HeldLease>()
   private calls = 0
--- a/entry/gateway/test/cold-engines.test.ts
+++ b/entry/gateway/test/cold-engines.test.ts
@@ -1,11 +1,11 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { type ColdGrant } from '@gullwall/transport.messages'
+import { type Grant } from '@gullwall/transport.messages'
 import { Box, COLD_LIMIT } from './cold-box.ts'
 
 const LONG_COLD_MS = 60_000
 const SECOND = 1000
 
-const grant = (incarnation: string, requests: number, withinMs = 600): ColdGrant => ({ incarnation, requests, withinMs })
+const grant = (incarnation: string, requests: number, withinMs = 600): Grant => ({ incarnation, requests, withinMs })
 
 /** Lets answers that are there arrive. */
 async function settle (): Promise<void> {
@@ -59,7 +59,7 @@
   it('gets nothing under a grant that was too long under way: its time runs from the ask', async () => {
     const box = new Box()
     box.hear('i-cold', 5000)
-    let answer: (grants: ColdGrant[]) => void = () => {}
+    let answer: (grants: Grant[]) => void = () => {}
     box.answer = async () => await new Promise((resolve) => { answer = resolve })
     box.eligible()
     await vi.advanceTimersByTimeAsync(600)
--- a/entry/gateway/test/cold-together.test.ts
+++ b/entry/gateway/test/cold-together.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { rankOf, type EndpointState } from '@gullwall/routing.balancer'
-import { ColdLedger } from '../../../control/program/src/cold-ledger.ts'
+import { GrantLedger } from '../../../control/program/src/grant-ledger.ts'
 import { type Call } from '../src/call.ts'
 import { BOUND, Box } from './cold-box.ts'
 
@@ -35,7 +35,7 @@
   refused = 0
   asks = 0
   private readonly boxes: Box[]
-  private readonly ledger = new ColdLedger({ opensAt: -Infinity })
+  private readonly ledger = new GrantLedger({ opensAt: -Infinity })
   private readonly startedAt = performance.now()
   private waiting: Waiting[] = []
 
--- a/entry/gateway/test/suspended.test.ts
+++ b/entry/gateway/test/suspended.test.ts
@@ -2,7 +2,7 @@
 import { afterAll, afterEach, beforeAll, describe, expect, it, vi } from 'vitest'
 import { request } from 'undici'
 import { suspensions } from '@gullwall/core.clock'
-import { ColdPurse } from '../src/cold-purse.ts'
+import { GrantPurse } from '../src/grant-purse.ts'
 import { answerWell, GatewayDeployment, StandIn } from './stand-in.ts'
 
 const SLEPT_MS = 5000
@@ -55,7 +55,7 @@
 describe('a grant', () => {
   it('that was noted before a suspension has ended with it', () => {
     let slept = 0
-    const purse = new ColdPurse(() => slept)
+    const purse = new GrantPurse(() => slept)
     purse.add('i-1', { requests: 2, until: 500 }, 0)
     expect(purse.left('i-1', 100)).toBe(2)
     slept = SLEPT_MS
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -111,7 +111,7 @@
 })
 
 /** What an entry would send to one cold endpoint. */
-export const coldWishSchema = z.object({
+export const grantWishSchema = z.object({
   incarnation: z.string(),
   service: z.string(),
   /** How many requests it could send within the use of a grant. */
@@ -119,7 +119,7 @@
 })
 
 /** Leave to send requests to a cold endpoint. */
-export const coldGrantSchema = z.object({
+export const grantSchema = z.object({
   incarnation: z.string(),
   /** How many requests may be sent; 0 where there is no leave now. */
   requests: count,
@@ -238,8 +238,8 @@
   usageOf: z.object({ kind: z.literal('usageOf'), window: count }),
   usageParts: z.object({ kind: z.literal('usageParts'), sources: z.array(usageSourceSchema) }),
   /** An entry asks for leave to send to cold endpoints; a control process that does not grant passes it to the one that does. */
-  coldAsk: z.object({ kind: z.literal('coldAsk'), entry: z.string(), wishes: z.array(coldWishSchema) }),
-  coldGranted: z.object({ kind: z.literal('coldGranted'), grants: z.array(coldGrantSchema) }),
+  coldAsk: z.object({ kind: z.literal('coldAsk'), entry: z.string(), wishes: z.array(grantWishSchema) }),
+  coldGranted: z.object({ kind: z.literal('coldGranted'), grants: z.array(grantSchema) }),
   /** An entry tells of crashed endpoints, and of requests that ran well after they had been running at one; answered by `done`. */
   crashes: z.object({ kind: z.literal('crashes'), crashes: z.array(crashSchema), ranWell: z.array(z.string()) }),
   /** An entry tells of endpoints that said in an answer that they drain, by incarnation. */
@@ -296,8 +296,8 @@
 export type MemoryUse = z.infer<typeof memoryUseSchema>
 export type UnreadTokens = WorkSummary['unread'][number]
 export type Holding = z.infer<typeof holdingSchema>
-export type ColdWish = z.infer<typeof coldWishSchema>
-export type ColdGrant = z.infer<typeof coldGrantSchema>
+export type GrantWish = z.infer<typeof grantWishSchema>
+export type Grant = z.infer<typeof grantSchema>
 export type Observation = z.infer<typeof observationSchema>
 export type Reading = z.infer<typeof readingSchema>
 export type UsageCount = z.infer<typeof usageCountSchema>
