feat(control,rates): grants to endpoints are bounded for several reasons, a named limit among them

An endpoint's word of the requests a second that it takes goes with its lease: entries tell it, control passes it on to peers and entries, and it ends with the life that said it. Of two words the one surely made later holds, else the stricter one. The leader's ledger counts grants once and holds the smallest bound: a cold endpoint's within a second as before, a limit's over four.

--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -130,6 +130,10 @@
       this.services.registrar.hearDraining(message.incarnations)
       return
     }
+    if (message.kind === 'limits') {
+      this.services.registrar.hearLimits(message.limits)
+      return
+    }
     if (message.kind === 'usage') {
       this.services.usageReporter.fromEntry(link, message)
       return
--- a/control/program/src/grant-ledger.ts
+++ b/control/program/src/grant-ledger.ts
@@ -1,35 +1,71 @@
 /**
- * Which grants to send to cold endpoints were given, and how much may still be granted. No sockets, no timers: time is an
- * argument, by one monotonic clock.
+ * Which grants to send to bounded endpoints were given, and how much may still be granted. No sockets, no timers: time is an
+ * argument, by one monotonic clock. An endpoint may be bounded for several reasons (it is cold; it has named a limit): the
+ * grants are counted once, and the smallest bound holds.
  *
- * A grant is used between the moment at which it is given and `GRANT_USE_MS` after it was asked for, which was earlier; a
- * request that was dispatched by then has been sent, or never is, within `SENT_WITHIN_MS`. So whatever is sent to an endpoint
+ * A grant is used between the moment at which it is given and the end of its use, counted from when it was asked for, which was
+ * earlier; a request that was dispatched by then has been sent, or never is, soon after. So whatever is sent to an endpoint
  * within one window comes from grants of one span, and their sum is bounded.
  */
+import { boundOfRate, SendLog, type RateBound } from '@gullwall/routing.rates'
 import { type Grant } from '@gullwall/transport.messages'
 
-/** The time in which an endpoint's requests are counted, in ms. */
+/** One reason to bound what an endpoint is sent. */
+export interface GrantBound extends RateBound {
+  /** For how long after it was asked for a grant is used, in ms. */
+  useMs: number
+  /** A request that was dispatched within the use has been sent within this time after it or never is, in ms. */
+  sentWithinMs: number
+  /** The most requests of one grant: what one box can't use in time is lost to all. */
+  maxGrant: number
+  /** Boxes that are refused are asked to come back so far apart, in ms; 0 where they come as soon as there is more. */
+  turnMs: number
+}
+
+/** The time in which a cold endpoint's requests are counted, in ms. */
 export const WINDOW_MS = 1000
-/** For how long after it was asked for a grant is used, in ms: a round trip through two control processes and a few arrivals. */
+/** For how long a grant to a cold endpoint is used, in ms: a round trip through two control processes and a few arrivals. */
 export const GRANT_USE_MS = 500
-/** A request that was dispatched under a grant has been sent within this time or never is, in ms: to connect takes 350 at most. */
+/** After the use of such a grant, in ms: to connect takes 350 at most. */
 export const SENT_WITHIN_MS = 400
-/** How much faster the clock of the ledger may run than that of a box that uses a grant, with reserve: clocks differ by 0.02 each. */
-const CLOCK_MARGIN = 0.05
-/** Grants further apart than this have nothing in one window, in ms. */
-export const SPAN_MS = Math.ceil((1 + CLOCK_MARGIN) * (WINDOW_MS + GRANT_USE_MS + SENT_WITHIN_MS))
-/** An endpoint is granted nothing for so long after it was first asked for, in ms: boxes that had not heard of it sent as to a warm one. */
-export const SETTLE_MS = 1100
-/** The most requests of one grant: what one box can't use in time is lost to all. */
+/** The most requests of one grant to a cold endpoint. */
 export const MAX_GRANT = 5
-/** Within this part of the span the same part of the bound is granted, so that an endpoint has its work evenly. */
-const PACED_SHARE = 0.5
-/** An endpoint that nobody has asked for is forgotten after this time, in ms: longer than the span, and than pauses of light traffic. */
+/** For how long a grant under a named limit is used, in ms: the requests wait for it, and the first byte leaves within the use. */
+export const LIMIT_USE_MS = 250
+/** How much faster the clock of the ledger may run than that of an endpoint, and than that of a box that uses a grant. */
+const ENDPOINT_CLOCK_MARGIN = 0.025
+const BOX_CLOCK_MARGIN = 0.05
+/** An endpoint is granted nothing for so long after it was first asked for, in ms: boxes that had not heard of it sent as they liked. */
+export const SETTLE_MS = 1100
+/** An endpoint that nobody has asked for is forgotten after this time, in ms: longer than any span, and than pauses of light traffic. */
 const FORGET_MS = 30_000
 /** After the end that it told, an endpoint that is cold for longer than this has turned cold again, in ms: more than clocks do. */
 const TURNED_COLD_MS = 500
 /** A box that was refused asks again after this time at the earliest, in ms. */
 const LEAST_WAIT_MS = 50
+/** And at the latest, if only others stand before it, in ms: they may have no use for their turn. */
+const LONGEST_TURN_MS = 3000
+
+/** The bound of a cold endpoint, for so many requests within any second. */
+export function coldGrantBound (requests: number): GrantBound {
+  return { requests, windowMs: WINDOW_MS, useMs: GRANT_USE_MS, sentWithinMs: SENT_WITHIN_MS, maxGrant: MAX_GRANT, turnMs: 0 }
+}
+
+/** The bound of an endpoint that takes so many requests a second; undefined where that bounds nothing. */
+export function limitGrantBound (perSecond: number): GrantBound | undefined {
+  const bound = boundOfRate(perSecond)
+  if (bound === undefined) return undefined
+  const { requests, windowMs } = bound
+  return { ...bound, useMs: LIMIT_USE_MS, sentWithinMs: 0, maxGrant: requests, turnMs: windowMs / requests }
+}
+
+/** Grants that are further apart than this have nothing in one window of the bound, in ms. */
+export function spanOf ({ windowMs, useMs, sentWithinMs }: GrantBound): number {
+  return Math.ceil((1 + ENDPOINT_CLOCK_MARGIN) * windowMs + (1 + BOX_CLOCK_MARGIN) * (useMs + sentWithinMs))
+}
+
+/** The span of grants to cold endpoints, in ms. */
+export const SPAN_MS = spanOf(coldGrantBound(0))
 
 /** What was granted of one endpoint. */
 interface Account {
@@ -38,51 +74,58 @@
   /** Until when it is cold by its word. */
   coldUntil: number | undefined
   askedAt: number
-  /** Oldest first; none older than the span. */
-  grants: Array<{ at: number, requests: number }>
+  grants: SendLog
+  /** When the boxes that were refused since were asked to come back. */
+  turns: number[]
 }
 
 export interface LedgerAsk {
   incarnation: string
   /** How many requests are wished for. */
   requests: number
-  /** The most that the endpoint may get within any window. */
-  bound: number
+  /** All reasons to bound it; one that is bounded by none is granted nothing. */
+  bounds: readonly GrantBound[]
   /** What it said last, by the clock of the ledger; none where it does not say. */
   word?: { heardAt: number, coldMs: number } | undefined
 }
 
 export interface LedgerOptions {
-  /** Nothing is granted before: what another ledger has granted may still be sent. */
+  /**
+   * Nothing is granted before, since what another ledger has granted may still be sent; under a bound with a longer span than that
+   * of cold endpoints nothing is granted for so much longer.
+   */
   opensAt: number
-  spanMs?: number
+  spanOf?: (bound: GrantBound) => number
   settleMs?: number
 }
 
 export class GrantLedger {
   private readonly accounts = new Map<string, Account>()
   private readonly opensAt: number
-  private readonly spanMs: number
+  private readonly spanOf: (bound: GrantBound) => number
   private readonly settleMs: number
 
-  constructor ({ opensAt, spanMs = SPAN_MS, settleMs = SETTLE_MS }: LedgerOptions) {
+  constructor ({ opensAt, spanOf: span = spanOf, settleMs = SETTLE_MS }: LedgerOptions) {
     this.opensAt = opensAt
-    this.spanMs = spanMs
+    this.spanOf = span
     this.settleMs = settleMs
   }
 
   /** Grants what may be sent to an endpoint, or tells after which time to ask again. */
-  grant ({ incarnation, requests, bound, word }: LedgerAsk, now: number): Grant {
+  grant ({ incarnation, requests, bounds, word }: LedgerAsk, now: number): Grant {
     const account = this.accountOf(incarnation, now)
     if (hasTurnedCold(account, word)) account.firstAskedAt = now
     account.askedAt = now
-    account.grants = account.grants.filter(({ at }) => now - at <= this.spanMs)
-    const opensAt = Math.max(this.opensAt, account.firstAskedAt + this.settleMs)
-    if (now < opensAt) return refusal(incarnation, opensAt - now)
-    const granted = Math.min(requests, MAX_GRANT, this.freeOf(account, bound, now))
-    if (granted < 1) return refusal(incarnation, this.untilFree(account, now))
-    account.grants.push({ at: now, requests: granted })
-    return { incarnation, requests: granted, withinMs: GRANT_USE_MS }
+    const spans = bounds.map((bound) => ({ ...bound, windowMs: this.spanOf(bound) }))
+    const longest = Math.max(SPAN_MS, ...spans.map(({ windowMs }) => windowMs))
+    account.grants.forgetBefore(now - Math.max(longest, FORGET_MS))
+    const opensAt = Math.max(this.opensAt + longest - SPAN_MS, account.firstAskedAt + this.settleMs)
+    if (now < opensAt) return refusal(incarnation, this.turnAfter(account, spans, { freeMs: opensAt - now, now }))
+    const free = spans.map((span) => Math.min(span.maxGrant, account.grants.free(span, now)))
+    const granted = Math.min(requests, ...(free.length === 0 ? [0] : free))
+    if (granted < 1) return refusal(incarnation, this.turnAfter(account, spans, { freeMs: untilFree(account, spans, now), now }))
+    account.grants.add(granted, now)
+    return { incarnation, requests: granted, withinMs: Math.min(...bounds.map(({ useMs }) => useMs)) }
   }
 
   /** Forgets endpoints that nobody asks for any more. */
@@ -100,22 +143,30 @@
   private accountOf (incarnation: string, now: number): Account {
     const known = this.accounts.get(incarnation)
     if (known !== undefined) return known
-    const account: Account = { firstAskedAt: now, coldUntil: undefined, askedAt: now, grants: [] }
+    const account: Account = { firstAskedAt: now, coldUntil: undefined, askedAt: now, grants: new SendLog(), turns: [] }
     this.accounts.set(incarnation, account)
     return account
   }
 
-  /** What may still be granted now, over the whole span and over its latest part. */
-  private freeOf (account: Account, bound: number, now: number): number {
-    const paced = Math.ceil(PACED_SHARE * bound)
-    return Math.min(bound - grantedSince(account, now - this.spanMs), paced - grantedSince(account, now - PACED_SHARE * this.spanMs))
+  /**
+   * After which time a box that was refused asks again: when there is more, and each of those who wait for it has had its turn.
+   * All of them at once would ask for the same request, and the quickest of them would always have it.
+   */
+  private turnAfter (account: Account, bounds: readonly GrantBound[], { freeMs, now }: { freeMs: number, now: number }): number {
+    const turnMs = Math.max(0, ...bounds.map((bound) => bound.turnMs))
+    if (turnMs === 0) return freeMs
+    account.turns = account.turns.filter((at) => at > now)
+    const last = account.turns.at(-1) ?? -Infinity
+    const turn = Math.min(Math.max(now + freeMs, last + turnMs), now + Math.max(freeMs, LONGEST_TURN_MS))
+    account.turns.push(turn)
+    return turn - now
   }
+}
 
-  /** When the next grant ceases to count in the part of the span or in all of it, in ms from now. */
-  private untilFree ({ grants }: Account, now: number): number {
-    const waits = grants.flatMap(({ at }) => [at + PACED_SHARE * this.spanMs - now, at + this.spanMs - now])
-    return Math.min(this.spanMs, ...waits.filter((ms) => ms > 0))
-  }
+/** After which time each bound that is used up allows more, in ms. */
+function untilFree ({ grants }: Account, spans: readonly RateBound[], now: number): number {
+  const usedUp = spans.filter((span) => grants.free(span, now) < 1)
+  return Math.max(LEAST_WAIT_MS, ...usedUp.map((span) => grants.untilFree(span, now)))
 }
 
 /** Notes the word of an endpoint; true if it was warm in between, so that boxes may still send as to a warm one. */
@@ -127,10 +178,6 @@
   return coldUntil !== undefined && word.heardAt > coldUntil && word.coldMs > TURNED_COLD_MS
 }
 
-function grantedSince ({ grants }: Account, since: number): number {
-  return grants.reduce((sum, { at, requests }) => at >= since ? sum + requests : sum, 0)
-}
-
 function refusal (incarnation: string, waitMs: number): Grant {
   return { incarnation, requests: 0, withinMs: Math.max(LEAST_WAIT_MS, Math.ceil(waitMs)) }
 }
--- a/control/program/src/granter.ts
+++ b/control/program/src/granter.ts
@@ -1,13 +1,14 @@
 /**
- * Grants requests to cold endpoints. The leader of the quorum alone grants, under a short lease; the others pass wishes on to
- * it. A process that leads anew knows nothing of what was granted before, and waits until none of that can still be sent.
+ * Grants requests to endpoints that are cold or have named a limit. The leader of the quorum alone grants, under a short lease;
+ * the others pass wishes on to it. A process that leads anew knows nothing of what was granted before, and waits until none of
+ * that can still be sent.
  */
 import { RouteTable, type ColdLimit } from '@gullwall/config.document'
 import { GullwallError } from '@gullwall/core.error'
 import { counter, gauge, type Counter, type Registry } from '@gullwall/core.metrics'
 import { type Grant, type GrantWish, type MessageOf } from '@gullwall/transport.messages'
 import { GrantDuty } from './grant-duty.ts'
-import { type GrantLedger, type LedgerAsk } from './grant-ledger.ts'
+import { coldGrantBound, limitGrantBound, type GrantBound, type GrantLedger, type LedgerAsk } from './grant-ledger.ts'
 import { type ControlServices } from './index.ts'
 
 /** How often it is seen whether this process leads, in ms. */
@@ -76,30 +77,46 @@
     return { kind: 'coldGranted', grants: message.wishes.map((wish) => this.decide(ledger, wish, message.entry)) }
   }
 
-  private decide (ledger: GrantLedger, { incarnation, service, requests }: GrantWish, entry: string): Grant {
-    const limit = this.limitOf(service)
-    const bound = limit === undefined ? 0 : coldBound(limit, this.services.settings.cold)
-    const grant = ledger.grant({ incarnation, requests, bound, word: this.wordOf(incarnation) }, performance.now())
+  private decide (ledger: GrantLedger, wish: GrantWish, entry: string): Grant {
+    const { incarnation, requests } = wish
+    const perSecond = this.limitHeld(wish)
+    const bounds = this.boundsOf(wish, perSecond)
+    const grant = { ...ledger.grant({ incarnation, requests, bounds, word: this.wordOf(incarnation) }, performance.now()), perSecond }
     this.metrics?.asks.inc()
     if (grant.requests > 0) this.metrics?.granted.inc(grant.requests)
     else this.metrics?.refused.inc()
-    this.log({ entry, requests, bound, grant })
+    this.log({ entry, requests, bounds, grant })
     return grant
   }
 
+  /** The limit that holds, in requests a second: the smaller of what the entry has heard and what was told here. */
+  private limitHeld ({ incarnation, perSecond }: GrantWish): number | undefined {
+    const told = this.services.leases.get(incarnation)?.limit?.perSecond
+    return perSecond === undefined || told === undefined ? perSecond ?? told : Math.min(perSecond, told)
+  }
+
+  /** Every reason to bound an endpoint; none where it is granted nothing. */
+  private boundsOf ({ incarnation, service, isWarm }: GrantWish, perSecond: number | undefined): GrantBound[] {
+    const limit = perSecond === undefined ? undefined : limitGrantBound(perSecond)
+    const isCold = isWarm !== true || (this.services.leases.get(incarnation)?.coldMs ?? 0) > 0
+    const coldLimit = isCold ? this.limitOf(service) : undefined
+    const cold = coldLimit === undefined ? undefined : coldGrantBound(coldBound(coldLimit, this.services.settings.cold))
+    return [limit, cold].filter((bound) => bound !== undefined)
+  }
+
   private wordOf (incarnation: string): LedgerAsk['word'] {
     const lease = this.services.leases.get(incarnation)
     return lease?.coldMs === undefined ? undefined : { heardAt: lease.heardAt, coldMs: lease.coldMs }
   }
 
-  private log ({ entry, requests, bound, grant }: { entry: string, requests: number, bound: number, grant: Grant }): void {
+  private log ({ entry, requests, bounds, grant }: { entry: string, requests: number, bounds: readonly GrantBound[], grant: Grant }): void {
     const { incarnation, withinMs } = grant
     const lease = this.services.leases.get(incarnation)
     const word = lease === undefined ? 'not known here' : `word ${Math.round(performance.now() - lease.heardAt)} ms old, cold for ${lease.coldMs ?? '?'} ms then`
     const what = grant.requests > 0 ? `${grant.requests} of ${requests} within ${withinMs} ms` : `none of ${requests}, ask again after ${withinMs} ms`
     const event = grant.requests > 0 ? 'granted' : 'not-granted'
     this.services.logger.sampled(event, {
-      channel: 'endpoint', event, endpoint: incarnation, why: `${what} to ${entry}; at most ${bound} in a second; ${word}`
+      channel: 'endpoint', event, endpoint: incarnation, why: `${what} to ${entry}; at most ${describeBounds(bounds)}; ${word}`
     })
   }
 
@@ -115,3 +132,7 @@
     return this.table?.service(service)?.coldLimit
   }
 }
+
+function describeBounds (bounds: readonly GrantBound[]): string {
+  return bounds.length === 0 ? 'none' : bounds.map(({ requests, windowMs }) => `${requests} in ${Math.round(windowMs)} ms`).join(' and ')
+}
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -5,9 +5,9 @@
  */
 import { GullwallError } from '@gullwall/core.error'
 import { gauge, type Registry } from '@gullwall/core.metrics'
-import { lifeOf, type HeldLease } from '@gullwall/control.registry'
+import { lifeOf, limitFromWire, type HeldLease } from '@gullwall/control.registry'
 import { type Link } from '@gullwall/transport.link'
-import { type Lease } from '@gullwall/transport.messages'
+import { type Lease, type MessageOf } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
 import { type Turn } from './nearness.ts'
 import { PacedAction } from './paced-action.ts'
@@ -82,6 +82,16 @@
     if (news.length > 0) this.tellPeers(news)
   }
 
+  /** Takes an entry's word of what endpoints have said of their limits. */
+  hearLimits (words: MessageOf<'limits'>['limits']): void {
+    const { leases } = this.services
+    const now = performance.now()
+    const news = words.filter((word) => leases.noteLimit(word.incarnation, limitFromWire(word, now))).map(({ incarnation }) => incarnation)
+    if (news.length === 0) return
+    this.tellPeers(news)
+    this.changed(news.flatMap((incarnation) => leases.get(incarnation) ?? []))
+  }
+
   /**
    * Takes word that an endpoint is gone, also of one that is not known here: its heartbeats may still arrive. Without a time
    * of birth its latest life is meant.
--- a/control/program/test/grant-ledger.test.ts
+++ b/control/program/test/grant-ledger.test.ts
@@ -1,16 +1,16 @@
 import { describe, expect, it } from 'vitest'
-import { GrantLedger, GRANT_USE_MS, MAX_GRANT, SETTLE_MS, SPAN_MS } from '../src/grant-ledger.ts'
+import { coldGrantBound, GrantLedger, GRANT_USE_MS, MAX_GRANT, SETTLE_MS, SPAN_MS } from '../src/grant-ledger.ts'
 
 const BOUND = 21
 
 /** A ledger that was asked for the endpoint before, so that it grants from now on. */
 function settled (): GrantLedger {
   const ledger = new GrantLedger({ opensAt: 0 })
-  ledger.grant({ incarnation: 'a', requests: 0, bound: BOUND }, -SETTLE_MS)
+  ledger.grant({ incarnation: 'a', requests: 0, bounds: [coldGrantBound(BOUND)] }, -SETTLE_MS)
   return ledger
 }
 
-const ask = (requests = MAX_GRANT, bound = BOUND) => ({ incarnation: 'a', requests, bound })
+const ask = (requests = MAX_GRANT, bound = BOUND) => ({ incarnation: 'a', requests, bounds: [coldGrantBound(bound)] })
 
 describe('the ledger of grants', () => {
   it('grants what is asked for, though no more than one box can use', () => {
--- a/control/program/test/grant-model.ts
+++ b/control/program/test/grant-model.ts
@@ -4,7 +4,7 @@
  */
 import { GrantPurse } from '../../../entry/gateway/src/grant-purse.ts'
 import { GrantDuty } from '../src/grant-duty.ts'
-import { SENT_WITHIN_MS, WINDOW_MS, type GrantLedger } from '../src/grant-ledger.ts'
+import { type GrantBound, type GrantLedger } from '../src/grant-ledger.ts'
 
 const ENDPOINT = 'i-cold'
 
@@ -24,7 +24,7 @@
 )
 
 export interface ModelOptions {
-  bound: number
+  bound: GrantBound
   /** How fast the clocks run, in the order of the control processes and then of the boxes. */
   rates: readonly number[]
   /** Ways in which the code could be wrong; none where the model is of the code as it is. */
@@ -82,7 +82,7 @@
     let most = 0
     let first = 0
     for (const [index, at] of sorted.entries()) {
-      while (at - (sorted[first] as number) > WINDOW_MS) first += 1
+      while (at - (sorted[first] as number) > this.options.bound.windowMs) first += 1
       most = Math.max(most, index - first + 1)
     }
     return most
@@ -110,7 +110,7 @@
     const start = this.starts[box]
     this.after(thereMs, async () => {
       const ledger = await this.duties[control]?.held()
-      const grant = ledger?.grant({ incarnation: ENDPOINT, requests, bound: this.options.bound }, this.controlTime(control))
+      const grant = ledger?.grant({ incarnation: ENDPOINT, requests, bounds: [this.options.bound] }, this.controlTime(control))
       if (grant === undefined || grant.requests === 0) return
       this.granted += grant.requests
       if (isLost) return
@@ -129,7 +129,7 @@
 
   private send (box: number, requests: number, { connectShare }: Use): void {
     for (let count = 0; count < requests && this.purses[box]?.take(ENDPOINT, this.boxTime(box)) === true; count += 1) {
-      this.after(connectShare * SENT_WITHIN_MS / this.boxRate(box), () => { this.sentAt.push(this.time) })
+      this.after(connectShare * this.options.bound.sentWithinMs / this.boxRate(box), () => { this.sentAt.push(this.time) })
     }
   }
 
--- a/control/program/test/grants.fuzz.test.ts
+++ b/control/program/test/grants.fuzz.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import fc from 'fast-check'
-import { GrantLedger, GRANT_USE_MS, SPAN_MS, WINDOW_MS } from '../src/grant-ledger.ts'
+import { coldGrantBound, GrantLedger, GRANT_USE_MS, limitGrantBound, SPAN_MS, spanOf, WINDOW_MS, type GrantBound } from '../src/grant-ledger.ts'
 import { BOXES, GrantModel, type ModelOptions, type Step, type Use } from './grant-model.ts'
 
 const SEED = Number(process.env['FUZZ_SEED'] ?? 20_262)
@@ -48,7 +48,7 @@
     let granted = 0
     let most = 0
     await fc.assert(fc.asyncProperty(plays, rates, async (steps, clocks) => {
-      const model = new GrantModel({ bound: BOUND, rates: clocks })
+      const model = new GrantModel({ bound: coldGrantBound(BOUND), rates: clocks })
       await model.play(steps)
       granted += model.granted
       most = Math.max(most, model.most)
@@ -65,18 +65,59 @@
     }],
     ['a leader that does not have its lease confirmed', { neverConfirms: true }],
     ['a ledger that forgets a grant after the window', {
-      newLedger: (now: number) => new GrantLedger({ opensAt: now + 2 * SPAN_MS, spanMs: WINDOW_MS })
+      newLedger: (now: number) => new GrantLedger({ opensAt: now + 2 * SPAN_MS, spanOf: () => WINDOW_MS })
     }],
     ['a ledger that forgets that grants are used late', {
-      newLedger: (now: number) => new GrantLedger({ opensAt: now + 2 * SPAN_MS, spanMs: SPAN_MS - GRANT_USE_MS })
+      newLedger: (now: number) => new GrantLedger({ opensAt: now + 2 * SPAN_MS, spanOf: () => SPAN_MS - GRANT_USE_MS })
     }],
     ['a box that counts the time of a grant from its answer', { countsFromAnswer: true }]
   ])('would exceed it with %s', async (_name, mistake: Partial<ModelOptions>) => {
     const run = await fc.check(fc.asyncProperty(plays, rates, async (steps, clocks) => {
-      const model = new GrantModel({ bound: BOUND, rates: clocks, ...mistake })
+      const model = new GrantModel({ bound: coldGrantBound(BOUND), rates: clocks, ...mistake })
       await model.play(steps)
       return model.most <= BOUND
     }), { seed: SEED, numRuns: Math.max(RUNS, 200), endOnFailure: true })
     expect(run.failed).toBe(true)
   }, LONG_MS)
 })
+
+describe('grants to an endpoint that has named a limit', () => {
+  const limited = (perSecond: number) => limitGrantBound(perSecond) as GrantBound
+  /** As much happens within a window of the bound as within one of a cold endpoint. */
+  const stretched = ({ windowMs }: GrantBound) => plays.map((steps) => (
+    steps.map((step) => ({ ...step, afterMs: step.afterMs * windowMs / WINDOW_MS }))
+  ))
+
+  it.each([0, 0.3, 1, 20])('never let more than %d requests a second be sent over any four seconds', async (perSecond) => {
+    const bound = limited(perSecond)
+    let granted = 0
+    let most = 0
+    await fc.assert(fc.asyncProperty(stretched(bound), rates, async (steps, clocks) => {
+      const model = new GrantModel({ bound, rates: clocks })
+      await model.play(steps)
+      granted += model.granted
+      most = Math.max(most, model.most)
+      expect(model.most).toBeLessThanOrEqual(bound.requests)
+    }), { seed: SEED, numRuns: RUNS })
+    console.log(`seed ${SEED}: ${granted} granted, at most ${most} of ${bound.requests} sent within ${Math.round(bound.windowMs)} ms`)
+    // A model that comes nowhere near the bound would show nothing.
+    expect(most).toBeGreaterThanOrEqual(Math.ceil(0.9 * bound.requests))
+  }, LONG_MS)
+
+  it.each([
+    ['a leader that does not wait for what the one before has granted', { leaseMs: 1, newLedger: (now: number) => new GrantLedger({ opensAt: now - spanOf(limited(1)), settleMs: 0 }) }],
+    ['a leader that does not have its lease confirmed', { neverConfirms: true }],
+    ['a ledger that forgets that grants are used late', {
+      newLedger: (now: number) => new GrantLedger({ opensAt: now + SPAN_MS, spanOf: ({ windowMs }: GrantBound) => windowMs })
+    }],
+    ['a box that counts the time of a grant from its answer', { countsFromAnswer: true }]
+  ])('would let more with %s', async (_name, mistake: Partial<ModelOptions>) => {
+    const bound = limited(1)
+    const run = await fc.check(fc.asyncProperty(stretched(bound), rates, async (steps, clocks) => {
+      const model = new GrantModel({ bound, rates: clocks, ...mistake })
+      await model.play(steps)
+      return model.most <= bound.requests
+    }), { seed: SEED, numRuns: Math.max(RUNS, 200), endOnFailure: true })
+    expect(run.failed).toBe(true)
+  }, LONG_MS)
+})
--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -7,6 +7,7 @@
  */
 import { type Logger } from '@gullwall/core.logger'
 import { type Lease, type Life } from '@gullwall/transport.messages'
+import { laterLimit, limitFromWire, limitToWire, type HeldLimit } from './limit-words.ts'
 
 const STATE_ORDER = { ready: 0, draining: 1, gone: 2 }
 
@@ -26,9 +27,11 @@
 const TURNED_COLD_MS = 500
 
 /** One lease as it is held here. */
-export interface HeldLease extends Omit<Lease, 'ageMs'> {
+export interface HeldLease extends Omit<Lease, 'ageMs' | 'limit'> {
   /** When the latest heartbeat arrived anywhere, by this process's monotonic clock. */
   heardAt: number
+  /** What it said last of its limit; none where it has named none. */
+  limit?: HeldLimit | undefined
 }
 
 interface Leaver {
@@ -49,6 +52,8 @@
   now?: () => number
   /** Told of leases that are new or have changed state; a mere refresh is not told. */
   onChange?: (changed: HeldLease[]) => void
+  /** Told at once of each endpoint that has named another limit, or none any more. */
+  onLimit?: (lease: HeldLease) => void
   /** Told at once of each incarnation for which `isUsable` may have changed. */
   onTouched?: (incarnation: string) => void
 }
@@ -115,6 +120,20 @@
     return lease !== undefined && held.state === 'ready' && this.merge([{ ...lease, state: 'draining' }])[0] === 'changed'
   }
 
+  /** Notes what an endpoint said of its limit, and gives whether that is news. It ends with the life that said it. */
+  noteLimit (incarnation: string, word: HeldLimit): boolean {
+    const lease = this.held.get(incarnation)
+    if (lease === undefined || (word.perSecond === undefined && lease.limit === undefined)) return false
+    const before = lease.limit?.perSecond
+    lease.limit = laterLimit(lease.limit, word)
+    const after = lease.limit?.perSecond
+    if (before === after) return false
+    const why = after === undefined ? 'it names no limit any more' : `it takes ${after} requests a second from all boxes, ${before ?? 'any number'} before`
+    this.options.logger.info({ channel: 'endpoint', event: after === undefined ? 'unlimited' : 'limited', endpoint: incarnation, why })
+    this.options.onLimit?.(lease)
+    return true
+  }
+
   /** What an incarnation last said of itself, also one that has started again since; undefined if it is not known. */
   stateOf (incarnation: string): Lease['state'] | undefined {
     return this.held.get(incarnation)?.state ?? this.outlived.get(incarnation)
@@ -149,7 +168,9 @@
     const outcomes = leases.map((given) => {
       const lease = this.ofLatestLife(given)
       const addressBefore = this.held.get(lease.incarnation)?.address
-      const outcome = this.mergeOne(lease)
+      const merged = this.mergeOne(lease)
+      const isLimitNews = lease.limit !== undefined && this.noteLimit(lease.incarnation, limitFromWire(lease.limit, this.now()))
+      const outcome = isLimitNews ? 'changed' : merged
       const held = this.held.get(lease.incarnation)
       if (held !== undefined && outcome !== 'stale') {
         const isHolderNew = this.noteHolder(held)
@@ -182,7 +203,9 @@
   /** Leases for the wire, with their age instead of a local time. */
   toWire (leases: readonly HeldLease[] = this.all()): Lease[] {
     const now = this.now()
-    return leases.map(({ heardAt, ...lease }) => ({ ...lease, ageMs: Math.max(0, Math.round(now - heardAt)) }))
+    return leases.map(({ heardAt, limit, ...lease }) => ({
+      ...lease, ...(limit === undefined ? {} : { limit: limitToWire(limit, now) }), ageMs: Math.max(0, Math.round(now - heardAt))
+    }))
   }
 
   /**
@@ -245,7 +268,7 @@
   private mergeOne (given: Lease): Merged {
     const known = this.held.get(given.incarnation)
     const lease = known === undefined ? this.asRemembered(given) : given
-    const { ageMs, ...rest } = lease
+    const { ageMs, limit: _limit, ...rest } = lease
     const heardAt = this.now() - ageMs
     const isTooOld = known === undefined && ageMs > (this.options.leaseMs ?? DEFAULT_LEASE_MS) && lease.state !== 'gone'
     if (isTooOld || (lease.life !== undefined && !this.isLatest(lease.incarnation, lease.life))) return 'stale'
@@ -261,7 +284,11 @@
     const isNewer = lease.sequence > known.sequence
     const hasTurnedCold = isNewer && coldUntil({ ...rest, heardAt }) - Math.max(heardAt, coldUntil(known)) > TURNED_COLD_MS
     this.held.set(lease.incarnation, {
-      ...(isNewer ? rest : known), state, sequence: Math.max(lease.sequence, known.sequence), heardAt: Math.max(heardAt, known.heardAt)
+      ...(isNewer ? rest : known),
+      limit: known.limit,
+      state,
+      sequence: Math.max(lease.sequence, known.sequence),
+      heardAt: Math.max(heardAt, known.heardAt)
     })
     const isFirstWord = this.unconfirmed.delete(lease.incarnation)
     // Refreshes are told together some seconds later; until then others would send as to a warm one.
--- a/entry/gateway/test/cold-together.test.ts
+++ b/entry/gateway/test/cold-together.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { rankOf, type EndpointState } from '@gullwall/routing.balancer'
-import { GrantLedger } from '../../../control/program/src/grant-ledger.ts'
+import { coldGrantBound, GrantLedger } from '../../../control/program/src/grant-ledger.ts'
 import { type Call } from '../src/call.ts'
 import { BOUND, Box } from './cold-box.ts'
 
@@ -73,7 +73,7 @@
     box.entries = this.play.boxes
     box.answer = async (wishes) => {
       this.asks += 1
-      return wishes.map((wish) => this.ledger.grant({ ...wish, bound: BOUND }, performance.now()))
+      return wishes.map((wish) => this.ledger.grant({ ...wish, bounds: [coldGrantBound(BOUND)] }, performance.now()))
     }
     return box
   }
--- /dev/null
+++ b/routing/rates/src/index.ts
@@ -0,0 +1,4 @@
+/** Bounds on the requests of one endpoint within a time. */
+export * from './rate-bound.ts'
+export * from './rate-meter.ts'
+export * from './send-log.ts'
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -56,6 +56,16 @@
   born: z.number().int()
 })
 
+/** What an endpoint said in the head of an answer of the requests a second that it takes from all boxes together. */
+export const limitWordSchema = z.object({
+  /** None where it named no limit any more. */
+  perSecond: z.number().min(0).optional(),
+  /** How long ago the request was sent that it answered, in ms, when the message was sent. */
+  sentAgoMs: z.number(),
+  /** How long ago the head arrived, likewise; it was made in between. */
+  heardAgoMs: z.number()
+})
+
 /** The lease of an endpoint that registers itself by heartbeats. States only go forward. */
 export const leaseSchema = z.object({
   /** Names one start of the endpoint; another start has another. */
@@ -69,6 +79,8 @@
   state: z.enum(['ready', 'draining', 'gone']),
   /** For how much longer the endpoint is cold, in ms, when the heartbeat was sent; none where it does not say. */
   coldMs: z.number().min(0).optional(),
+  /** The latest word of its limit; none where it has named none, and from processes that do not know of limits. */
+  limit: limitWordSchema.optional(),
   /** Grows with every heartbeat, so that a late one is recognised. */
   sequence: count,
   /** How long ago the heartbeat arrived, in ms, when the message was sent. */
@@ -110,21 +122,27 @@
   parts: z.array(z.object({ id: z.string(), tokens: count }))
 })
 
-/** What an entry would send to one cold endpoint. */
+/** What an entry would send to one endpoint that gets requests under a grant only: it is cold, or has named a limit. */
 export const grantWishSchema = z.object({
   incarnation: z.string(),
   service: z.string(),
   /** How many requests it could send within the use of a grant. */
-  requests: count
+  requests: count,
+  /** The limit that the entry has heard of, in requests a second; none where it has heard of none. */
+  perSecond: z.number().min(0).optional(),
+  /** Whether the endpoint is not cold, as the entry knows; none from processes that ask for cold endpoints only. */
+  isWarm: z.boolean().optional()
 })
 
-/** Leave to send requests to a cold endpoint. */
+/** Leave to send requests to such an endpoint. */
 export const grantSchema = z.object({
   incarnation: z.string(),
   /** How many requests may be sent; 0 where there is no leave now. */
   requests: count,
   /** Within which time of asking they are sent, in ms; or, without leave, after which time to ask again. */
-  withinMs: z.number().min(0)
+  withinMs: z.number().min(0),
+  /** The limit that was held to, in requests a second; none from processes that do not know of limits. */
+  perSecond: z.number().min(0).optional()
 })
 
 /** What an entry saw of how an endpoint reads prompts, and of how its attempts ended there. */
@@ -237,13 +255,18 @@
   /** Asks a peer for what its entries have told of one window. */
   usageOf: z.object({ kind: z.literal('usageOf'), window: count }),
   usageParts: z.object({ kind: z.literal('usageParts'), sources: z.array(usageSourceSchema) }),
-  /** An entry asks for leave to send to cold endpoints; a control process that does not grant passes it to the one that does. */
+  /**
+   * An entry asks for leave to send to endpoints that are cold or have named a limit; a control process that does not grant passes
+   * it to the one that does.
+   */
   coldAsk: z.object({ kind: z.literal('coldAsk'), entry: z.string(), wishes: z.array(grantWishSchema) }),
   coldGranted: z.object({ kind: z.literal('coldGranted'), grants: z.array(grantSchema) }),
   /** An entry tells of crashed endpoints, and of requests that ran well after they had been running at one; answered by `done`. */
   crashes: z.object({ kind: z.literal('crashes'), crashes: z.array(crashSchema), ranWell: z.array(z.string()) }),
   /** An entry tells of endpoints that said in an answer that they drain, by incarnation. */
   draining: z.object({ kind: z.literal('draining'), incarnations: z.array(z.string()) }),
+  /** An entry tells what endpoints have said of their limits. */
+  limits: z.object({ kind: z.literal('limits'), limits: z.array(limitWordSchema.extend({ incarnation: z.string() })) }),
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
   // Among control processes: the quorum protocol. `to` is the incarnation that the sender takes the receiver for.
@@ -303,6 +326,7 @@
 export type UsageCount = z.infer<typeof usageCountSchema>
 export type UsageWindow = z.infer<typeof usageWindowSchema>
 export type UsageSource = z.infer<typeof usageSourceSchema>
+export type LimitWord = z.infer<typeof limitWordSchema>
 export type Lease = z.infer<typeof leaseSchema>
 export type Life = z.infer<typeof lifeSchema>
 export type DemandRow = z.infer<typeof demandRowSchema>
