fix(gateway): a limited endpoint gets a request only under a grant of control

Engines that named a limit of 1 request a second got 13 and 12 in 4 s from five gateways. Cause: heads of answers were read for rest and draining only, and a limit binds all boxes together, which no gateway can keep to alone. Now the word goes to control at once and with the leases to every gateway; a request that would have such an endpoint asks the leader for leave, waits up to 100 ms for it, and goes elsewhere without. The ledger that shares out cold endpoints counts these grants too, so that the bound holds whoever sends. Leave is looked at again where the first byte goes out, so that retries, resumed streams and what waits for a connection count. Without control nothing is sent there. Refused boxes come back in turn. Ruled out: fixed shares and shares without leave (a burst of one each of hundreds of boxes is too much), grants at hand in the background (at 1 a second most lapse unused).

--- a/control/program/src/grant-ledger.ts
+++ b/control/program/src/grant-ledger.ts
@@ -18,8 +18,8 @@
   sentWithinMs: number
   /** The most requests of one grant: what one box can't use in time is lost to all. */
   maxGrant: number
-  /** Boxes that are refused are asked to come back so far apart, in ms; 0 where they come as soon as there is more. */
-  turnMs: number
+  /** Whether boxes that are refused are asked to come back one after the other, and not as soon as there is more. */
+  isQueued: boolean
 }
 
 /** The time in which a cold endpoint's requests are counted, in ms. */
@@ -43,20 +43,21 @@
 const TURNED_COLD_MS = 500
 /** A box that was refused asks again after this time at the earliest, in ms. */
 const LEAST_WAIT_MS = 50
-/** And at the latest, if only others stand before it, in ms: they may have no use for their turn. */
-const LONGEST_TURN_MS = 3000
+/** Boxes that wait for the same request come back so far apart, in ms: the time for an ask, so that the first one has it. */
+const TURN_MS = 20
+/** A box that is later than this for its turn has no use for it any more, in ms. */
+const LATE_MS = 1000
 
 /** The bound of a cold endpoint, for so many requests within any second. */
 export function coldGrantBound (requests: number): GrantBound {
-  return { requests, windowMs: WINDOW_MS, useMs: GRANT_USE_MS, sentWithinMs: SENT_WITHIN_MS, maxGrant: MAX_GRANT, turnMs: 0 }
+  return { requests, windowMs: WINDOW_MS, useMs: GRANT_USE_MS, sentWithinMs: SENT_WITHIN_MS, maxGrant: MAX_GRANT, isQueued: false }
 }
 
 /** The bound of an endpoint that takes so many requests a second; undefined where that bounds nothing. */
 export function limitGrantBound (perSecond: number): GrantBound | undefined {
   const bound = boundOfRate(perSecond)
   if (bound === undefined) return undefined
-  const { requests, windowMs } = bound
-  return { ...bound, useMs: LIMIT_USE_MS, sentWithinMs: 0, maxGrant: requests, turnMs: windowMs / requests }
+  return { ...bound, useMs: LIMIT_USE_MS, sentWithinMs: 0, maxGrant: bound.requests, isQueued: true }
 }
 
 /** Grants that are further apart than this have nothing in one window of the bound, in ms. */
@@ -75,12 +76,14 @@
   coldUntil: number | undefined
   askedAt: number
   grants: SendLog
-  /** When the boxes that were refused since were asked to come back. */
-  turns: number[]
+  /** When the boxes that were refused, and have had no grant since, are to come back; the one that waits longest first. */
+  queue: Map<string, number>
 }
 
 export interface LedgerAsk {
   incarnation: string
+  /** Who asks. */
+  box: string
   /** How many requests are wished for. */
   requests: number
   /** All reasons to bound it; one that is bounded by none is granted nothing. */
@@ -112,7 +115,7 @@
   }
 
   /** Grants what may be sent to an endpoint, or tells after which time to ask again. */
-  grant ({ incarnation, requests, bounds, word }: LedgerAsk, now: number): Grant {
+  grant ({ incarnation, box, requests, bounds, word }: LedgerAsk, now: number): Grant {
     const account = this.accountOf(incarnation, now)
     if (hasTurnedCold(account, word)) account.firstAskedAt = now
     account.askedAt = now
@@ -120,11 +123,12 @@
     const longest = Math.max(SPAN_MS, ...spans.map(({ windowMs }) => windowMs))
     account.grants.forgetBefore(now - Math.max(longest, FORGET_MS))
     const opensAt = Math.max(this.opensAt + longest - SPAN_MS, account.firstAskedAt + this.settleMs)
-    if (now < opensAt) return refusal(incarnation, this.turnAfter(account, spans, { freeMs: opensAt - now, now }))
+    if (now < opensAt) return refusal(incarnation, turnAfter(account, box, { bounds, freeMs: opensAt - now, now }))
     const free = spans.map((span) => Math.min(span.maxGrant, account.grants.free(span, now)))
     const granted = Math.min(requests, ...(free.length === 0 ? [0] : free))
-    if (granted < 1) return refusal(incarnation, this.turnAfter(account, spans, { freeMs: untilFree(account, spans, now), now }))
+    if (granted < 1) return refusal(incarnation, turnAfter(account, box, { bounds, freeMs: untilFree(account, spans, now), now }))
     account.grants.add(granted, now)
+    account.queue.delete(box)
     return { incarnation, requests: granted, withinMs: Math.min(...bounds.map(({ useMs }) => useMs)) }
   }
 
@@ -143,24 +147,30 @@
   private accountOf (incarnation: string, now: number): Account {
     const known = this.accounts.get(incarnation)
     if (known !== undefined) return known
-    const account: Account = { firstAskedAt: now, coldUntil: undefined, askedAt: now, grants: new SendLog(), turns: [] }
+    const account: Account = { firstAskedAt: now, coldUntil: undefined, askedAt: now, grants: new SendLog(), queue: new Map() }
     this.accounts.set(incarnation, account)
     return account
   }
+}
 
-  /**
-   * After which time a box that was refused asks again: when there is more, and each of those who wait for it has had its turn.
-   * All of them at once would ask for the same request, and the quickest of them would always have it.
-   */
-  private turnAfter (account: Account, bounds: readonly GrantBound[], { freeMs, now }: { freeMs: number, now: number }): number {
-    const turnMs = Math.max(0, ...bounds.map((bound) => bound.turnMs))
-    if (turnMs === 0) return freeMs
-    account.turns = account.turns.filter((at) => at > now)
-    const last = account.turns.at(-1) ?? -Infinity
-    const turn = Math.min(Math.max(now + freeMs, last + turnMs), now + Math.max(freeMs, LONGEST_TURN_MS))
-    account.turns.push(turn)
-    return turn - now
-  }
+interface Refused {
+  bounds: readonly GrantBound[]
+  /** When there is more, in ms from now. */
+  freeMs: number
+  now: number
+}
+
+/**
+ * After which time a box that was refused asks again, in ms: when there is more, and in its turn. All of them at once would ask
+ * for the same request, and the quickest of them would always have it.
+ */
+function turnAfter ({ queue }: Account, box: string, { bounds, freeMs, now }: Refused): number {
+  if (!bounds.some(({ isQueued }) => isQueued)) return freeMs
+  for (const [other, turnAt] of queue) if (now - turnAt > LATE_MS) queue.delete(other)
+  const place = queue.has(box) ? [...queue.keys()].indexOf(box) : queue.size
+  const waitMs = freeMs + place * TURN_MS
+  queue.set(box, now + waitMs)
+  return waitMs
 }
 
 /** After which time each bound that is used up allows more, in ms. */
--- a/control/program/src/granter.ts
+++ b/control/program/src/granter.ts
@@ -81,7 +81,8 @@
     const { incarnation, requests } = wish
     const perSecond = this.limitHeld(wish)
     const bounds = this.boundsOf(wish, perSecond)
-    const grant = { ...ledger.grant({ incarnation, requests, bounds, word: this.wordOf(incarnation) }, performance.now()), perSecond }
+    const ask = { incarnation, box: entry, requests, bounds, word: this.wordOf(incarnation) }
+    const grant = { ...ledger.grant(ask, performance.now()), perSecond }
     this.metrics?.asks.inc()
     if (grant.requests > 0) this.metrics?.granted.inc(grant.requests)
     else this.metrics?.refused.inc()
--- a/control/program/test/grant-ledger.test.ts
+++ b/control/program/test/grant-ledger.test.ts
@@ -6,11 +6,11 @@
 /** A ledger that was asked for the endpoint before, so that it grants from now on. */
 function settled (): GrantLedger {
   const ledger = new GrantLedger({ opensAt: 0 })
-  ledger.grant({ incarnation: 'a', requests: 0, bounds: [coldGrantBound(BOUND)] }, -SETTLE_MS)
+  ledger.grant({ incarnation: 'a', box: 'b1', requests: 0, bounds: [coldGrantBound(BOUND)] }, -SETTLE_MS)
   return ledger
 }
 
-const ask = (requests = MAX_GRANT, bound = BOUND) => ({ incarnation: 'a', requests, bounds: [coldGrantBound(bound)] })
+const ask = (requests = MAX_GRANT, bound = BOUND) => ({ incarnation: 'a', box: 'b1', requests, bounds: [coldGrantBound(bound)] })
 
 describe('the ledger of grants', () => {
   it('grants what is asked for, though no more than one box can use', () => {
--- a/control/program/test/grant-model.ts
+++ b/control/program/test/grant-model.ts
@@ -110,7 +110,8 @@
     const start = this.starts[box]
     this.after(thereMs, async () => {
       const ledger = await this.duties[control]?.held()
-      const grant = ledger?.grant({ incarnation: ENDPOINT, requests, bounds: [this.options.bound] }, this.controlTime(control))
+      const wish = { incarnation: ENDPOINT, box: String(box), requests, bounds: [this.options.bound] }
+      const grant = ledger?.grant(wish, this.controlTime(control))
       if (grant === undefined || grant.requests === 0) return
       this.granted += grant.requests
       if (isLost) return
--- a/entry/gateway/src/admin.ts
+++ b/entry/gateway/src/admin.ts
@@ -15,7 +15,7 @@
   constructor (private readonly services: GatewayServices) {}
 
   async start (): Promise<void> {
-    const { settings, registry, view, store, crossings, coldEngines, notices } = this.services
+    const { settings, registry, view, store, crossings, coldEngines, limits, notices } = this.services
     linkMetrics(registry)
     beliefGauges(registry, this.services)
     this.admin = createAdminServer({
@@ -30,6 +30,7 @@
           documentAgeMs: view.table === undefined ? undefined : view.documentAgeMs,
           leaving: crossings.sent,
           cold: coldEngines.coldCount,
+          limited: limits.all(),
           resting: notices.backoffs.resting(),
           leases: view.leases.toWire()
         })
--- a/entry/gateway/src/answer-receiver.ts
+++ b/entry/gateway/src/answer-receiver.ts
@@ -59,12 +59,12 @@
   }
 
   /** Reads a head, whatever it is the head of: what the endpoint says of itself holds also in an answer to something else. */
-  private readHead ({ status, headers }: ExchangeHead): AnswerHead {
+  private readHead ({ status, headers, sentAt }: ExchangeHead): AnswerHead {
     const { services } = this.forwarding.facts
     const { endpoint } = this.candidate
     endpoint.heardAt = performance.now()
     const head = services.dialect.readAnswer(status, headers)
-    services.notices.take(endpoint.description, status, head.notices)
+    services.notices.take(endpoint.description, { status, sentAt, notices: head.notices })
     return head
   }
 
--- a/entry/gateway/src/cold-engines.ts
+++ b/entry/gateway/src/cold-engines.ts
@@ -9,9 +9,9 @@
 import { type Grant, type GrantWish } from '@gullwall/transport.messages'
 import { type Call } from './call.ts'
 import { GrantAsker } from './grant-asker.ts'
-import { GrantPurse } from './grant-purse.ts'
+import { type GrantPurse } from './grant-purse.ts'
 import { type EndpointRule } from './eligibility.ts'
-import { RAMP_MS, Warmth } from './warmth.ts'
+import { RAMP_MS, rampShare, Warmth } from './warmth.ts'
 
 /** Endpoints that are met so soon after the first request of their service were there before it, in ms. */
 const FIRST_LOOK_MS = 1000
@@ -34,6 +34,10 @@
   ask: (wishes: GrantWish[]) => Promise<Grant[]>
   /** Has requests that wait for an endpoint look again. */
   wake: () => void
+  /** The grants of this box, whatever the reason for which endpoints are bounded. */
+  purse: GrantPurse
+  /** The limit that an endpoint has named, in requests a second; undefined where it takes any number. */
+  namedLimitOf?: (incarnation: string) => number | undefined
   now?: () => number
 }
 
@@ -48,20 +52,23 @@
 export class ColdEngines {
   readonly totals: ColdTotals = { kept: 0, sent: 0 }
   readonly asker: GrantAsker
-  private readonly purse = new GrantPurse()
+  private readonly purse: GrantPurse
   private readonly warmths = new Map<string, Warmth>()
   private readonly firstLooks = new Map<string, number>()
   /** The endpoints from which a request was kept. */
   private readonly keptFrom = new WeakMap<Call, Set<string>>()
-  /** Until when an endpoint that has turned warm gets a share only. */
+  /** When endpoints were opened again whose limit was over. */
+  private readonly reopenedAt = new Map<string, number>()
+  /** Until when an endpoint that has turned warm or was opened again gets a share only. */
   private rampsUntil = -Infinity
   private readonly now: () => number
   private timer: NodeJS.Timeout | undefined
 
   constructor (private readonly options: ColdEnginesOptions) {
     this.now = options.now ?? (() => performance.now())
-    const { box, logger, ask, wake, entries } = options
-    this.asker = new GrantAsker({ box, logger, ask, wake, entries, now: this.now, purse: this.purse })
+    const { box, logger, ask, wake, entries, purse, namedLimitOf } = options
+    this.purse = purse
+    this.asker = new GrantAsker({ box, logger, ask, wake, entries, namedLimitOf, now: this.now, purse })
   }
 
   start (): void {
@@ -86,14 +93,25 @@
     return `cold, and no grant is at hand (${warmth.why})`
   }
 
-  /** Those of the endpoints that a request may have that are not to be spared; endpoints that have just turned warm get a growing share. */
+  /** Has an endpoint whose limit is over taken up by a growing share of the requests. */
+  noteReopened (incarnation: string): void {
+    const now = this.now()
+    this.reopenedAt.set(incarnation, now)
+    this.rampsUntil = now + RAMP_MS
+  }
+
+  /**
+   * Those of the endpoints that a request may have that are not to be spared; endpoints that have just turned warm, or were opened
+   * again, get a growing share.
+   */
   preferred (endpoints: readonly EndpointState[], call: Call): readonly EndpointState[] {
     const now = this.now()
     if (now >= this.rampsUntil) return endpoints
     const draw = rankOf(call.requestId) / RANKS
-    const settled = endpoints.filter(({ description }) => {
-      const warmth = this.warmths.get(description.incarnation)
-      return warmth === undefined || warmth.isCold || draw < warmth.shareAt(now)
+    const settled = endpoints.filter(({ description: { incarnation } }) => {
+      const warmth = this.warmths.get(incarnation)
+      const isWarmEnough = warmth === undefined || warmth.isCold || draw < warmth.shareAt(now)
+      return isWarmEnough && draw < rampShare(this.reopenedAt.get(incarnation), now)
     })
     // Where most have just turned warm, the few others could not take the work of all.
     return 2 * settled.length >= endpoints.length ? settled : endpoints
@@ -172,6 +190,8 @@
   }
 
   private sweep (): void {
+    const now = this.now()
+    for (const [incarnation, at] of this.reopenedAt) if (now - at > RAMP_MS) this.reopenedAt.delete(incarnation)
     for (const incarnation of this.warmths.keys()) {
       if (this.options.leaseOf(incarnation) !== undefined) continue
       this.warmths.delete(incarnation)
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -103,7 +103,7 @@
   }
 
   /**
-   * Asks control for leave to send to cold endpoints.
+   * Asks control for leave to send to endpoints that are cold or limited.
    * @throws ERR_GULLWALL_LINK_CLOSED, ERR_GULLWALL_LINK_TIMEOUT, ERR_GULLWALL_PEER_FAILED
    */
   async askGrants (wishes: GrantWish[]): Promise<Grant[]> {
@@ -123,6 +123,11 @@
     for (const link of this.links()) link.send({ kind: 'draining', incarnations })
   }
 
+  /** Tells control what endpoints have said of their limits; who can't be reached now is told once it speaks of them. */
+  tellLimits (limits: MessageOf<'limits'>['limits']): void {
+    for (const link of this.links()) link.send({ kind: 'limits', limits })
+  }
+
   /** Asks one control process; after a failure another one, since the first may be cut off from the one that leads. */
   private async ask<Kind extends 'coldGranted' | 'done'> (message: Message, expected: Kind, timeoutMs: number): Promise<MessageOf<Kind>> {
     const links = [...new Set([this.listened, ...this.links()])].filter((link) => link !== undefined)
@@ -187,11 +192,13 @@
     this.dialOthers(message.addresses)
   }
 
-  /** Takes leases; a process that has not heard yet that an endpoint drains is told so again. */
+  /** Takes leases; a process that has not heard yet that an endpoint drains, or of its limit, is told so again. */
   private takeLeases (link: Link, leases: readonly Lease[]): void {
     this.services.view.leases.merge(leases)
     const incarnations = this.services.notices.contradicted(leases)
     if (incarnations.length > 0) link.send({ kind: 'draining', incarnations })
+    const limits = this.services.notices.limitsToTell(leases)
+    if (limits.length > 0) link.send({ kind: 'limits', limits })
   }
 
   /**
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -16,6 +16,12 @@
   connections: Connections
 }
 
+/** Told of an endpoint that has named another limit, or none any more, and of one that is gone. */
+export interface LimitListener {
+  note: (lease: HeldLease) => void
+  forget: (incarnation: string) => void
+}
+
 /** How often endpoints that are gone are forgotten, in ms. */
 const SWEEP_MS = 1000
 /** So many endpoints without work are looked at in one turn: all of a small fleet, and 12,000 in 47 turns of 60 ms. */
@@ -51,17 +57,24 @@
   private rotation: Iterator<EndpointState> | undefined
   private readonly waiters = new Set<Waiter>()
   private timer: NodeJS.Timeout | undefined
+  private limitListener: LimitListener | undefined
 
   constructor (private readonly options: DeploymentViewOptions) {
     this.regions = new Regions(options.settings.regions)
     this.leases = new LeaseTable({
       logger: options.logger,
       onChange: (changed) => this.leasesChanged(changed),
+      onLimit: (lease) => this.limitListener?.note(lease),
       onTouched: (incarnation) => this.noteUsable(incarnation)
     })
     options.store.onChange(() => this.documentChanged())
   }
 
+  /** Sets who is told of limits. */
+  onLimits (listener: LimitListener): void {
+    this.limitListener = listener
+  }
+
   start (): void {
     this.leases.start()
     this.timer = setInterval(() => this.forgetGone(), SWEEP_MS)
@@ -197,7 +210,9 @@
     const endpoint = this.endpoints.get(incarnation)
     if (endpoint === undefined) return
     this.index.setUsable(endpoint, this.takesWork(incarnation))
-    if ((this.leases.get(incarnation)?.state ?? 'gone') === 'gone') this.leaving.add(incarnation)
+    const isGone = (this.leases.get(incarnation)?.state ?? 'gone') === 'gone'
+    if (isGone) this.limitListener?.forget(incarnation)
+    if (isGone) this.leaving.add(incarnation)
     else this.leaving.delete(incarnation)
   }
 
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -91,20 +91,21 @@
 const NONE: ReadonlySet<string> = new Set()
 
 /**
- * For how long every endpoint that a request might have wants nothing, in ms; 0 where one takes work, or none is known.
+ * For how long no endpoint that a request might have takes any, since each wants nothing or is at its limit, in ms; 0 where one
+ * takes work, or none is known.
  * @param excluded endpoints that the request has had already
  */
 export function restMsOfAll (
-  { view, eligibility, notices: { backoffs } }: GatewayServices, call: Call, excluded: ReadonlySet<string> = NONE
+  { view, eligibility, limits, notices: { backoffs } }: GatewayServices, call: Call, excluded: ReadonlySet<string> = NONE
 ): number {
-  if (backoffs.size === 0) return 0
+  if (backoffs.size + limits.size === 0) return 0
   let soonest = Infinity
   for (const { service } of call.route.split.filter(({ weight }) => weight > 0)) {
     for (const { dataCentre, members } of view.pool(service).places) {
       if (whyNotPlace(eligibility, dataCentre, call) !== undefined) continue
       for (const { description: { incarnation } } of members.items) {
         if (excluded.has(incarnation)) continue
-        soonest = Math.min(soonest, backoffs.remainingMs(incarnation))
+        soonest = Math.min(soonest, Math.max(backoffs.remainingMs(incarnation), limits.waitMs(incarnation)))
         if (soonest === 0) return 0
       }
     }
--- a/entry/gateway/src/endpoint-notices.ts
+++ b/entry/gateway/src/endpoint-notices.ts
@@ -4,10 +4,11 @@
  * while no control process can be reached.
  */
 import { setImmediate as nextTurn } from 'node:timers/promises'
-import { describeNotices, type Notices } from '@gullwall/endpoint.notices'
+import { limitToWire } from '@gullwall/control.registry'
+import { describeNotices, type LimitWord, type Notices } from '@gullwall/endpoint.notices'
 import { type EndpointDescription, type EndpointState } from '@gullwall/routing.balancer'
 import { BackoffTable, recordOfTurn, type Permit } from '@gullwall/routing.backoff'
-import { type Lease } from '@gullwall/transport.messages'
+import { type Lease, type MessageOf } from '@gullwall/transport.messages'
 import { type EndpointRule } from './eligibility.ts'
 import { type GatewayServices } from './index.ts'
 
@@ -16,6 +17,8 @@
 /** Endpoints whose draining control is told of again where it says otherwise; the oldest gives way. */
 const MAX_TOLD = 4096
 
+type ToldLimit = MessageOf<'limits'>['limits'][number]
+
 /** What was heard since the start, for the metrics. */
 export interface NoticeTotals {
   /** Endpoints that said in an answer, before anybody else told so, that they drain. */
@@ -26,6 +29,14 @@
   limits: number
 }
 
+/** The notices of one answer. */
+export interface HeardNotices {
+  status: number
+  /** When the request was sent that it answers, by the monotonic clock. */
+  sentAt: number
+  notices: Notices
+}
+
 export class EndpointNotices {
   readonly totals: NoticeTotals = { draining: 0, unreadable: 0, limits: 0 }
   readonly backoffs: BackoffTable
@@ -60,10 +71,11 @@
   }
 
   /** Takes the notices of an answer to a request that was sent to an endpoint. */
-  take (sentTo: EndpointDescription, status: number, notices: Notices): void {
+  take (sentTo: EndpointDescription, { status, sentAt, notices }: HeardNotices): void {
     const said = describeNotices(notices)
-    if (said === undefined) return
     const incarnation = this.answeredBy(sentTo, status)
+    if (incarnation !== undefined && notices.limit !== undefined) this.noteLimit(incarnation, notices.limit, sentAt)
+    if (said === undefined) return
     const why = `answered ${status}, ${said}`
     this.services.logger.sampled('notice', { channel: 'endpoint', event: 'notice', endpoint: incarnation ?? sentTo.address, why })
     if (notices.unreadable !== undefined) this.totals.unreadable += 1
@@ -73,6 +85,15 @@
     if (notices.isDraining) this.noteDraining(incarnation)
   }
 
+  /** Tells control what endpoints were heard to say of their limits here where a control process holds something else. */
+  limitsToTell (told: readonly Lease[]): ToldLimit[] {
+    const now = performance.now()
+    return told.flatMap(({ incarnation, limit }) => {
+      const held = this.services.view.leases.get(incarnation)?.limit
+      return held === undefined || held.perSecond === limit?.perSecond ? [] : [{ incarnation, ...limitToWire(held, now) }]
+    })
+  }
+
   /** Gives the endpoints that said here that they drain, of those that another process takes to be ready. */
   contradicted (leases: readonly Lease[]): string[] {
     if (this.heardDraining.size === 0) return []
@@ -86,6 +107,15 @@
     return holder === incarnation ? undefined : holder
   }
 
+  private noteLimit (incarnation: string, { perSecond }: LimitWord, sentAt: number): void {
+    const { view, controlLinks } = this.services
+    const heardAt = performance.now()
+    const word = { perSecond, sentAt, heardAt }
+    if (!view.leases.noteLimit(incarnation, word)) return
+    controlLinks.tellLimits([{ incarnation, ...limitToWire(word, heardAt) }])
+    view.wake()
+  }
+
   private noteDraining (incarnation: string): void {
     if (!this.services.view.leases.noteDraining(incarnation)) return
     this.totals.draining += 1
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -7,6 +7,8 @@
 export interface ExchangeHead {
   status: number
   headers: Headers
+  /** When the request was sent that it answers, by the monotonic clock. */
+  sentAt: number
 }
 
 export interface ExchangeRequest {
@@ -58,6 +60,7 @@
   private isOver = false
   private isFramed = true
   private connectTimer: NodeJS.Timeout | undefined
+  private sentAt = -Infinity
 
   constructor (dispatcher: Dispatcher, origin: string, request: ExchangeRequest, private readonly listener: ExchangeListener) {
     this.ended = new Promise((resolve) => { this.settle = resolve })
@@ -122,16 +125,17 @@
         const why = whyNot()
         if (why === undefined) {
           this.controller = controller
+          this.sentAt = performance.now()
         } else {
           this.end({ type: 'withheld', why })
           controller.abort(new Error(why))
         }
       },
       onResponseStart: (_controller, status, headers) => {
-        if (status < FINAL) this.listener.onInterim({ status, headers })
+        if (status < FINAL) this.listener.onInterim({ status, headers, sentAt: this.sentAt })
         if (this.isOver || status < FINAL) return
         this.isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || NO_BODY.has(status)
-        if (this.listener.onHead({ status, headers })) return
+        if (this.listener.onHead({ status, headers, sentAt: this.sentAt })) return
         this.end({ type: 'broken', why: 'the head is not that of an answer to this request', isClosed: false })
       },
       onResponseData: (_controller, chunk) => {
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -1,6 +1,5 @@
 /** Carries one request: chooses endpoints, sends attempts one after the other, and ends the caller's answer. */
-import { strainOf, type Candidate, type EndpointState, type Work } from '@gullwall/routing.balancer'
-import { type Permit } from '@gullwall/routing.backoff'
+import { strainOf, type Candidate, type Work } from '@gullwall/routing.balancer'
 import { type CallerAnswer, type ErrorAnswer } from './answer.ts'
 import { AnswerReceiver, hasRun, verdictOf, type AttemptEnd } from './answer-receiver.ts'
 import { AttemptHistory } from './attempt-history.ts'
@@ -17,6 +16,7 @@
 import { returnAfterMs, waitRank, waitsUntil } from './patience.ts'
 import { HELD_RETRY_MS } from './quarantine.ts'
 import { RequestRecorder } from './request-recorder.ts'
+import { takeLeave, whyNoLeave, type SendingLeave } from './sending-leave.ts'
 
 /** An address that takes no connection for so long is left, in ms: many round trips between data centres of one region. */
 const CONNECT_MS = 350
@@ -30,9 +30,7 @@
 /** One attempt that is about to be sent. */
 interface Attempt {
   candidate: Candidate
-  permit: Permit
-  /** Whether its endpoint is cold, and the attempt has a grant. */
-  isGranted: boolean
+  leave: SendingLeave
 }
 
 export class Forwarding {
@@ -88,24 +86,18 @@
         this.refuse(admission.why, admission.afterMs)
         return
       }
-      const isGranted = this.services.coldEngines.isCold(candidate.endpoint)
-      const permit = this.takeLeave(candidate.endpoint)
-      if (permit === undefined) continue
-      const end = await this.attempt({ candidate, permit, isGranted })
+      const leave = await takeLeave(this.services, candidate.endpoint)
+      if (this.isOver) {
+        leave?.permit.released()
+        return
+      }
+      if (leave === undefined) continue
+      const end = await this.attempt({ candidate, leave })
       if (this.isOver) return
       this.follow(nextStep(this.state, candidate.endpoint.description.incarnation, end))
     }
   }
 
-  /** Takes leave to send to an endpoint; undefined where another request has used it since the choice. */
-  private takeLeave (endpoint: EndpointState): Permit | undefined {
-    const { notices, coldEngines } = this.services
-    const permit = notices.acquire(endpoint)
-    if (permit === undefined || coldEngines.take(endpoint)) return permit
-    permit.released()
-    return undefined
-  }
-
   /** Refuses a request under which endpoints crash. */
   private isHeld (): boolean {
     const why = this.services.quarantine.whyNot(this.call)
@@ -151,7 +143,7 @@
     return usable.some(({ description }) => !history.excluded.has(description.incarnation))
   }
 
-  private async attempt ({ candidate, permit, isGranted }: Attempt): Promise<AttemptEnd> {
+  private async attempt ({ candidate, leave }: Attempt): Promise<AttemptEnd> {
     const { call, services } = this
     const { endpoint, unreadTokens, urgency } = candidate
     this.resumedAt = undefined
@@ -169,13 +161,13 @@
     services.workExchange.noteSent(unreadTokens)
     this.recorder.dispatched(candidate)
     const noteCrossing = services.crossings.begin(call, endpoint)
-    const receiver = new AnswerReceiver(this, work, candidate, permit)
-    const exchange = this.send(candidate, receiver, isGranted)
+    const receiver = new AnswerReceiver(this, work, candidate, leave.permit)
+    const exchange = this.send(candidate, receiver, leave)
     this.exchange = exchange
     const watch = setInterval(() => this.watch(candidate, work), WATCH_MS)
     const end = receiver.endOf(await exchange.ended)
     clearInterval(watch)
-    permit.released()
+    leave.permit.released()
     noteCrossing(receiver.receivedBytes)
     const verdict = verdictOf(end)
     if (call.route.kind !== 'stream' && hasRun(end)) this.noteBegun(work.startedAt)
@@ -187,7 +179,7 @@
     return end
   }
 
-  private send (candidate: Candidate, receiver: AnswerReceiver, isGranted: boolean): Exchange {
+  private send (candidate: Candidate, receiver: AnswerReceiver, leave: SendingLeave): Exchange {
     const { call, services } = this
     const { description } = candidate.endpoint
     const service = services.view.table?.service(description.service)
@@ -198,22 +190,16 @@
       headers: this.headersFor(candidate),
       body: call.body,
       connectMs: CONNECT_MS,
-      whyNot: () => this.whyNotNow(candidate, isGranted),
+      whyNot: () => this.whyNotNow(candidate, leave),
       wasClosedWell: async () => await services.connections.wasClosedWell()
     }, receiver)
   }
 
   /** Why a request is not sent after all, once a connection is free. */
-  private whyNotNow (candidate: Candidate, isGranted: boolean): string | undefined {
+  private whyNotNow ({ endpoint }: Candidate, leave: SendingLeave): string | undefined {
     const { services, call } = this
-    const whyNot = whyNotPlace(services.eligibility, candidate.endpoint.description.dataCentre, call) ??
-      services.quarantine.whyNot(call) ?? services.notices.whyNotNow(candidate.endpoint)
-    return whyNot ?? (isGranted ? undefined : this.whyCold(candidate))
-  }
-
-  /** Why a request that was to go to a warm endpoint is not sent: it has turned cold, and no grant is at hand for it either. */
-  private whyCold ({ endpoint }: Candidate): string | undefined {
-    return this.services.coldEngines.take(endpoint) ? undefined : 'it has turned cold, and no grant is at hand'
+    return whyNotPlace(services.eligibility, endpoint.description.dataCentre, call) ??
+      services.quarantine.whyNot(call) ?? services.notices.whyNotNow(endpoint) ?? whyNoLeave(services, endpoint, leave)
   }
 
   private headersFor ({ endpoint, source, urgency }: Candidate): string[] {
--- a/entry/gateway/src/grant-asker.ts
+++ b/entry/gateway/src/grant-asker.ts
@@ -37,6 +37,8 @@
   purse: GrantPurse
   /** How many boxes ask. */
   entries: () => number
+  /** The limit that an endpoint has named, in requests a second; undefined where it takes any number. */
+  namedLimitOf?: ((incarnation: string) => number | undefined) | undefined
 }
 
 /** An endpoint that a request could have had with a grant. */
@@ -127,9 +129,11 @@
   }
 
   /** The time of a grant and of a refusal runs from the ask: control can't know for how long the answer was under way. */
-  private note ({ incarnation, requests, withinMs }: Grant, askedAt: number): void {
+  private note ({ incarnation, requests, withinMs, perSecond }: Grant, askedAt: number): void {
     const now = this.options.now()
     const until = askedAt + withinMs
+    // Control that does not know of limits grants without regard to them.
+    if (perSecond === undefined && this.options.namedLimitOf?.(incarnation) !== undefined) return
     if (requests > 0) this.options.purse.add(incarnation, { requests, until }, now)
     const wished = this.wished.get(incarnation)
     if (wished !== undefined && requests === 0) wished.notBefore = until
@@ -144,7 +148,8 @@
       if (requests <= 0) continue
       if (wishes.length === MAX_WISHES) break
       missing.set(wished.service, (missing.get(wished.service) ?? 0) - requests)
-      wishes.push({ incarnation: wished.incarnation, service: wished.service, requests })
+      const perSecond = this.options.namedLimitOf?.(wished.incarnation)
+      wishes.push({ incarnation: wished.incarnation, service: wished.service, requests, ...(perSecond === undefined ? {} : { perSecond }) })
     }
     return wishes
   }
--- a/entry/gateway/src/grant-purse.ts
+++ b/entry/gateway/src/grant-purse.ts
@@ -1,27 +1,28 @@
 /**
- * The grants that this box holds: how many requests it may send to which cold endpoint, and until when. Time is an argument;
- * what the box has slept since a grant counts against it.
+ * The grants that this box holds: how many requests it may send to which endpoint that is cold or limited, and until when. Time is
+ * an argument; what the box has slept since a grant counts against it.
  */
 import { suspensions } from '@gullwall/core.clock'
 
-interface HeldGrant {
+interface NewGrant {
   requests: number
   until: number
 }
 
-interface KeptGrant extends HeldGrant {
+/** A grant as it is held here. */
+export interface HeldGrant extends NewGrant {
   /** For how long the box had been suspended when the grant was noted, in ms. */
   sleptMs: number
 }
 
 export class GrantPurse {
-  private readonly grants = new Map<string, KeptGrant[]>()
+  private readonly grants = new Map<string, HeldGrant[]>()
 
   /** @param slept tells for how long this box has been suspended so far, in ms */
   constructor (private readonly slept: () => number = () => suspensions.slept()) {}
 
   /** Notes a grant; one that is over already is dropped. */
-  add (incarnation: string, grant: HeldGrant, now: number): void {
+  add (incarnation: string, grant: NewGrant, now: number): void {
     if (grant.requests <= 0 || grant.until <= now) return
     this.grants.set(incarnation, [...this.live(incarnation, now), { ...grant, sleptMs: this.slept() }])
   }
@@ -33,21 +34,29 @@
 
   /** Uses the grant that ends first for one request; false where there is none. What is used never comes back. */
   take (incarnation: string, now: number): boolean {
+    return this.takeGrant(incarnation, now) !== undefined
+  }
+
+  /** The same, and gives the grant. */
+  takeGrant (incarnation: string, now: number): HeldGrant | undefined {
     const [first] = this.live(incarnation, now).sort((left, right) => left.until - right.until)
-    if (first === undefined) return false
-    first.requests -= 1
-    return true
+    if (first !== undefined) first.requests -= 1
+    return first
+  }
+
+  /** Whether the time in which a grant is used has passed. */
+  isOver ({ until, sleptMs }: HeldGrant, now: number): boolean {
+    return now + this.slept() - sleptMs >= until
   }
 
   forget (incarnation: string): void {
     this.grants.delete(incarnation)
   }
 
-  private live (incarnation: string, now: number): KeptGrant[] {
+  private live (incarnation: string, now: number): HeldGrant[] {
     const held = this.grants.get(incarnation)
     if (held === undefined) return []
-    const slept = this.slept()
-    const live = held.filter(({ requests, until, sleptMs }) => requests > 0 && now + slept - sleptMs < until)
+    const live = held.filter((grant) => grant.requests > 0 && !this.isOver(grant, now))
     if (live.length > 0) this.grants.set(incarnation, live)
     else this.grants.delete(incarnation)
     return live
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -15,8 +15,10 @@
 import { DeploymentView } from './deployment-view.ts'
 import { type CallDialect } from './dialect.ts'
 import { type EligibilityRules } from './eligibility.ts'
+import { EndpointLimits } from './endpoint-limits.ts'
 import { EndpointNotices } from './endpoint-notices.ts'
 import { EvacuatedPlaces } from './evacuated-places.ts'
+import { GrantPurse } from './grant-purse.ts'
 import { Ingress } from './ingress.ts'
 import { gatewayMetrics, type GatewayMetrics } from './metrics.ts'
 import { nativeDialect } from './native-dialect.ts'
@@ -51,7 +53,9 @@
   crossings: RegionCrossings
   view: DeploymentView
   evacuatedPlaces: EvacuatedPlaces
+  grantPurse: GrantPurse
   coldEngines: ColdEngines
+  limits: EndpointLimits
   eligibility: EligibilityRules
   budget: RetryBudget
   outputs: OutputEstimate
@@ -91,7 +95,9 @@
     .service('view', (services) => new DeploymentView(services))
     .service('crossings', (services) => new RegionCrossings(services))
     .service('evacuatedPlaces', (services) => new EvacuatedPlaces(services))
+    .service('grantPurse', () => new GrantPurse())
     .service('coldEngines', createColdEngines)
+    .service('limits', createLimits)
     .service('eligibility', createEligibility)
     .service('budget', (services) => createBudget(services))
     .service('outputs', () => new OutputEstimate())
@@ -111,10 +117,10 @@
 }
 
 function createEligibility (services: GatewayServices): EligibilityRules {
-  const { evacuatedPlaces, coldEngines, notices } = services
+  const { evacuatedPlaces, coldEngines, limits, notices } = services
   // What an engine said of itself before its data centre was emptied may not hold any more.
   evacuatedPlaces.onWithdrawn((dataCentre) => coldEngines.assumeCold(dataCentre))
-  return { places: [evacuatedPlaces.rule, allowedRegions(services)], endpoints: [notices.rule, coldEngines.rule] }
+  return { places: [evacuatedPlaces.rule, allowedRegions(services)], endpoints: [notices.rule, coldEngines.rule, limits.rule] }
 }
 
 function createColdEngines (services: GatewayServices): ColdEngines {
@@ -127,6 +133,24 @@
     endpoints: () => view.all(),
     entries: () => view.entries,
     ask: async (wishes) => await services.controlLinks.askGrants(wishes),
-    wake: () => view.wake()
+    wake: () => view.wake(),
+    purse: services.grantPurse,
+    namedLimitOf: (incarnation) => services.limits.limitOf(incarnation)
   })
 }
+
+function createLimits (services: GatewayServices): EndpointLimits {
+  const { logger, view, coldEngines, grantPurse } = services
+  const limits = new EndpointLimits({
+    logger,
+    ask: async (wishes) => await services.controlLinks.askGrants(wishes),
+    wake: () => view.wake(),
+    now: () => performance.now(),
+    purse: grantPurse,
+    entries: () => view.entries,
+    isCold: (endpoint) => coldEngines.isCold(endpoint),
+    onOver: (incarnation) => coldEngines.noteReopened(incarnation)
+  })
+  view.onLimits(limits)
+  return limits
+}
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -27,7 +27,7 @@
 
 /** Gauges of what this process believes, read when they are asked for. */
 export function beliefGauges (registry: Registry, services: GatewayServices): void {
-  const { view, controlLinks, budget, evacuatedPlaces, crossings, coldEngines, quarantine, notices } = services
+  const { view, controlLinks, budget, evacuatedPlaces, crossings, coldEngines, limits, quarantine, notices } = services
   const add = (name: string, help: string, value: () => number) => {
     const metric = gauge(registry, name, help)
     Object.assign(metric, { collect: () => metric.set(value()) })
@@ -51,6 +51,12 @@
   add('gullwall_draining_heard_total', 'Endpoints of which an answer first told that they drain', () => notices.totals.draining)
   add('gullwall_unreadable_notices_total', 'Times and limits named by endpoints that could not be understood', () => notices.totals.unreadable)
   add('gullwall_limits_named_total', 'Answers in which endpoints named a limit of requests a second', () => notices.totals.limits)
+  add('gullwall_limited_endpoints', 'Endpoints that have named a limit, as this process knows', () => limits.size)
+  add('gullwall_limited_kept_requests_total', 'Requests kept from a limited endpoint for want of a grant', () => limits.totals.kept)
+  add('gullwall_limited_sent_requests_total', 'Requests sent to limited endpoints under a grant', () => limits.totals.sent)
+  add('gullwall_limited_withheld_requests_total', 'Requests kept back before their first byte', () => limits.totals.withheld)
+  add('gullwall_limited_asks_total', 'Asks for grants to limited endpoints', () => limits.asker.totals.asks)
+  add('gullwall_limited_failed_asks_total', 'Such asks that nobody answered', () => limits.asker.totals.failed)
   add('gullwall_cold_asks_total', 'Asks for grants', () => coldEngines.asker.totals.asks)
   add('gullwall_cold_failed_asks_total', 'Asks for grants that nobody answered', () => coldEngines.asker.totals.failed)
 }
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -22,7 +22,7 @@
   dispatched (candidate: Candidate): void {
     const { call, history, services } = this
     this.latest = candidate
-    const record = { ...this.record('dispatch'), why: whyOf(candidate) + services.coldEngines.noteOf(call) }
+    const record = { ...this.record('dispatch'), why: whyOf(candidate) + services.coldEngines.noteOf(call) + services.limits.noteOf(call) }
     if (history.isFirst) {
       services.metrics.queued.observe({ route: call.route.name }, this.elapsedMs / 1000)
       services.logger.sampled(candidate.leaving === undefined ? 'dispatch' : 'leave', record)
@@ -65,7 +65,8 @@
   /** Notes an end without a whole answer. */
   ended (decision: 'refuse' | 'fail' | 'cancel', outcome: string, why: string): void {
     this.count(outcome)
-    this.services.logger.info({ ...this.record(decision), ...this.timing(), why: why + this.services.coldEngines.noteOf(this.call) })
+    const { logger, coldEngines, limits } = this.services
+    logger.info({ ...this.record(decision), ...this.timing(), why: why + coldEngines.noteOf(this.call) + limits.noteOf(this.call) })
   }
 
   private count (outcome: string): void {
--- a/entry/gateway/src/warmth.ts
+++ b/entry/gateway/src/warmth.ts
@@ -47,10 +47,15 @@
 
   /** The share of the requests that may have it, besides those with a grant: it grows up to 1 once it has turned warm. */
   shareAt (now: number): number {
-    return Math.min(1, RAMP_START + (1 - RAMP_START) * (now - this.warmSince) / RAMP_MS)
+    return rampShare(this.warmSince, now)
   }
 }
 
+/** The share of the requests that may have an endpoint which was opened to them at a time: it grows up to 1. */
+export function rampShare (openedAt: number | undefined, now: number): number {
+  return openedAt === undefined ? 1 : Math.min(1, RAMP_START + (1 - RAMP_START) * (now - openedAt) / RAMP_MS)
+}
+
 function whatItSaid ({ heardAt, coldMs }: HeldLease, now: number): string {
   return `it said ${Math.round(now - heardAt)} ms ago: for ${coldMs ?? 0} ms`
 }
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -66,7 +66,7 @@
   isHome: true
 }
 const broken: AttemptEnd = { type: 'broken', why: 'reset', isClosed: true }
-const failed: AttemptEnd = { type: 'failed', head: { status: 500, headers: {} }, body: Buffer.alloc(0) }
+const failed: AttemptEnd = { type: 'failed', head: { status: 500, headers: {}, sentAt: 0 }, body: Buffer.alloc(0) }
 const notRun: AttemptEnd = { type: 'not-run', why: 'full', verdict: 'shed' }
 const unsent: AttemptEnd = { type: 'unsent', why: 'no connection' }
 
--- a/entry/gateway/test/cold-box.ts
+++ b/entry/gateway/test/cold-box.ts
@@ -5,6 +5,7 @@
 import { type Grant, type GrantWish } from '@gullwall/transport.messages'
 import { type Call } from '../src/call.ts'
 import { ColdEngines } from '../src/cold-engines.ts'
+import { GrantPurse } from '../src/grant-purse.ts'
 
 /** What the services of the tests say: 21 requests within a second by the deployment's overrun of 1.5 and slack of 5. */
 export const COLD_LIMIT = { perSecond: 11, startMs: 6000 }
@@ -33,7 +34,8 @@
         this.asked.push(wishes)
         return await this.answer(wishes)
       },
-      wake: () => { this.woken += 1 }
+      wake: () => { this.woken += 1 },
+      purse: new GrantPurse()
     })
   }
 
--- a/entry/gateway/test/cold-together.test.ts
+++ b/entry/gateway/test/cold-together.test.ts
@@ -73,7 +73,7 @@
     box.entries = this.play.boxes
     box.answer = async (wishes) => {
       this.asks += 1
-      return wishes.map((wish) => this.ledger.grant({ ...wish, bounds: [coldGrantBound(BOUND)] }, performance.now()))
+      return wishes.map((wish) => this.ledger.grant({ ...wish, box: name, bounds: [coldGrantBound(BOUND)] }, performance.now()))
     }
     return box
   }
--- a/entry/gateway/test/notices.test.ts
+++ b/entry/gateway/test/notices.test.ts
@@ -301,7 +301,7 @@
     vi.spyOn(gateway.get('controlLinks'), 'tellDraining').mockImplementationOnce(() => {})
     const { incarnation, service, address, dataCentre } = a
     const description = { incarnation, service, address, dataCentre, slots: 4 }
-    gateway.get('notices').take(description, 200, { isDraining: true, backOffMs: undefined })
+    gateway.get('notices').take(description, { status: 200, sentAt: performance.now(), notices: { isDraining: true, backOffMs: undefined } })
     const lease = control.get('leases').get(incarnation)
     expect(lease?.state).toBe('ready')
     if (lease !== undefined) control.get('registrar').changed([lease])
