fix(sidecar): an engine that names a limit gets no more than that, reports of its load included

The engine got 33 requests and reports in 4 s where it took 8: its sidecar passed heads on and read rest and draining only. The sidecar is the one way to its engines, so it keeps the limit by a meter of its own; slots are offered, and attempts admitted, within what is left, and reports are asked for only from what work leaves. What was sent before the limit was named is not held against it (the first form did, and left the engine without work for up to four seconds).

--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -6,8 +6,9 @@
  * and nothing is kept of the others. That a lease ran out is never told to others.
  */
 import { type Logger } from '@gullwall/core.logger'
+import { laterLimit, type HeldLimit } from '@gullwall/routing.rates'
 import { type Lease, type Life } from '@gullwall/transport.messages'
-import { laterLimit, limitFromWire, limitToWire, type HeldLimit } from './limit-words.ts'
+import { limitFromWire, limitToWire } from './limit-words.ts'
 
 const STATE_ORDER = { ready: 0, draining: 1, gone: 2 }
 
--- a/control/registry/test/limit-words.test.ts
+++ b/control/registry/test/limit-words.test.ts
@@ -1,8 +1,9 @@
 import { describe, expect, it } from 'vitest'
 import fc from 'fast-check'
 import { silentLogger } from '@gullwall/core.logger'
+import { laterLimit, type HeldLimit } from '@gullwall/routing.rates'
 import { type Lease } from '@gullwall/transport.messages'
-import { laterLimit, LeaseTable, type HeldLimit } from '../src/index.ts'
+import { LeaseTable } from '../src/index.ts'
 
 const SEED = Number(process.env['FUZZ_SEED'] ?? 20_265)
 
--- a/entry/gateway/test/limit-named.test.ts
+++ b/entry/gateway/test/limit-named.test.ts
@@ -1,9 +1,9 @@
 // Two engines of six named in their answers that they take 1 request a second from all boxes together. Nothing read that: five
 // gateways went on as before, and the two got 2.5 and 2.0 requests a second where they had got 2.4 and 2.3, up to 13 and 12
 // within 4 s. Callers saw nothing of it, the engines had more than they have room for. No gateway could have kept to it alone
-// either: one sent 8 of the 12 itself, another two of the 13, and each knew of its own sends only. In the lines of all five the
-// dispatches to the two go on without a pause,
-//   "decision":"dispatch" ... "endpoint":"i-702969f42e" ... "inFlight":1 ... "why":"least cost"
+// either: the 13 came from four gateways or more, and each knew of its own sends only. In the lines of all five the dispatches to
+// the two go on as before 8 s, when they named it, and no line speaks of a limit:
+//   "decision":"dispatch" ... "attempt":1 ... "endpoint":"i-702969f42e" ... "why":"least cost"
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { request } from 'undici'
--- a/entry/program/test/limit-named.test.ts
+++ b/entry/program/test/limit-named.test.ts
@@ -25,7 +25,7 @@
 /** What was under way when the limit was named may still arrive for so long, in ms. */
 const UNDER_WAY_MS = 500
 const SPACING_MS = 40
-const PLAY_MS = 9000
+const PLAY_MS = 13_000
 
 const deployment = new Deployment({
   records,
--- a/routing/dispatcher/test/world.ts
+++ b/routing/dispatcher/test/world.ts
@@ -7,6 +7,7 @@
 import { RecordMap } from '@gullwall/config.records'
 import { BackoffTable } from '@gullwall/routing.backoff'
 import { Dispatcher, type Grant, type RoutedRequest, type SidecarPort } from '@gullwall/routing.dispatcher'
+import { RateMeter } from '@gullwall/routing.rates'
 import { ReservationBook } from '@gullwall/routing.reservations'
 import { EndpointSlots } from '@gullwall/sidecar.slots'
 
@@ -200,6 +201,8 @@
       maxLimit: this.options.limit,
       book,
       offerIds: new IdSequence(name, 'o'),
+      meter: new RateMeter(),
+      onSend: () => {},
       backoffs: new BackoffTable({ onRoom: () => {} }),
       admitWithoutSlot: false,
       onChange: () => {},
--- a/routing/rates/src/rate-meter.ts
+++ b/routing/rates/src/rate-meter.ts
@@ -4,18 +4,22 @@
 
 /** The endpoint's clock may run by this share faster than the one here. */
 const CLOCK_MARGIN = 0.025
-/** What is sent before a limit is named counts once it is; so much is kept, in ms. */
+/** For so long a request is kept, in ms: a limit that is lowered may have a longer window. */
 const KEPT_MS = 12_000
 
 export class RateMeter {
-  private readonly log = new SendLog()
+  private log = new SendLog()
   private bound: RateBound | undefined
   /** What the endpoint named last, in requests a second. */
   perSecond: number | undefined
 
-  /** Takes the endpoint's word: requests a second, or none. Gives whether that is news. */
+  /**
+   * Takes the endpoint's word: requests a second, or none. Gives whether that is news. What was sent before it named a limit is not
+   * held against it: it would be sent nothing for a window just then.
+   */
   limit (perSecond: number | undefined): boolean {
     if (perSecond === this.perSecond) return false
+    if (this.perSecond === undefined) this.log = new SendLog()
     this.perSecond = perSecond
     const bound = perSecond === undefined ? undefined : boundOfRate(perSecond)
     this.bound = bound === undefined ? undefined : { ...bound, windowMs: bound.windowMs * (1 + CLOCK_MARGIN) }
@@ -43,7 +47,8 @@
 
   /** Notes a request that is sent now. */
   note (now: number): void {
-    this.log.forgetBefore(now - Math.max(KEPT_MS, this.bound?.windowMs ?? 0))
+    if (this.bound === undefined) return
+    this.log.forgetBefore(now - Math.max(KEPT_MS, this.bound.windowMs))
     this.log.add(1, now)
   }
 }
--- a/sidecar/program/src/endpoints.ts
+++ b/sidecar/program/src/endpoints.ts
@@ -42,6 +42,8 @@
       book,
       offerIds,
       backoffs: notices.backoffs,
+      meter: notices.meterOf(local.name),
+      onSend: () => notices.noteSent(local.name),
       admitWithoutSlot: settings.admitWithoutSlot,
       sendOffer: (entry, offer) => links().sendTo(entry, offer),
       onChange: () => links().loadChanged(local.name)
@@ -56,10 +58,12 @@
 }
 
 const POLL_MS = 1000
+/** The share of a limit that must be left for a report to be asked for. */
+const REPORT_SHARE = 0.5
 
 /**
  * Reads the engines' load reports, for the baselines and for the status page, and looks whether an endpoint that drains has
- * started again. One that wants to be left alone is asked for nothing.
+ * started again. One that wants to be left alone is asked for nothing, and one that names a limit only for what work leaves of it.
  */
 export class ReportPoller {
   private timer: NodeJS.Timeout | undefined
@@ -77,14 +81,23 @@
   private poll (): void {
     const { endpoints, notices } = this.services
     for (const [name, served] of endpoints) {
-      if (notices.backoffs.remainingMs(name) === 0) void this.pollOne(served)
+      if (notices.backoffs.remainingMs(name) > 0 || !this.hasRoomFor(name)) continue
+      void this.pollOne(served)
     }
   }
 
+  /** Work goes first: a report is asked for only while half of the limit is left. */
+  private hasRoomFor (name: string): boolean {
+    const meter = this.services.notices.meterOf(name)
+    return !meter.isLimited || meter.free(performance.now()) >= Math.max(1, REPORT_SHARE * meter.most)
+  }
+
   private async pollOne ({ endpoint, slots, local }: ServedEndpoint): Promise<void> {
     try {
+      if (endpoint.reportedLoad === undefined && !slots.isDraining) return
+      this.services.notices.noteSent(local.name)
       if (endpoint.reportedLoad !== undefined) slots.reportedInFlight = (await endpoint.reportedLoad()).inFlight
-      else if (slots.isDraining) await endpoint.probe()
+      else await endpoint.probe()
     } catch (error) {
       // A report that fails says nothing that attempts will not show better.
       const why = `no report: ${messageOf(error)}`
--- a/sidecar/program/src/engine-notices.ts
+++ b/sidecar/program/src/engine-notices.ts
@@ -1,16 +1,22 @@
 /**
  * Carries out what the endpoints of this box say of themselves in their answers: one that drains is offered to nobody until it
- * has started again, and one that wants to be left alone is asked for nothing for so long, not even for a report.
+ * has started again, one that wants to be left alone is asked for nothing for so long, not even for a report, and one that names a
+ * limit of requests a second gets no more than that. This process is the only way to them, so that it keeps the limit alone.
  */
 import { type AnyHead } from '@gullwall/endpoint.dialect'
 import { describeNotices, readNotices } from '@gullwall/endpoint.notices'
 import { BackoffTable, recordOfTurn } from '@gullwall/routing.backoff'
+import { laterLimit, RateMeter, type HeldLimit } from '@gullwall/routing.rates'
 import { type SidecarServices } from './index.ts'
 
 export class EngineNotices {
   readonly backoffs: BackoffTable
   /** Times asked for that could not be understood, since the start. */
   unreadable = 0
+  /** What endpoints said last of their limits. */
+  private readonly limits = new Map<string, HeldLimit>()
+  private readonly meters = new Map<string, RateMeter>()
+  private readonly roomTimers = new Map<string, NodeJS.Timeout>()
   /** Since when endpoints drain, by the monotonic clock. */
   private readonly drainingSince = new Map<string, number>()
 
@@ -27,6 +33,22 @@
 
   stop (): void {
     this.backoffs.stop()
+    for (const timer of this.roomTimers.values()) clearTimeout(timer)
+  }
+
+  /** What may be sent to an endpoint within a time. */
+  meterOf (endpoint: string): RateMeter {
+    const meter = this.meters.get(endpoint) ?? new RateMeter()
+    this.meters.set(endpoint, meter)
+    return meter
+  }
+
+  /** Notes a request that is sent to an endpoint now, of whatever kind. */
+  noteSent (endpoint: string): void {
+    const meter = this.meterOf(endpoint)
+    const now = performance.now()
+    meter.note(now)
+    this.lookAgainIn(endpoint, meter.waitMs(now))
   }
 
   /** Takes the head of any answer of an endpoint. */
@@ -38,6 +60,7 @@
     }
     if (notices.unreadable !== undefined) this.unreadable += 1
     this.backoffs.note(endpoint, notices.backOffMs ?? 0)
+    if (notices.limit !== undefined) this.noteLimit(endpoint, { ...notices.limit, sentAt, heardAt: performance.now() })
     const since = this.drainingSince.get(endpoint)
     if (notices.isDraining && since === undefined) this.setDraining(endpoint, true)
     // All answers of one that drains say so. An answer without the word to a later request comes from its next life.
@@ -47,10 +70,36 @@
   /** Forgets what an endpoint said, since it has crashed: its next life has said nothing. */
   forget (endpoint: string): void {
     this.backoffs.forget(endpoint)
+    this.limits.delete(endpoint)
+    this.meterOf(endpoint).limit(undefined)
     if (this.drainingSince.has(endpoint)) this.setDraining(endpoint, false)
     this.services.endpoints.get(endpoint)?.slots.roomChanged()
   }
 
+  private noteLimit (endpoint: string, word: HeldLimit): void {
+    const held = laterLimit(this.limits.get(endpoint), word)
+    if (held === undefined) return
+    this.limits.set(endpoint, held)
+    const meter = this.meterOf(endpoint)
+    if (!meter.limit(held.perSecond)) return
+    const event = held.perSecond === undefined ? 'unlimited' : 'limited'
+    const why = held.perSecond === undefined ? 'it names no limit any more' : `it takes ${held.perSecond} requests a second`
+    this.services.logger.info({ channel: 'endpoint', event, endpoint, why })
+    this.services.endpoints.get(endpoint)?.slots.roomChanged()
+    this.lookAgainIn(endpoint, meter.waitMs(performance.now()))
+  }
+
+  /** Offers what a limited endpoint takes once it takes more. */
+  private lookAgainIn (endpoint: string, ms: number): void {
+    clearTimeout(this.roomTimers.get(endpoint))
+    this.roomTimers.delete(endpoint)
+    if (ms <= 0) return
+    this.roomTimers.set(endpoint, setTimeout(() => {
+      this.services.endpoints.get(endpoint)?.slots.roomChanged()
+      this.lookAgainIn(endpoint, this.meterOf(endpoint).waitMs(performance.now()))
+    }, ms + 1))
+  }
+
   private setDraining (endpoint: string, isDraining: boolean): void {
     const { logger, endpoints, entryLinks } = this.services
     if (isDraining) this.drainingSince.set(endpoint, performance.now())
--- a/sidecar/slots/src/index.ts
+++ b/sidecar/slots/src/index.ts
@@ -6,6 +6,7 @@
 import { type IdSequence } from '@gullwall/core.ids'
 import { type BackoffTable, type Permit } from '@gullwall/routing.backoff'
 import { AdaptiveLimit, SampleWindow } from '@gullwall/routing.limits'
+import { type RateMeter } from '@gullwall/routing.rates'
 import { type ReservationBook } from '@gullwall/routing.reservations'
 import { type MessageOf } from '@gullwall/transport.messages'
 
@@ -31,6 +32,10 @@
   onChange: () => void
   /** The endpoints that asked this box to be left alone. */
   backoffs: BackoffTable
+  /** What may be sent to the endpoint within a time, by the limit that it names. */
+  meter: RateMeter
+  /** Told of each attempt that is about to be sent. */
+  onSend: () => void
   /** Takes attempts bound early by a baseline, whatever runs. */
   admitWithoutSlot: boolean
 }
@@ -88,17 +93,21 @@
     return this.isDraining ? 0 : Math.max(0, Math.min(this.limit.limit - taken, this.room - this.offers.size))
   }
 
-  /** How many attempts the endpoint itself takes now: none in a rest that it asked for, few right after it. */
+  /** How many attempts the endpoint itself takes now: none in a rest that it asked for or at its limit, few right after a rest. */
   private get room (): number {
-    return this.options.backoffs.room(this.options.name)
+    const { backoffs, meter, name } = this.options
+    return Math.min(backoffs.room(name), meter.free(performance.now()))
   }
 
   /** Gives the attempt a slot, or false: then it is not run. */
   admit (attempt: SlotAttempt, preempt: () => void): boolean {
     const mayRun = this.takeOffer(attempt) || this.options.admitWithoutSlot || this.mayGoAhead(attempt)
     // What the endpoint has said of itself since the offer counts.
-    const permit = mayRun && !this.isDraining ? this.options.backoffs.acquire(this.options.name) : undefined
+    const { backoffs, meter, name, onSend } = this.options
+    const isTaken = mayRun && !this.isDraining && meter.free(performance.now()) >= 1
+    const permit = isTaken ? backoffs.acquire(name) : undefined
     if (permit === undefined) return false
+    onSend()
     this.running.set(attempt.attemptId, { ...attempt, preempt, permit, startedAt: performance.now() })
     if (this.spare === 0) this.limit.noteFull()
     this.options.onChange()
@@ -199,7 +208,7 @@
       failuresInRow: this.failuresInRow,
       reportedInFlight: this.reportedInFlight,
       preemptableTier: this.lowestPreemptableTier(),
-      backOffMs: Math.round(this.options.backoffs.remainingMs(this.options.name))
+      backOffMs: Math.round(Math.max(this.options.backoffs.remainingMs(this.options.name), this.options.meter.waitMs(performance.now())))
     }
   }
 
