fix(control): a new leader grants under limits soon after its lease, less what the one before may have granted

The ledger waited for the whole span of a limit, as it does for cold endpoints. It now counts, from the end of the lease on, what the leader before may have granted as late as it can have been, which its own pacing bounds (a quarter of the window has a quarter of the requests, and one); the word of a limit spreads in 250 ms, no heartbeat is waited for. Fuzz as before, four mistakes still caught; the log's own test hands over between two at any moment.

--- a/control/program/src/grant-ledger.ts
+++ b/control/program/src/grant-ledger.ts
@@ -20,6 +20,8 @@
   maxGrant: number
   /** Whether boxes that are refused are asked to come back one after the other, and not as soon as there is more. */
   isQueued: boolean
+  /** Nothing is granted for so long after the endpoint was first asked for, in ms: boxes that had not heard of it sent as they liked. */
+  settleMs: number
 }
 
 /** The time in which a cold endpoint's requests are counted, in ms. */
@@ -35,8 +37,11 @@
 /** How much faster the clock of the ledger may run than that of an endpoint, and than that of a box that uses a grant. */
 const ENDPOINT_CLOCK_MARGIN = 0.025
 const BOX_CLOCK_MARGIN = 0.05
-/** An endpoint is granted nothing for so long after it was first asked for, in ms: boxes that had not heard of it sent as they liked. */
+/** A cold endpoint settles for so long, in ms: a heartbeat and its way to all boxes. */
 export const SETTLE_MS = 1100
+/** One that has named a limit, in ms: the way of the word to all boxes. */
+export const LIMIT_SETTLE_MS = 250
+const COLD_PARTS = 2
 /** An endpoint that nobody has asked for is forgotten after this time, in ms: longer than any span, and than pauses of light traffic. */
 const FORGET_MS = 30_000
 /** After the end that it told, an endpoint that is cold for longer than this has turned cold again, in ms: more than clocks do. */
@@ -50,14 +55,24 @@
 
 /** The bound of a cold endpoint, for so many requests within any second. */
 export function coldGrantBound (requests: number): GrantBound {
-  return { requests, windowMs: WINDOW_MS, useMs: GRANT_USE_MS, sentWithinMs: SENT_WITHIN_MS, maxGrant: MAX_GRANT, isQueued: false }
+  return {
+    requests,
+    windowMs: WINDOW_MS,
+    parts: COLD_PARTS,
+    extra: 0,
+    useMs: GRANT_USE_MS,
+    sentWithinMs: SENT_WITHIN_MS,
+    maxGrant: MAX_GRANT,
+    isQueued: false,
+    settleMs: SETTLE_MS
+  }
 }
 
 /** The bound of an endpoint that takes so many requests a second; undefined where that bounds nothing. */
 export function limitGrantBound (perSecond: number): GrantBound | undefined {
   const bound = boundOfRate(perSecond)
   if (bound === undefined) return undefined
-  return { ...bound, useMs: LIMIT_USE_MS, sentWithinMs: 0, maxGrant: bound.requests, isQueued: true }
+  return { ...bound, useMs: LIMIT_USE_MS, sentWithinMs: 0, maxGrant: bound.requests, isQueued: true, settleMs: LIMIT_SETTLE_MS }
 }
 
 /** Grants that are further apart than this have nothing in one window of the bound, in ms. */
@@ -72,6 +87,8 @@
 interface Account {
   /** When it was first asked for, since the start or since it has turned cold again. */
   firstAskedAt: number
+  /** Whether what another ledger may have granted of it is counted. */
+  isAssumed: boolean
   /** Until when it is cold by its word. */
   coldUntil: number | undefined
   askedAt: number
@@ -94,11 +111,12 @@
 
 export interface LedgerOptions {
   /**
-   * Nothing is granted before, since what another ledger has granted may still be sent; under a bound with a longer span than that
-   * of cold endpoints nothing is granted for so much longer.
+   * Nothing is granted to cold endpoints before: what another ledger has granted may still be sent. It granted its last a span of such
+   * grants earlier at the latest; from then on there are grants under limits, less what it may have granted of them.
    */
   opensAt: number
   spanOf?: (bound: GrantBound) => number
+  /** Instead of the times of the bounds, in ms. */
   settleMs?: number
 }
 
@@ -106,9 +124,9 @@
   private readonly accounts = new Map<string, Account>()
   private readonly opensAt: number
   private readonly spanOf: (bound: GrantBound) => number
-  private readonly settleMs: number
+  private readonly settleMs: number | undefined
 
-  constructor ({ opensAt, spanOf: span = spanOf, settleMs = SETTLE_MS }: LedgerOptions) {
+  constructor ({ opensAt, spanOf: span = spanOf, settleMs }: LedgerOptions) {
     this.opensAt = opensAt
     this.spanOf = span
     this.settleMs = settleMs
@@ -122,7 +140,7 @@
     const spans = bounds.map((bound) => ({ ...bound, windowMs: this.spanOf(bound) }))
     const longest = Math.max(SPAN_MS, ...spans.map(({ windowMs }) => windowMs))
     account.grants.forgetBefore(now - Math.max(longest, FORGET_MS))
-    const opensAt = Math.max(this.opensAt + longest - SPAN_MS, account.firstAskedAt + this.settleMs)
+    const opensAt = this.opensFor(account, spans)
     if (now < opensAt) return refusal(incarnation, turnAfter(account, box, { bounds, freeMs: opensAt - now, now }))
     const free = spans.map((span) => Math.min(span.maxGrant, account.grants.free(span, now)))
     const granted = Math.min(requests, ...(free.length === 0 ? [0] : free))
@@ -144,10 +162,25 @@
     return this.accounts.size
   }
 
+  /** When the first request may be granted under all of the bounds; counts what another ledger may have granted under limits. */
+  private opensFor (account: Account, spans: readonly GrantBound[]): number {
+    const othersEndedAt = this.opensAt - SPAN_MS
+    const limit = spans.find(({ isQueued }) => isQueued)
+    if (limit !== undefined && !account.isAssumed) {
+      account.isAssumed = true
+      account.grants.assumeUsed(limit, othersEndedAt)
+    }
+    const isCold = spans.some(({ isQueued }) => !isQueued)
+    const settleMs = this.settleMs ?? Math.max(0, ...spans.map((bound) => bound.settleMs))
+    return Math.max(isCold ? this.opensAt : othersEndedAt, account.firstAskedAt + settleMs)
+  }
+
   private accountOf (incarnation: string, now: number): Account {
     const known = this.accounts.get(incarnation)
     if (known !== undefined) return known
-    const account: Account = { firstAskedAt: now, coldUntil: undefined, askedAt: now, grants: new SendLog(), queue: new Map() }
+    const account: Account = {
+      firstAskedAt: now, isAssumed: false, coldUntil: undefined, askedAt: now, grants: new SendLog(), queue: new Map()
+    }
     this.accounts.set(incarnation, account)
     return account
   }
--- a/control/program/test/grants.fuzz.test.ts
+++ b/control/program/test/grants.fuzz.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import fc from 'fast-check'
+import { GRANT_LEASE_MS } from '../src/grant-duty.ts'
 import { coldGrantBound, GrantLedger, GRANT_USE_MS, limitGrantBound, SPAN_MS, spanOf, WINDOW_MS, type GrantBound } from '../src/grant-ledger.ts'
 import { BOXES, GrantModel, type ModelOptions, type Step, type Use } from './grant-model.ts'
 
@@ -83,10 +84,11 @@
 
 describe('grants to an endpoint that has named a limit', () => {
   const limited = (perSecond: number) => limitGrantBound(perSecond) as GrantBound
-  /** As much happens within a window of the bound as within one of a cold endpoint. */
-  const stretched = ({ windowMs }: GrantBound) => plays.map((steps) => (
-    steps.map((step) => ({ ...step, afterMs: step.afterMs * windowMs / WINDOW_MS }))
-  ))
+  /** As much happens within a window of the bound as within one of a cold endpoint, and requests are there for all that it allows. */
+  const stretched = ({ windowMs, requests: most }: GrantBound) => plays.map((steps) => steps.map((step): Step => {
+    const afterMs = step.afterMs * windowMs / WINDOW_MS
+    return step.type === 'ask' ? { ...step, afterMs, requests: Math.max(step.requests, most) } : { ...step, afterMs }
+  }))
 
   it.each([0, 0.3, 1, 20])('never let more than %d requests a second be sent over any four seconds', async (perSecond) => {
     const bound = limited(perSecond)
@@ -108,7 +110,7 @@
     ['a leader that does not wait for what the one before has granted', { leaseMs: 1, newLedger: (now: number) => new GrantLedger({ opensAt: now - spanOf(limited(1)), settleMs: 0 }) }],
     ['a leader that does not have its lease confirmed', { neverConfirms: true }],
     ['a ledger that forgets that grants are used late', {
-      newLedger: (now: number) => new GrantLedger({ opensAt: now + SPAN_MS, spanOf: ({ windowMs }: GrantBound) => windowMs })
+      newLedger: (now: number) => new GrantLedger({ opensAt: now + GRANT_LEASE_MS + SPAN_MS, spanOf: ({ windowMs }) => windowMs })
     }],
     ['a box that counts the time of a grant from its answer', { countsFromAnswer: true }]
   ])('would let more with %s', async (_name, mistake: Partial<ModelOptions>) => {
--- a/routing/rates/src/send-log.ts
+++ b/routing/rates/src/send-log.ts
@@ -1,8 +1,5 @@
 /** What was sent to one endpoint, or granted to be sent, and how much of a bound is left. */
-import { type RateBound } from './rate-bound.ts'
-
-/** Within this part of a bound's window the same part of its requests is sent, so that an endpoint has its work evenly. */
-const PACED_SHARE = 0.5
+import { mostInPart, type RateBound } from './rate-bound.ts'
 
 interface Sent {
   at: number
@@ -23,15 +20,29 @@
     if (first !== undefined && first.at < at) this.sent = this.sent.filter((entry) => entry.at >= at)
   }
 
+  /**
+   * Counts as much as somebody else may have sent within the bound until a time, as late as it may have been: whatever was sent in
+   * truth, no window that ends later holds more of it.
+   */
+  assumeUsed (bound: RateBound, until: number): void {
+    const assumed: Sent[] = []
+    for (let part = 0, left = bound.requests; left > 0; part += 1) {
+      const requests = Math.min(left, mostInPart(bound))
+      assumed.unshift({ at: until - part * bound.windowMs / bound.parts, requests })
+      left -= requests
+    }
+    this.sent = [...assumed, ...this.sent].sort((left, right) => left.at - right.at)
+  }
+
   /** How many more may be sent now, over the whole window and over its latest part. */
-  free ({ requests, windowMs }: RateBound, now: number): number {
-    const paced = Math.ceil(PACED_SHARE * requests)
-    return Math.max(0, Math.min(requests - this.since(now - windowMs), paced - this.since(now - PACED_SHARE * windowMs)))
+  free (bound: RateBound, now: number): number {
+    const { requests, windowMs, parts } = bound
+    return Math.max(0, Math.min(requests - this.since(now - windowMs), mostInPart(bound) - this.since(now - windowMs / parts)))
   }
 
   /** When what was sent next ceases to count, in ms from now; the whole window where nothing does. */
-  untilFree ({ windowMs }: RateBound, now: number): number {
-    const waits = this.sent.flatMap(({ at }) => [at + PACED_SHARE * windowMs - now, at + windowMs - now])
+  untilFree ({ windowMs, parts }: RateBound, now: number): number {
+    const waits = this.sent.flatMap(({ at }) => [at + windowMs / parts - now, at + windowMs - now])
     return Math.min(windowMs, ...waits.filter((ms) => ms > 0))
   }
 
--- a/routing/rates/test/rates.test.ts
+++ b/routing/rates/test/rates.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import fc from 'fast-check'
-import { boundOfRate, LEAST_PER_SECOND, LIMIT_WINDOW_MS, RateMeter, SendLog } from '../src/index.ts'
+import { boundOfRate, LEAST_PER_SECOND, LIMIT_WINDOW_MS, RateMeter, SendLog, type RateBound } from '../src/index.ts'
 
 const SEED = Number(process.env['FUZZ_SEED'] ?? 20_264)
 
@@ -30,9 +30,10 @@
 })
 
 describe('the log of what was sent', () => {
-  it('frees half of the bound in each half of the window, and says when', () => {
+  const bound = { requests: 4, windowMs: 4000, parts: 2, extra: 0 }
+
+  it('frees a part of the bound in each part of the window, and says when', () => {
     const log = new SendLog()
-    const bound = { requests: 4, windowMs: 4000 }
     expect(log.free(bound, 0)).toBe(2)
     log.add(2, 0)
     expect(log.free(bound, 0)).toBe(0)
@@ -41,6 +42,29 @@
     log.add(2, 2001)
     expect(log.free(bound, 3999)).toBe(0)
     expect(log.free(bound, 4002)).toBe(2)
+    expect(new SendLog().free({ ...bound, extra: 1 }, 0)).toBe(3)
+    expect(new SendLog().free({ ...bound, extra: 9 }, 0)).toBe(4)
+  })
+
+  it('that assumes what another one has let through never lets more through together with it', () => {
+    const any = fc.record({ perSecond: fc.constantFrom(0.3, 1, 3, 20), gaps: fc.array(fc.nat(400), { minLength: 50, maxLength: 200, size: 'max' }) })
+    fc.assert(fc.property(any, fc.nat(6000), fc.nat(500), ({ perSecond, gaps }, handedOverAt, pauseMs) => {
+      const limit = boundOfRate(perSecond) as RateBound
+      const logs = [new SendLog(), new SendLog()] as const
+      logs[1].assumeUsed(limit, handedOverAt)
+      const sent: number[] = []
+      let now = 0
+      for (const gap of gaps) {
+        now += gap
+        const log = now <= handedOverAt ? logs[0] : logs[1]
+        if (log === logs[1] && now < handedOverAt + pauseMs) continue
+        for (let free = log.free(limit, now); free > 0; free -= 1) {
+          log.add(1, now)
+          sent.push(now)
+        }
+        expect(sent.filter((at) => at > now - limit.windowMs).length).toBeLessThanOrEqual(limit.requests)
+      }
+    }), { seed: SEED })
   })
 })
 
