--- a/bench/soak/src/checks/engines.ts
+++ b/bench/soak/src/checks/engines.ts
@@ -4,6 +4,11 @@
 import { type Check, type Violation } from './violation.ts'
 
 const SECOND_MS = 1000
+const LIMIT_WINDOW_MS = 4000
+/** Below it requests tell whether a limit is over. */
+const LEAST_PER_SECOND = 0.1
+/** Requests that arrive later than they were sent: one may fall into the window of the next. */
+const ON_ITS_WAY = 1
 /** With so many engines ended under a request it is to be known. */
 const CRASHES_TO_KNOW = 3
 
@@ -75,6 +80,21 @@
   return [{ check: 'rest', at: oneTooMany.at, subject: `${incarnation} ${Math.round(at)}`, what }]
 })
 
+/** An engine that names a limit gets no more than that over any four seconds, from all gateways that nothing has disturbed since. */
+export const limitIsKept: Check = ({ journal, bounds }) => journal.limits.flatMap(({ incarnation, perSecond, from, to }) => {
+  const named = journal.arrivals.find((arrival) => arrival.incarnation === incarnation && arrival.at >= from && arrival.at < to)
+  const since = (named?.at ?? Infinity) + bounds.limitHeardMs
+  const counted = journal.arrivals.filter((arrival) => (
+    arrival.incarnation === incarnation && arrival.at >= since && arrival.at < to && journal.isCalm([arrival.from], since, arrival.at)
+  ))
+  const most = Math.ceil(Math.max(perSecond, LEAST_PER_SECOND) * LIMIT_WINDOW_MS / SECOND_MS) + ON_ITS_WAY
+  return counted.flatMap(({ at, id, from: gateway }, index) => {
+    const within = counted.slice(index).filter((arrival) => arrival.at < at + LIMIT_WINDOW_MS).length
+    const what = `at ${incarnation} from ${gateway} and others: ${within} within ${LIMIT_WINDOW_MS} ms, ${perSecond} a second named`
+    return within > most ? [{ check: 'limit', at, subject: id, what }] : []
+  })
+})
+
 /** A gateway that was told in an answer that an engine drains sends nothing there that came later, whatever else it hears. */
 export const drainWordIsKept: Check = ({ journal, bounds }) => journal.drainWords.flatMap(({ incarnation, from, at }) => {
   const late = journal.runs.find((run) => (
--- a/bench/soak/src/checks/violation.ts
+++ b/bench/soak/src/checks/violation.ts
@@ -19,6 +19,8 @@
   evacuationMs: number
   /** What was under way to an engine that asks for rest arrives within this time. */
   underWayMs: number
+  /** From then on after an engine first named a limit all gateways keep to it. */
+  limitHeardMs: number
   /** A caller that sends later than this after an engine told that it drains has another one. */
   drainMs: number
   /** After its third crash a request is known. */
@@ -28,7 +30,14 @@
 }
 
 export const BOUNDS: Bounds = {
-  configurationMs: 4000, leavingMs: 3000, evacuationMs: 5000, underWayMs: 500, drainMs: 2000, knownMs: 3000, crossingMs: 250
+  configurationMs: 4000,
+  leavingMs: 3000,
+  evacuationMs: 5000,
+  underWayMs: 500,
+  limitHeardMs: 1500,
+  drainMs: 2000,
+  knownMs: 3000,
+  crossingMs: 250
 }
 
 export interface CheckInput {
--- a/bench/soak/src/engine.ts
+++ b/bench/soak/src/engine.ts
@@ -57,6 +57,8 @@
   isUnheard = false
   sequence = 0
   coldUntil = 0
+  /** Requests a second that its answers name; none where they name none. */
+  perSecond: number | undefined
   target = ''
   private server: Server | undefined
   private running = new Set<ServerResponse>()
@@ -75,6 +77,7 @@
     this.behaviour = 'well'
     this.isUnheard = false
     this.hasRested = false
+    this.perSecond = undefined
     this.sequence = 0
     this.running = new Set()
     this.coldUntil = journal.now + coldMs
@@ -132,7 +135,8 @@
 
   private noteArrival (id: string, from: string, response: ServerResponse): void {
     const { journal } = this.options
-    if (this.hasRested) journal.arrivals.push({ id, incarnation: this.incarnation, from, at: journal.now })
+    if (this.hasRested || this.perSecond !== undefined) journal.arrivals.push({ id, incarnation: this.incarnation, from, at: journal.now })
+    if (this.perSecond !== undefined) response.setHeader('x-gullwall-limit', String(this.perSecond))
     if (this.state !== 'draining') return
     response.setHeader('x-gullwall-draining', '1')
     // The word is on its way from the first byte on, which any end of the answer has behind it.
--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -29,6 +29,8 @@
 
 type Act = (world: World, fault: PlannedFault) => Promise<void>
 
+/** Limits that engines name, in requests a second: less than they would get. */
+const LIMITS = [0, 0.5, 1, 2]
 const DELAY_MS = 150
 const BURST = 3
 const LINGER_MS = 6000
@@ -93,6 +95,7 @@
   'engine asks for rest': async (world, fault) => await misbehave(world, fault, 'resting'),
   'all engines ask for rest': restTogether,
   'engine leaves unheard': leaveUnheard,
+  'engine names a limit': nameLimit,
   burst: async ({ callers }, { durationMs }) => {
     callers.load *= BURST
     await pause(durationMs)
@@ -243,6 +246,23 @@
   await Promise.all(names.map(async (engine) => await misbehave(world, { ...fault, engine, durationMs }, 'resting')))
 }
 
+/** An engine names a limit in its answers, then another one, and then none. */
+async function nameLimit ({ site }: World, { engine: name, durationMs }: PlannedFault): Promise<void> {
+  const engine = site.engineNamed(name)
+  if (engine === undefined || engine.state !== 'ready') return
+  const { incarnation } = engine
+  const { journal } = site
+  const end = journal.disturb(name, 'names a limit')
+  for (const perSecond of [engine.options.random.pick(LIMITS), engine.options.random.pick(LIMITS)]) {
+    const from = journal.now
+    if (engine.incarnation === incarnation) engine.perSecond = perSecond
+    await pause(durationMs / 2)
+    journal.limits.push({ incarnation, perSecond, from, to: journal.now })
+  }
+  if (engine.incarnation === incarnation) engine.perSecond = undefined
+  end()
+}
+
 /** An engine leaves while its heartbeats reach nobody: only its answers say so. */
 async function leaveUnheard ({ site }: World, { engine: name }: PlannedFault): Promise<void> {
   const engine = site.engineNamed(name)
--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -74,12 +74,15 @@
 /** An engine turned a gateway away and asked it for rest. */
 export interface RestAsked { incarnation: string, from: string, at: number, ms: number }
 
-/** Any request that reached an engine which somebody had been asked to leave alone. */
+/** Any request that reached an engine which had asked somebody for rest, or named a limit. */
 export interface Arrival { id: string, incarnation: string, from: string, at: number }
 
 /** An engine told a gateway, in the head of an answer, that it drains. */
 export interface DrainWord { incarnation: string, from: string, at: number }
 
+/** A time in which the answers of an engine named a limit, in requests a second. */
+export interface LimitSpell { incarnation: string, perSecond: number, from: number, to: number }
+
 /** A time in which an engine was cold. */
 export interface ColdSpell { incarnation: string, from: number, to: number }
 
@@ -103,6 +106,7 @@
   readonly rests: RestAsked[] = []
   readonly arrivals: Arrival[] = []
   readonly drainWords: DrainWord[] = []
+  readonly limits: LimitSpell[] = []
   /** Answers of control to callers without its token. */
   readonly intrusions: Array<{ at: number, path: string, status: number }> = []
   private readonly runsById = new Map<string, Run[]>()
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -45,6 +45,22 @@
     replace: '',
     faults: ['all engines ask for rest', 'burst']
   },
+  {
+    name: 'limit-not-heard',
+    check: 'limit',
+    file: `${GATEWAY}/endpoint-notices.ts`,
+    find: 'if (!view.leases.noteLimit(incarnation, word)) return',
+    replace: 'return',
+    faults: ['engine names a limit', 'burst']
+  },
+  {
+    name: 'limit-not-shared',
+    check: 'limit',
+    file: 'control/program/src/grant-ledger.ts',
+    find: 'account.grants.add(granted, now)',
+    replace: '',
+    faults: ['engine names a limit', 'burst']
+  },
   {
     name: 'draining-not-heard',
     check: 'drains',
--- a/cli/gullwall/src/commands/status.ts
+++ b/cli/gullwall/src/commands/status.ts
@@ -36,6 +36,8 @@
   leaving?: { requests: number, bytes: number }
   /** Endpoints that a gateway knows to be cold. */
   cold?: number
+  /** Endpoints that have named a limit, in requests a second. */
+  limited?: Array<{ endpoint: string, perSecond: number }>
 }
 
 export interface WholeStatus {
@@ -108,14 +110,17 @@
   return left <= 0 ? [...names] : [...names.slice(0, MAX_NAMED), `and ${left} more`]
 }
 
+type GatewayFacts = Pick<ProcessStatus, 'version' | 'documentAgeMs' | 'leaving' | 'cold' | 'limited'>
+
 /** What only gateways tell. */
-function formatGateway ({ version, documentAgeMs, leaving, cold = 0 }: Pick<ProcessStatus, 'version' | 'documentAgeMs' | 'leaving' | 'cold'>): string {
+function formatGateway ({ version, documentAgeMs, leaving, cold = 0, limited = [] }: GatewayFacts): string {
   const facts: string[] = []
   if (documentAgeMs !== undefined) facts.push(`document ${version} in force for ${Math.round(documentAgeMs / MS_PER_SECOND)} s`)
   if (leaving !== undefined && leaving.requests > 0) {
     facts.push(`${leaving.requests} requests to other regions`, `${Math.round(leaving.bytes / BYTES_PER_KB)} kB`)
   }
   if (cold > 0) facts.push(`${cold} cold endpoints`)
+  if (limited.length > 0) facts.push(`${limited.length} limited endpoints`)
   return facts.length === 0 ? '' : `: ${facts.join(', ')}`
 }
 
