refactor(gateway): a request that needs no grant begins in the same turn as it is chosen

Taking leave had become asynchronous for all requests, so that two that look in one turn could choose the same endpoint before either counted there. Only requests that have to ask wait now.

--- a/entry/gateway/src/endpoint-limits.ts
+++ b/entry/gateway/src/endpoint-limits.ts
@@ -93,11 +93,15 @@
     return this.purse.left(incarnation, this.options.now()) > 0 ? 0 : this.asker.waitMs(incarnation)
   }
 
-  /** Asks for a grant where the endpoint is limited and none is at hand; resolves once there is an answer, or none in time. */
+  /** Whether a request that is to go to an endpoint has to ask for a grant first: it is limited, and none is at hand. */
+  mustAsk ({ description: { incarnation } }: EndpointState): boolean {
+    return this.limits.has(incarnation) && this.purse.left(incarnation, this.options.now()) === 0
+  }
+
+  /** Asks for a grant for one request; resolves once there is an answer, or none in time. */
   async askFor (endpoint: EndpointState): Promise<void> {
     const { incarnation, service } = endpoint.description
     const perSecond = this.limits.get(incarnation)
-    if (perSecond === undefined || this.purse.left(incarnation, this.options.now()) > 0) return
     await this.asker.ask({ incarnation, service, perSecond, isWarm: !this.options.isCold(endpoint) })
   }
 
--- a/entry/gateway/src/forward.ts
+++ b/entry/gateway/src/forward.ts
@@ -86,11 +86,10 @@
         this.refuse(admission.why, admission.afterMs)
         return
       }
-      const leave = await takeLeave(this.services, candidate.endpoint)
-      if (this.isOver) {
-        leave?.permit.released()
-        return
-      }
+      const { limits } = this.services
+      if (limits.mustAsk(candidate.endpoint)) await limits.askFor(candidate.endpoint)
+      if (this.isOver) return
+      const leave = takeLeave(this.services, candidate.endpoint)
       if (leave === undefined) continue
       const end = await this.attempt({ candidate, leave })
       if (this.isOver) return
--- a/entry/gateway/src/grant-asker.ts
+++ b/entry/gateway/src/grant-asker.ts
@@ -28,6 +28,11 @@
 /** One ask names so many endpoints at most; the next one names others. */
 const MAX_WISHES = 32
 
+/** The time between two asks of one of so many boxes, in ms, so that all of them together do not ask more than is answered. */
+export function askSpacingMs (boxes: number): number {
+  return 1000 * boxes / ASKS_PER_SECOND
+}
+
 export interface GrantAskerOptions {
   box: string
   logger: Logger
@@ -117,7 +122,7 @@
   private async askFor (wishes: GrantWish[], askedAt: number): Promise<void> {
     const { ask, wake, logger, now, entries } = this.options
     this.totals.asks += 1
-    this.nextAskAt = askedAt + Math.max(SPACING_MS, 1000 * entries() / ASKS_PER_SECOND)
+    this.nextAskAt = askedAt + Math.max(SPACING_MS, askSpacingMs(entries()))
     try {
       for (const grant of await ask(wishes)) this.note(grant, askedAt)
       wake()
@@ -133,10 +138,10 @@
     const now = this.options.now()
     const until = askedAt + withinMs
     // Control that does not know of limits grants without regard to them.
-    if (perSecond === undefined && this.options.namedLimitOf?.(incarnation) !== undefined) return
-    if (requests > 0) this.options.purse.add(incarnation, { requests, until }, now)
+    const isUsable = requests > 0 && (perSecond !== undefined || this.options.namedLimitOf?.(incarnation) === undefined)
+    if (isUsable) this.options.purse.add(incarnation, { requests, until }, now)
     const wished = this.wished.get(incarnation)
-    if (wished !== undefined && requests === 0) wished.notBefore = until
+    if (wished !== undefined && !isUsable) wished.notBefore = until
   }
 
   /** What to ask for: as much as the requests of late need beyond what is at hand, at the endpoints that this box prefers. */
--- a/entry/gateway/src/on-demand-asker.ts
+++ b/entry/gateway/src/on-demand-asker.ts
@@ -5,6 +5,7 @@
 import { messageOf } from '@gullwall/core.error'
 import { type Logger } from '@gullwall/core.logger'
 import { type Grant, type GrantWish } from '@gullwall/transport.messages'
+import { askSpacingMs } from './grant-asker.ts'
 import { type GrantPurse } from './grant-purse.ts'
 
 /** A request waits for an answer of control for so long, in ms; then it goes elsewhere. */
@@ -13,9 +14,7 @@
 const FAILED_SPACING_MS = 400
 /** One ask names so many endpoints at most. */
 const MAX_WISHES = 32
-/** So many asks a second are begun by all boxes together, at most: one process answers them. */
-const ASKS_PER_SECOND = 2000
-/** Many boxes together exceed that rather than let requests wait longer between two asks, in ms. */
+/** Many boxes together ask more than control is to answer rather than let requests wait longer between two asks, in ms. */
 const MAX_SPACING_MS = 50
 
 export interface OnDemandAskerOptions {
@@ -98,7 +97,7 @@
     for (const { wanted } of asked) this.pending.delete(wanted.incarnation)
     const askedAt = now()
     this.totals.asks += 1
-    this.nextAskAt = askedAt + Math.min(MAX_SPACING_MS, 1000 * entries() / ASKS_PER_SECOND)
+    this.nextAskAt = askedAt + Math.min(MAX_SPACING_MS, askSpacingMs(entries()))
     try {
       const grants = await ask(asked.map(({ wanted, waiters }) => ({ ...wanted, requests: waiters.length })))
       for (const grant of grants) this.note(grant, askedAt)
--- a/entry/gateway/src/sending-leave.ts
+++ b/entry/gateway/src/sending-leave.ts
@@ -15,9 +15,8 @@
 type LeaveServices = Pick<GatewayServices, 'notices' | 'coldEngines' | 'limits' | 'grantPurse'>
 
 /** Takes leave to send one request; undefined where there is none, or another request has used it since the choice. */
-export async function takeLeave (services: LeaveServices, endpoint: EndpointState): Promise<SendingLeave | undefined> {
-  const { notices, coldEngines, limits } = services
-  await limits.askFor(endpoint)
+export function takeLeave (services: LeaveServices, endpoint: EndpointState): SendingLeave | undefined {
+  const { notices, coldEngines } = services
   const isCold = coldEngines.isCold(endpoint)
   const permit = notices.acquire(endpoint)
   if (permit === undefined) return undefined
--- a/entry/gateway/test/limit-together.test.ts
+++ b/entry/gateway/test/limit-together.test.ts
@@ -98,7 +98,7 @@
   private async arrive (index: number): Promise<void> {
     const box = this.boxes[index] as EndpointLimits
     if (box.waitMs(LIMITED) > 0) return
-    await box.askFor(this.endpoint)
+    if (box.mustAsk(this.endpoint)) await box.askFor(this.endpoint)
     if (box.take(LIMITED) === undefined) return
     this.sentAt.push(performance.now())
     this.sentBy.set(index, (this.sentBy.get(index) ?? 0) + 1)
