fix(gateway): a limited endpoint that has to be asked for is no reason to give up an attempt

A slow call was broken off for such an endpoint, control granted nothing, and the caller got 504 for work that its first endpoint would have answered: one of three calls in the test. The test sends three calls, not five: the endpoint has four slots, and a fifth would be refused with or without the fault. After: all three are answered.

--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -78,9 +78,11 @@
 
 /** Whether a request that waits at an endpoint could have another one. */
 export function hasAlternative ({ services, call, history }: EndpointChoiceOptions, { description }: EndpointState): boolean {
-  return isAnyOf(choosable(services, call, description.service), ({ description: { incarnation } }) => (
-    incarnation !== description.incarnation && !history.excluded.has(incarnation)
-  ))
+  return isAnyOf(choosable(services, call, description.service), (other) => {
+    const { incarnation } = other.description
+    // What has to ask first may be refused there, and would have lost the endpoint that it waits at.
+    return incarnation !== description.incarnation && !history.excluded.has(incarnation) && !services.limits.mustAsk(other)
+  })
 }
 
 /** Whether a request is a stream that is sensitive to reading, and reads little itself. */
