--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -42,6 +42,8 @@
   wroteAllAt?: number
   /** Whether the engine itself ended it early. */
   isBrokenOff?: boolean
+  /** How its answer was broken off, and whether a length or chunks would have told where it ends. */
+  brokenBy?: { end: 'reset' | 'close', isFramed: boolean }
 }
 
 /** A change that the operator asked for. */
