fix(gateway): grants of an endpoint whose limit is over, or that is gone, are forgotten

They lapse by themselves, but their entries stayed for the life of the process, one for each endpoint that was ever limited. Seen by reading; nothing callers saw.

--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -53,7 +53,7 @@
   now?: () => number
   /** Told of leases that are new or have changed state; a mere refresh is not told. */
   onChange?: (changed: HeldLease[]) => void
-  /** Told at once of each endpoint that has named another limit, or none any more. */
+  /** Told at once of each endpoint that has named another limit, or names none any more. */
   onLimit?: (lease: HeldLease) => void
   /** Told at once of each incarnation for which `isUsable` may have changed. */
   onTouched?: (incarnation: string) => void
--- a/entry/gateway/src/endpoint-limits.ts
+++ b/entry/gateway/src/endpoint-limits.ts
@@ -59,8 +59,9 @@
 
   /** Forgets an endpoint that is gone. */
   forget (incarnation: string): void {
-    this.limits.delete(incarnation)
+    if (!this.limits.delete(incarnation)) return
     this.asker.forget(incarnation)
+    this.purse.forget(incarnation)
   }
 
   /** The limit of an endpoint in requests a second; undefined where it takes any number. */
