feat(gateway): count retries by service and name the service in decision lines

Three of the five hypotheses on the retries beyond the budget could not be told apart: no line named the service of a retry, and no figure told how many retries were sent. gullwall_retries_total counts each attempt at its first byte, gullwall_known_entries tells how many entries share the budgets. No decision changes.

--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -48,6 +48,7 @@
   elapsedMs: number
   /** The incarnation of the endpoint, and how old this process's word of it is. */
   endpoint?: string
+  service?: string
   leaseAgeMs?: number
   /** What the choice weighed: cost in ms, foreseen time to the first event, prompt tokens to read there, own requests there. */
   cost?: number
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -20,6 +20,8 @@
   connectMs: number
   /** Called right before the first byte is written, after any wait for a connection. Returns why the request may no longer be sent. */
   findRefusalReason: () => string | undefined
+  /** Called when the first byte is about to be written; the request counts as sent from then on. */
+  onSending: () => void
   /** Whether the connection that is ending now was closed and not reset. */
   wasClosedCleanly: () => Promise<boolean>
 }
@@ -111,7 +113,7 @@
     this.settle(outcome)
   }
 
-  private handler ({ wasClosedCleanly, findRefusalReason }: ExchangeRequest, connectBy: number): Handler {
+  private handler ({ wasClosedCleanly, findRefusalReason, onSending }: ExchangeRequest, connectBy: number): Handler {
     return {
       onRequestStart: (controller) => {
         // A process that was suspended may handle the connection before the timer; its permit to send has expired by then.
@@ -126,6 +128,7 @@
         if (reason === undefined) {
           this.controller = controller
           this.sentAt = performance.now()
+          onSending()
         } else {
           this.end({ type: 'withheld', reason })
           controller.abort(new Error(reason))
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -9,6 +9,7 @@
   firstEvent: Histogram<'route'>
   longestPause: Histogram<'route'>
   queued: Histogram<'route'>
+  retries: Counter<'service'>
   crossRegionRequests: Counter<'region'>
   crossRegionBytes: Counter<'region'>
 }
@@ -20,6 +21,7 @@
     firstEvent: durationHistogram(registry, 'gullwall_first_event_seconds', 'From the arrival of a request to its first event', ['route']),
     longestPause: durationHistogram(registry, 'gullwall_longest_pause_seconds', 'The longest time between two events of a stream', ['route']),
     queued: durationHistogram(registry, 'gullwall_queued_seconds', 'From the arrival of a request to its first attempt', ['route']),
+    retries: counter(registry, 'gullwall_retries_total', 'Attempts sent after the first one of their request', ['service']),
     crossRegionRequests: counter(registry, 'gullwall_leaving_requests_total', 'Attempts sent to another region', ['region']),
     crossRegionBytes: counter(registry, 'gullwall_leaving_bytes_total', 'Bytes of these and of their answers', ['region'])
   }
@@ -40,6 +42,7 @@
   add('gullwall_region_round_trip_seconds', 'Time to connect to another region', () => crossRegionTraffic.link.roundTripMs / 1000)
   add('gullwall_log_lines_dropped', 'Log lines left out since the start', () => droppedLines())
   add('gullwall_retry_budget_left', 'Repeats that may still be sent now', () => budget.remaining)
+  add('gullwall_known_entries', 'Entries that share the budgets of the deployment, as this process knows', () => view.entryCount)
   add('gullwall_cold_endpoints', 'Endpoints that are cold, as this process knows', () => coldEndpoints.coldCount)
   add('gullwall_cold_kept_requests_total', 'Requests kept from a cold endpoint for want of a grant', () => coldEndpoints.totals.excluded)
   add('gullwall_cold_sent_requests_total', 'Requests sent to cold endpoints under a grant', () => coldEndpoints.totals.sent)
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -198,6 +198,7 @@
       body: call.body,
       connectMs: CONNECT_TIMEOUT_MS,
       findRefusalReason: () => this.findRefusalReason(candidate, permit),
+      onSending: () => this.recorder.recordSending(description.service),
       wasClosedCleanly: async () => await services.connections.wasClosedCleanly()
     }, receiver)
   }
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -15,6 +15,8 @@
   /** The candidate of the latest attempt. */
   private latest: Candidate | undefined
   private fingerprint: string | undefined
+  /** Whether an attempt was sent. Each later one that is sent is a retry. */
+  private hasSent = false
 
   constructor (private readonly services: GatewayServices, private readonly call: Call, private readonly history: AttemptHistory) {}
 
@@ -34,6 +36,12 @@
     }
   }
 
+  /** Records that the first byte of an attempt is about to be written. */
+  recordSending (service: string): void {
+    if (this.hasSent) this.services.metrics.retries.inc({ service })
+    this.hasSent = true
+  }
+
   /** Records that complete events were forwarded. */
   recordEvents (): void {
     const now = performance.now()
@@ -125,9 +133,10 @@
   }
 
   private factsOf ({ endpoint, cost, waitMs, unreadTokens, copiedTokens, source }: Candidate) {
-    const { incarnation } = endpoint.description
+    const { incarnation, service } = endpoint.description
     return {
       endpoint: incarnation,
+      service,
       leaseAgeMs: this.services.view.leaseAgeMs(incarnation),
       cost: Math.round(cost),
       waitMs: Math.round(waitMs),
--- a/entry/gateway/test/evacuated-data-centres.test.ts
+++ b/entry/gateway/test/evacuated-data-centres.test.ts
@@ -75,7 +75,14 @@
     let isEvacuated = false
     const why = 'data centre dc1 is evacuated'
     const exchange = new Exchange(dispatcher, 'http://127.0.0.1:1', {
-      method: 'GET', path: '/', headers: [], body: undefined, connectMs: 60_000, findRefusalReason: () => isEvacuated ? why : undefined, wasClosedCleanly: async () => true
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: undefined,
+      connectMs: 60_000,
+      findRefusalReason: () => isEvacuated ? why : undefined,
+      onSending: () => {},
+      wasClosedCleanly: async () => true
     }, { onInterim: () => {}, onHead: () => true, onData: () => {} })
     isEvacuated = true
     const abort = vi.fn()
