--- a/entry/gateway/test/gateway-deployment.ts
+++ b/entry/gateway/test/gateway-deployment.ts
@@ -58,13 +58,23 @@
   }
 }
 
+export interface RetrySettings {
+  retryRatio: number
+  retryWindowMs: number
+  retrySlack: number
+}
+
 export class GatewayDeployment {
   control!: Kernel<ControlServices>
   gateway!: Kernel<GatewayServices>
   /** The log lines of all gateways. */
   readonly logLines: string[] = []
 
-  constructor (private readonly stubs: readonly StubEndpoint[], private readonly regions: Record<string, string> = REGIONS) {}
+  constructor (
+    private readonly stubs: readonly StubEndpoint[],
+    private readonly regions: Record<string, string> = REGIONS,
+    private readonly retrySettings: RetrySettings = { retryRatio: 1, retryWindowMs: 1000, retrySlack: 50 }
+  ) {}
 
   async start (): Promise<void> {
     const [listen = ''] = await freeAddresses(1)
@@ -90,9 +100,7 @@
       seeds: [listen],
       regions: this.regions,
       graceMs: 6000,
-      retryRatio: 1,
-      retryWindowMs: 1000,
-      retrySlack: 50,
+      ...this.retrySettings,
       usageWindowMs: USAGE_WINDOW_MS
     }, { write: (line) => this.logLines.push(line) })
     await this.control.start()
@@ -102,8 +110,13 @@
 
   /** Stores a document and waits until the gateway has applied it and is ready. */
   async configure (version: number, limits: RegionLists = {}, service: object = {}): Promise<void> {
+    await this.configureWith(version, createDocument(version, limits, service))
+  }
+
+  /** Does the same with a given document of that version. */
+  async configureWith (version: number, document: object): Promise<void> {
     await until('a leader', () => this.control.get('quorum').role === 'leader')
-    await this.control.get('documents').put(JSON.stringify(createDocument(version, limits, service)))
+    await this.control.get('documents').put(JSON.stringify(document))
     await until('the document', () => this.gateway.get('view').table?.version === version)
     await until('readiness', () => this.gateway.get('controlLinks').findNotReadyReason() === undefined)
   }
