fix(balancer): count a retry for the whole window of the budget

Callers saw nothing; engines that rejected nearly everything for longer than the window received a second burst of retries too early. The budget summed ten buckets of a tenth of the window, the running one included, so that a retry was forgotten after nine to ten seconds, by the phase at which it was sent.

Each retry is now kept with its time until the window has passed, and half a second longer, since two retries may arrive closer together than they were sent. Requests are still counted in buckets, which can only make the budget smaller. Memory grows with the retries of one window, which the budget itself bounds.

--- a/routing/balancer/src/retry-budget.ts
+++ b/routing/balancer/src/retry-budget.ts
@@ -3,8 +3,10 @@
  * of the deployment.
  */
 
-/** The sliding window consists of this many buckets. */
+/** Number of buckets in which the requests of a window are counted. */
 const BUCKETS = 10
+/** Retries that are sent this much farther apart than the window may still arrive within one window, in ms. */
+const ARRIVAL_JITTER_MS = 500
 
 export interface RetryBudgetOptions {
   /** Retries allowed for each request. */
@@ -23,11 +25,12 @@
 interface Bucket {
   slot: number
   requests: number
-  retries: number
 }
 
 export class RetryBudget {
   private readonly buckets: Bucket[] = []
+  /** When each retry was sent that may share a window with the next one, oldest first. */
+  private readonly retriesAt: number[] = []
   private readonly now: () => number
 
   constructor (private readonly options: RetryBudgetOptions) {
@@ -41,17 +44,26 @@
   /** Takes one retry from the budget; returns false if none is left. */
   tryTake (): boolean {
     if (this.remaining < 1) return false
-    this.bucket().retries += 1
+    this.retriesAt.push(this.now())
     return true
   }
 
   /** The number of retries that may still be sent now. */
   get remaining (): number {
-    this.bucket()
-    const requests = sum(this.buckets, (bucket) => bucket.requests)
-    const retries = sum(this.buckets, (bucket) => bucket.retries)
     const { ratio, slack, entryCount } = this.options
-    return USABLE_SHARE * (ratio * requests + slack / Math.max(1, entryCount())) - retries
+    return USABLE_SHARE * (ratio * this.countRequests() + slack / Math.max(1, entryCount())) - this.countRetries()
+  }
+
+  private countRequests (): number {
+    this.bucket()
+    return this.buckets.reduce((total, { requests }) => total + requests, 0)
+  }
+
+  private countRetries (): number {
+    const { retriesAt, options } = this
+    const firstCounted = this.now() - options.windowMs - ARRIVAL_JITTER_MS
+    while (retriesAt[0] !== undefined && retriesAt[0] < firstCounted) retriesAt.shift()
+    return retriesAt.length
   }
 
   private bucket (): Bucket {
@@ -59,12 +71,8 @@
     while (this.buckets[0] !== undefined && this.buckets[0].slot <= slot - BUCKETS) this.buckets.shift()
     const last = this.buckets.at(-1)
     if (last?.slot === slot) return last
-    const fresh = { slot, requests: 0, retries: 0 }
+    const fresh = { slot, requests: 0 }
     this.buckets.push(fresh)
     return fresh
   }
 }
-
-function sum (buckets: readonly Bucket[], of: (bucket: Bucket) => number): number {
-  return buckets.reduce((total, bucket) => total + of(bucket), 0)
-}
