fix(gateway): use the slack of the retry budget only after a window under control's count

Callers saw nothing; engines received more retries than all boxes together may send. A process that started had the whole share of its box at once, although the process before it had used it up in the same window, and a process that had heard of few entries took a larger share. After each start the lines show a group of 45 to 51 retries and a budget left as if nothing had been sent.

An entry now uses its share once most control processes have counted it for a whole window, and until a window after the last such count. Whoever is about to use the same share, a successor or the entries that no longer count this one, therefore begins after its retries have left the window. A lower count replaces a higher one only after two windows and the time in which control notices a lost entry, for the same reason. The ratio of a process's own requests stays usable at all times, since predecessor and successor both keep to it.

Ruled out: grants by the leader for each retry (none without a leader, when retries are needed most, and a message each), a share that is divided by the number of starts (not known without a disk).

--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -1,6 +1,8 @@
 /** Links to all known control processes, which send the document, the leases and the addresses of other control processes. */
 import { linkAddresses, Regions, type GatewaySettings } from '@gullwall/config.settings'
+import { suspensions } from '@gullwall/core.clock'
 import { GullwallError, messageOf } from '@gullwall/core.error'
+import { retryMemoryMs } from '@gullwall/routing.balancer'
 import { Dialer, type Link } from '@gullwall/transport.link'
 import { type Grant, type GrantRequest, type Lease, type Message, type MessageOf } from '@gullwall/transport.messages'
 import { ControlAddresses } from './control-addresses.ts'
@@ -43,13 +45,14 @@
   /** The link over which this entry sends its load and receives the load of the other entries. */
   private primary: Link | undefined
   private readonly selector: PrimaryLinkSelector
-  private readonly entryCount = new EntryCount()
+  private readonly entryCount: EntryCount
   /** Number of failed requests. */
   private failures = 0
   private confirmRetryMs = FIRST_CONFIRM_RETRY_MS
 
   constructor (private readonly services: GatewayServices) {
     this.selector = new PrimaryLinkSelector(services.settings.dataCentre, new Regions(services.settings.regions))
+    this.entryCount = new EntryCount({ windowMs: retryMemoryMs(services.settings.retryWindowMs) })
   }
 
   start (): void {
@@ -230,7 +233,14 @@
   private countEntries (address: string, entries: number): void {
     const now = performance.now()
     this.entryCount.record(address, entries, now)
-    this.services.view.entryCount = this.entryCount.count(this.openCount > this.dialers.size / 2, now)
+    const hasMajority = this.openCount > this.dialers.size / 2
+    this.services.view.entryCount = this.entryCount.count(hasMajority, now)
+    if (hasMajority) this.entryCount.confirm(now + suspensions.suspendedMs())
+  }
+
+  /** The number of entries that share the budgets; undefined while this process may not use its share. */
+  get sharingEntryCount (): number | undefined {
+    return this.entryCount.hasShare(performance.now() + suspensions.suspendedMs()) ? this.services.view.entryCount : undefined
   }
 
   private receiveLoad (link: Link, message: MessageOf<'workSums'>): void {
--- a/entry/gateway/src/entry-count.ts
+++ b/entry/gateway/src/entry-count.ts
@@ -4,8 +4,13 @@
  * share of each budget.
  */
 
-/** A count that is not reported again within this time expires, in ms: as long as the longest window of a budget. */
-const VALID_MS = 10_000
+/** Time within which control notices that an entry is disconnected, in ms. */
+const LINK_SILENCE_MS = 3000
+
+export interface EntryCountOptions {
+  /** The longest time for which a budget counts what was used, in ms. */
+  windowMs: number
+}
 
 interface Count {
   entries: number
@@ -15,25 +20,56 @@
 export class EntryCount {
   /** By the address of the control process. */
   private readonly counts = new Map<string, Count>()
+  private confirmedSince = -Infinity
+  private confirmedAt = -Infinity
+
+  constructor (private readonly options: EntryCountOptions) {}
 
   /** Records the count that the control process at an address has reported. */
   record (address: string, entries: number, now: number): void {
     const known = this.counts.get(address)
     // A lower count does not replace a higher one before that expires: entries that reconnect are missing for a moment.
-    if (known !== undefined && known.entries > entries && now - known.reportedAt <= VALID_MS) return
+    if (known !== undefined && known.entries > entries && now - known.reportedAt <= this.validMs) return
     this.counts.set(address, { entries, reportedAt: now })
   }
 
   /**
-   * Returns the highest count that has not expired.
+   * Returns the highest count that has not expired; at least 1.
    * @param hasMajority whether most control processes are linked; counts do not expire while they are not
    */
   count (hasMajority: boolean, now: number): number {
     if (hasMajority) {
       for (const [address, { reportedAt }] of this.counts) {
-        if (now - reportedAt > VALID_MS) this.counts.delete(address)
+        if (now - reportedAt > this.validMs) this.counts.delete(address)
       }
     }
     return Math.max(1, ...[...this.counts.values()].map(({ entries }) => entries))
   }
+
+  /** Records that a count was received while most control processes were linked. */
+  confirm (now: number): void {
+    if (!this.isConfirmed(now)) this.confirmedSince = now
+    this.confirmedAt = now
+  }
+
+  /**
+   * Whether this process may use its share of the budgets: most control processes have counted it for a window. Before that, an earlier
+   * process of the same box may just have used the share, and not all other entries count this one yet. An entry that was not counted
+   * for a window may be missing in the counts of the others, which then use its share.
+   */
+  hasShare (now: number): boolean {
+    return this.isConfirmed(now) && now - this.confirmedSince >= this.options.windowMs
+  }
+
+  private isConfirmed (now: number): boolean {
+    return now - this.confirmedAt <= this.options.windowMs
+  }
+
+  /**
+   * Time after which a count that was not reported again expires, in ms. A disconnected entry may use its share for one window after it
+   * was last counted, and what it has sent counts for another one.
+   */
+  private get validMs (): number {
+    return 2 * this.options.windowMs + LINK_SILENCE_MS
+  }
 }
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -2,6 +2,7 @@
 import { nativeFormat, type DocumentFormat } from '@gullwall/config.document'
 import { type GatewaySettings } from '@gullwall/config.settings'
 import { RevisionStore, Spreader } from '@gullwall/config.spread'
+import { suspensions } from '@gullwall/core.clock'
 import { newStartId } from '@gullwall/core.ids'
 import { Kernel } from '@gullwall/core.kernel'
 import { createLogger, type Logger } from '@gullwall/core.logger'
@@ -99,7 +100,7 @@
     .service('coldEndpoints', createColdEndpoints)
     .service('limits', createLimits)
     .service('eligibility', createEligibility)
-    .service('budget', (services) => createBudget(services))
+    .service('budget', createBudget)
     .service('outputLengthEstimator', () => new OutputLengthEstimator())
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('loadExchange', (services) => new LoadExchange(services))
@@ -110,9 +111,14 @@
     .service('ingress', (services) => new Ingress(services))
 }
 
-function createBudget ({ settings, view }: GatewayServices): RetryBudget {
+function createBudget (services: GatewayServices): RetryBudget {
+  const { settings } = services
   return new RetryBudget({
-    ratio: settings.retryRatio, windowMs: settings.retryWindowMs, slack: settings.retrySlack, entryCount: () => view.entryCount
+    ratio: settings.retryRatio,
+    windowMs: settings.retryWindowMs,
+    slack: settings.retrySlack,
+    entryCount: () => services.controlLinks.sharingEntryCount,
+    suspendedMs: () => suspensions.suspendedMs()
   })
 }
 
--- a/routing/balancer/src/retry-budget.ts
+++ b/routing/balancer/src/retry-budget.ts
@@ -1,6 +1,7 @@
 /**
  * Limits the number of retries to a share of the requests in a sliding window, plus a constant that is divided among the entries
- * of the deployment.
+ * of the deployment. Each entry decides alone, so that retries need no messages during a fault. The sum over all entries stays within
+ * the limit because a process uses its part of the constant only if no other process can count on the same part.
  */
 
 /** Number of buckets in which the requests of a window are counted. */
@@ -14,14 +15,22 @@
   windowMs: number
   /** Retries allowed in each window beyond the ratio, by all entries together. */
   slack: number
-  /** Returns the number of entries that share the slack. */
-  entryCount: () => number
+  /** Returns the number of entries that share the slack; undefined while another process may use the share of this one. */
+  entryCount: () => number | undefined
+  /** Returns the time of a monotonic clock, in ms. */
   now?: () => number
+  /** Returns the total time for which the box was suspended, which the monotonic clock does not count, in ms. */
+  suspendedMs?: () => number
 }
 
 /** The share of the budget that is used. The rest is a margin, because the number of entries is known with a delay. */
 const USABLE_SHARE = 0.6
 
+/** Returns the time for which a retry is counted, in ms. */
+export function retryMemoryMs (windowMs: number): number {
+  return windowMs + ARRIVAL_JITTER_MS
+}
+
 interface Bucket {
   slot: number
   requests: number
@@ -32,9 +41,11 @@
   /** When each retry was sent that may share a window with the next one, oldest first. */
   private readonly retriesAt: number[] = []
   private readonly now: () => number
+  private readonly suspendedMs: () => number
 
   constructor (private readonly options: RetryBudgetOptions) {
     this.now = options.now ?? (() => performance.now())
+    this.suspendedMs = options.suspendedMs ?? (() => 0)
   }
 
   recordRequest (): void {
@@ -50,8 +61,13 @@
 
   /** The number of retries that may still be sent now. */
   get remaining (): number {
-    const { ratio, slack, entryCount } = this.options
-    return USABLE_SHARE * (ratio * this.countRequests() + slack / Math.max(1, entryCount())) - this.countRetries()
+    return USABLE_SHARE * (this.options.ratio * this.countRequests() + this.slackShare) - this.countRetries()
+  }
+
+  /** The part of the slack that this process may use. */
+  private get slackShare (): number {
+    const entries = this.options.entryCount()
+    return entries === undefined ? 0 : this.options.slack / Math.max(1, entries)
   }
 
   private countRequests (): number {
@@ -60,14 +76,14 @@
   }
 
   private countRetries (): number {
-    const { retriesAt, options } = this
-    const firstCounted = this.now() - options.windowMs - ARRIVAL_JITTER_MS
+    const { retriesAt } = this
+    const firstCounted = this.now() - retryMemoryMs(this.options.windowMs)
     while (retriesAt[0] !== undefined && retriesAt[0] < firstCounted) retriesAt.shift()
     return retriesAt.length
   }
 
   private bucket (): Bucket {
-    const slot = Math.floor(this.now() / (this.options.windowMs / BUCKETS))
+    const slot = Math.floor((this.now() + this.suspendedMs()) / (this.options.windowMs / BUCKETS))
     while (this.buckets[0] !== undefined && this.buckets[0].slot <= slot - BUCKETS) this.buckets.shift()
     const last = this.buckets.at(-1)
     if (last?.slot === slot) return last
