fix(balancer): keep a retry budget for each service

Callers saw nothing; a service with few requests received retries that the requests for another service had paid for. The rule is by service, the code kept one budget for a process: 132 retries at a service with 90 requests, after 900 requests for another one, where 48 are allowed.

Each service of a route has a budget. A request counts for the services of its route by their weights, so that a canary with a hundredth of the requests does not get the retries of all of them; a retry needs room at each service of the route, since its endpoint is chosen later. The slack holds for each service, as in the rule.

--- a/entry/gateway/src/attempt-policy.ts
+++ b/entry/gateway/src/attempt-policy.ts
@@ -2,7 +2,7 @@
  * Decisions about one request: whether it is sent, what follows each attempt, and when an endpoint that does not respond is
  * abandoned. `request-forwarder.ts` carries them out.
  */
-import { type Candidate, type RetryBudget, type InFlightRequest } from '@gullwall/routing.balancer'
+import { type Candidate, type InFlightRequest, type RequestRetries } from '@gullwall/routing.balancer'
 import { type AttemptOutcome } from './attempt-response-receiver.ts'
 import { type AttemptHistory } from './attempt-history.ts'
 import { isRepeatable, type Call } from './call.ts'
@@ -41,7 +41,7 @@
 export interface RequestState {
   call: Call
   history: AttemptHistory
-  budget: RetryBudget
+  retries: RequestRetries
   /** Longest wait at which requests that are no more urgent than this one are still accepted, in ms. */
   acceptableWaitMs: number
 }
@@ -69,7 +69,7 @@
       history.recordUnsent(incarnation)
       return afterUnsent(state, outcome.reason, now)
     case 'withheld':
-      return { type: 'retry', reason: `not sent: ${outcome.reason}`, budgetLeft: state.budget.remaining }
+      return { type: 'retry', reason: `not sent: ${outcome.reason}`, budgetLeft: state.retries.remaining }
     case 'not-run':
       history.recordNotRun(incarnation)
       return afterNotRun(state, outcome.reason)
@@ -90,12 +90,12 @@
  * Tries another endpoint without using the retry budget, since the request has reached none. After an outage several endpoints in
  * a row may be unreachable.
  */
-function afterUnsent ({ call, history, budget }: RequestState, reason: string, now: number): NextStep {
+function afterUnsent ({ call, history, retries }: RequestState, reason: string, now: number): NextStep {
   const isLate = now - call.arrivedAt >= UNSENT_TARGET_FACTOR * call.route.targetMs
   if (history.unsentCount >= MIN_UNSENT_ATTEMPTS && isLate) {
     return { type: 'refuse', reason: `${history.unsentCount} endpoints could not be reached: ${reason}` }
   }
-  return { type: 'retry', reason: `not sent: ${reason}`, budgetLeft: budget.remaining }
+  return { type: 'retry', reason: `not sent: ${reason}`, budgetLeft: retries.remaining }
 }
 
 function afterNotRun (state: RequestState, reason: string): NextStep {
@@ -105,10 +105,10 @@
 }
 
 /** Retries if the number of attempts and the retry budget allow it; returns the step of `otherwise` if they do not. */
-function retryOr ({ call, history, budget }: RequestState, reason: string, otherwise: (reason: string) => NextStep): NextStep {
+function retryOr ({ call, history, retries }: RequestState, reason: string, otherwise: (reason: string) => NextStep): NextStep {
   if (!history.canRunAgain) return otherwise(`${reason}; ${history.sentCount} of ${call.route.maxAttempts} attempts made`)
-  if (!budget.tryTake()) return otherwise(`${reason}; no retry budget left`)
-  return { type: 'retry', reason, budgetLeft: budget.remaining }
+  if (!retries.tryTake()) return otherwise(`${reason}; no retry budget left`)
+  return { type: 'retry', reason, budgetLeft: retries.remaining }
 }
 
 export interface RunningAttempt extends RequestState {
@@ -122,12 +122,12 @@
 
 /** Finds the reason to move a stream or a repeatable request away from an endpoint that does not respond; undefined if it stays. */
 export function findStallReason (running: RunningAttempt, now: number): string | undefined {
-  const { call, history, budget, candidate, inFlightRequest, lastProgressAt } = running
+  const { call, history, retries, candidate, inFlightRequest, lastProgressAt } = running
   if (!isRepeatable(call) || history.attemptNumber >= call.route.maxAttempts) return undefined
   const waitedMs = now - Math.max(inFlightRequest.startedAt, lastProgressAt)
   const isSlow = call.route.kind === 'repeatable'
     ? waitedMs > Math.max(WATCH_INTERVAL_MS, SLOW_TARGET_FACTOR * call.route.targetMs)
     : waitedMs > STALL_TIMEOUT_MS && candidate.endpoint.isSilent(now)
-  if (!isSlow || budget.remaining < 1 || !running.hasAlternative()) return undefined
+  if (!isSlow || retries.remaining < 1 || !running.hasAlternative()) return undefined
   return `no response data for ${Math.round(waitedMs)} ms`
 }
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -7,7 +7,7 @@
 import { Kernel } from '@gullwall/core.kernel'
 import { createLogger, type Logger } from '@gullwall/core.logger'
 import { type Registry } from '@gullwall/core.metrics'
-import { DEFAULT_WEIGHTS, OutputLengthEstimator, RetryBudget, type ChoiceWeights } from '@gullwall/routing.balancer'
+import { DEFAULT_WEIGHTS, OutputLengthEstimator, RetryBudgets, type ChoiceWeights } from '@gullwall/routing.balancer'
 import { createAllowedRegionsRule } from './allowed-regions.ts'
 import { GatewayAdmin, createGatewayRegistry } from './admin.ts'
 import { ColdEndpoints } from './cold-endpoints.ts'
@@ -58,7 +58,7 @@
   coldEndpoints: ColdEndpoints
   limits: EndpointLimits
   eligibility: EligibilityRules
-  budget: RetryBudget
+  retryBudgets: RetryBudgets
   outputLengthEstimator: OutputLengthEstimator
   controlLinks: ControlLinks
   loadExchange: LoadExchange
@@ -100,7 +100,7 @@
     .service('coldEndpoints', createColdEndpoints)
     .service('limits', createLimits)
     .service('eligibility', createEligibility)
-    .service('budget', createBudget)
+    .service('retryBudgets', createRetryBudgets)
     .service('outputLengthEstimator', () => new OutputLengthEstimator())
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('loadExchange', (services) => new LoadExchange(services))
@@ -111,9 +111,9 @@
     .service('ingress', (services) => new Ingress(services))
 }
 
-function createBudget (services: GatewayServices): RetryBudget {
+function createRetryBudgets (services: GatewayServices): RetryBudgets {
   const { settings } = services
-  return new RetryBudget({
+  return new RetryBudgets({
     ratio: settings.retryRatio,
     windowMs: settings.retryWindowMs,
     slack: settings.retrySlack,
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -29,7 +29,8 @@
 
 /** Registers gauges for the state of this process, which are read when the metrics are scraped. */
 export function registerStateGauges (registry: Registry, services: GatewayServices): void {
-  const { view, controlLinks, budget, evacuatedDataCentres, crossRegionTraffic, coldEndpoints, limits, quarantine, notices } = services
+  const { view, controlLinks, retryBudgets, evacuatedDataCentres, crossRegionTraffic } = services
+  const { coldEndpoints, limits, quarantine, notices } = services
   const add = (name: string, help: string, value: () => number) => {
     const metric = gauge(registry, name, help)
     Object.assign(metric, { collect: () => metric.set(value()) })
@@ -41,7 +42,7 @@
   add('gullwall_control_links', 'Open links to control processes', () => controlLinks.openCount)
   add('gullwall_region_round_trip_seconds', 'Time to connect to another region', () => crossRegionTraffic.link.roundTripMs / 1000)
   add('gullwall_log_lines_dropped', 'Log lines left out since the start', () => droppedLines())
-  add('gullwall_retry_budget_left', 'Repeats that may still be sent now', () => budget.remaining)
+  add('gullwall_retry_budget_left', 'Repeats that the strictest service allows', () => retryBudgets.remaining)
   add('gullwall_known_entries', 'Entries that share the budgets of the deployment, as this process knows', () => view.entryCount)
   add('gullwall_cold_endpoints', 'Endpoints that are cold, as this process knows', () => coldEndpoints.coldCount)
   add('gullwall_cold_kept_requests_total', 'Requests kept from a cold endpoint for want of a grant', () => coldEndpoints.totals.excluded)
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -1,5 +1,5 @@
 /** Forwards one request: chooses endpoints, sends attempts one after the other, and completes the response to the caller. */
-import { pauseSensitivityOf, type Candidate, type SentRequest, type InFlightRequest } from '@gullwall/routing.balancer'
+import { pauseSensitivityOf, type Candidate, type InFlightRequest, type RequestRetries, type SentRequest } from '@gullwall/routing.balancer'
 import { type CallerResponse, type ErrorResponse } from './caller-response.ts'
 import { AttemptResponseReceiver, hasRun, verdictOf, type AttemptOutcome } from './attempt-response-receiver.ts'
 import { AttemptHistory } from './attempt-history.ts'
@@ -37,6 +37,7 @@
 export class RequestForwarder {
   private readonly history: AttemptHistory
   private readonly recorder: RequestRecorder
+  private readonly retries: RequestRetries
   private lastEventId: string | undefined
   private exchange: Exchange | undefined
   /** When a request that may have run began to wait for its next endpoint; undefined while no such request waits. */
@@ -50,12 +51,12 @@
   constructor (private readonly services: GatewayServices, private readonly call: Call, private readonly response: CallerResponse) {
     this.history = new AttemptHistory(call)
     this.recorder = new RequestRecorder(services, call, this.history)
+    this.retries = services.retryBudgets.recordRequest(call.route.split)
     this.lastEventId = call.lastEventId
   }
 
   async run (): Promise<void> {
     const { call } = this
-    this.services.budget.recordRequest()
     this.services.outputLengthEstimator.record(call.route.name, call.output ?? {})
     this.services.view.reserved.recordRequest({ route: call.route.name }, call.prompt.at(-1)?.tokens ?? 0)
     await yieldToIo()
@@ -110,9 +111,9 @@
   }
 
   private get state (): RequestState {
-    const { call, history, services } = this
+    const { call, history, retries, services } = this
     return {
-      call, history, budget: services.budget, acceptableWaitMs: services.view.table?.longestTargetMs(call.route) ?? call.route.targetMs
+      call, history, retries, acceptableWaitMs: services.view.table?.longestTargetMs(call.route) ?? call.route.targetMs
     }
   }
 
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { EndpointState, RetryBudget, type Candidate, type InFlightRequest } from '@gullwall/routing.balancer'
+import { EndpointState, RetryBudgets, type Candidate, type InFlightRequest } from '@gullwall/routing.balancer'
 import { type AttemptOutcome } from '../src/attempt-response-receiver.ts'
 import { AttemptHistory } from '../src/attempt-history.ts'
 import { admit, decideNextStep, findStallReason, type RequestState } from '../src/attempt-policy.ts'
@@ -50,8 +50,8 @@
     suspendedMs: 0,
     fingerprint: () => ''
   }
-  const budget = new RetryBudget({ ratio: 0, windowMs: 10_000, slack, entryCount: () => 1 })
-  return { call, history: new AttemptHistory(call), budget, acceptableWaitMs: TARGET_MS }
+  const retries = new RetryBudgets({ ratio: 0, windowMs: 10_000, slack, entryCount: () => 1 }).recordRequest(route.split)
+  return { call, history: new AttemptHistory(call), retries, acceptableWaitMs: TARGET_MS }
 }
 
 const endpoint = new EndpointState({ incarnation: 'i-1', service: 's', address: '127.0.0.1:1', dataCentre: 'east', slots: 4 })
@@ -111,7 +111,7 @@
 
   it('uses the retry budget if an endpoint was reached, and is a refusal if the budget is used up', () => {
     const state = stateOf({ kind: 'once', slack: 3 })
-    expect(decideNextStep(state, 'i-1', unsent)).toMatchObject({ type: 'retry', budgetLeft: state.budget.remaining })
+    expect(decideNextStep(state, 'i-1', unsent)).toMatchObject({ type: 'retry', budgetLeft: state.retries.remaining })
     expect(decideNextStep(state, 'i-2', notRun)).toMatchObject({ type: 'retry' })
     expect(decideNextStep(state, 'i-3', notRun)).toMatchObject({ type: 'refuse', reason: 'full; no retry budget left' })
   })
--- a/routing/balancer/src/retry-budget.ts
+++ b/routing/balancer/src/retry-budget.ts
@@ -1,7 +1,7 @@
 /**
- * Limits the number of retries to a share of the requests in a sliding window, plus a constant that is divided among the entries
- * of the deployment. Each entry decides alone, so that retries need no messages during a fault. The sum over all entries stays within
- * the limit because a process uses its part of the constant only if no other process can count on the same part.
+ * Limits the number of retries at one service to a share of its requests in a sliding window, plus a constant that is divided among
+ * the entries of the deployment. Each entry decides alone, so that retries need no messages during a fault. The sum over all entries
+ * stays within the limit because a process uses its part of the constant only if no other process can count on the same part.
  */
 
 /** Number of buckets in which the requests of a window are counted. */
@@ -48,8 +48,9 @@
     this.suspendedMs = options.suspendedMs ?? (() => 0)
   }
 
-  recordRequest (): void {
-    this.bucket().requests += 1
+  /** Records a request for the service, or the part of one that the weights of its route direct there. */
+  recordRequest (part = 1): void {
+    this.bucket().requests += part
   }
 
   /** Takes one retry from the budget; returns false if none is left. */
@@ -59,6 +60,11 @@
     return true
   }
 
+  /** Whether nothing is counted, so that a new budget would allow the same. */
+  get isIdle (): boolean {
+    return this.countRequests() === 0 && this.countRetries() === 0
+  }
+
   /** The number of retries that may still be sent now. */
   get remaining (): number {
     return USABLE_SHARE * (this.options.ratio * this.countRequests() + this.slackShare) - this.countRetries()
