fix(gateway): keep the count of entries confirmed between two reports of control

With a window shorter than the two seconds between the reports of control, an entry lost its confirmation before the next report and never had a share of the retry budget: interrupted streams were not resumed beyond the ratio. Seen by resumed-after-backoff.test.ts, whose window is one second. A confirmation now holds for five seconds at least, and a lower count replaces a higher one accordingly later.

--- a/entry/gateway/src/entry-count.ts
+++ b/entry/gateway/src/entry-count.ts
@@ -6,6 +6,8 @@
 
 /** Time within which control notices that an entry is disconnected, in ms. */
 const LINK_SILENCE_MS = 3000
+/** Minimum time after a report for which an entry is confirmed, in ms: longer than two intervals at which control reports the count. */
+const MIN_CONFIRMED_MS = 5000
 
 export interface EntryCountOptions {
   /** The longest time for which a budget counts what was used, in ms. */
@@ -54,22 +56,27 @@
 
   /**
    * Whether this process may use its share of the budgets: most control processes have counted it for a window. Before that, an earlier
-   * process of the same box may just have used the share, and not all other entries count this one yet. An entry that was not counted
-   * for a window may be missing in the counts of the others, which then use its share.
+   * process of the same box may just have used the share, and not all other entries count this one yet. An entry that has not been
+   * counted lately may be missing in the counts of the others, which then use its share.
    */
   hasShare (now: number): boolean {
     return this.isConfirmed(now) && now - this.confirmedSince >= this.options.windowMs
   }
 
   private isConfirmed (now: number): boolean {
-    return now - this.confirmedAt <= this.options.windowMs
+    return now - this.confirmedAt <= this.confirmedMs
+  }
+
+  /** Time after a report by a majority for which this process is confirmed, in ms. */
+  private get confirmedMs (): number {
+    return Math.max(this.options.windowMs, MIN_CONFIRMED_MS)
   }
 
   /**
-   * Time after which a count that was not reported again expires, in ms. A disconnected entry may use its share for one window after it
-   * was last counted, and what it has sent counts for another one.
+   * Time after which a count that was not reported again expires, in ms. A disconnected entry may use its share until it is no longer
+   * confirmed, and what it has sent then counts for another window.
    */
   private get validMs (): number {
-    return 2 * this.options.windowMs + LINK_SILENCE_MS
+    return this.confirmedMs + this.options.windowMs + LINK_SILENCE_MS
   }
 }
--- a/entry/gateway/test/evacuation.test.ts
+++ b/entry/gateway/test/evacuation.test.ts
@@ -65,6 +65,7 @@
   }
   await until('both endpoints', () => deployment.gateway.get('view').usable('app').length === 2)
   await deployment.configure(1)
+  await deployment.awaitRetryBudget()
 })
 afterAll(async () => await deployment.stop())
 afterEach(async () => {
--- a/entry/gateway/test/gateway-deployment.ts
+++ b/entry/gateway/test/gateway-deployment.ts
@@ -121,6 +121,11 @@
     await until('readiness', () => this.gateway.get('controlLinks').findNotReadyReason() === undefined)
   }
 
+  /** Waits until the gateway uses its share of the slack of the retry budget. */
+  async awaitRetryBudget (): Promise<void> {
+    await until('a share of the retry budget', () => this.gateway.get('controlLinks').sharingEntryCount !== undefined)
+  }
+
   /** Reports an endpoint to control and waits until the gateway uses it, or no longer uses it. */
   async register (stub: StubEndpoint, state: 'ready' | 'draining' = 'ready', sequence = 1, coldMs?: number): Promise<void> {
     const { incarnation, service, address, dataCentre } = stub
--- a/entry/gateway/test/resumed-after-backoff.test.ts
+++ b/entry/gateway/test/resumed-after-backoff.test.ts
@@ -31,6 +31,7 @@
   await deployment.start()
   await deployment.register(first)
   await deployment.configure(1)
+  await deployment.awaitRetryBudget()
 })
 afterAll(async () => await deployment.stop())
 
