fix(gateway): count a retry when it is sent, not when it is decided

A retry that waits for an endpoint, up to two seconds after a backoff, was counted from its decision. Retries decided in one window could arrive in the next one together with those decided there.

A decision reserves a retry, the first byte counts it, and the end of a request gives back what was not sent. A retry that is withheld or can't connect keeps its reservation for the next endpoint. It counts only at the service that received it.

--- a/entry/gateway/src/attempt-policy.ts
+++ b/entry/gateway/src/attempt-policy.ts
@@ -107,7 +107,7 @@
 /** Retries if the number of attempts and the retry budget allow it; returns the step of `otherwise` if they do not. */
 function retryOr ({ call, history, retries }: RequestState, reason: string, otherwise: (reason: string) => NextStep): NextStep {
   if (!history.canRunAgain) return otherwise(`${reason}; ${history.sentCount} of ${call.route.maxAttempts} attempts made`)
-  if (!retries.tryTake()) return otherwise(`${reason}; no retry budget left`)
+  if (!retries.tryReserve()) return otherwise(`${reason}; no retry budget left`)
   return { type: 'retry', reason, budgetLeft: retries.remaining }
 }
 
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -66,6 +66,7 @@
       await this.runAttempts()
     } finally {
       clearTimeout(this.deadlineTimer)
+      this.retries.cancel()
     }
   }
 
@@ -188,10 +189,8 @@
   private send (candidate: Candidate, receiver: AttemptResponseReceiver, permit: SendPermit): Exchange {
     const { call, services } = this
     const { description } = candidate.endpoint
-    const service = services.view.table?.service(description.service)
-    const dispatcher = services.connections.dispatcherFor(
-      description, service?.maxConnections ?? DEFAULT_CONNECTIONS, services.view.entryCount
-    )
+    const maxConnections = services.view.table?.service(description.service)?.maxConnections ?? DEFAULT_CONNECTIONS
+    const dispatcher = services.connections.dispatcherFor(description, maxConnections, services.view.entryCount)
     return new Exchange(dispatcher, originOf(description.address), {
       method: call.method,
       path: call.path,
@@ -199,7 +198,10 @@
       body: call.body,
       connectMs: CONNECT_TIMEOUT_MS,
       findRefusalReason: () => this.findRefusalReason(candidate, permit),
-      onSending: () => this.recorder.recordSending(description.service),
+      onSending: () => {
+        this.retries.recordSent(description.service)
+        this.recorder.recordSending(description.service)
+      },
       wasClosedCleanly: async () => await services.connections.wasClosedCleanly()
     }, receiver)
   }
--- a/entry/gateway/test/entry-count.test.ts
+++ b/entry/gateway/test/entry-count.test.ts
@@ -131,7 +131,12 @@
         for (const control of CONTROLS) counts.record(control, this.linked, this.now)
         counts.confirm(this.now)
       }
-      for (const { budget } of this.entries) while (budget.tryTake()) this.retriesAt.push(this.now)
+      for (const { budget } of this.entries) {
+        while (budget.tryReserve()) {
+          budget.recordSent()
+          this.retriesAt.push(this.now)
+        }
+      }
     }
   }
 
--- a/routing/balancer/src/retry-budget.ts
+++ b/routing/balancer/src/retry-budget.ts
@@ -40,6 +40,8 @@
   private readonly buckets: Bucket[] = []
   /** When each retry was sent that may share a window with the next one, oldest first. */
   private readonly retriesAt: number[] = []
+  /** Number of retries that are decided but not sent, since they wait for an endpoint. */
+  private reservedCount = 0
   private readonly now: () => number
   private readonly suspendedMs: () => number
 
@@ -53,19 +55,30 @@
     this.bucket().requests += part
   }
 
-  /** Takes one retry from the budget; returns false if none is left. */
-  tryTake (): boolean {
+  /** Reserves one retry until it is sent or cancelled; returns false if none is left. */
+  tryReserve (): boolean {
     if (this.remaining < 1) return false
-    this.retriesAt.push(this.now())
+    this.reservedCount += 1
     return true
   }
 
+  /** Counts a reserved retry from now on. */
+  recordSent (): void {
+    this.reservedCount -= 1
+    this.retriesAt.push(this.now())
+  }
+
+  /** Gives up a reserved retry. */
+  cancel (): void {
+    this.reservedCount -= 1
+  }
+
   /** Whether nothing is counted, so that a new budget would allow the same. */
   get isIdle (): boolean {
     return this.countRequests() === 0 && this.countRetries() === 0
   }
 
-  /** The number of retries that may still be sent now. */
+  /** The number of retries that may still be reserved now. */
   get remaining (): number {
     return USABLE_SHARE * (this.options.ratio * this.countRequests() + this.slackShare) - this.countRetries()
   }
@@ -85,7 +98,7 @@
     const { retriesAt } = this
     const firstCounted = this.now() - retryMemoryMs(this.options.windowMs)
     while (retriesAt[0] !== undefined && retriesAt[0] < firstCounted) retriesAt.shift()
-    return retriesAt.length
+    return retriesAt.length + this.reservedCount
   }
 
   private bucket (): Bucket {
--- a/routing/balancer/src/retry-budgets.ts
+++ b/routing/balancer/src/retry-budgets.ts
@@ -36,8 +36,13 @@
   }
 }
 
-/** The retries of one request. The services of its route must all allow them, since the endpoint is chosen later. */
+/**
+ * The retries of one request. A retry is reserved when it is decided and counted when it is sent, since it may wait for an endpoint in
+ * between. The services of the route must all allow it, since the endpoint is chosen later.
+ */
 export class RequestRetries {
+  private isReserved = false
+
   constructor (private readonly budgets: ReadonlyMap<string, RetryBudget>) {}
 
   /** The number of retries that may still be sent now. */
@@ -45,10 +50,28 @@
     return Math.min(...[...this.budgets.values()].map(({ remaining }) => remaining))
   }
 
-  /** Takes one retry from the budget; returns false if none is left. */
-  tryTake (): boolean {
+  /** Reserves one retry; returns false if the budget is used up. */
+  tryReserve (): boolean {
     if (this.remaining < 1) return false
-    for (const budget of this.budgets.values()) budget.tryTake()
+    for (const budget of this.budgets.values()) budget.tryReserve()
+    this.isReserved = true
     return true
   }
+
+  /** Records that an attempt is sent to a service; it uses the reserved retry, if there is one. */
+  recordSent (service: string): void {
+    if (!this.isReserved) return
+    this.isReserved = false
+    for (const [name, budget] of this.budgets) {
+      if (name === service) budget.recordSent()
+      else budget.cancel()
+    }
+  }
+
+  /** Gives up a reserved retry that will not be sent. */
+  cancel (): void {
+    if (!this.isReserved) return
+    this.isReserved = false
+    for (const budget of this.budgets.values()) budget.cancel()
+  }
 }
--- a/routing/balancer/test/retry-budget.test.ts
+++ b/routing/balancer/test/retry-budget.test.ts
@@ -4,6 +4,8 @@
 const WINDOW_MS = 10_000
 const SLACK = 60
 const STEP_MS = 50
+/** Time for which a retry may wait for an endpoint. */
+const WAIT_MS = 2300
 
 function createBudget (clock: { now: number }, options: Partial<RetryBudgetOptions> = {}): RetryBudget {
   return new RetryBudget({
@@ -15,7 +17,10 @@
 function takeAll (budget: RetryBudget, clock: { now: number }, from: number, to: number): number[] {
   const taken: number[] = []
   for (clock.now = from; clock.now <= to; clock.now += STEP_MS) {
-    while (budget.tryTake()) taken.push(clock.now)
+    while (budget.tryReserve()) {
+      budget.recordSent()
+      taken.push(clock.now)
+    }
   }
   return taken
 }
@@ -35,6 +40,25 @@
     }
   })
 
+  it('counts retries that waited for an endpoint from the time at which they were sent', () => {
+    const clock = { now: 0 }
+    const budget = createBudget(clock)
+    const sent: number[] = []
+    while (budget.tryReserve()) sent.push(WAIT_MS)
+    clock.now = WAIT_MS
+    sent.forEach(() => budget.recordSent())
+    sent.push(...takeAll(budget, clock, WAIT_MS, 3 * WINDOW_MS))
+    expect(sent.length).toBeGreaterThan(SLACK)
+    expect(mostInWindow(sent)).toBeLessThanOrEqual(SLACK)
+  })
+
+  it('gives back a retry that was not sent', () => {
+    const budget = createBudget({ now: 0 })
+    while (budget.tryReserve());
+    budget.cancel()
+    expect([budget.tryReserve(), budget.tryReserve()]).toEqual([true, false])
+  })
+
   it('allows no slack, but the ratio of its own requests, while another process may use its share', () => {
     const clock = { now: 0 }
     const budget = createBudget(clock, { entryCount: () => undefined })
--- a/routing/balancer/test/retry-budgets.test.ts
+++ b/routing/balancer/test/retry-budgets.test.ts
@@ -17,16 +17,16 @@
   it('allow no retries at one service for the requests of another', () => {
     const budgets = createBudgets()
     recordMany(budgets, MODEL)
-    expect(budgets.recordRequest(MODEL).tryTake()).toBe(true)
-    expect(budgets.recordRequest(DESK).tryTake()).toBe(false)
+    expect(budgets.recordRequest(MODEL).tryReserve()).toBe(true)
+    expect(budgets.recordRequest(DESK).tryReserve()).toBe(false)
   })
 
   it('are used up one by one', () => {
     const budgets = createBudgets(10)
     const model = budgets.recordRequest(MODEL)
-    while (model.tryTake());
-    expect(budgets.recordRequest(DESK).tryTake()).toBe(true)
-    expect(budgets.recordRequest(MODEL).tryTake()).toBe(false)
+    while (model.tryReserve()) model.recordSent('model')
+    expect(budgets.recordRequest(DESK).tryReserve()).toBe(true)
+    expect(budgets.recordRequest(MODEL).tryReserve()).toBe(false)
   })
 
   it('count the requests of a route by the weights of its services', () => {
@@ -37,9 +37,19 @@
     expect(budgets.recordRequest(MODEL).remaining).toBeGreaterThan(100)
   })
 
+  it('count a retry only at the service that it is sent to', () => {
+    const budgets = createBudgets(10)
+    const retries = budgets.recordRequest([{ service: 'model', weight: 1 }, { service: 'canary', weight: 1 }])
+    const before = retries.remaining
+    expect(retries.tryReserve()).toBe(true)
+    retries.recordSent('canary')
+    expect(budgets.recordRequest(MODEL).remaining).toBeGreaterThanOrEqual(before)
+    expect(retries.remaining).toBeCloseTo(before - 1, 0)
+  })
+
   it('allow a request as many retries as the strictest service of its route', () => {
     const budgets = createBudgets()
     recordMany(budgets, MODEL)
-    expect(budgets.recordRequest([...MODEL, ...DESK]).tryTake()).toBe(false)
+    expect(budgets.recordRequest([...MODEL, ...DESK]).tryReserve()).toBe(false)
   })
 })
