fix(gateway): limit connections to an endpoint by the current number of entries

The pool of an endpoint kept the limit of its creation. An entry that had heard of one entry or of three opened up to five times its share of the connections that an endpoint accepts, and all entries kept too large pools after others had joined; an endpoint resets what is beyond its maximum.

A pool is replaced once the entries together could exceed the maximum of the endpoint. The quarter between the usable share and the maximum keeps pools from being replaced at each join; running requests end on the old pool.

--- a/entry/gateway/src/connections.ts
+++ b/entry/gateway/src/connections.ts
@@ -8,12 +8,20 @@
 const CONNECT_TIMEOUT_MS = 2000
 /** Share of an endpoint's connections that the entries use; the rest is for other callers and for entries that join. */
 const SHARE_OF_CONNECTIONS = 0.8
+/** Minimum number of connections of one entry to an endpoint. */
+const MIN_CONNECTIONS = 2
 
 /** Called with the data centre of an endpoint and the time that it took to connect, in ms. */
 export type ConnectedListener = (dataCentre: string, tookMs: number) => void
 
+interface LimitedPool {
+  pool: Pool
+  /** Maximum number of connections. */
+  limit: number
+}
+
 export class Connections {
-  private readonly pools = new Map<string, Pool>()
+  private readonly pools = new Map<string, LimitedPool>()
   private readonly connector = watchedConnector((check) => { this.latestEnd = check })
   private latestEnd: Promise<boolean> = Promise.resolve(false)
 
@@ -27,12 +35,22 @@
     return await this.latestEnd
   }
 
-  /** Returns the dispatcher for one incarnation of an endpoint. */
-  dispatcherFor ({ incarnation, address, dataCentre }: EndpointDescription, maxConnections: number, entries: number): Dispatcher {
-    const known = this.pools.get(incarnation)
-    if (known !== undefined) return known
-    const connections = Math.max(2, Math.floor(maxConnections * SHARE_OF_CONNECTIONS / Math.max(1, entries)))
-    const pool = new Pool(originOf(address), {
+  /**
+   * Returns the dispatcher for one incarnation of an endpoint. A pool that was created when fewer entries were known is replaced once
+   * the entries together could open more connections than the endpoint accepts.
+   */
+  dispatcherFor (endpoint: EndpointDescription, maxConnections: number, entries: number): Dispatcher {
+    const known = this.pools.get(endpoint.incarnation)
+    const limit = Math.max(MIN_CONNECTIONS, Math.floor(maxConnections * SHARE_OF_CONNECTIONS / Math.max(1, entries)))
+    if (known !== undefined && (known.limit <= limit || known.limit * entries <= maxConnections)) return known.pool
+    this.forget(endpoint.incarnation)
+    const pool = this.createPool(endpoint, limit)
+    this.pools.set(endpoint.incarnation, { pool, limit })
+    return pool
+  }
+
+  private createPool ({ address, dataCentre }: EndpointDescription, connections: number): Pool {
+    return new Pool(originOf(address), {
       connections,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -41,21 +59,19 @@
       bodyTimeout: 0,
       connect: timedConnector(this.connector, (tookMs) => this.onConnected(dataCentre, tookMs))
     })
-    this.pools.set(incarnation, pool)
-    return pool
   }
 
   /** Closes the connections to an incarnation once its running requests have ended. */
   forget (incarnation: string): void {
-    const pool = this.pools.get(incarnation)
+    const known = this.pools.get(incarnation)
     this.pools.delete(incarnation)
-    pool?.close().catch(() => {})
+    known?.pool.close().catch(() => {})
   }
 
   async stop (): Promise<void> {
     const pools = [...this.pools.values()]
     this.pools.clear()
-    await Promise.all(pools.map(async (pool) => await pool.destroy()))
+    await Promise.all(pools.map(async ({ pool }) => await pool.destroy()))
   }
 }
 
