test(quorum): lose two of five disks while all other members lose power

A new term: with the disks that a deployment bears to lose, every other machine may lose power at the same moment, right after an acknowledgement.

--- a/control/quorum/test/cluster.ts
+++ b/control/quorum/test/cluster.ts
@@ -75,13 +75,19 @@
     return leaders.sort((left, right) => right.vote.term - left.vote.term)[0]
   }
 
-  /** Proposes to whoever says it leads; notes the command if it is acknowledged. A long one goes in an append of its own. */
-  propose (name: string, characters = 0): void {
+  /**
+   * Proposes to whoever says it leads; notes the command if it is acknowledged, and calls `onAcknowledged` at that moment. A long one
+   * goes in an append of its own.
+   */
+  propose (name: string, characters = 0, onAcknowledged = () => {}): void {
     const { node, isUp } = this.get(name)
     if (!isUp) return
     this.proposed += 1
     const command = `command ${this.proposed}`.padEnd(characters, '.')
-    node.propose(command).then(() => this.acknowledged.push(command), () => {})
+    node.propose(command).then(() => {
+      this.acknowledged.push(command)
+      onAcknowledged()
+    }, () => {})
   }
 
   /** Reads what must not be older than anything acknowledged before. */
@@ -127,6 +133,16 @@
     await this.boot(name, new MemoryDisk())
   }
 
+  /** All members, which have lost power, come back; some with empty disks. */
+  async restorePower (withoutDisk: readonly string[]): Promise<void> {
+    for (const name of this.names) {
+      const { disk } = this.get(name)
+      disk.beforeWrite = undefined
+      if (withoutDisk.includes(name)) await this.boot(name, new MemoryDisk(), false)
+      else await this.boot(name, disk.reopened())
+    }
+  }
+
   /** An operator removes a member that has lost its disk and adds it again. */
   async readmit (name: string): Promise<void> {
     const address = name
@@ -146,9 +162,9 @@
     return holds()
   }
 
-  private async boot (name: string, disk: MemoryDisk): Promise<void> {
+  private async boot (name: string, disk: MemoryDisk, mayFound = true): Promise<void> {
     const machine = new ListMachine()
-    const founding = { self: name, addresses: this.names, mayFound: true }
+    const founding = { self: name, addresses: this.names, mayFound }
     const timing = { firstElectionShare: this.firstElectionShare }
     const node = new QuorumNode({
       member: name, founding, disk, machine, transport: this.transport(name), logger: silentLogger(), snapshotEvery: 12, timing
