test(soak): check the retry budget over all gateways

Engines note every request that reaches them, rejected ones too, and the check retries counts those after the first of a request by service, in each window of ten seconds, whatever was disturbed. New faults: all engines of a service reject most requests, and all gateways are killed several times in a row. The settings of the soak's gateways give most retries by the slack, so that a share that is used twice shows.

--- a/bench/soak/src/checks/index.ts
+++ b/bench/soak/src/checks/index.ts
@@ -2,6 +2,7 @@
 import { noIntrusion, refusalsTrue, runsAtMost, unchanged, urgencyByTier, wholeAnswers } from './answers.ts'
 import { acknowledgements, inForce, keysDropped, noReturn, nothingLost, readBack } from './configuration.ts'
 import { coldSpared, crashingIsHeld, drainWordIsKept, evacuatedGetNothing, leavingGetNothing, limitIsKept, restIsKept, stayHome } from './engines.ts'
+import { retriesAreBounded } from './retries.ts'
 import { endsAsAsked, nothingStarves, recovers, stopsCutNothing } from './service.ts'
 import { type Check, type CheckInput, type Violation } from './violation.ts'
 
@@ -15,7 +16,7 @@
   return [
     wholeAnswers, runsAtMost, refusalsTrue, unchanged, noIntrusion, urgencyByTier,
     inForce, keysDropped, noReturn, readBack, acknowledgements, nothingLost,
-    leavingGetNothing, evacuatedGetNothing, crashingIsHeld, restIsKept, drainWordIsKept, limitIsKept,
+    leavingGetNothing, evacuatedGetNothing, crashingIsHeld, restIsKept, drainWordIsKept, limitIsKept, retriesAreBounded,
     stopsCutNothing, endsAsAsked, nothingStarves, recovers,
     ...cold ? [coldSpared] : [],
     ...regions ? [stayHome] : []
--- a/bench/soak/src/documents.ts
+++ b/bench/soak/src/documents.ts
@@ -10,6 +10,8 @@
 /** So many versions hold a key of the guest. */
 const GUEST_KEYS = 2
 const SLOTS = 8
+/** How many retries all gateways together may send: mostly by the slack, so that a share that is used twice shows. */
+export const RETRIES = { ratio: 0.05, windowMs: 10_000, slack: 30 }
 
 /** What callers ask for. */
 export interface Kind {
--- a/bench/soak/src/engine.ts
+++ b/bench/soak/src/engine.ts
@@ -12,6 +12,8 @@
   | 'cutting'
   /** Turns requests away without running them. */
   | 'refusing'
+  /** Turns most requests away without running them. */
+  | 'shedding'
   /** The same, and asks for rest. */
   | 'resting'
   /** Runs requests and fails. */
@@ -40,6 +42,7 @@
 const EVENT_MS = 15
 const SLOW_FACTOR = 10
 const CUT_SHARE = 0.4
+const SHED_SHARE = 0.7
 const UNFRAMED_SHARE = 0.1
 const SECOND_WHOLE_FRAME = 2
 /** Headers that a gateway sets, as engines see them. */
@@ -104,6 +107,7 @@
   private take (request: IncomingMessage, response: ServerResponse, body: string): void {
     const id = headerOf(request, 'x-gullwall-request-id')
     const from = this.options.sourceAt(request.socket.remotePort ?? 0)
+    this.options.journal.deliveries.push({ id, service: this.options.service, at: this.options.journal.now })
     if (headerOf(request, 'x-gullwall-incarnation') === this.incarnation) this.noteArrival(id, from, response)
     if (headerOf(request, 'x-gullwall-incarnation') !== this.incarnation) {
       response.writeHead(421, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
@@ -113,7 +117,7 @@
       this.askForRest(id, from, response)
       return
     }
-    if (this.behaviour === 'refusing' || this.running.size >= SLOTS) {
+    if (this.isRejecting) {
       response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
       return
     }
@@ -133,6 +137,11 @@
     else this.answer(run, response, isCut)
   }
 
+  private get isRejecting (): boolean {
+    const { random } = this.options
+    return this.behaviour === 'refusing' || (this.behaviour === 'shedding' && random.chance(SHED_SHARE)) || this.running.size >= SLOTS
+  }
+
   private noteArrival (id: string, from: string, response: ServerResponse): void {
     const { journal } = this.options
     if (this.hasRested || this.perSecond !== undefined) journal.arrivals.push({ id, incarnation: this.incarnation, from, at: journal.now })
--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -41,12 +41,15 @@
 /** A data centre that stays evacuated would spoil the rest of a run. */
 const RETURN_TRIES = 4
 const VOTERS = 3
+const SERIES_KILLS = 3
+const SERIES_GAP_MS = 1800
 /** A process that lacks so many entries of the log has not caught up. */
 const MAX_BEHIND = 3
 
 export const FAULTS = {
   'stop gateway': async ({ site }, { gateway, durationMs }) => await downAndUp(site, [gateway], 'SIGTERM', durationMs / 2),
   'kill gateway': async ({ site }, { gateway, durationMs }) => await downAndUp(site, [gateway], 'SIGKILL', durationMs / 2),
+  'kill gateways in series': killInSeries,
   'stop all gateways': async ({ site }) => await downAndUp(site, [...site.gateways.keys()], 'SIGTERM', 0),
   'kill everything': async ({ site }) => await downAndUp(site, [...site.gateways.keys(), ...site.controls.keys()], 'SIGKILL', 0),
   'stop control': async ({ site }, { control, durationMs }) => await downAndUp(site, [control], 'SIGTERM', durationMs),
@@ -94,6 +97,7 @@
   'request crashes engines': async ({ site }, fault) => await sendCrashing(site, fault),
   'engine asks for rest': async (world, fault) => await misbehave(world, fault, 'resting'),
   'all engines ask for rest': restTogether,
+  'all engines shed': shedTogether,
   'engine leaves unheard': leaveUnheard,
   'engine names a limit': nameLimit,
   burst: async ({ callers }, { durationMs }) => {
@@ -122,6 +126,14 @@
   }))
 }
 
+/** Kills all gateways several times, each time soon after they have started. */
+async function killInSeries ({ site }: World): Promise<void> {
+  for (let kill = 0; kill < SERIES_KILLS; kill += 1) {
+    await downAndUp(site, [...site.gateways.keys()], 'SIGKILL', 0)
+    await pause(SERIES_GAP_MS)
+  }
+}
+
 /** Stops a program as planned and starts another build of it in its place; waits while somebody else works on it. */
 export async function replace (site: Site, program: Program, file: string): Promise<void> {
   while (program.isBusy) await pause(CLAIM_POLL_MS)
@@ -240,10 +252,18 @@
 
 /** All engines of one service turn everything away and ask for rest, for a while. */
 async function restTogether (world: World, fault: PlannedFault): Promise<void> {
+  await misbehaveTogether(world, { ...fault, durationMs: Math.min(fault.durationMs, MAX_TOGETHER_MS) }, 'resting')
+}
+
+/** All engines of one service turn most requests away, often for longer than the window in which retries are counted. */
+async function shedTogether (world: World, fault: PlannedFault): Promise<void> {
+  await misbehaveTogether(world, fault, 'shedding')
+}
+
+async function misbehaveTogether (world: World, fault: PlannedFault, behaviour: Behaviour): Promise<void> {
   const service = world.site.engineNamed(fault.engine)?.options.service
   const names = world.site.engines.map(({ options }) => options).filter((options) => options.service === service).map(({ name }) => name)
-  const durationMs = Math.min(fault.durationMs, MAX_TOGETHER_MS)
-  await Promise.all(names.map(async (engine) => await misbehave(world, { ...fault, engine, durationMs }, 'resting')))
+  await Promise.all(names.map(async (engine) => await misbehave(world, { ...fault, engine }, behaviour)))
 }
 
 /** An engine names a limit in its answers, then another one, and then none. */
--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -79,6 +79,9 @@
 /** Any request that reached an engine which had asked somebody for rest, or named a limit. */
 export interface Arrival { id: string, incarnation: string, from: string, at: number }
 
+/** Any request that reached an engine, whether it was run or rejected. */
+export interface Delivery { id: string, service: string, at: number }
+
 /** An engine told a gateway, in the head of an answer, that it drains. */
 export interface DrainWord { incarnation: string, from: string, at: number }
 
@@ -107,6 +110,7 @@
   readonly crashes: CrashingRun[] = []
   readonly rests: RestAsked[] = []
   readonly arrivals: Arrival[] = []
+  readonly deliveries: Delivery[] = []
   readonly drainWords: DrainWord[] = []
   readonly limits: LimitSpell[] = []
   /** Answers of control to callers without its token. */
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -61,6 +61,22 @@
     replace: '',
     faults: ['engine names a limit', 'burst']
   },
+  {
+    name: 'retries-not-limited',
+    check: 'retries',
+    file: `${GATEWAY}/attempt-policy.ts`,
+    find: 'if (!retries.tryReserve())',
+    replace: 'if (!retries.tryReserve() && retries.remaining > 1)',
+    faults: ['all engines shed', 'burst']
+  },
+  {
+    name: 'share-used-after-a-start',
+    check: 'retries',
+    file: `${GATEWAY}/entry-count.ts`,
+    find: 'return this.isConfirmed(now) && now - this.confirmedSince >= this.options.windowMs',
+    replace: 'return this.isConfirmed(now)',
+    faults: ['all engines shed', 'kill gateways in series']
+  },
   {
     name: 'draining-not-heard',
     check: 'drains',
--- a/bench/soak/src/site.ts
+++ b/bench/soak/src/site.ts
@@ -6,7 +6,7 @@
 import { freeAddress, freeAddresses } from '@gullwall/bench.deployment'
 import { type BuiltPrograms } from './build.ts'
 import { crashAndReturn } from './crashing-requests.ts'
-import { COLD, REGIONS } from './documents.ts'
+import { COLD, REGIONS, RETRIES } from './documents.ts'
 import { Engine } from './engine.ts'
 import { Heartbeats } from './heartbeats.ts'
 import { ALL, CORE, Journal } from './journal.ts'
@@ -145,7 +145,10 @@
         ...processSettings(name, dataCentre, listen, admin),
         readiness,
         seeds: Object.values(this.members),
-        graceMs: GRACE_MS
+        graceMs: GRACE_MS,
+        retryRatio: RETRIES.ratio,
+        retryWindowMs: RETRIES.windowMs,
+        retrySlack: RETRIES.slack
       }
       this.gateways.set(name, this.program(name, file, settings))
     }
