fix(gateway): let no suspension and no step of the time of day bring the share of the slack forward

Found by reading the change once more: the time since which control counts an entry was taken by a clock that includes suspensions. The runtime tells those by the time of day, so that a time of day set forward by some seconds gave a process that had just started its share as much sooner. The wait for the share goes by the monotonic clock now; only the end of a confirmation includes suspensions.

--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -52,7 +52,9 @@
 
   constructor (private readonly services: GatewayServices) {
     this.selector = new PrimaryLinkSelector(services.settings.dataCentre, new Regions(services.settings.regions))
-    this.entryCount = new EntryCount({ windowMs: retryMemoryMs(services.settings.retryWindowMs) })
+    this.entryCount = new EntryCount({
+      windowMs: retryMemoryMs(services.settings.retryWindowMs), suspendedMs: () => suspensions.suspendedMs()
+    })
   }
 
   start (): void {
@@ -235,12 +237,12 @@
     this.entryCount.record(address, entries, now)
     const hasMajority = this.openCount > this.dialers.size / 2
     this.services.view.entryCount = this.entryCount.count(hasMajority, now)
-    if (hasMajority) this.entryCount.confirm(now + suspensions.suspendedMs())
+    if (hasMajority) this.entryCount.confirm(now)
   }
 
   /** The number of entries that share the budgets; undefined while this process may not use its share. */
   get sharingEntryCount (): number | undefined {
-    return this.entryCount.hasShare(performance.now() + suspensions.suspendedMs()) ? this.services.view.entryCount : undefined
+    return this.entryCount.hasShare(performance.now()) ? this.services.view.entryCount : undefined
   }
 
   private receiveLoad (link: Link, message: MessageOf<'workSums'>): void {
--- a/entry/gateway/src/entry-count.ts
+++ b/entry/gateway/src/entry-count.ts
@@ -12,6 +12,8 @@
 export interface EntryCountOptions {
   /** The longest time for which a budget counts what was used, in ms. */
   windowMs: number
+  /** Returns the total time for which the box was suspended, which the monotonic clock of `now` does not count, in ms. */
+  suspendedMs: () => number
 }
 
 interface Count {
@@ -22,8 +24,10 @@
 export class EntryCount {
   /** By the address of the control process. */
   private readonly counts = new Map<string, Count>()
+  /** Since when reports have confirmed this process without a gap; suspensions are not included, so that they can't shorten the wait. */
   private confirmedSince = -Infinity
-  private confirmedAt = -Infinity
+  /** Until when the latest report confirms this process; suspensions are included. */
+  private confirmedUntil = -Infinity
 
   constructor (private readonly options: EntryCountOptions) {}
 
@@ -51,7 +55,7 @@
   /** Records that a count was received while most control processes were linked. */
   confirm (now: number): void {
     if (!this.isConfirmed(now)) this.confirmedSince = now
-    this.confirmedAt = now
+    this.confirmedUntil = now + this.options.suspendedMs() + this.confirmedMs
   }
 
   /**
@@ -64,7 +68,7 @@
   }
 
   private isConfirmed (now: number): boolean {
-    return now - this.confirmedAt <= this.confirmedMs
+    return now + this.options.suspendedMs() <= this.confirmedUntil
   }
 
   /** Time after a report by a majority for which this process is confirmed, in ms. */
--- a/entry/gateway/test/entry-count.test.ts
+++ b/entry/gateway/test/entry-count.test.ts
@@ -10,9 +10,11 @@
 const STEP_MS = 100
 const CONTROLS = ['c1', 'c2', 'c3', 'c4', 'c5']
 
+const createCount = (suspendedMs = () => 0) => new EntryCount({ windowMs: WINDOW_MS, suspendedMs })
+
 describe('the number of entries that share the budgets', () => {
   it('is not lowered by a control process that has just started, and rises at once', () => {
-    const counts = new EntryCount({ windowMs: WINDOW_MS })
+    const counts = createCount()
     for (const control of CONTROLS) counts.record(control, 24, 0)
     counts.record('c5', 2, 100)
     expect(counts.count(true, 100)).toBe(24)
@@ -21,7 +23,7 @@
   })
 
   it('falls once all control processes have reported less for so long that retries of a missing entry have left the window', () => {
-    const counts = new EntryCount({ windowMs: WINDOW_MS })
+    const counts = createCount()
     counts.record('c1', 24, 0)
     for (let now = 2000; now <= 30_000; now += 2000) {
       counts.record('c1', 18, now)
@@ -30,7 +32,7 @@
   })
 
   it('does not fall in the minority of a network partition, however long that lasts', () => {
-    const counts = new EntryCount({ windowMs: WINDOW_MS })
+    const counts = createCount()
     for (const control of CONTROLS) counts.record(control, 24, 0)
     for (let now = 2000; now <= 60_000; now += 2000) {
       for (const control of CONTROLS.slice(0, 2)) counts.record(control, 10, now)
@@ -41,7 +43,7 @@
   })
 
   it('includes a share for this entry once a majority has counted it for a window, until a window after the last report', () => {
-    const counts = new EntryCount({ windowMs: WINDOW_MS })
+    const counts = createCount()
     for (let now = 0; now <= WINDOW_MS; now += WINDOW_MS / 5) {
       counts.confirm(now)
       expect(counts.hasShare(now)).toBe(now >= WINDOW_MS)
@@ -53,6 +55,27 @@
   })
 })
 
+describe('a suspension, or a time of day that is set forward', () => {
+  it('gives an entry its share no sooner', () => {
+    let suspendedMs = 0
+    const counts = createCount(() => suspendedMs)
+    counts.confirm(0)
+    suspendedMs = WINDOW_MS / 2
+    counts.confirm(WINDOW_MS / 2)
+    expect(counts.hasShare(WINDOW_MS / 2)).toBe(false)
+    expect(counts.hasShare(WINDOW_MS)).toBe(true)
+  })
+
+  it('ends the share of an entry that control may have left out meanwhile', () => {
+    let suspendedMs = 0
+    const counts = createCount(() => suspendedMs)
+    for (let now = 0; now <= WINDOW_MS; now += WINDOW_MS / 5) counts.confirm(now)
+    expect(counts.hasShare(WINDOW_MS)).toBe(true)
+    suspendedMs = WINDOW_MS + 1
+    expect(counts.hasShare(WINDOW_MS)).toBe(false)
+  })
+})
+
 describe('entries that use up their shares of the slack at once', () => {
   it('stay within the slack together while other entries join', () => {
     const fleet = new Fleet(24)
@@ -145,7 +168,7 @@
   }
 
   private createEntry (): Entry {
-    const counts = new EntryCount({ windowMs: WINDOW_MS })
+    const counts = createCount()
     const entry: Entry = {
       counts,
       isConnected: true,
