--- a/routing/balancer/src/retry-budget.ts
+++ b/routing/balancer/src/retry-budget.ts
@@ -23,7 +23,10 @@
   suspendedMs?: () => number
 }
 
-/** The share of the budget that is used. The rest is a margin, because the number of entries is known with a delay. */
+/**
+ * The share of the budget that is used. The rest is a margin: the number of entries is known with a delay, and the requests that allowed
+ * a retry are counted in an earlier window than the retry.
+ */
 const USABLE_SHARE = 0.6
 
 /** Returns the time for which a retry is counted, in ms. */
