--- a/bench/soak/src/checks/retries.ts
+++ b/bench/soak/src/checks/retries.ts
@@ -4,16 +4,17 @@
 import { type Check } from './violation.ts'
 
 const SERVICES: readonly string[] = [...new Set(KINDS.map(({ service }) => service))]
-/** The windows whose requests count for a window of retries: its own, the one before it, and the one half a window before it. */
+/** How many windows earlier the windows begin whose requests allow the retries of a window. The one with the most requests counts. */
 const REQUEST_WINDOWS = [0, 0.5, 1]
 
 /** In no window a service receives more retries from all gateways together than the budget allows, whatever was disturbed. */
 export const retriesAreBounded: Check = ({ journal }) => SERVICES.flatMap((service) => {
   const { ratio, windowMs, slack } = RETRIES
   const retries = retriesOf(journal.deliveries, service)
+  const retryTimes = retries.map(({ at }) => at)
   const requests = requestsOf(journal, service)
   return retries.flatMap(({ id, at }) => {
-    const within = countIn(retries.map((retry) => retry.at), at, windowMs)
+    const within = countIn(retryTimes, at, windowMs)
     const most = ratio * Math.max(...REQUEST_WINDOWS.map((windows) => countIn(requests, at - windows * windowMs, windowMs))) + slack
     const what = `${within} retries at ${service} in ${windowMs} ms from here, ${most.toFixed(1)} allowed`
     return within > most ? [{ check: 'retries', at, subject: `${service} ${id}`, what }] : []
--- a/control/quorum/test/power-and-disks-lost.test.ts
+++ b/control/quorum/test/power-and-disks-lost.test.ts
@@ -13,7 +13,7 @@
 let cluster: Cluster | undefined
 afterEach(() => cluster?.stop())
 
-/** Proposes commands until one of them is acknowledged, and takes the power away from all members at that moment. */
+/** Proposes commands, and takes the power away from all members at the moment at which the last one is acknowledged. */
 async function losePowerAfterAcknowledgement (made: Cluster, commands: number): Promise<void> {
   let isDark = false
   const wanted = made.acknowledged.length + commands
