--- a/bench/deployment/src/deployment.ts
+++ b/bench/deployment/src/deployment.ts
@@ -79,6 +79,11 @@
     return entry.get('callers').address
   }
 
+  /** Waits until each entry may send some retries; a process earns them after its start. */
+  async awaitRetries (count: number): Promise<void> {
+    await until('retries', () => this.entries.every((entry) => entry.get('callers').retryBudget.remaining >= count))
+  }
+
   /** The control process that leads. */
   leader (): Kernel<ControlServices> {
     const leader = this.controls.find((control) => control.get('quorum').role === 'leader')
--- a/entry/program/src/caller-server.ts
+++ b/entry/program/src/caller-server.ts
@@ -18,6 +18,7 @@
 export class CallerServer {
   isStopping = false
   address = ''
+  readonly retryBudget = new RetryBudget()
   private readonly http: HttpServer
   private readonly limits = new OrganisationLimits()
   private sweepTimer: NodeJS.Timeout | undefined
@@ -36,7 +37,7 @@
       run: {
         dispatcher,
         decisions,
-        retryBudget: new RetryBudget(),
+        retryBudget: this.retryBudget,
         attemptIds: options.attemptIds,
         startId,
         maxAnswerBytes: settings.maxAnswerBytes,
