fix(entry): keep a retry budget for each service on the path with sidecars

Endpoints of a service that turns requests away were sent retries that the answered requests for other services had earned: four hundred answered requests for one service allowed forty retries at another, whose callers had sent nothing. Cause: one budget for all services of an entry, as on the gateway before. Why it works: each service has a balance of its own; time earns at most ten retries at each.

--- a/bench/deployment/src/deployment.ts
+++ b/bench/deployment/src/deployment.ts
@@ -79,9 +79,9 @@
     return entry.get('callers').address
   }
 
-  /** Waits until each entry may send some retries; a process earns them after its start. */
-  async awaitRetries (count: number): Promise<void> {
-    await until('retries', () => this.entries.every((entry) => entry.get('callers').retryBudget.remaining >= count))
+  /** Waits until each entry may send some retries at a service; a process earns them after its start. */
+  async awaitRetries (service: string, count: number): Promise<void> {
+    await until('retries', () => this.entries.every((entry) => entry.get('callers').retryBudget.remaining(service) >= count))
   }
 
   /** The control process that leads. */
--- a/entry/answers/src/request-run.ts
+++ b/entry/answers/src/request-run.ts
@@ -133,7 +133,7 @@
     switch (outcome.kind) {
       case 'whole':
         this.ran = 'yes'
-        this.services.retryBudget.recordSuccess()
+        this.services.retryBudget.recordSuccess(this.request.serves)
         this.log('finish', `answered with ${outcome.status}`, grant, attemptId)
         return this.result('answered', outcome.status)
       case 'cancelled':
@@ -156,7 +156,9 @@
     }
     this.request.avoidedEndpoints.add(grant.endpoint)
     // What an endpoint has turned away arrived there; to send it on is a repeat.
-    if (reason === 'turned-away' && !this.services.retryBudget.tryTake()) return this.fail(503, 'retry_budget_spent', `not run: ${why}`, grant)
+    if (reason === 'turned-away' && !this.services.retryBudget.tryTake(this.request.serves)) {
+      return this.fail(503, 'retry_budget_spent', `not run: ${why}`, grant)
+    }
     if (this.attempts < MAX_ATTEMPTS) {
       this.log('retry', `not run: ${reason}`, grant, attemptId)
       return undefined
@@ -180,7 +182,7 @@
       if (outcome.reason === 'endpoint-failed') this.brokenOff += 1
       const isSpent = this.attempts >= MAX_ATTEMPTS || this.brokenOff >= MAX_BROKEN_OFF
       if (isSpent) return this.fail(502, 'endpoints_failed', why, grant)
-      if (!services.retryBudget.tryTake()) return this.fail(502, 'retry_budget_spent', why, grant)
+      if (!services.retryBudget.tryTake(request.serves)) return this.fail(502, 'retry_budget_spent', why, grant)
     }
     if (caller.hasBegun && (!request.resumable || !this.keepsAll)) return this.fail(502, 'broken_off', why, grant)
     this.log(caller.hasBegun ? 'resume' : 'retry', why, grant, attemptId)
--- a/entry/program/test/failures.test.ts
+++ b/entry/program/test/failures.test.ts
@@ -52,7 +52,7 @@
   })
   beforeAll(async () => {
     await deployment.start()
-    await deployment.awaitRetries(2)
+    await deployment.awaitRetries('parts', 2)
   })
   afterAll(async () => await deployment.stop())
 
--- a/entry/program/test/rest-asked-for.test.ts
+++ b/entry/program/test/rest-asked-for.test.ts
@@ -58,7 +58,7 @@
 
 beforeAll(async () => {
   await deployment.start()
-  await deployment.awaitRetries(3)
+  await deployment.awaitRetries('parts', 3)
 })
 afterAll(async () => await deployment.stop())
 
--- a/routing/limits/src/retry-budget.ts
+++ b/routing/limits/src/retry-budget.ts
@@ -1,6 +1,7 @@
 /**
- * Limits the retries of one entry, so that they do not multiply the load during a fault. The budget is earned by successful requests and
- * by time. A process begins without a budget, so that processes that start again and again earn no more than one that keeps running.
+ * Limits the retries of one entry at each service, so that they do not multiply the load during a fault. A budget is earned by successful
+ * requests for the service and by time. A process begins without one, so that processes that start again and again earn no more than one
+ * that keeps running.
  */
 
 const RETRIES_PER_SUCCESS = 0.1
@@ -16,42 +17,51 @@
   now?: () => number
 }
 
+interface Balance {
+  retries: number
+  updatedAt: number
+}
+
 export class RetryBudget {
-  private balance = 0
-  private updatedAt: number
+  private readonly balances = new Map<string, Balance>()
+  private readonly startedAt: number
   private readonly now: () => number
 
   constructor ({ now = () => performance.now() }: RetryBudgetOptions = {}) {
     this.now = now
-    this.updatedAt = now()
+    this.startedAt = now()
   }
 
-  /** Records a request that was answered. */
-  recordSuccess (): void {
-    this.addEarnedByTime()
-    this.balance = Math.min(MAX_BUDGET, this.balance + RETRIES_PER_SUCCESS)
+  /** Records a request that a service has answered. */
+  recordSuccess (service: string): void {
+    const balance = this.balanceOf(service)
+    balance.retries = Math.min(MAX_BUDGET, balance.retries + RETRIES_PER_SUCCESS)
   }
 
-  /** The number of retries that may be taken now. */
-  get remaining (): number {
-    this.addEarnedByTime()
-    return Math.floor(this.balance)
+  /** Returns the number of retries that may be taken at a service now. */
+  remaining (service: string): number {
+    return Math.floor(this.balanceOf(service).retries)
   }
 
   /**
-   * Takes one retry from the budget.
+   * Takes one retry at a service from its budget.
    * @returns false if the budget is spent
    */
-  tryTake (): boolean {
-    if (this.remaining < 1) return false
-    this.balance -= 1
+  tryTake (service: string): boolean {
+    const balance = this.balanceOf(service)
+    if (balance.retries < 1) return false
+    balance.retries -= 1
     return true
   }
 
-  private addEarnedByTime (): void {
+  /** Returns the balance of a service, with what time has earned since the last call. */
+  private balanceOf (service: string): Balance {
     const now = this.now()
-    const earned = (now - this.updatedAt) / MS_PER_SECOND * RETRIES_PER_SECOND
-    this.balance = Math.max(this.balance, Math.min(MAX_EARNED_BY_TIME, this.balance + earned))
-    this.updatedAt = now
+    const balance = this.balances.get(service) ?? { retries: 0, updatedAt: this.startedAt }
+    const earned = (now - balance.updatedAt) / MS_PER_SECOND * RETRIES_PER_SECOND
+    balance.retries = Math.max(balance.retries, Math.min(MAX_EARNED_BY_TIME, balance.retries + earned))
+    balance.updatedAt = now
+    this.balances.set(service, balance)
+    return balance
   }
 }
--- a/routing/limits/test/limits.test.ts
+++ b/routing/limits/test/limits.test.ts
@@ -45,7 +45,7 @@
 
   function takeAll (budget: RetryBudget): number {
     let taken = 0
-    while (budget.tryTake()) taken += 1
+    while (budget.tryTake('parts')) taken += 1
     return taken
   }
 
@@ -53,7 +53,7 @@
     const budget = createBudget()
     now += 10_000
     expect(takeAll(budget)).toBe(10)
-    for (let success = 0; success < 100; success++) budget.recordSuccess()
+    for (let success = 0; success < 100; success++) budget.recordSuccess('parts')
     const more = takeAll(budget)
     expect(more).toBeLessThanOrEqual(10)
     expect(more).toBeGreaterThanOrEqual(9)
@@ -78,4 +78,11 @@
     console.log(`${taken} retries in twenty lives of half a second`)
     expect(taken).toBeLessThanOrEqual(10)
   })
+
+  // One budget for all services let the requests for one of them pay for the retries at another.
+  it('does not let the requests for one service pay for the retries at another', () => {
+    const budget = createBudget()
+    for (let success = 0; success < 400; success++) budget.recordSuccess('orders')
+    expect(takeAll(budget)).toBe(0)
+  })
 })
