fix(balancer): use a part of the region link only after control has counted the entries

What callers saw: nothing was reported. Where all gateways start at once beside a region without free engines, the link between regions carries more requests than the half of it that is meant for them, which delays whatever shares the link. A gateway that has just started believed the first count of a control process, which knows one entry or a few by then, and had the whole burst of a second again, whatever its predecessor had sent in that second. Evidence: the new test lets ten entries start four times in ten seconds, counted one by one within half a second: 42,120 kB crossed, 25,000 are allowed; 24,840 kB with the change. Ruled out: a share after a window under the count of a majority, as for retries; in the minority of a partition it would end all traffic to other regions, and the link is an estimate without a rule. Why it works: the budget of the link is a bucket of one second, so that after a second nothing that a predecessor has sent still counts, and control counts entries that start together within a second. Cost: requests stay in their region during the first second after the first count; two tests that expect otherwise right after a start wait for the share. The gateways of a deployment with one region decide as before.

--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -237,6 +237,7 @@
     this.entryCount.record(address, entries, now)
     const hasMajority = this.openCount > this.dialers.size / 2
     this.services.view.entryCount = this.entryCount.count(hasMajority, now)
+    this.services.view.entriesCountedSince ??= now
     if (hasMajority) this.entryCount.confirm(now)
   }
 
--- a/entry/gateway/src/cross-region-traffic.ts
+++ b/entry/gateway/src/cross-region-traffic.ts
@@ -2,6 +2,7 @@
 import { Regions, type GatewaySettings } from '@gullwall/config.settings'
 import { RegionLink, type RegionContext, type EndpointState } from '@gullwall/routing.balancer'
 import { type Call } from './call.ts'
+import { type DeploymentView } from './deployment-view.ts'
 import { type GatewayMetrics } from './metrics.ts'
 
 /** Assumed size of the headers of a request and of its answer together. */
@@ -13,7 +14,7 @@
 
 export interface CrossRegionTrafficOptions {
   settings: Pick<GatewaySettings, 'dataCentre' | 'regions' | 'regionLinkMbitPerS'>
-  view: { readonly entryCount: number }
+  view: Pick<DeploymentView, 'entryCount' | 'entriesCountedSince'>
   metrics: Pick<GatewayMetrics, 'crossRegionRequests' | 'crossRegionBytes'>
 }
 
@@ -30,7 +31,10 @@
 
   constructor (private readonly options: CrossRegionTrafficOptions) {
     this.regions = new Regions(options.settings.regions)
-    this.link = new RegionLink({ mbitPerS: options.settings.regionLinkMbitPerS, entryCount: () => options.view.entryCount })
+    const { settings, view } = options
+    this.link = new RegionLink({
+      mbitPerS: settings.regionLinkMbitPerS, entryCount: () => view.entryCount, countedSince: () => view.entriesCountedSince
+    })
   }
 
   /** Returns the region costs of a request for the choice of an endpoint; undefined if the deployment has a single region. */
--- a/entry/gateway/src/deployment-view.ts
+++ b/entry/gateway/src/deployment-view.ts
@@ -44,6 +44,8 @@
   table: RouteTable | undefined
   /** Number of entries that share the budgets of the deployment, as counted by control. */
   entryCount = 1
+  /** When control first reported that number, by the monotonic clock; undefined before. */
+  entriesCountedSince: number | undefined
   readonly leases: LeaseTable
   /** Engines that are kept free of long prompts. */
   readonly reserved = new ReservedEngines()
--- a/entry/gateway/test/allowed-regions.fuzz.test.ts
+++ b/entry/gateway/test/allowed-regions.fuzz.test.ts
@@ -117,7 +117,8 @@
     const pool = (service: string) => index.pool(service)
     const view = { table, usable: () => endpoints, pool, index, reserved: new ReservedEngines() }
     const settings = { dataCentre: 'dc0', regions }
-    const crossRegionTraffic = new CrossRegionTraffic({ settings, view: { entryCount: 1 }, metrics: {} as never })
+    const count = { entryCount: 1, entriesCountedSince: -Infinity }
+    const crossRegionTraffic = new CrossRegionTraffic({ settings, view: count, metrics: {} as never })
     const services = {
       crossRegionTraffic,
       view,
--- a/entry/gateway/test/allowed-regions.test.ts
+++ b/entry/gateway/test/allowed-regions.test.ts
@@ -30,6 +30,7 @@
 beforeAll(async () => {
   await deployment.start()
   for (const stub of all) await deployment.register(stub)
+  await deployment.awaitRegionLink()
 })
 afterAll(async () => await deployment.stop())
 beforeEach(() => { for (const stub of all) stub.behaviour = answerOk })
--- a/entry/gateway/test/cross-region-traffic.test.ts
+++ b/entry/gateway/test/cross-region-traffic.test.ts
@@ -30,6 +30,7 @@
   await deployment.start()
   for (const stub of both) await deployment.register(stub)
   await deployment.configure(1)
+  await deployment.awaitRegionLink()
 })
 afterAll(async () => await deployment.stop())
 beforeEach(() => { for (const stub of both) stub.behaviour = answerOk })
--- a/entry/gateway/test/gateway-deployment.ts
+++ b/entry/gateway/test/gateway-deployment.ts
@@ -126,6 +126,12 @@
     await until('a share of the retry budget', () => this.gateway.get('controlLinks').sharingEntryCount !== undefined)
   }
 
+  /** Waits until the gateway uses its share of the link between regions. */
+  async awaitRegionLink (): Promise<void> {
+    const { link } = this.gateway.get('crossRegionTraffic')
+    await until('a share of the link between regions', () => link.costMs(1) !== undefined)
+  }
+
   /** Reports an endpoint to control and waits until the gateway uses it, or no longer uses it. */
   async register (stub: StubEndpoint, state: 'ready' | 'draining' = 'ready', sequence = 1, coldMs?: number): Promise<void> {
     const { incarnation, service, address, dataCentre } = stub
--- a/routing/balancer/src/region-link.ts
+++ b/routing/balancer/src/region-link.ts
@@ -26,6 +26,8 @@
   mbitPerS?: number | undefined
   /** Returns the number of entries that share the link. */
   entryCount: () => number
+  /** Returns when control first reported that number, by the clock of `now`; undefined before. */
+  countedSince: () => number | undefined
   now?: () => number
 }
 
@@ -45,6 +47,7 @@
 
   /** Returns the cost of sending some bytes, answer included, in ms; undefined if this entry's budget has no room for them. */
   costMs (bytes: number): number | undefined {
+    if (!this.hasShare()) return undefined
     const allowance = this.bytesPerMs * BURST_MS
     const usedBytes = this.usedBytes()
     // A request that is larger than the whole budget is allowed while the budget is unused.
@@ -65,6 +68,15 @@
     this.isMeasured = true
   }
 
+  /**
+   * Whether this entry may use its part of the link. Right after a start, control may have counted only a few of the entries that started
+   * at the same time, and the link still carries what an earlier process of the same box has sent.
+   */
+  private hasShare (): boolean {
+    const countedSince = this.options.countedSince()
+    return countedSince !== undefined && this.now() - countedSince >= BURST_MS
+  }
+
   /** The part of the link for requests of this entry. */
   private get bytesPerMs (): number {
     const { mbitPerS = DEFAULT_MBIT_PER_S, entryCount } = this.options
--- a/routing/balancer/test/cross-region.test.ts
+++ b/routing/balancer/test/cross-region.test.ts
@@ -133,7 +133,7 @@
   /** One entry's part, in bytes a second: half of the link of 40 Mbit/s, divided among ten entries. */
   const PART_BYTES_PER_S = 250_000
   let now = 0
-  const link = () => new RegionLink({ mbitPerS: 40, entryCount: () => ENTRIES, now: () => now })
+  const link = () => new RegionLink({ mbitPerS: 40, entryCount: () => ENTRIES, countedSince: () => -Infinity, now: () => now })
 
   it('carries no more requests than their share of it', () => {
     const busy = link()
@@ -150,6 +150,35 @@
     expect(sent).toBeGreaterThan(8 * PART_BYTES_PER_S)
   })
 
+  // Each entry took the whole link right after its start: control had counted one entry, and what its predecessor sent was forgotten.
+  it('carries no more requests than their share of it while all entries start again and again', () => {
+    const COUNTED_WITHIN_MS = 500
+    const LIFE_MS = 2500
+    const from = now
+    let sent = 0
+    while (now < from + 4 * LIFE_MS) {
+      const startedAt = now
+      const entryCount = () => Math.min(ENTRIES, 1 + Math.floor(ENTRIES * (now - startedAt) / COUNTED_WITHIN_MS))
+      const options = { mbitPerS: 40, entryCount, countedSince: () => startedAt, now: () => now }
+      const links = Array.from({ length: ENTRIES }, () => new RegionLink(options))
+      for (; now < startedAt + LIFE_MS; now += 1) {
+        for (const each of links) {
+          if (each.costMs(9000) === undefined) continue
+          each.recordBytes(9000)
+          sent += 9000
+        }
+      }
+    }
+    console.log(`${Math.round(sent / 1000)} kB over the link in four lives`)
+    expect(sent).toBeLessThanOrEqual(4 * LIFE_MS / 1000 * ENTRIES * PART_BYTES_PER_S)
+    expect(sent).toBeGreaterThan(0)
+  })
+
+  it('carries no request before control has counted the entries', () => {
+    const unknown = new RegionLink({ mbitPerS: 40, entryCount: () => 1, countedSince: () => undefined, now: () => now })
+    expect(unknown.costMs(1000)).toBeUndefined()
+  })
+
   it('costs more as its budget is used up, and rejects large requests first', () => {
     const busy = link()
     const idleCost = busy.costMs(4000) ?? Infinity
