feat(gateway): keep most of the retry budget for callers that would not come back

What callers saw: while engines turn requests away the budget goes to whoever comes first. Callers that were told when to come back came back and were refused a second time, though a caller that is refused for the first time comes back by itself and needs no retry. Cause: all requests had the same claim to a retry. Why it works: a retry succeeds equally often for each request; without it a caller that has come back is lost, one that is new comes back. A request that may have run can't be refused and uses the whole budget, as before. The rule only withholds retries, so that the bound over all gateways holds as it did. notices.test.ts retried right after a start and now waits for the share of the slack, as other tests do.

--- a/entry/gateway/src/attempt-policy.ts
+++ b/entry/gateway/src/attempt-policy.ts
@@ -18,6 +18,8 @@
 const SLOW_TARGET_FACTOR = 1.5
 /** Interval at which running attempts are checked, and the minimum time before a repeatable request counts as slow, in ms. */
 export const WATCH_INTERVAL_MS = 250
+/** Share of the retry budget that is kept for requests whose callers would not come back after a refusal. */
+const KEPT_RETRIES_SHARE = 0.6
 /** Time without an event after which a stream is abandoned if its endpoint sends nothing for other requests either, in ms. */
 const STALL_TIMEOUT_MS = 1200
 
@@ -44,6 +46,8 @@
   retries: RequestRetries
   /** Longest wait at which requests that are no more urgent than this one are still accepted, in ms. */
   acceptableWaitMs: number
+  /** Whether the caller has come back after a refusal. */
+  isReturning: boolean
 }
 
 /**
@@ -105,12 +109,23 @@
 }
 
 /** Retries if the number of attempts and the retry budget allow it; returns the step of `otherwise` if they do not. */
-function retryOr ({ call, history, retries }: RequestState, reason: string, otherwise: (reason: string) => NextStep): NextStep {
+function retryOr (state: RequestState, reason: string, otherwise: (reason: string) => NextStep): NextStep {
+  const { call, history, retries } = state
   if (!history.canRunAgain) return otherwise(`${reason}; ${history.sentCount} of ${call.route.maxAttempts} attempts made`)
-  if (!retries.tryReserve()) return otherwise(`${reason}; no retry budget left`)
+  if (!retries.tryReserve(keptRetriesShare(state))) {
+    return otherwise(`${reason}; no retry budget left${retries.remaining < 1 ? '' : ' for a caller that can come back'}`)
+  }
   return { type: 'retry', reason, budgetLeft: retries.remaining }
 }
 
+/**
+ * Returns the share of the retry budget that a request leaves for others. A caller that is refused for the first time comes back by itself,
+ * and its next request needs no retry. A request that may have run can't be refused, and a caller rarely comes back twice.
+ */
+function keptRetriesShare ({ history, isReturning }: RequestState): number {
+  return isReturning || history.mayHaveRun ? 0 : KEPT_RETRIES_SHARE
+}
+
 export interface RunningAttempt extends RequestState {
   candidate: Candidate
   inFlightRequest: InFlightRequest
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -24,6 +24,7 @@
 import { createGatewayMetrics, type GatewayMetrics } from './metrics.ts'
 import { nativeDialect } from './native-dialect.ts'
 import { Quarantine } from './quarantine.ts'
+import { ReturningCallers } from './returning-callers.ts'
 import { CrossRegionTraffic } from './cross-region-traffic.ts'
 import { UsageTracker } from './usage-tracker.ts'
 import { LoadExchange } from './load-exchange.ts'
@@ -59,6 +60,7 @@
   limits: EndpointLimits
   eligibility: EligibilityRules
   retryBudgets: RetryBudgets
+  returningCallers: ReturningCallers
   outputLengthEstimator: OutputLengthEstimator
   controlLinks: ControlLinks
   loadExchange: LoadExchange
@@ -101,6 +103,7 @@
     .service('limits', createLimits)
     .service('eligibility', createEligibility)
     .service('retryBudgets', createRetryBudgets)
+    .service('returningCallers', () => new ReturningCallers())
     .service('outputLengthEstimator', () => new OutputLengthEstimator())
     .service('controlLinks', (services) => new ControlLinks(services))
     .service('loadExchange', (services) => new LoadExchange(services))
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -38,6 +38,7 @@
   private readonly history: AttemptHistory
   private readonly recorder: RequestRecorder
   private readonly retries: RequestRetries
+  private readonly isReturning: boolean
   private lastEventId: string | undefined
   private exchange: Exchange | undefined
   /** When a request that may have run began to wait for its next endpoint; undefined while no such request waits. */
@@ -52,6 +53,7 @@
     this.history = new AttemptHistory(call)
     this.recorder = new RequestRecorder(services, call, this.history)
     this.retries = services.retryBudgets.recordRequest(call.route.split)
+    this.isReturning = services.returningCallers.record(call.route.name, call.waitMs)
     this.lastEventId = call.lastEventId
   }
 
@@ -112,10 +114,9 @@
   }
 
   private get state (): RequestState {
-    const { call, history, retries, services } = this
-    return {
-      call, history, retries, acceptableWaitMs: services.view.table?.longestTargetMs(call.route) ?? call.route.targetMs
-    }
+    const { call, history, retries, isReturning, services } = this
+    const acceptableWaitMs = services.view.table?.longestTargetMs(call.route) ?? call.route.targetMs
+    return { call, history, retries, isReturning, acceptableWaitMs }
   }
 
   private get choiceOptions (): EndpointChoiceOptions {
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -13,9 +13,10 @@
   tier?: number
   maxAttempts?: number
   slack?: number
+  isReturning?: boolean
 }
 
-function stateOf ({ kind = 'stream', isResumable = true, tier = 1, maxAttempts = 2, slack = 100 }: StateOptions = {}): RequestState {
+function stateOf ({ kind = 'stream', isResumable = true, tier = 1, maxAttempts = 2, slack = 100, isReturning = true }: StateOptions = {}): RequestState {
   const route = {
     name: 'r',
     host: 'h',
@@ -51,7 +52,7 @@
     fingerprint: () => ''
   }
   const retries = new RetryBudgets({ ratio: 0, windowMs: 10_000, slack, entryCount: () => 1 }).recordRequest(route.split)
-  return { call, history: new AttemptHistory(call), retries, acceptableWaitMs: TARGET_MS }
+  return { call, history: new AttemptHistory(call), retries, isReturning, acceptableWaitMs: TARGET_MS }
 }
 
 const endpoint = new EndpointState({ incarnation: 'i-1', service: 's', address: '127.0.0.1:1', dataCentre: 'east', slots: 4 })
@@ -131,6 +132,38 @@
   })
 })
 
+describe('the retry budget of a service', () => {
+  const BUDGET = 6
+  const slack = BUDGET / 0.6
+
+  /** Returns how many requests are sent to another endpoint, each after one rejection. */
+  function countRetries (states: RequestState[]): number {
+    return states.filter((state) => decideNextStep(state, 'i-1', notRun).type === 'retry').length
+  }
+
+  function share (states: RequestState[]): RequestState[] {
+    const [first] = states
+    return states.map((state) => ({ ...state, retries: first?.retries ?? state.retries }))
+  }
+
+  // Requests of callers that would have come back used up the budget, and those that came back were refused again.
+  it('is kept in part for callers that have come back after a refusal', () => {
+    const fresh = Array.from({ length: 10 }, () => stateOf({ slack, isReturning: false }))
+    const returning = Array.from({ length: 10 }, () => stateOf({ slack }))
+    const states = share([...fresh, ...returning])
+    expect(countRetries(states.slice(0, 10))).toBe(2)
+    expect(decideNextStep(stateOf({ slack: 0, isReturning: false }), 'i-1', notRun)).toMatchObject({ reason: 'full; no retry budget left' })
+    const [refused = stateOf()] = states
+    expect(decideNextStep(refused, 'i-2', notRun)).toMatchObject({ reason: 'full; no retry budget left for a caller that can come back' })
+    expect(countRetries(states.slice(10))).toBe(BUDGET - 2)
+  })
+
+  it('is used as a whole by requests that may have run', () => {
+    const states = share(Array.from({ length: 10 }, () => stateOf({ slack, isReturning: false })))
+    expect(states.filter((state) => decideNextStep(state, 'i-1', broken).type === 'retry')).toHaveLength(BUDGET)
+  })
+})
+
 describe('an endpoint that does not respond', () => {
   const inFlightRequest: InFlightRequest = {
     startedAt: 0,
--- a/entry/gateway/test/notices.test.ts
+++ b/entry/gateway/test/notices.test.ts
@@ -70,6 +70,7 @@
   await deployment.start()
   for (const engine of engines) await deployment.register(engine)
   await deployment.configure(1)
+  await deployment.awaitRetryBudget()
 })
 afterAll(async () => await deployment.stop())
 afterEach(async () => {
--- a/routing/balancer/src/retry-budget.ts
+++ b/routing/balancer/src/retry-budget.ts
@@ -58,9 +58,14 @@
     this.bucket().requests += part
   }
 
+  /** Whether a retry may be reserved that leaves a share of the budget, from 0 to 1, for others. */
+  allows (keptShare = 0): boolean {
+    return this.remaining >= 1 + keptShare * this.total
+  }
+
   /** Reserves one retry until it is sent or cancelled; returns false if none is left. */
   tryReserve (): boolean {
-    if (this.remaining < 1) return false
+    if (!this.allows()) return false
     this.reservedCount += 1
     return true
   }
@@ -83,7 +88,12 @@
 
   /** The number of retries that may still be reserved now. */
   get remaining (): number {
-    return USABLE_SHARE * (this.options.ratio * this.countRequests() + this.slackShare) - this.countRetries()
+    return this.total - this.countRetries()
+  }
+
+  /** The number of retries in a window. */
+  private get total (): number {
+    return USABLE_SHARE * (this.options.ratio * this.countRequests() + this.slackShare)
   }
 
   /** The part of the slack that this process may use. */
--- a/routing/balancer/src/retry-budgets.ts
+++ b/routing/balancer/src/retry-budgets.ts
@@ -50,10 +50,14 @@
     return Math.min(...[...this.budgets.values()].map(({ remaining }) => remaining))
   }
 
-  /** Reserves one retry; returns false if the budget is used up. */
-  tryReserve (): boolean {
-    if (this.remaining < 1) return false
-    for (const budget of this.budgets.values()) budget.tryReserve()
+  /**
+   * Reserves one retry; returns false if the budget is used up.
+   * @param keptShare the share of the budget, from 0 to 1, that is left for other requests
+   */
+  tryReserve (keptShare = 0): boolean {
+    const budgets = [...this.budgets.values()]
+    if (!budgets.every((budget) => budget.allows(keptShare))) return false
+    for (const budget of budgets) budget.tryReserve()
     this.isReserved = true
     return true
   }
