--- a/control/program/src/evacuations.ts
+++ b/control/program/src/evacuations.ts
@@ -1,8 +1,8 @@
 /**
  * Executes operators' orders to evacuate data centres. An accepted order is on the disks of a majority. If another order changed
- * the data centre in the meantime, the order is proposed again with the new epoch. An order is rejected as late and changes nothing
- * if its caller disconnected before the order was read, if the caller is disconnected when another order supersedes this one, or if
- * the order is older than callers wait.
+ * the data centre in the meantime, the order is proposed again with the new epoch, since its caller still waits for it. An order is
+ * rejected as late and changes nothing if its caller disconnected before the order was read, if the caller is disconnected when another
+ * order supersedes this one, or if the order is older than callers wait.
  */
 import { GullwallError } from '@gullwall/core.error'
 import { counter, gauge, type Registry } from '@gullwall/core.metrics'
--- a/control/program/src/usage-store.ts
+++ b/control/program/src/usage-store.ts
@@ -11,7 +11,10 @@
 import { ThrottledAction } from './throttled-action.ts'
 
 const FILE = 'usage'
-/** Shortest interval between two writes of the file, in ms. A kill of all processes loses the counts of this interval. */
+/**
+ * Shortest interval between two writes of the file, in ms. A kill of all processes loses the counts of this interval, and those that
+ * entries have not reported yet.
+ */
 const MIN_SAVE_INTERVAL_MS = 100
 /** Share of the time that building the file text may take: about half of a control process's limit of 3.8% of a core. */
 const SAVE_TIME_SHARE = 0.02
--- a/routing/balancer/src/candidate-set.ts
+++ b/routing/balancer/src/candidate-set.ts
@@ -1,8 +1,8 @@
 /**
  * Selects the endpoints that are scored for one request: all endpoints of a small fleet. Scoring all of a large fleet takes too long
- * (31 ms for 12,000 endpoints). There, only some endpoints with the prompt cached, the affinity endpoint and a random sample of the
- * others are scored, half of the sample from the entry's data centre. The best of 16 random endpoints is in the top tenth with a
- * probability of 0.81, and the remaining difference in cost is smaller than the prefill of a prompt.
+ * (5.4 ms for 3,000 endpoints, 31 ms for 12,000). There, only some endpoints with the prompt cached, the affinity endpoint and a random
+ * sample of the others are scored, half of the sample from the entry's data centre. The best of 16 random endpoints is in the top tenth
+ * with a probability of 0.81, and the remaining difference in cost is smaller than the prefill of a prompt.
  */
 import { canAccept, sharedPrefixIdOf, type ChoiceRequest } from './choose.ts'
 import { type EndpointPool, type DataCentrePool } from './endpoint-pool.ts'
--- a/routing/balancer/src/engine-memory.ts
+++ b/routing/balancer/src/engine-memory.ts
@@ -1,7 +1,8 @@
 /**
  * The memory that running requests take at an engine: the unshared tokens of each request, prompt and answer, and each shared prefix
- * once. An engine can run out of memory before it runs out of slots. It then preempts its newest, least urgent request and prefills
- * it again later, which delays all requests there by 250 ms.
+ * once. An engine can run out of memory before it runs out of slots: prompts of 9,200 tokens, 6,300 of them shared, fill 267,000 tokens
+ * with some 33 requests of 30 prefixes. It then preempts its newest, least urgent request and prefills it again later, which delays all
+ * requests there by 250 ms.
  *
  * Entries report the shared prefixes of their requests as a sketch of 64 bits. The sketches of many entries can be combined without
  * counting a prefix twice, which estimates the memory to within a tenth. Adding up the numbers of the entries would count a prefix
@@ -18,7 +19,7 @@
 /**
  * A request that would take more than this share of an engine's memory in total is not sent there, since the engine would queue it
  * or preempt another. The limit is below 1 because the estimate can be a tenth too low, most of all for the engine that seems to have
- * the most room.
+ * the most room: without the margin many requests wait at their engines. A larger margin refuses more requests.
  */
 const FULL_SHARE = 0.9
 
--- a/routing/balancer/src/pause-sensitivity.ts
+++ b/routing/balancer/src/pause-sensitivity.ts
@@ -1,11 +1,11 @@
 /**
  * The effect of prefill on the streams of the same engine. During prefill, each token of a stream takes as long as one prefill
- * step. A stream whose limit for pauses is shorter misses that limit.
+ * step. A stream whose limit for pauses is shorter misses that limit, and is late for good.
  */
 
 /** Pause sensitivity falls with this power of the limit for pauses: twice the limit means an eighth of the sensitivity. */
 const SENSITIVITY_EXPONENT = 3
-/** An upper bound: a stream that is certain to be delayed counts only a little more than one that is just at its limit. */
+/** An upper bound, since a stream can't be late more than once. It exceeds 1 for streams that are certain to be late. */
 const MAX_SENSITIVITY = 1.5
 
 /**
--- a/routing/balancer/src/prefill-observer.ts
+++ b/routing/balancer/src/prefill-observer.ts
@@ -1,8 +1,8 @@
 /**
  * Estimates the prefill of an engine: its speed, the share of time that it takes, and the pauses of streams during it. Engines don't
- * report these values, and they differ between engines of one service, so they are learnt from attempts. An entry learns from its
- * own attempts and sends its observations to control. Control learns from the observations of all entries, which is faster if each
- * entry uses an engine rarely.
+ * report these values, and they differ between engines of one service, so they are learnt from attempts. Streams with a short limit
+ * for pauses do not tolerate those during prefill. An entry learns from its own attempts and sends its observations to control. Control
+ * learns from the observations of all entries, which is faster if each entry uses an engine rarely.
  */
 
 /** A backlog that keeps an engine busy with prefill until the next sample: about two intervals of 60 ms at 36 tokens a ms. */
@@ -10,7 +10,7 @@
 /** The weight of one sample in the share; with a sample each 60 ms, the time constant is 1.5 s. */
 const SHARE_WEIGHT = 0.04
 
-/** The assumed prefill speed of an engine without observations: that of a slow engine beside a few streams. */
+/** The assumed prefill speed of an engine without observations: that of a slow engine (36.7 tokens a ms alone) beside a few streams. */
 const UNKNOWN_TOKENS_PER_MS = 36
 /** The time for a shorter prompt depends more on the network than on the engine. */
 const MIN_TIMED_TOKENS = 1500
--- a/routing/balancer/src/prefix-holders.ts
+++ b/routing/balancer/src/prefix-holders.ts
@@ -1,4 +1,7 @@
-/** The endpoints that have a prompt part cached, by part; a choice among thousands of endpoints would be slow without this index. */
+/**
+ * The endpoints that have a prompt part cached, by part. Without this index, a choice among thousands of endpoints would ask each of them,
+ * which would take most of its time.
+ */
 import { type EndpointState } from './endpoint-state.ts'
 import { type PromptPart } from './prefix-cache-model.ts'
 
