--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -65,7 +65,7 @@
     name: 'retries-not-limited',
     check: 'retries',
     file: `${GATEWAY}/attempt-policy.ts`,
-    find: 'if (!retries.tryReserve())',
+    find: 'if (!retries.tryReserve(keptRetriesShare(state)))',
     replace: 'if (!retries.tryReserve() && retries.remaining > 1)',
     faults: ['all engines shed', 'burst']
   },
