refactor(sidecar): use standard terms in the sidecar and in the link of entries and sidecars to control

What was unclear: attempts that were 'turned away', endpoints with 'room' or a 'rest', offers that were 'passed', heads that were 'taken', methods named 'note…', and doc comments that told who is 'told' of what. Names follow the terms of the gateway (record…, rejected, capacity, backoff, response head), and each reason of a comment stays. No behaviour changes; names on the wire, in logs and in metrics are the same.

--- a/control/client/src/index.ts
+++ b/control/client/src/index.ts
@@ -1,7 +1,6 @@
 /**
- * The link of an entry or a sidecar to control: one link, to another control
- * process if the first is lost. It brings records and members, confirms at the
- * start that the records are not older than what a quorum accepted, and claims.
+ * The link of an entry or a sidecar to control. There is one link; after a failure it is opened to another control process. It transfers
+ * records and members, confirms after the start that the records are not older than those that a quorum has accepted, and carries claims.
  */
 import { GullwallError, messageOf } from '@gullwall/core.error'
 import { type Logger } from '@gullwall/core.logger'
@@ -16,16 +15,16 @@
   logger: Logger
   store: RevisionStore
   spreader: Spreader
-  /** What a sidecar says of itself; none for an entry. */
+  /** Returns the description of this sidecar; undefined for an entry. */
   announcement?: () => Member
-  /** Told of the sidecars that control knows; only entries ask for them. */
+  /** Receives the sidecars that control knows; only entries need them. */
   onMembers?: (message: MessageOf<'members'>) => void
 }
 
-/** What a claim for a request that must run at most once has given. */
+/** The result of a claim for a request that must run at most once. */
 export interface ClaimAnswer {
   granted: boolean
-  /** The request that holds the claim. */
+  /** The id of the request that has the claim. */
   holder: string
   outcome: string
 }
@@ -44,7 +43,7 @@
 
   start (): void {
     const { addresses, local, sharedKey, logger, store, spreader } = this.options
-    // Processes begin at different control processes, so that these share the load.
+    // A random first address distributes the processes over the control processes.
     const first = Math.floor(Math.random() * addresses.length)
     const ordered = [...addresses.slice(first), ...addresses.slice(0, first)]
     this.dialer = new Dialer(ordered[0] ?? '', {
@@ -72,14 +71,14 @@
     this.dialer?.stop()
   }
 
-  /** Why the records in force may be older than what was accepted, or undefined if they are not. */
+  /** Returns why the present records may be older than the accepted ones; undefined if they are not. */
   notReady (): string | undefined {
     if (this.confirmedRevision === undefined) return 'no quorum has confirmed a revision yet'
     if (this.options.store.revision < this.confirmedRevision) return `revision ${this.confirmedRevision} is not here yet`
     return undefined
   }
 
-  /** Tells control again what this sidecar is. */
+  /** Sends control the current description of this sidecar. */
   announce (): void {
     if (this.options.announcement === undefined) return
     this.dialer?.link?.send({ kind: 'announce', member: this.options.announcement() })
@@ -87,7 +86,7 @@
 
   /**
    * Claims a key for a request in the replicated state.
-   * @throws ERR_GULLWALL_NO_QUORUM if no quorum has accepted it
+   * @throws ERR_GULLWALL_NO_QUORUM if no quorum has accepted the claim
    */
   async claim (key: string, requestId: string, holdMs: number): Promise<ClaimAnswer> {
     const message: Message = { kind: 'claim', key, requestId, holdMs }
@@ -100,7 +99,7 @@
     }
   }
 
-  /** Says what became of a claimed request; a failure is logged, since the claim stands either way. */
+  /** Records the outcome of a claimed request. A failure is only logged, since the claim remains in force either way. */
   async settle (key: string, requestId: string, outcome: MessageOf<'settle'>['outcome']): Promise<void> {
     try {
       await this.openLink().request({ kind: 'settle', key, requestId, outcome }, 'done', CLAIM_TIMEOUT_MS)
@@ -110,11 +109,11 @@
   }
 
   /**
-   * Tells control of crashed endpoints; a quorum has it once this resolves.
-   * @throws ERR_GULLWALL_LINK_CLOSED, ERR_GULLWALL_LINK_TIMEOUT, ERR_GULLWALL_PEER_FAILED; the same may be told again
+   * Reports crashed endpoints to control. A quorum has stored the report once this resolves.
+   * @throws ERR_GULLWALL_LINK_CLOSED, ERR_GULLWALL_LINK_TIMEOUT, ERR_GULLWALL_PEER_FAILED; the report can be sent again
    */
-  async tellCrashes (word: Omit<MessageOf<'crashes'>, 'kind'>): Promise<void> {
-    await this.openLink().request({ kind: 'crashes', ...word }, 'done', CRASHES_TIMEOUT_MS)
+  async reportCrashes (report: Omit<MessageOf<'crashes'>, 'kind'>): Promise<void> {
+    await this.openLink().request({ kind: 'crashes', ...report }, 'done', CRASHES_TIMEOUT_MS)
   }
 
   private openLink (): Link {
--- a/routing/dispatcher/test/dispatcher.fuzz.test.ts
+++ b/routing/dispatcher/test/dispatcher.fuzz.test.ts
@@ -132,12 +132,12 @@
     vi.spyOn(EndpointSlots.prototype, 'spare', 'get').mockReturnValue(1)
   },
   'any stream is preempted': () => {
-    vi.spyOn(EndpointSlots.prototype as unknown as PrivateMembers, 'victimBelow').mockImplementation(function (this: EndpointSlots) {
+    vi.spyOn(EndpointSlots.prototype as unknown as PrivateMembers, 'findPreemptionVictim').mockImplementation(function (this: EndpointSlots) {
       return [...(this as unknown as { running: Map<string, unknown> }).running.values()][0]
     })
   },
   'a lost offer never expires': () => {
-    vi.spyOn(EndpointSlots.prototype, 'pass').mockImplementation(() => {})
+    vi.spyOn(EndpointSlots.prototype, 'declineOffer').mockImplementation(() => {})
   },
   'the floor is forgotten and only the highest tier is offered': () => {
     vi.spyOn(ReservationBook.prototype, 'assignSlot').mockImplementation(() => undefined)
--- a/routing/dispatcher/test/simulation.ts
+++ b/routing/dispatcher/test/simulation.ts
@@ -237,7 +237,7 @@
         book.updateDemand(entry.name, rows)
         slots.offerFree()
       }),
-      sendPass: (offerId) => this.delay(() => slots.pass(offerId)),
+      sendPass: (offerId) => this.delay(() => slots.declineOffer(offerId)),
       sendPreempt: (_endpoint, className, tier) => this.delay(() => this.preempt(sidecar, entry.name, className, tier))
     }
     entry.ports.set(name, port)
--- a/sidecar/attempts/src/crashes.ts
+++ b/sidecar/attempts/src/crashes.ts
@@ -1,23 +1,23 @@
-/** What attempts tell of crashes of the endpoint that runs them. */
+/** How attempts report signs of a crash of their endpoint. */
 
 /** One attempt at one life of an endpoint. */
 export interface ServedAttempt {
-  /** Names the life of the endpoint in which the attempt began. */
+  /** Identifies the life of the endpoint, from one start of its process to the next, in which the attempt began. */
   life: string
   address: string
   requestId: string
-  /** Knows the request again under another id. */
+  /** Identifies the same request under other ids. */
   fingerprint: string
 }
 
-/** Told how attempts end, as far as that shows whether their endpoint lives. */
+/** Receives the outcomes of attempts that show whether their endpoint is alive. */
 export interface AttemptCrashes {
-  /** Names the life that an endpoint has now. */
-  lifeOf: (endpoint: string) => string
-  /** The connection broke while the attempt was running. */
-  noteBroken: (attempt: ServedAttempt) => void
-  /** Nothing listens at the endpoint's address. */
-  noteRefused: (attempt: Pick<ServedAttempt, 'life'>) => void
-  /** The endpoint has answered, and lives. */
-  noteRanWell: (attempt: Pick<ServedAttempt, 'fingerprint'>) => void
+  /** Returns the id of the current life of an endpoint. */
+  currentLife: (endpoint: string) => string
+  /** Records that the connection broke while the attempt was running. */
+  recordBrokenConnection: (attempt: ServedAttempt) => void
+  /** Records that nothing listens at the endpoint's address. */
+  recordRefusedConnection: (attempt: Pick<ServedAttempt, 'life'>) => void
+  /** Records that the attempt ended without a crash. */
+  recordSuccess: (attempt: Pick<ServedAttempt, 'fingerprint'>) => void
 }
--- a/sidecar/attempts/src/registry.ts
+++ b/sidecar/attempts/src/registry.ts
@@ -1,11 +1,11 @@
 /**
- * What has become of each attempt. An entry may revoke an attempt: the answer
- * `never-started` is a promise that it never will start.
+ * The states of the attempts of this process. An entry may revoke an attempt; the answer `never-started` guarantees that the attempt
+ * will never start.
  */
 
 export type AttemptState = 'never-started' | 'started' | 'finished'
 
-/** How long an attempt is remembered, in ms; longer than any entry waits to revoke it. */
+/** Time for which an ended attempt is remembered, in ms: longer than any entry waits before it revokes one. */
 const REMEMBER_MS = 10 * 60_000
 const SWEEP_EVERY = 1000
 
@@ -22,7 +22,7 @@
     return this.attempts.size
   }
 
-  /** Marks an attempt as started; false if it was revoked or had started before. */
+  /** Records the start of an attempt, unless it was revoked or has started before. */
   start (attemptId: string): 'started' | 'revoked' | 'duplicate' {
     const known = this.attempts.get(attemptId)
     if (known !== undefined) return known.state === 'never-started' ? 'revoked' : 'duplicate'
@@ -34,12 +34,12 @@
     this.remember(attemptId, 'finished')
   }
 
-  /** Takes back a start that did not reach the endpoint. */
+  /** Records that a started attempt did not reach the endpoint. */
   notStarted (attemptId: string): void {
     this.remember(attemptId, 'never-started')
   }
 
-  /** Revokes an attempt unless it has started, and tells which. */
+  /** Revokes an attempt unless it has started, and returns its state. */
   revoke (attemptId: string): AttemptState {
     const known = this.attempts.get(attemptId)
     if (known !== undefined) return known.state
--- a/sidecar/attempts/src/runner.ts
+++ b/sidecar/attempts/src/runner.ts
@@ -1,4 +1,4 @@
-/** Runs one attempt: checks it, takes a slot, passes it to the endpoint and relays the answer. */
+/** Runs attempts: checks the head, takes a slot, sends the request to the endpoint and forwards the answer. */
 import { type IncomingHttpHeaders, type ServerResponse } from 'node:http'
 import { type Context } from 'koa'
 import { GullwallError, messageOf } from '@gullwall/core.error'
@@ -14,7 +14,7 @@
 import { type AttemptCrashes, type ServedAttempt } from './crashes.ts'
 import { type AttemptRegistry } from './registry.ts'
 
-/** One endpoint of this box with all that belongs to it. */
+/** An endpoint of this box, its dialect and its slots. */
 export interface ServedEndpoint {
   local: LocalEndpoint
   endpoint: Endpoint
@@ -27,17 +27,17 @@
   registry: AttemptRegistry
   crashes: AttemptCrashes
   logger: Logger
-  /** Whether the sidecar is leaving and takes no new work. */
+  /** Whether the sidecar is leaving and accepts no new attempts. */
   isLeaving: () => boolean
-  /** The least time without a token after which a stream counts as stalled, in ms. */
+  /** Minimum time without a token after which a stream counts as stalled, in ms. */
   minStallMs?: number
 }
 
-/** In which endpoints say that they have not run a call, with a status from here on. */
+/** With a status from 400 on, the value `no` of this header means that the endpoint has not run the request. */
 const RAN_HEADER = 'x-gullwall-ran'
 const CLIENT_ERROR = 400
 const DEFAULT_MIN_STALL_MS = 2000
-/** A stream stalls when no token comes for so many times its target. */
+/** A stream counts as stalled after this multiple of its target without a token. */
 const STALL_FACTOR = 20
 const FIRST_TOKEN_STALL_FACTOR = 4
 
@@ -74,13 +74,13 @@
   }
 
   private refuse (context: Context, refused: AttemptRefused, why: string): void {
-    // What was not read of the body is of no use to anybody.
+    // Discards the unread part of the body, so that the connection can be used again.
     context.req.resume()
-    answerRefusal(context, refused, why)
+    sendRefusal(context, refused, why)
   }
 }
 
-/** One attempt that has its slot. */
+/** An attempt that has a slot. */
 class AttemptRun {
   private readonly abort = new AbortController()
   private readonly response: ServerResponse
@@ -89,8 +89,8 @@
   private endReason: EndReason | undefined
   private stallTimer: NodeJS.Timeout | undefined
   private isStream = false
-  /** Whether the endpoint has said that it does not run the attempt. */
-  private isTurnedAway = false
+  /** Whether the endpoint has rejected the attempt without running it. */
+  private isRejected = false
   private readonly attempt: ServedAttempt
 
   constructor (
@@ -101,10 +101,10 @@
   ) {
     this.response = context.res
     const { endpoint, requestId, fingerprint } = head
-    this.attempt = { life: options.crashes.lifeOf(endpoint), address: served.local.address, requestId, fingerprint }
+    this.attempt = { life: options.crashes.currentLife(endpoint), address: served.local.address, requestId, fingerprint }
   }
 
-  /** Cuts the attempt off; the entry is told why. */
+  /** Stops the attempt; the entry receives the reason. */
   end (reason: EndReason): void {
     this.endReason ??= reason
     this.abort.abort()
@@ -116,16 +116,16 @@
     this.watchForStall(this.firstTokenStallMs())
     try {
       await this.callEndpoint()
-      if (this.isTurnedAway) {
-        this.refuseTurnedAway()
+      if (this.isRejected) {
+        this.refuseRejected()
         return
       }
-      this.options.crashes.noteRanWell(this.attempt)
+      this.options.crashes.recordSuccess(this.attempt)
       response.end()
-      if (!this.isStream) this.served.slots.noteFirstToken(performance.now() - this.startedAt)
+      if (!this.isStream) this.served.slots.recordFirstToken(performance.now() - this.startedAt)
     } catch (error) {
-      this.noteCrash(error)
-      if (response.headersSent) this.breakOff(error)
+      this.recordCrash(error)
+      if (response.headersSent) this.endBrokenAnswer(error)
       else this.refuseFailed(error)
     } finally {
       clearTimeout(this.stallTimer)
@@ -133,11 +133,11 @@
     }
   }
 
-  /** A break that this process did not make itself may be the crash of the endpoint. */
-  private noteCrash (error: unknown): void {
+  /** Records a broken connection that this process has not closed itself: the endpoint may have crashed. */
+  private recordCrash (error: unknown): void {
     if (this.abort.signal.aborted || !(error instanceof GullwallError)) return
-    if (error.code === 'ERR_GULLWALL_ENDPOINT_REFUSED') this.options.crashes.noteRefused(this.attempt)
-    if (error.code === 'ERR_GULLWALL_ENDPOINT_FAILED') this.options.crashes.noteBroken(this.attempt)
+    if (error.code === 'ERR_GULLWALL_ENDPOINT_REFUSED') this.options.crashes.recordRefusedConnection(this.attempt)
+    if (error.code === 'ERR_GULLWALL_ENDPOINT_FAILED') this.options.crashes.recordBrokenConnection(this.attempt)
   }
 
   private callEndpoint (): Promise<void> {
@@ -156,26 +156,26 @@
   }
 
   private refuseFailed (error: unknown): void {
-    if (this.endReason === undefined && this.abort.signal.aborted) return // the entry has gone
+    if (this.endReason === undefined && this.abort.signal.aborted) return // The entry has disconnected.
     const certain = error instanceof GullwallError && error.code === 'ERR_GULLWALL_ENDPOINT_REFUSED'
     if (certain) this.options.registry.notStarted(this.head.attemptId)
-    if (this.endReason !== 'preempted') this.served.slots.noteFailure()
+    if (this.endReason !== 'preempted') this.served.slots.recordFailure()
     const reason = this.endReason === undefined || this.endReason === 'engine-failed'
       ? (certain ? 'endpoint-down' : 'endpoint-failed')
       : this.endReason
-    answerRefusal(this.context, { reason, ran: certain ? 'no' : 'partly' }, messageOf(error))
+    sendRefusal(this.context, { reason, ran: certain ? 'no' : 'partly' }, messageOf(error))
   }
 
-  private refuseTurnedAway (): void {
+  private refuseRejected (): void {
     this.options.registry.notStarted(this.head.attemptId)
-    answerRefusal(this.context, { reason: 'turned-away', ran: 'no' }, 'the endpoint has no room')
+    sendRefusal(this.context, { reason: 'turned-away', ran: 'no' }, 'the endpoint has no room')
   }
 
   private relayHead (status: number, headers: IncomingHttpHeaders): void {
     const { response } = this
-    this.isTurnedAway = status >= CLIENT_ERROR && headers[RAN_HEADER] === 'no'
-    if (this.isTurnedAway) return
-    this.served.slots.noteAnswered(this.head.attemptId)
+    this.isRejected = status >= CLIENT_ERROR && headers[RAN_HEADER] === 'no'
+    if (this.isRejected) return
+    this.served.slots.recordResponse(this.head.attemptId)
     this.isStream = isEventStream(headers)
     this.context.respond = false
     response.writeHead(status, withoutOwnHeaders(selectEndToEndHeaders(headers)))
@@ -183,16 +183,16 @@
   }
 
   private relayChunk (chunk: Buffer): Promise<void> | undefined {
-    if (this.isTurnedAway) return undefined
-    this.noteChunk()
-    return this.response.write(chunk) ? undefined : drained(this.response)
+    if (this.isRejected) return undefined
+    this.recordChunk()
+    return this.response.write(chunk) ? undefined : waitForDrain(this.response)
   }
 
-  private breakOff (error: unknown): void {
+  private endBrokenAnswer (error: unknown): void {
     const { response, head } = this
     if (response.destroyed) return
     const reason = this.endReason ?? 'engine-failed'
-    if (reason !== 'preempted') this.served.slots.noteFailure()
+    if (reason !== 'preempted') this.served.slots.recordFailure()
     this.options.logger.info({
       channel: 'routing',
       decision: reason === 'preempted' ? 'preempt' : 'finish',
@@ -210,28 +210,28 @@
     else response.destroy()
   }
 
-  private noteChunk (): void {
+  private recordChunk (): void {
     const now = performance.now()
     if (this.lastTokenAt === 0) {
-      if (this.isStream) this.served.slots.noteFirstToken(now - this.startedAt)
+      if (this.isStream) this.served.slots.recordFirstToken(now - this.startedAt)
     } else if (this.isStream) {
-      this.served.slots.noteGap(now - this.lastTokenAt, this.head.betweenTokensMs)
+      this.served.slots.recordGap(now - this.lastTokenAt, this.head.betweenTokensMs)
     }
     this.lastTokenAt = now
   }
 
-  /** Checks now and then instead of setting a timer for each token. */
+  /** Checks for a stall when one is possible at the earliest; a timer for each token would cost more. */
   private watchForStall (limitMs: number): void {
     if (!this.head.repeatable || !this.head.stream) return
-    const heardAt = this.lastTokenAt === 0 ? this.startedAt : this.lastTokenAt
-    const quietMs = performance.now() - heardAt
-    if (quietMs >= limitMs) {
+    const latestTokenAt = this.lastTokenAt === 0 ? this.startedAt : this.lastTokenAt
+    const silentMs = performance.now() - latestTokenAt
+    if (silentMs >= limitMs) {
       this.end('stalled')
       return
     }
     this.stallTimer = setTimeout(() => {
       this.watchForStall(this.lastTokenAt === 0 ? limitMs : this.gapStallMs())
-    }, limitMs - quietMs)
+    }, limitMs - silentMs)
   }
 
   private firstTokenStallMs (): number {
@@ -247,13 +247,13 @@
   }
 }
 
-function answerRefusal (context: Context, refused: AttemptRefused, why: string): void {
+function sendRefusal (context: Context, refused: AttemptRefused, why: string): void {
   context.status = REFUSED_STATUS
   context.set(writeRefusal(refused))
   context.body = { ...refused, why }
 }
 
-function drained (response: ServerResponse): Promise<void> {
+function waitForDrain (response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
     const done = () => {
       response.off('drain', done)
--- a/sidecar/program/src/endpoints.ts
+++ b/sidecar/program/src/endpoints.ts
@@ -1,4 +1,4 @@
-/** The endpoints of this box with their slots, and the poll of what engines report. */
+/** The endpoints of this box with their slots, and the polling of the loads that engines report. */
 import { messageOf } from '@gullwall/core.error'
 import { type IdSequence } from '@gullwall/core.ids'
 import { type LocalEndpoint, type SidecarSettings } from '@gullwall/config.settings'
@@ -27,7 +27,7 @@
   book: ReservationBook
   offerIds: IdSequence
   notices: EngineNotices
-  /** The links, which are made after the endpoints. */
+  /** Returns the links, which are created after the endpoints. */
   links: () => EntryLinks
 }
 
@@ -43,12 +43,12 @@
       offerIds,
       backoffs: notices.backoffs,
       meter: notices.meterOf(local.name),
-      onSend: () => notices.noteSent(local.name),
+      onSend: () => notices.recordSent(local.name),
       admitWithoutSlot: settings.admitWithoutSlot,
-      sendOffer: (entry, offer) => links().sendTo(entry, offer),
-      onChange: () => links().loadChanged(local.name)
+      sendOffer: (entry, offer) => links().sendOffer(entry, offer),
+      onChange: () => links().scheduleLoadReport(local.name)
     })
-    table.set(local.name, { local, endpoint: connect(local, (head) => notices.take(local.name, head)), slots })
+    table.set(local.name, { local, endpoint: connect(local, (head) => notices.recordResponseHead(local.name, head)), slots })
   }
   return table
 }
@@ -58,12 +58,12 @@
 }
 
 const POLL_MS = 1000
-/** The share of a limit that must be left for a report to be asked for. */
+/** The share of an endpoint's advertised limit that must be free for a report to be requested. */
 const REPORT_SHARE = 0.5
 
 /**
- * Reads the engines' load reports, for the baselines and for the status page, and looks whether an endpoint that drains has
- * started again. One that wants to be left alone is asked for nothing, and one that names a limit only for what work leaves of it.
+ * Polls the load reports of engines, for the baseline policies and the status page, and probes draining endpoints to detect their
+ * restart. An endpoint in backoff is not polled, and one with an advertised limit only while requests leave enough of the limit.
  */
 export class ReportPoller {
   private timer: NodeJS.Timeout | undefined
@@ -81,13 +81,13 @@
   private poll (): void {
     const { endpoints, notices } = this.services
     for (const [name, served] of endpoints) {
-      if (notices.backoffs.remainingMs(name) > 0 || !this.hasRoomFor(name)) continue
+      if (notices.backoffs.remainingMs(name) > 0 || !this.hasCapacityForReport(name)) continue
       void this.pollOne(served)
     }
   }
 
-  /** Work goes first: a report is asked for only while half of the limit is left. */
-  private hasRoomFor (name: string): boolean {
+  /** Whether enough of an advertised limit is free: reports count against it, and requests of callers go first. */
+  private hasCapacityForReport (name: string): boolean {
     const meter = this.services.notices.meterOf(name)
     return !meter.isLimited || meter.remaining(performance.now()) >= Math.max(1, REPORT_SHARE * meter.maxRequests)
   }
@@ -95,11 +95,11 @@
   private async pollOne ({ endpoint, slots, local }: ServedEndpoint): Promise<void> {
     try {
       if (endpoint.readReportedLoad === undefined && !slots.isDraining) return
-      this.services.notices.noteSent(local.name)
+      this.services.notices.recordSent(local.name)
       if (endpoint.readReportedLoad !== undefined) slots.reportedInFlight = (await endpoint.readReportedLoad()).inFlight
       else await endpoint.probe()
     } catch (error) {
-      // A report that fails says nothing that attempts will not show better.
+      // Attempts detect a failing endpoint more reliably than the poll.
       const why = `no report: ${messageOf(error)}`
       this.services.logger.debug({ channel: 'endpoint', event: 'notice', endpoint: local.name, why })
     }
--- a/sidecar/program/src/engine-crashes.ts
+++ b/sidecar/program/src/engine-crashes.ts
@@ -1,53 +1,55 @@
-/** Watches the endpoints of this box for crashes, and tells control what was running there. */
+/** Detects crashes of the endpoints of this box, and reports to control which requests were running there. */
 import { CrashReporter, CrashDetector, type InterruptedRequest } from '@gullwall/endpoint.crashes'
 import { type AttemptCrashes, type ServedAttempt } from '@gullwall/sidecar.attempts'
 import { type SidecarServices } from './index.ts'
 
 export class EngineCrashes implements AttemptCrashes {
-  private readonly watch: CrashDetector
+  private readonly detector: CrashDetector
   private readonly reporter: CrashReporter
-  /** How often each endpoint has crashed: an endpoint of a box keeps its name over its lives. */
+  /** Number of crashes by endpoint. It distinguishes the lives of an endpoint, which keeps its name when it restarts. */
   private readonly crashes = new Map<string, number>()
 
   constructor (private readonly services: Pick<SidecarServices, 'startId' | 'logger' | 'entryLinks' | 'control' | 'notices'>) {
-    this.reporter = new CrashReporter({ logger: services.logger, sendReport: async (word) => await services.control.tellCrashes(word) })
-    this.watch = new CrashDetector({
-      // The links are made with this object in hand, and are there once anything runs.
+    this.reporter = new CrashReporter({
+      logger: services.logger, sendReport: async (report) => await services.control.reportCrashes(report)
+    })
+    this.detector = new CrashDetector({
+      // The links are created after this object, but before any attempt runs.
       getLeaseState: () => services.entryLinks.isLeaving ? 'draining' : 'ready',
       isReplaced: () => false,
-      onCrash: (life, requests) => this.crashed(life, requests)
+      onCrash: (life, requests) => this.handleCrash(life, requests)
     })
   }
 
   start (): void {
-    this.watch.start()
+    this.detector.start()
   }
 
   stop (): void {
-    this.watch.stop()
+    this.detector.stop()
     this.reporter.stop()
   }
 
-  lifeOf (endpoint: string): string {
+  currentLife (endpoint: string): string {
     return `${this.services.startId}/${endpoint}/${this.crashes.get(endpoint) ?? 0}`
   }
 
-  noteBroken ({ life, address, requestId, fingerprint }: ServedAttempt): void {
-    this.watch.recordBrokenConnection({ incarnation: life, address, silentMs: 0 }, { requestId, fingerprint })
+  recordBrokenConnection ({ life, address, requestId, fingerprint }: ServedAttempt): void {
+    this.detector.recordBrokenConnection({ incarnation: life, address, silentMs: 0 }, { requestId, fingerprint })
   }
 
-  noteRefused ({ life }: Pick<ServedAttempt, 'life'>): void {
-    this.watch.recordProcessEnd(life)
+  recordRefusedConnection ({ life }: Pick<ServedAttempt, 'life'>): void {
+    this.detector.recordProcessEnd(life)
   }
 
-  noteRanWell ({ fingerprint }: Pick<ServedAttempt, 'fingerprint'>): void {
+  recordSuccess ({ fingerprint }: Pick<ServedAttempt, 'fingerprint'>): void {
     this.reporter.recordSuccess(() => fingerprint)
   }
 
-  private crashed (life: string, requests: InterruptedRequest[]): void {
+  private handleCrash (life: string, requests: InterruptedRequest[]): void {
     const endpoint = life.split('/').slice(1, -1).join('/')
-    // What breaks later with the same crash names the life that has ended already.
-    if (life === this.lifeOf(endpoint)) {
+    // Later breaks of the same crash belong to the life that has already ended.
+    if (life === this.currentLife(endpoint)) {
       this.crashes.set(endpoint, (this.crashes.get(endpoint) ?? 0) + 1)
       this.services.notices.forget(endpoint)
     }
--- a/sidecar/program/src/entry-links.ts
+++ b/sidecar/program/src/entry-links.ts
@@ -7,24 +7,24 @@
 import { type Message, type MessageOf } from '@gullwall/transport.messages'
 import { type SidecarServices } from './index.ts'
 
-/** The least time between two load reports to an entry, in ms. */
-const REPORT_MS = 50
+/** Minimum time between two load reports to an entry, in ms. */
+const MIN_REPORT_INTERVAL_MS = 50
 const SPARE_TOLERANCE = 0.25
-const GAP_MOVED_FACTOR = 1.4
-/** How often everything is reported whether it has changed or not, in ms. */
-const SLOW_REPORT_MS = 10_000
+const GAP_CHANGE_FACTOR = 1.4
+/** Interval at which all loads are reported, whether they have changed or not, in ms. */
+const FULL_REPORT_INTERVAL_MS = 10_000
 
 export class EntryLinks {
   isLeaving = false
   address = ''
   private readonly http: HttpServer
   private acceptor: LinkAcceptor | undefined
-  /** Open links by the start id of the entry's process. */
+  /** Open links by the start id of the entry. */
   private readonly byEntry = new Map<string, Link>()
-  private readonly changed = new Set<string>()
-  private readonly reported = new Map<string, EndpointLoad>()
+  private readonly changedEndpoints = new Set<string>()
+  private readonly lastReported = new Map<string, EndpointLoad>()
   private reportTimer: NodeJS.Timeout | undefined
-  private slowTimer: NodeJS.Timeout | undefined
+  private fullReportTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: SidecarServices) {
     this.http = new HttpServer(this.createApp())
@@ -41,25 +41,25 @@
       sharedKey: settings.linkKey,
       logger,
       revision: () => store.revision,
-      onOpen: (link) => this.opened(link),
+      onOpen: (link) => this.handleOpen(link),
       onMessage: (link, message) => this.receive(link, message),
-      onRequest: (_link, message) => this.answer(message),
-      onClose: (link) => this.closed(link)
+      onRequest: (_link, message) => this.handleRequest(message),
+      onClose: (link) => this.handleClose(link)
     })
     this.address = await this.http.listen(settings.listen)
-    this.slowTimer = setInterval(() => this.reportAll(), SLOW_REPORT_MS)
+    this.fullReportTimer = setInterval(() => this.reportAll(), FULL_REPORT_INTERVAL_MS)
   }
 
   async stop (): Promise<void> {
     clearTimeout(this.reportTimer)
-    clearInterval(this.slowTimer)
+    clearInterval(this.fullReportTimer)
     const closed = this.http.close()
     this.acceptor?.stop()
     await closed
   }
 
-  /** Tells every entry that this box takes no new work. */
-  leave (): void {
+  /** Announces to all entries that this box accepts no new attempts. */
+  startLeaving (): void {
     this.isLeaving = true
     for (const [entry, link] of this.byEntry) {
       this.services.book.removeEntry(entry)
@@ -67,27 +67,27 @@
     }
   }
 
-  /** Tells every entry which endpoints take work. */
-  endpointsChanged (): void {
+  /** Sends all entries the endpoints that accept attempts. */
+  publishEndpoints (): void {
     for (const link of this.byEntry.values()) this.sendEndpoints(link)
   }
 
-  /** Waits for the attempts that run. */
-  drained (): Promise<void> {
+  /** Waits until the running attempts have ended. */
+  waitForAttempts (): Promise<void> {
     return this.http.drained()
   }
 
-  sendTo (entry: string, message: MessageOf<'offer'>): boolean {
+  sendOffer (entry: string, message: MessageOf<'offer'>): boolean {
     return this.byEntry.get(entry)?.send(message) ?? false
   }
 
-  /** Reports the load of an endpoint soon; calls in the meantime are joined. */
-  loadChanged (endpoint: string): void {
-    this.changed.add(endpoint)
+  /** Schedules a report of the load of an endpoint. Changes until then are reported together. */
+  scheduleLoadReport (endpoint: string): void {
+    this.changedEndpoints.add(endpoint)
     this.reportTimer ??= setTimeout(() => {
       this.reportTimer = undefined
       this.reportChanged()
-    }, REPORT_MS)
+    }, MIN_REPORT_INTERVAL_MS)
   }
 
   private createApp (): Koa {
@@ -101,14 +101,14 @@
     return app
   }
 
-  private opened (link: Link): void {
+  private handleOpen (link: Link): void {
     this.byEntry.set(link.peer.startId, link)
     this.services.spreader.opened(link)
     this.sendEndpoints(link)
     link.send({ kind: 'load', endpoints: [...this.services.endpoints.values()].map(({ slots }) => slots.load()) })
   }
 
-  private closed (link: Link): void {
+  private handleClose (link: Link): void {
     this.services.spreader.closed(link)
     if (this.byEntry.get(link.peer.startId) !== link) return
     this.byEntry.delete(link.peer.startId)
@@ -125,7 +125,7 @@
         this.offerEverywhere()
         break
       case 'pass':
-        for (const { slots } of endpoints.values()) slots.pass(message.offerId)
+        for (const { slots } of endpoints.values()) slots.declineOffer(message.offerId)
         break
       case 'preempt':
         endpoints.get(message.endpoint)?.slots.preempt(link.peer.startId, message.class, message.tier)
@@ -133,7 +133,7 @@
     }
   }
 
-  private async answer (message: Message): Promise<Message> {
+  private async handleRequest (message: Message): Promise<Message> {
     if (message.kind !== 'revoke') return { kind: 'failed', code: 'ERR_GULLWALL_NO_REQUESTS', message: `no answer to ${message.kind}` }
     return { kind: 'revoked', state: this.services.attempts.revoke(message.attemptId) }
   }
@@ -153,9 +153,9 @@
   }
 
   private reportChanged (): void {
-    const loads = this.loadsOf(this.changed)
-    this.changed.clear()
-    this.send(loads.filter((load) => isNews(load, this.reported.get(load.name))))
+    const loads = this.loadsOf(this.changedEndpoints)
+    this.changedEndpoints.clear()
+    this.send(loads.filter((load) => isSignificantChange(load, this.lastReported.get(load.name))))
   }
 
   private loadsOf (names: Iterable<string>): EndpointLoad[] {
@@ -164,20 +164,23 @@
 
   private send (endpoints: EndpointLoad[]): void {
     if (endpoints.length === 0) return
-    for (const load of endpoints) this.reported.set(load.name, load)
+    for (const load of endpoints) this.lastReported.set(load.name, load)
     for (const link of this.byEntry.values()) link.send({ kind: 'load', endpoints })
   }
 }
 
-/** Whether a load tells an entry something new. Free slots are counted roughly: a sidecar may still say no. */
-function isNews (load: EndpointLoad, before: EndpointLoad | undefined): boolean {
+/**
+ * Whether the load of an endpoint differs enough from the last reported one. The number of free slots need not be exact, since a sidecar
+ * rejects attempts for which it has no slot.
+ */
+function isSignificantChange (load: EndpointLoad, before: EndpointLoad | undefined): boolean {
   if (before === undefined) return true
   const isSameLimit = load.limit === before.limit && load.preemptableTier === before.preemptableTier
   if ((load.backOffMs ?? 0) > (before.backOffMs ?? 0) || (load.backOffMs === 0) !== (before.backOffMs === 0)) return true
   if (!isSameLimit || load.failuresInRow !== before.failuresInRow || (load.spare === 0) !== (before.spare === 0)) return true
-  return Math.abs(load.spare - before.spare) > load.limit * SPARE_TOLERANCE || hasMoved(load.tokenGapMs, before.tokenGapMs)
+  return Math.abs(load.spare - before.spare) > load.limit * SPARE_TOLERANCE || hasGapChanged(load.tokenGapMs, before.tokenGapMs)
 }
 
-function hasMoved (now: number, before: number): boolean {
-  return now > before * GAP_MOVED_FACTOR || before > now * GAP_MOVED_FACTOR
+function hasGapChanged (now: number, before: number): boolean {
+  return now > before * GAP_CHANGE_FACTOR || before > now * GAP_CHANGE_FACTOR
 }
--- a/sidecar/program/src/index.ts
+++ b/sidecar/program/src/index.ts
@@ -1,4 +1,4 @@
-/** The sidecar, put together from its services. */
+/** The sidecar program. This module registers its services. */
 import { Kernel } from '@gullwall/core.kernel'
 import { IdSequence, newStartId } from '@gullwall/core.ids'
 import { createLogger, type Logger } from '@gullwall/core.logger'
@@ -36,12 +36,12 @@
 }
 
 export interface SidecarOptions {
-  /** Where log lines go. */
+  /** Writes a log line. */
   write?: (line: string) => void
   startId?: string
 }
 
-/** Builds a sidecar; nothing runs before its kernel is started. */
+/** Creates a sidecar; nothing runs until its kernel is started. */
 export function createSidecar (settings: SidecarSettings, options: SidecarOptions = {}): Kernel<SidecarServices> {
   const startId = options.startId ?? newStartId()
   const kernel = new Kernel<SidecarServices>()
@@ -78,7 +78,10 @@
   return new ControlClient({ local, sharedKey: settings.linkKey, addresses: settings.control, logger, store, spreader, announcement })
 }
 
-/** Says at the beginning of a stop that this box takes no new work; it is the first service to stop. */
+/**
+ * Announces at the start of a planned stop that this box accepts no new attempts. It is registered last, so that it is the first service to
+ * stop.
+ */
 export class Departure {
   constructor (private readonly services: Pick<SidecarServices, 'entryLinks' | 'control' | 'logger'>) {}
 
@@ -90,13 +93,13 @@
   async stop (): Promise<void> {
     const { entryLinks, control, logger } = this.services
     logger.info({ channel: 'process', event: 'stopping', why: 'asked to' })
-    entryLinks.leave()
+    entryLinks.startLeaving()
     control.announce()
-    await entryLinks.drained()
+    await entryLinks.waitForAttempts()
   }
 }
 
-/** Metrics, readiness and the state of the slots. */
+/** Serves metrics, readiness and the state of the slots. */
 export class SidecarAdmin {
   private server: HttpServer | undefined
   address = ''
--- a/sidecar/program/src/main.ts
+++ b/sidecar/program/src/main.ts
@@ -1,4 +1,4 @@
-/** `gullwall-sidecar`: the one way to the endpoints of its box. */
+/** `gullwall-sidecar`: forwards all requests to the endpoints of its box. */
 import { command, option, run, string } from 'cmd-ts'
 import { assertRuntime, fail, runProgram } from '@gullwall/core.kernel/program'
 import { readSettings, sidecarSettingsSchema } from '@gullwall/config.settings'
--- a/sidecar/program/src/metrics.ts
+++ b/sidecar/program/src/metrics.ts
@@ -25,7 +25,7 @@
   }
   addCount('gullwall_backing_off_endpoints', 'Endpoints that asked to be left alone, or come back from that.', () => notices.backoffs.size)
   addCount('gullwall_backoffs_asked_total', 'Answers in which endpoints asked to be left alone.', () => notices.backoffs.requestedCount)
-  addCount('gullwall_unreadable_notices_total', 'Times asked for by endpoints that could not be understood.', () => notices.unreadable)
+  addCount('gullwall_unreadable_notices_total', 'Times asked for by endpoints that could not be understood.', () => notices.invalidCount)
   const linkCount = new Gauge({
     name: 'gullwall_sidecar_links', help: 'Open links of entries.', registers: [registry], collect: () => { linkCount.set(links.linkCount) }
   })
--- a/sidecar/slots/src/index.ts
+++ b/sidecar/slots/src/index.ts
@@ -1,7 +1,4 @@
-/**
- * The slots of one endpoint: how many attempts may run, who runs, and to whom a
- * free slot is offered.
- */
+/** The slots of one endpoint: the limit of concurrent attempts, the running attempts, and the offers of free slots to entries. */
 import { type EndpointLoad, type Tier } from '@gullwall/core.types'
 import { type IdSequence } from '@gullwall/core.ids'
 import { type BackoffTable, type BackoffPermit } from '@gullwall/routing.backoff'
@@ -10,13 +7,13 @@
 import { type ReservationBook } from '@gullwall/routing.reservations'
 import { type MessageOf } from '@gullwall/transport.messages'
 
-/** An attempt that asks for a slot or holds one. */
+/** An attempt that requests a slot or has one. */
 export interface SlotAttempt {
   attemptId: string
   entry: string
   offerId: string | undefined
   tier: Tier
-  /** Whether it may be cut off in favour of a higher tier and go on elsewhere. */
+  /** Whether the attempt may be stopped in favour of a higher tier, since it can be resumed at another endpoint. */
   preemptible: boolean
 }
 
@@ -26,23 +23,23 @@
   maxLimit: number
   book: ReservationBook
   offerIds: IdSequence
-  /** Sends an offer; false if the entry's link is gone. */
+  /** Sends an offer; returns false if the entry has no open link. */
   sendOffer: (entry: string, offer: MessageOf<'offer'>) => boolean
-  /** Told when the load report has changed. */
+  /** Called when the reported load has changed. */
   onChange: () => void
-  /** The endpoints that asked this box to be left alone. */
+  /** The backoffs that the endpoints of this box have requested. */
   backoffs: BackoffTable
-  /** What may be sent to the endpoint within a time, by the limit that it names. */
+  /** Counts requests against the rate limit that the endpoint advertises. */
   meter: RateMeter
-  /** Told of each attempt that is about to be sent. */
+  /** Called for each attempt before it is sent. */
   onSend: () => void
-  /** Takes attempts bound early by a baseline, whatever runs. */
+  /** Admits attempts without a free slot; for baseline policies, which choose an endpoint before a slot is free. */
   admitWithoutSlot: boolean
 }
 
 interface RunningAttempt extends SlotAttempt {
   startedAt: number
-  /** Ends the attempt's stream so that it can go on elsewhere. */
+  /** Stops the attempt, so that it can be resumed at another endpoint. */
   preempt: () => void
   permit: BackoffPermit
 }
@@ -52,29 +49,29 @@
   timer: NodeJS.Timeout
 }
 
-interface HeldSlot {
+interface ReservedSlot {
   entry: string
   class: string
   tier: Tier
 }
 
-/** An offer that is neither taken nor passed on within this time is void, in ms. */
-const OFFER_LIFETIME_MS = 300
-/** Few enough that an engine which turns slow shows it within a second. */
+/** An offer that is neither used nor declined within this time expires, in ms. */
+const OFFER_TIMEOUT_MS = 300
+/** Number of samples in the median: few, so that it shows within a second that an engine has become slow. */
 const GAP_SAMPLES = 24
-const GAP_CHECK_EVERY = 8
-/** A median that has moved by this factor is reported at once. */
-const GAP_MOVED_FACTOR = 1.5
+const GAPS_PER_CHECK = 8
+/** A median that has changed by this factor is reported at once. */
+const GAP_CHANGE_FACTOR = 1.5
 
 export class EndpointSlots {
   readonly limit: AdaptiveLimit
   reportedInFlight = 0
-  /** Whether the endpoint has said that it drains. */
+  /** Whether the endpoint has announced that it is draining. */
   isDraining = false
   failuresInRow = 0
   private readonly running = new Map<string, RunningAttempt>()
   private readonly offers = new Map<string, OpenOffer>()
-  private readonly held: HeldSlot[] = []
+  private readonly reservedSlots: ReservedSlot[] = []
   private readonly gaps = new SampleWindow(GAP_SAMPLES)
   private readonly firstTokens = new SampleWindow()
   private gapsSinceCheck = 0
@@ -90,19 +87,19 @@
 
   get spare (): number {
     const taken = this.running.size + this.offers.size
-    return this.isDraining ? 0 : Math.max(0, Math.min(this.limit.limit - taken, this.room - this.offers.size))
+    return this.isDraining ? 0 : Math.max(0, Math.min(this.limit.limit - taken, this.endpointCapacity - this.offers.size))
   }
 
-  /** How many attempts the endpoint itself takes now: none in a rest that it asked for or at its limit, few right after a rest. */
-  private get room (): number {
+  /** The number of attempts that the endpoint's backoff, slow start and advertised rate limit allow now. */
+  private get endpointCapacity (): number {
     const { backoffs, meter, name } = this.options
     return Math.min(backoffs.availablePermits(name), meter.remaining(performance.now()))
   }
 
-  /** Gives the attempt a slot, or false: then it is not run. */
+  /** Gives the attempt a slot. Returns false if there is none; the attempt must not run then. */
   admit (attempt: SlotAttempt, preempt: () => void): boolean {
-    const mayRun = this.takeOffer(attempt) || this.options.admitWithoutSlot || this.mayGoAhead(attempt)
-    // What the endpoint has said of itself since the offer counts.
+    const mayRun = this.claimOffer(attempt) || this.options.admitWithoutSlot || this.canRunWithoutOffer(attempt)
+    // The endpoint may have announced draining, a backoff or a limit since the offer.
     const { backoffs, meter, name, onSend } = this.options
     const isTaken = mayRun && !this.isDraining && meter.remaining(performance.now()) >= 1
     const permit = isTaken ? backoffs.acquire(name) : undefined
@@ -114,7 +111,7 @@
     return true
   }
 
-  /** Frees the slot of an attempt that has ended and offers it on. */
+  /** Frees the slot of an attempt that has ended, and offers it again. */
   release (attemptId: string): void {
     const attempt = this.running.get(attemptId)
     if (attempt === undefined) return
@@ -124,75 +121,78 @@
     this.options.onChange()
   }
 
-  /** The endpoint has begun to answer an attempt, and did not turn it away. */
-  noteAnswered (attemptId: string): void {
+  /** Records that the endpoint accepted an attempt and has begun to respond. */
+  recordResponse (attemptId: string): void {
     this.running.get(attemptId)?.permit.recordResponse()
   }
 
-  /** Tells of a change in what the endpoint takes, and offers what it takes now. */
-  roomChanged (): void {
+  /** Offers the slots that are free after a change of the endpoint's capacity, and reports the load. */
+  handleCapacityChange (): void {
     this.offerFree()
     this.options.onChange()
   }
 
-  /** An entry has no more use for an offer. */
-  pass (offerId: string): void {
-    if (!this.voidOffer(offerId)) return
+  /** Withdraws an offer that its entry does not use, and offers the slot to others. */
+  declineOffer (offerId: string): void {
+    if (!this.removeOffer(offerId)) return
     this.offerFree()
     this.options.onChange()
   }
 
-  /** Offers free slots for as long as somebody waits for them. */
+  /** Offers the free slots while entries wait for slots. */
   offerFree (): void {
     while (this.spare > 0) {
-      const held = this.held.shift()
-      const pick = held === undefined ? this.options.book.assignSlot(this.options.name) : { ...held, floor: false }
-      if (pick === undefined) return
-      this.offer(pick.entry, pick.class, pick.tier, pick.floor)
+      const reserved = this.reservedSlots.shift()
+      const assignment = reserved === undefined ? this.options.book.assignSlot(this.options.name) : { ...reserved, floor: false }
+      if (assignment === undefined) return
+      this.offer(assignment.entry, assignment.class, assignment.tier, assignment.floor)
     }
   }
 
-  /** Cuts off the newest stream of the lowest tier below `tier` and holds its slot for the entry that asked. */
+  /**
+   * Stops the newest stream of the lowest tier below `tier` and reserves its slot for the requesting entry.
+   * @returns false if no stream was stopped
+   */
   preempt (entry: string, className: string, tier: Tier): boolean {
-    if (this.isDraining || this.room === 0) return false
+    if (this.isDraining || this.endpointCapacity === 0) return false
     if (this.spare > 0) {
       this.offerFree()
       return false
     }
-    const victim = this.victimBelow(tier)
+    const victim = this.findPreemptionVictim(tier)
     if (victim === undefined) return false
     victim.preemptible = false
-    this.held.push({ entry, class: className, tier })
+    this.reservedSlots.push({ entry, class: className, tier })
     victim.preempt()
     return true
   }
 
-  noteFirstToken (elapsedMs: number): void {
+  recordFirstToken (elapsedMs: number): void {
     this.firstTokens.add(elapsedMs)
     this.failuresInRow = 0
   }
 
-  noteGap (gapMs: number, targetMs: number): void {
+  recordGap (gapMs: number, targetMs: number): void {
     this.gaps.add(gapMs)
-    this.reportMovedGap()
+    this.reportChangedGap()
     if (this.limit.addGap(gapMs, targetMs)) {
       this.offerFree()
       this.options.onChange()
     }
   }
 
-  private reportMovedGap (): void {
+  private reportChangedGap (): void {
     this.gapsSinceCheck += 1
-    if (this.gapsSinceCheck < GAP_CHECK_EVERY) return
+    if (this.gapsSinceCheck < GAPS_PER_CHECK) return
     this.gapsSinceCheck = 0
     const median = this.gaps.quantile(0.5)
-    const isSame = median < this.reportedGapMs * GAP_MOVED_FACTOR && median * GAP_MOVED_FACTOR > this.reportedGapMs
+    const isSame = median < this.reportedGapMs * GAP_CHANGE_FACTOR && median * GAP_CHANGE_FACTOR > this.reportedGapMs
     if (isSame) return
     this.reportedGapMs = median
     this.options.onChange()
   }
 
-  noteFailure (): void {
+  recordFailure (): void {
     this.failuresInRow += 1
     this.options.onChange()
   }
@@ -217,19 +217,19 @@
     this.offers.clear()
   }
 
-  /** Without an offer an attempt gets a slot only if nobody of its tier or higher waits for one. */
-  private mayGoAhead (attempt: SlotAttempt): boolean {
+  /** Whether an attempt without an offer may take a free slot: only if no entry waits with a request of the same or a higher tier. */
+  private canRunWithoutOffer (attempt: SlotAttempt): boolean {
     if (this.spare === 0) return false
     const waiting = this.options.book.findHighestTier(this.options.name)
     return waiting === undefined || waiting > attempt.tier
   }
 
-  private takeOffer (attempt: SlotAttempt): boolean {
+  private claimOffer (attempt: SlotAttempt): boolean {
     if (attempt.offerId === undefined) return false
-    return this.offers.get(attempt.offerId)?.entry === attempt.entry && this.voidOffer(attempt.offerId)
+    return this.offers.get(attempt.offerId)?.entry === attempt.entry && this.removeOffer(attempt.offerId)
   }
 
-  private voidOffer (offerId: string): boolean {
+  private removeOffer (offerId: string): boolean {
     const offer = this.offers.get(offerId)
     if (offer === undefined) return false
     clearTimeout(offer.timer)
@@ -243,11 +243,11 @@
       this.options.book.removeEntry(entry)
       return
     }
-    const timer = setTimeout(() => this.pass(offerId), OFFER_LIFETIME_MS)
+    const timer = setTimeout(() => this.declineOffer(offerId), OFFER_TIMEOUT_MS)
     this.offers.set(offerId, { entry, timer })
   }
 
-  private victimBelow (tier: Tier): RunningAttempt | undefined {
+  private findPreemptionVictim (tier: Tier): RunningAttempt | undefined {
     let victim: RunningAttempt | undefined
     for (const attempt of this.running.values()) {
       if (!attempt.preemptible || attempt.tier <= tier) continue
