refactor(cli): use standard terms in the operators' commands and the story of a request

Reasons of comments stay; help texts and two messages say the same in plain terms. No behaviour changes: options, exit codes and the shapes of JSON are the same.

--- a/cli/client/src/index.ts
+++ b/cli/client/src/index.ts
@@ -1,4 +1,4 @@
-/** The operators' client: speaks to whichever control process answers, and sends again what was lost. */
+/** The operators' client. It tries the control processes in turn, and sends a request again if its response was lost. */
 import { Agent, request, type Dispatcher } from 'undici'
 import { GullwallError, messageOf } from '@gullwall/core.error'
 import { newStartId } from '@gullwall/core.ids'
@@ -8,7 +8,7 @@
 import { type Member } from '@gullwall/transport.messages'
 
 export interface OperatorClientOptions {
-  /** Addresses of control processes, tried in turn. */
+  /** Addresses of control processes, in the order in which they are tried. */
   control: readonly string[]
   token: string
   operator: string
@@ -16,7 +16,7 @@
 
 export interface ApplyOptions {
   expectedRevision?: number
-  /** The operation's id; the same id again gives the first answer again. */
+  /** The id of the operation. A second request with the same id returns the result of the first. */
   operationId?: string
 }
 
@@ -25,26 +25,26 @@
   revision: number
   claims: number
   boxes: Member[]
-  /** The data centres that are evacuated as far as that process knows; missing from older ones. */
+  /** The evacuated data centres that the process knows; undefined from processes of earlier versions. */
   evacuated?: string[]
 }
 
-export interface ProcessInForce {
+export interface ProcessRevision {
   process: string
   revision: number
 }
 
 const REQUEST_TIMEOUT_MS = 5000
-/** How often an answer that was lost is asked for again, over all addresses. */
-const ROUNDS = 3
-const RETRY_MS = 300
+/** Maximum number of rounds over all addresses before a request fails. */
+const MAX_ROUNDS = 3
+const ROUND_DELAY_MS = 300
 
 export class OperatorClient {
   private readonly agent = new Agent({ connect: { timeout: REQUEST_TIMEOUT_MS } })
 
   constructor (private readonly options: OperatorClientOptions) {}
 
-  /** Has changes accepted or refused. A lost answer is asked for again under the same operation id. */
+  /** Sends changes, which are accepted or refused as a whole. After a lost response they are sent again with the same operation id. */
   async apply (changes: RecordChange[], options: ApplyOptions = {}): Promise<ApplyResult> {
     return await this.send<ApplyResult>('POST', '/v1/operations', {
       operationId: options.operationId ?? newStartId(),
@@ -62,8 +62,8 @@
     return (await this.send<{ history: HistoryEntry[] }>('GET', `/v1/history?since=${since}`)).history
   }
 
-  async inForce (): Promise<ProcessInForce[]> {
-    return (await this.send<{ processes: ProcessInForce[] }>('GET', '/v1/in-force')).processes
+  async inForce (): Promise<ProcessRevision[]> {
+    return (await this.send<{ processes: ProcessRevision[] }>('GET', '/v1/in-force')).processes
   }
 
   async status (): Promise<ControlStatus> {
@@ -78,16 +78,16 @@
     return await this.send('DELETE', `/v1/control/members/${name}`)
   }
 
-  /** Has nothing more sent to a data centre's endpoints, or has that withdrawn. A lost answer is asked for by the same order. */
+  /** Evacuates a data centre, or withdraws the evacuation. After a lost response the same order is sent again. */
   async evacuate (dataCentre: string, isEvacuated: boolean): Promise<EvacuationResult> {
     return await this.send(isEvacuated ? 'PUT' : 'DELETE', `/v1/evacuations/${encodeURIComponent(dataCentre)}`)
   }
 
   /**
-   * Waits until a revision is in force at every process that is linked.
-   * @returns the processes that lag at the deadline
+   * Waits until a revision is in force at all linked processes.
+   * @returns the processes with an older revision at the deadline
    */
-  async waitInForce (revision: number, deadlineMs: number): Promise<ProcessInForce[]> {
+  async waitUntilInForce (revision: number, deadlineMs: number): Promise<ProcessRevision[]> {
     const end = performance.now() + deadlineMs
     const POLL_MS = 50
     for (;;) {
@@ -103,7 +103,7 @@
 
   private async send<T> (method: Dispatcher.HttpMethod, path: string, body?: object): Promise<T> {
     let failure: unknown
-    for (let round = 0; round < ROUNDS; round++) {
+    for (let round = 0; round < MAX_ROUNDS; round++) {
       for (const address of this.options.control) {
         try {
           return await this.sendTo<T>(address, method, path, body)
@@ -112,9 +112,9 @@
           failure = error
         }
       }
-      await new Promise((resolve) => setTimeout(resolve, RETRY_MS))
+      await new Promise((resolve) => setTimeout(resolve, ROUND_DELAY_MS))
     }
-    throw new GullwallError('ERR_GULLWALL_NO_CONTROL', `no control process took the request: ${messageOf(failure)}`, {
+    throw new GullwallError('ERR_GULLWALL_NO_CONTROL', `no control process accepted the request: ${messageOf(failure)}`, {
       step: `${method} ${path}`, hint: 'check the addresses given with --control and that a majority of them is up', cause: failure
     })
   }
--- a/cli/gullwall/src/commands/control.ts
+++ b/cli/gullwall/src/commands/control.ts
@@ -1,4 +1,4 @@
-/** Commands on the quorum itself. */
+/** Commands for the members of the quorum. */
 import { command, positional, string, subcommands } from 'cmd-ts'
 import { type QuorumStatus } from '@gullwall/control.quorum'
 import { connection, print, withClient } from '../options.ts'
@@ -7,7 +7,7 @@
 
 const statusCommand = command({
   name: 'status',
-  description: 'Shows the quorum as the first control process that answers sees it.',
+  description: 'Shows the quorum as known to the first control process that responds.',
   args: connection,
   handler: async (args) => await withClient(args, async (client) => printQuorum((await client.status()).quorum))
 })
--- a/cli/gullwall/src/commands/dev.ts
+++ b/cli/gullwall/src/commands/dev.ts
@@ -7,7 +7,7 @@
 
 export const devCommand = command({
   name: 'dev',
-  description: 'Runs all roles and stand-in engines in one process, with nothing kept on disk.\nExample: gullwall dev',
+  description: 'Runs all roles and stand-in engines in one process, without stored data.\nExample: gullwall dev',
   args: { records: option({ type: optional(string), long: 'records', description: 'TOML file of records, in place of the sample' }) },
   handler: async ({ records }) => {
     const keys = sampleKeys()
--- a/cli/gullwall/src/commands/explain.ts
+++ b/cli/gullwall/src/commands/explain.ts
@@ -1,9 +1,9 @@
-/** Tells what happened to one request: from processes that still remember it, or from log lines. */
+/** The command that shows the decisions on one request, from the memory of processes or from log lines. */
 import { command, positional, string } from 'cmd-ts'
 import { request } from 'undici'
-import { formatStoryLine, tellStory } from '@gullwall/cli.story'
-import { logFiles, readLogs, skippedLines } from '../logs.ts'
-import { adminAddresses, admins, missing, print } from '../options.ts'
+import { formatStoryLine, buildStory } from '@gullwall/cli.story'
+import { logFiles, readLogs, formatSkippedLines } from '../logs.ts'
+import { resolveAdminAddresses, admins, missingArgument, print } from '../options.ts'
 
 interface RememberedDecision {
   time: string
@@ -25,20 +25,20 @@
   },
   handler: async ({ request: requestId, admin, logs }) => {
     if (logs.length > 0) explainFromLogs(requestId, logs)
-    else await explainFromProcesses(requestId, adminAddresses(admin))
+    else await explainFromProcesses(requestId, resolveAdminAddresses(admin))
   }
 })
 
 function explainFromLogs (requestId: string, files: readonly string[]): void {
   const { lines, skipped } = readLogs(files)
-  const story = tellStory(lines, requestId)
+  const story = buildStory(lines, requestId)
   for (const line of story) print(formatStoryLine(line))
   if (story.length === 0) print(`none of ${lines.length} lines names ${requestId}; successes are sampled, see docs/reference/logs.md`)
-  if (skipped > 0) print(skippedLines(skipped))
+  if (skipped > 0) print(formatSkippedLines(skipped))
 }
 
 async function explainFromProcesses (requestId: string, addresses: readonly string[]): Promise<void> {
-  if (addresses.length === 0) throw missing('neither logs nor admin addresses', 'give --logs FILE, or --admin ADDRESS')
+  if (addresses.length === 0) throw missingArgument('neither logs nor admin addresses', 'give --logs FILE, or --admin ADDRESS')
   const decisions: RememberedDecision[] = []
   for (const address of addresses) {
     const answer = await request(`http://${address}/explain?request=${encodeURIComponent(requestId)}`)
--- a/cli/gullwall/src/commands/history.ts
+++ b/cli/gullwall/src/commands/history.ts
@@ -1,10 +1,10 @@
-/** Commands on the history of changes, and the copy of the whole state. */
+/** Commands for the history of changes, and for the export and restore of all records. */
 import { writeFileSync } from 'node:fs'
 import { command, number, option, optional, positional, string } from 'cmd-ts'
 import { stringify } from 'smol-toml'
 import { RECORD_KINDS, splitRecordKey } from '@gullwall/config.records'
 import { connection, print, withClient } from '../options.ts'
-import { formatDifference, report } from '../results.ts'
+import { formatDifference, printResult } from '../results.ts'
 import { readRecords } from './records.ts'
 
 export const historyCommand = command({
@@ -48,18 +48,18 @@
 
 export const restoreCommand = command({
   name: 'restore',
-  description: 'Makes the records those of a file: others are deleted.\nExample: gullwall restore backup.toml',
+  description: 'Replaces all records by those of a file; records that the file lacks are deleted.\nExample: gullwall restore backup.toml',
   args: { ...connection, file: positional({ type: string, displayName: 'FILE' }) },
   handler: async (args) => await withClient(args, async (client) => {
     const wanted = readRecords(args.file)
     const { revision, records } = await client.records()
-    const changes = [...wanted, ...surplusOf(Object.keys(records), wanted).map((key) => ({ key, value: null }))]
-    report(await client.apply(changes, { expectedRevision: revision }))
+    const changes = [...wanted, ...findSurplusKeys(Object.keys(records), wanted).map((key) => ({ key, value: null }))]
+    printResult(await client.apply(changes, { expectedRevision: revision }))
   })
 })
 
-/** Records that a file does not name. Those that no file can name, such as evacuations, are left as they are. */
-export function surplusOf (keys: readonly string[], wanted: ReadonlyArray<{ key: string }>): string[] {
+/** Returns the keys of records that a file lacks. Records that a file can't contain, such as evacuations, are not included. */
+export function findSurplusKeys (keys: readonly string[], wanted: ReadonlyArray<{ key: string }>): string[] {
   const restorable = keys.filter((key) => RECORD_KINDS.some((kind) => kind === splitRecordKey(key).kind))
   return restorable.filter((key) => !wanted.some((change) => change.key === key))
 }
--- a/cli/gullwall/src/commands/key.ts
+++ b/cli/gullwall/src/commands/key.ts
@@ -1,11 +1,11 @@
-/** The command that makes keys for organisations. */
+/** The command that creates keys for organisations. */
 import { command, positional, string } from 'cmd-ts'
 import { newOrganisationKey } from '@gullwall/config.records'
 import { print } from '../options.ts'
 
 export const keyCommand = command({
   name: 'key',
-  description: 'Makes a key for an organisation and the hash for its record.\nExample: gullwall key workshop-1',
+  description: 'Creates a key for an organisation, and the hash for its record.\nExample: gullwall key workshop-1',
   args: { organisation: positional({ type: string, displayName: 'ORGANISATION' }) },
   handler: ({ organisation }) => {
     const { key, hash } = newOrganisationKey(organisation)
--- a/cli/gullwall/src/commands/records.ts
+++ b/cli/gullwall/src/commands/records.ts
@@ -1,48 +1,48 @@
-/** Commands on operators' records. */
+/** Commands for operators' records. */
 import { readFileSync } from 'node:fs'
 import { command, flag, number, oneOf, option, optional, positional, restPositionals, string } from 'cmd-ts'
 import { checkToml, orThrow } from '@gullwall/config.checker'
 import { checkRecordsFile, splitRecordKey, type RecordChange } from '@gullwall/config.records'
 import { SETTINGS_SCHEMAS } from '@gullwall/config.settings'
 import { type OperatorClient } from '@gullwall/cli.client'
-import { connection, missing, print, withClient } from '../options.ts'
-import { report, reportInForce } from '../results.ts'
+import { connection, missingArgument, print, withClient } from '../options.ts'
+import { printResult, waitUntilInForce } from '../results.ts'
 
-const wait = flag({ long: 'wait', description: 'return when it is in force at every linked process; name those that lag' })
+const wait = flag({ long: 'wait', description: 'wait until the change is in force at all linked processes; print those with an older revision' })
 const recordKey = positional({ type: string, displayName: 'KIND/NAME' })
 
 export const applyCommand = command({
   name: 'apply',
-  description: 'Has the records of a file accepted, all or none.\nExample: gullwall apply records.toml --expect 41 --wait',
+  description: 'Applies the records of a file, all or none.\nExample: gullwall apply records.toml --expect 41 --wait',
   args: {
     ...connection,
     file: positional({ type: string, displayName: 'FILE' }),
-    expect: option({ type: optional(number), long: 'expect', description: 'the revision you saw; another one is a conflict' }),
-    operation: option({ type: optional(string), long: 'operation', description: 'id of the operation, to send it again after a lost answer' }),
+    expect: option({ type: optional(number), long: 'expect', description: 'the revision that the change is based on; any other one is a conflict' }),
+    operation: option({ type: optional(string), long: 'operation', description: 'id of the operation, which allows it to be repeated after a lost response' }),
     wait
   },
   handler: async (args) => await withClient(args, async (client) => {
     const changes = readRecords(args.file)
     const result = await client.apply(changes, { expectedRevision: args.expect, operationId: args.operation })
-    report(result)
-    if (args.wait) await reportInForce(client, result)
+    printResult(result)
+    if (args.wait) await waitUntilInForce(client, result)
   })
 })
 
 export const checkCommand = command({
   name: 'check',
-  description: 'Checks a file without a connection; every mistake is listed.\nExample: gullwall check entry.toml --as entry',
+  description: 'Checks a file without a connection, and lists all mistakes.\nExample: gullwall check entry.toml --as entry',
   args: {
     file: positional({ type: string, displayName: 'FILE' }),
     as: option({ type: oneOf(['records', 'entry', 'sidecar', 'control'] as const), long: 'as', defaultValue: () => 'records' as const, description: 'what the file holds: records, or the settings of a program' })
   },
   handler: ({ file, as }) => {
     if (as === 'records') {
-      print(`${readRecords(file).length} records are in order`)
+      print(`${readRecords(file).length} records are valid`)
       return
     }
     orThrow(checkToml<unknown>(readFileSync(file, 'utf8'), SETTINGS_SCHEMAS[as], { file }), 'check')
-    print(`the settings of ${as} are in order`)
+    print(`the settings of ${as} are valid`)
   }
 })
 
@@ -64,8 +64,8 @@
   args: { ...connection, key: recordKey, wait },
   handler: async (args) => await withClient(args, async (client) => {
     const result = await client.apply([{ key: args.key, value: null }])
-    report(result)
-    if (args.wait) await reportInForce(client, result)
+    printResult(result)
+    if (args.wait) await waitUntilInForce(client, result)
   })
 })
 
@@ -74,12 +74,12 @@
   description: 'Sets or removes labels of a record.\nExample: gullwall label endpoint/g1 gpu=a100 spot-',
   args: { ...connection, key: recordKey, labels: restPositionals({ type: string, displayName: 'KEY=VALUE or KEY-' }), wait },
   handler: async (args) => await withClient(args, async (client) => {
-    await edit(client, args, (record) => ({ ...record, labels: changeLabels(record.labels ?? {}, args.labels) }))
+    await editRecord(client, args, (record) => ({ ...record, labels: changeLabels(record.labels ?? {}, args.labels) }))
   })
 })
 
-export const drainCommand = cordonCommand('drain', true, 'Gives an endpoint no new work; what runs there ends.\nExample: gullwall drain g1 --wait')
-export const undrainCommand = cordonCommand('undrain', false, 'Gives an endpoint work again.\nExample: gullwall undrain g1')
+export const drainCommand = cordonCommand('drain', true, 'Sends no new requests to an endpoint; running requests are completed.\nExample: gullwall drain g1 --wait')
+export const undrainCommand = cordonCommand('undrain', false, 'Sends requests to an endpoint again.\nExample: gullwall undrain g1')
 
 interface LabelledRecord {
   labels?: Record<string, string>
@@ -92,22 +92,22 @@
     description,
     args: { ...connection, endpoint: positional({ type: string, displayName: 'ENDPOINT' }), wait },
     handler: async (args) => await withClient(args, async (client) => {
-      await edit(client, { key: `endpoint/${args.endpoint}`, wait: args.wait }, (record) => ({ ...record, cordoned }))
+      await editRecord(client, { key: `endpoint/${args.endpoint}`, wait: args.wait }, (record) => ({ ...record, cordoned }))
     })
   })
 }
 
-/** Changes one record on top of the revision it was read at, so that nobody else's change is lost. */
-async function edit (
+/** Changes one record based on the revision at which it was read, so that no other change is overwritten. */
+async function editRecord (
   client: OperatorClient, args: { key: string, wait: boolean }, change: (record: LabelledRecord) => LabelledRecord
 ): Promise<void> {
   const { revision, records } = await client.records()
   const text = records[args.key]
-  if (text === undefined && splitRecordKey(args.key).kind !== 'endpoint') throw missing(`no record ${args.key}`, 'see `gullwall get`')
+  if (text === undefined && splitRecordKey(args.key).kind !== 'endpoint') throw missingArgument(`no record ${args.key}`, 'see `gullwall get`')
   const record = change(text === undefined ? {} : JSON.parse(text) as LabelledRecord)
   const result = await client.apply([{ key: args.key, value: JSON.stringify(record) }], { expectedRevision: revision })
-  report(result)
-  if (args.wait) await reportInForce(client, result)
+  printResult(result)
+  if (args.wait) await waitUntilInForce(client, result)
 }
 
 function changeLabels (labels: Record<string, string>, changes: readonly string[]): Record<string, string> {
@@ -116,7 +116,7 @@
     const set = /^([^=]+)=(.+)$/.exec(text)
     if (set !== null) changed[set[1] ?? ''] = set[2] ?? ''
     else if (text.endsWith('-')) delete changed[text.slice(0, -1)]
-    else throw missing(`label ${text}`, 'give KEY=VALUE to set a label, KEY- to remove one')
+    else throw missingArgument(`label ${text}`, 'give KEY=VALUE to set a label, KEY- to remove one')
   }
   return changed
 }
--- a/cli/gullwall/src/commands/status.ts
+++ b/cli/gullwall/src/commands/status.ts
@@ -1,8 +1,8 @@
-/** Commands that show what the system does. */
+/** The command that shows the state of the deployment. */
 import { command, flag, option, number } from 'cmd-ts'
 import { request } from 'undici'
 import { messageOf } from '@gullwall/core.error'
-import { adminAddresses, admins, connection, print, withClient, type ConnectionArgs } from '../options.ts'
+import { resolveAdminAddresses, admins, connection, print, withClient, type ConnectionArgs } from '../options.ts'
 
 interface EndpointStatus {
   name: string
@@ -29,22 +29,22 @@
   queued?: Record<string, number>
   classes?: Record<string, ClassCounts>
   endpoints?: EndpointStatus[]
-  /** Of a gateway: the version of its document, and how long that has been in force there. */
+  /** For a gateway: the version of its document, and the time for which it has been in force. */
   version?: number
   documentAgeMs?: number
-  /** Of a gateway: what it sent to other regions. */
+  /** For a gateway: the traffic that it has sent to other regions. */
   leaving?: { requests: number, bytes: number }
-  /** Endpoints that a gateway knows to be cold. */
+  /** Number of endpoints that the gateway considers cold. */
   cold?: number
-  /** Endpoints that have named a limit, in requests a second. */
+  /** Endpoints that advertise a limit, in requests per second. */
   limited?: Array<{ endpoint: string, perSecond: number }>
 }
 
-export interface WholeStatus {
+export interface DeploymentStatus {
   revision: number
   leader: string | undefined
   boxes: number
-  /** Data centres. */
+  /** The evacuated data centres. */
   evacuated: string[]
   lagging: string[]
   processes: ProcessStatus[]
@@ -53,29 +53,29 @@
 
 const MS_PER_SECOND = 1000
 const BYTES_PER_KB = 1000
-/** Processes that are named of those that lag or can't be reached; `--json` gives all. */
-const MAX_NAMED = 8
+/** Maximum number of lagging, and of unreachable, processes that are listed; `--json` lists all. */
+const MAX_LISTED_NAMES = 8
 
 export const statusCommand = command({
   name: 'status',
-  description: 'Shows boxes, endpoints, queues and attainment at a glance.\nExample: gullwall status --admin 10.0.0.9:7001 --watch',
+  description: 'Shows boxes, endpoints, queues, and the share of requests in time.\nExample: gullwall status --admin 10.0.0.9:7001 --watch',
   args: {
     ...connection,
     admin: admins,
     json: flag({ long: 'json', description: 'print JSON' }),
-    watch: flag({ long: 'watch', description: 'print again and again' }),
+    watch: flag({ long: 'watch', description: 'print repeatedly' }),
     every: option({ type: number, long: 'every', defaultValue: () => 2, description: 'seconds between two prints' })
   },
   handler: async (args) => {
     do {
-      const status = await readStatus(args, adminAddresses(args.admin))
+      const status = await readStatus(args, resolveAdminAddresses(args.admin))
       print(args.json ? JSON.stringify(status) : formatStatus(status))
       if (args.watch) await new Promise((resolve) => setTimeout(resolve, args.every * MS_PER_SECOND))
     } while (args.watch)
   }
 })
 
-async function readStatus (args: ConnectionArgs, addresses: string[]): Promise<WholeStatus> {
+async function readStatus (args: ConnectionArgs, addresses: string[]): Promise<DeploymentStatus> {
   const control = await withClient(args, async (client) => ({ status: await client.status(), inForce: await client.inForce() }))
   const processes: ProcessStatus[] = []
   const unreachable: string[] = []
@@ -91,29 +91,29 @@
   return { revision, leader: quorum.leader, boxes: boxes.length, evacuated, lagging, processes, unreachable }
 }
 
-/** Text for a terminal; of lists that grow with the deployment it names the first few. */
-export function formatStatus (status: WholeStatus): string {
+/** Formats the status for a terminal. Lists that grow with the deployment are shortened. */
+export function formatStatus (status: DeploymentStatus): string {
   const { revision, leader = 'none', boxes, lagging } = status
-  const lines = [`revision ${revision}, leader ${leader}, ${boxes} boxes, lagging: ${firstOf(lagging).join(', ') || 'none'}`]
+  const lines = [`revision ${revision}, leader ${leader}, ${boxes} boxes, lagging: ${limitNames(lagging).join(', ') || 'none'}`]
   if (status.evacuated.length > 0) lines.push(`evacuated: ${status.evacuated.join(', ')}`)
   for (const { role, box, queued, classes, endpoints, ...gateway } of status.processes) {
     lines.push(`${role} ${box}${formatGateway(gateway)}`)
     for (const [name, counts] of Object.entries(classes ?? {})) lines.push(formatClass(name, counts, queued?.[name] ?? 0))
     for (const endpoint of endpoints ?? []) lines.push(formatEndpoint(endpoint))
   }
-  for (const text of firstOf(status.unreachable)) lines.push(`unreachable ${text}`)
+  for (const text of limitNames(status.unreachable)) lines.push(`unreachable ${text}`)
   return lines.join('\n')
 }
 
-function firstOf (names: readonly string[]): string[] {
-  const left = names.length - MAX_NAMED
-  return left <= 0 ? [...names] : [...names.slice(0, MAX_NAMED), `and ${left} more`]
+function limitNames (names: readonly string[]): string[] {
+  const left = names.length - MAX_LISTED_NAMES
+  return left <= 0 ? [...names] : [...names.slice(0, MAX_LISTED_NAMES), `and ${left} more`]
 }
 
-type GatewayFacts = Pick<ProcessStatus, 'version' | 'documentAgeMs' | 'leaving' | 'cold' | 'limited'>
+type GatewayStatus = Pick<ProcessStatus, 'version' | 'documentAgeMs' | 'leaving' | 'cold' | 'limited'>
 
-/** What only gateways tell. */
-function formatGateway ({ version, documentAgeMs, leaving, cold = 0, limited = [] }: GatewayFacts): string {
+/** Formats the facts that only gateways report. */
+function formatGateway ({ version, documentAgeMs, leaving, cold = 0, limited = [] }: GatewayStatus): string {
   const facts: string[] = []
   if (documentAgeMs !== undefined) facts.push(`document ${version} in force for ${Math.round(documentAgeMs / MS_PER_SECOND)} s`)
   if (leaving !== undefined && leaving.requests > 0) {
--- a/cli/gullwall/src/logs.ts
+++ b/cli/gullwall/src/logs.ts
@@ -1,4 +1,4 @@
-/** The option for files with log lines, and reading them. */
+/** The option for files with log lines, and a function that reads them. */
 import { readFileSync } from 'node:fs'
 import { array, multioption, string } from 'cmd-ts'
 import { readLines, type ReadLines } from '@gullwall/cli.story'
@@ -10,14 +10,17 @@
   type: array(string), long: 'logs', description: 'file with log lines, - for standard input; may be repeated'
 })
 
-/** @throws ERR_GULLWALL_BAD_CONFIGURATION if a file can't be read */
+/**
+ * Reads the log lines of all files.
+ * @throws ERR_GULLWALL_BAD_CONFIGURATION if a file can't be read
+ */
 export function readLogs (files: readonly string[]): ReadLines {
   const parts = files.map((file) => readLines(readLog(file)))
   return { lines: parts.flatMap(({ lines }) => lines), skipped: parts.reduce((sum, { skipped }) => sum + skipped, 0) }
 }
 
-/** What a command tells of lines that are no records. */
-export function skippedLines (skipped: number): string {
+/** Formats the number of lines that contain no record. */
+export function formatSkippedLines (skipped: number): string {
   return `${skipped} lines were no log lines`
 }
 
--- a/cli/gullwall/src/main.ts
+++ b/cli/gullwall/src/main.ts
@@ -36,7 +36,7 @@
   }
 })
 
-// Whoever reads the output, such as `head`, may have had enough of it.
+// A program that reads the output, such as `head`, may close the pipe early.
 process.stdout.on('error', (error: NodeJS.ErrnoException) => process.exit(error.code === 'EPIPE' ? 0 : 1))
 
 run(program, process.argv.slice(2)).catch(fail)
--- a/cli/gullwall/src/options.ts
+++ b/cli/gullwall/src/options.ts
@@ -1,4 +1,4 @@
-/** Options that the commands have in common. */
+/** Options that several commands share. */
 import { userInfo } from 'node:os'
 import { multioption, option, optional, string, array } from 'cmd-ts'
 import { GullwallError } from '@gullwall/core.error'
@@ -24,12 +24,12 @@
   token: string | undefined
 }
 
-/** Runs a task with a client and closes it. */
+/** Runs a task with a client, and closes the client afterwards. */
 export async function withClient<T> (args: ConnectionArgs, task: (client: OperatorClient) => Promise<T>): Promise<T> {
-  const control = args.control.length > 0 ? args.control : listOf(CONTROL_VARIABLE)
+  const control = args.control.length > 0 ? args.control : readListVariable(CONTROL_VARIABLE)
   const token = args.token ?? process.env[TOKEN_VARIABLE]
-  if (control.length === 0) throw missing('no control address', `give --control or set ${CONTROL_VARIABLE}`)
-  if (token === undefined) throw missing('no operator token', `give --token or set ${TOKEN_VARIABLE}`)
+  if (control.length === 0) throw missingArgument('no control address', `give --control or set ${CONTROL_VARIABLE}`)
+  if (token === undefined) throw missingArgument('no operator token', `give --token or set ${TOKEN_VARIABLE}`)
   const client = new OperatorClient({ control, token, operator: userInfo().username })
   try {
     return await task(client)
@@ -38,12 +38,12 @@
   }
 }
 
-/** The admin addresses given by option or environment. */
-export function adminAddresses (given: string[]): string[] {
-  return given.length > 0 ? given : listOf(ADMIN_VARIABLE)
+/** Returns the admin addresses of the option, or else of the environment variable. */
+export function resolveAdminAddresses (given: string[]): string[] {
+  return given.length > 0 ? given : readListVariable(ADMIN_VARIABLE)
 }
 
-export function missing (message: string, hint: string): GullwallError {
+export function missingArgument (message: string, hint: string): GullwallError {
   return new GullwallError('ERR_GULLWALL_BAD_CONFIGURATION', message, { step: 'arguments', hint })
 }
 
@@ -51,6 +51,6 @@
   process.stdout.write(`${text}\n`)
 }
 
-function listOf (variable: string): string[] {
+function readListVariable (variable: string): string[] {
   return (process.env[variable] ?? '').split(',').filter((part) => part !== '')
 }
--- a/cli/gullwall/src/results.ts
+++ b/cli/gullwall/src/results.ts
@@ -1,4 +1,4 @@
-/** What an operator is told of a change, and the exit codes. */
+/** Prints the results of changes and sets the exit code. */
 import { formatMistakes } from '@gullwall/config.checker'
 import { type OperatorClient } from '@gullwall/cli.client'
 import { type ApplyResult, type Difference } from '@gullwall/control.state'
@@ -9,8 +9,8 @@
 const EXIT_INVALID = 2
 const WAIT_DEADLINE_MS = 10_000
 
-/** Prints a result; anything but accepted sets the exit code. */
-export function report (result: ApplyResult): void {
+/** Prints a result, and sets the exit code unless the changes were accepted. */
+export function printResult (result: ApplyResult): void {
   switch (result.type) {
     case 'accepted':
       print(`accepted as revision ${result.revision}`)
@@ -26,10 +26,10 @@
   }
 }
 
-/** Waits until a change is in force everywhere, and names the processes that lag. */
-export async function reportInForce (client: OperatorClient, result: ApplyResult): Promise<void> {
+/** Waits until a change is in force at all linked processes, or prints those with an older revision at the deadline. */
+export async function waitUntilInForce (client: OperatorClient, result: ApplyResult): Promise<void> {
   if (result.type !== 'accepted') return
-  const lagging = await client.waitInForce(result.revision, WAIT_DEADLINE_MS)
+  const lagging = await client.waitUntilInForce(result.revision, WAIT_DEADLINE_MS)
   if (lagging.length === 0) {
     print('in force at every linked process')
     return
--- a/cli/gullwall/test/evacuate.test.ts
+++ b/cli/gullwall/test/evacuate.test.ts
@@ -4,7 +4,7 @@
 import { OperatorClient } from '@gullwall/cli.client'
 import { start, stopAll } from '../../../control/program/test/control-processes.ts'
 import { formatEvacuation } from '../src/commands/evacuate.ts'
-import { surplusOf } from '../src/commands/history.ts'
+import { findSurplusKeys } from '../src/commands/history.ts'
 
 let client: OperatorClient
 
@@ -31,5 +31,5 @@
 })
 
 it('a restore of records leaves evacuations as they are', () => {
-  expect(surplusOf(['class/a', 'class/b', 'evacuation/dc1', 'document/current'], [{ key: 'class/a' }])).toEqual(['class/b'])
+  expect(findSurplusKeys(['class/a', 'class/b', 'evacuation/dc1', 'document/current'], [{ key: 'class/a' }])).toEqual(['class/b'])
 })
--- a/cli/gullwall/test/status.test.ts
+++ b/cli/gullwall/test/status.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
-import { formatStatus, type WholeStatus } from '../src/commands/status.ts'
+import { formatStatus, type DeploymentStatus } from '../src/commands/status.ts'
 
-const status: WholeStatus = { revision: 7, leader: 'm-1', boxes: 3, evacuated: [], lagging: [], processes: [], unreachable: [] }
+const status: DeploymentStatus = { revision: 7, leader: 'm-1', boxes: 3, evacuated: [], lagging: [], processes: [], unreachable: [] }
 
 describe('the status for a terminal', () => {
   it('names the few that lag', () => {
--- a/cli/story/src/losses.ts
+++ b/cli/story/src/losses.ts
@@ -1,28 +1,28 @@
-/** Which requests missed what they were due, and why: a table from the log lines of any number of gateways. */
+/** Summarizes from the log lines of any number of gateways which requests missed their targets, and why. */
 import { type ForwardRecord } from '@gullwall/core.logger'
 import { type LogLine } from './read-lines.ts'
 
-/** How requests of one route ended, by reason. */
+/** The ends of the requests of one route, by reason. */
 export interface RouteLosses {
   route: string
   requests: number
   inTime: number
-  /** Every other end, the most frequent first. */
+  /** All other ends, the most frequent first. */
   losses: Loss[]
 }
 
 export interface Loss {
   reason: string
   requests: number
-  /** The window with most of them: its start since the first line, in ms, and how many it has. */
+  /** The window with the most losses: its start, in ms since the first line, and their number. */
   worstWindow: { startMs: number, requests: number }
-  /** The endpoint with most of them, if they name one. */
+  /** The endpoint with the most losses; undefined if no line names one. */
   worstEndpoint: { endpoint: string, requests: number } | undefined
 }
 
 export interface LossTable {
   routes: RouteLosses[]
-  /** Answers in time whose lines were sampled out; they are not in the rows. */
+  /** Number of answers in time that are not counted, since sampling dropped their lines. */
   sampledOut: number
 }
 
@@ -35,8 +35,8 @@
 const ENDS = new Set<ForwardRecord['decision']>(['finish', 'refuse', 'fail', 'cancel'])
 const IN_TIME = 'in time'
 
-/** Gives the losses of each route, the route with most requests first. */
-export function tellLosses (lines: readonly LogLine[], { windowMs }: LossOptions): LossTable {
+/** Returns the losses of each route, the route with the most requests first. */
+export function summarizeLosses (lines: readonly LogLine[], { windowMs }: LossOptions): LossTable {
   const ends = lines.filter(isEnd)
   const startedAt = Math.min(...lines.map(({ time }) => Date.parse(time)))
   const byRoute = groupBy(ends, ({ route }) => route)
@@ -47,7 +47,7 @@
   }
 }
 
-/** One row a loss for a person to read. */
+/** Formats the table for a terminal, with one row for each loss. */
 export function formatLosses ({ routes, sampledOut }: LossTable): string[] {
   const rows = routes.flatMap(({ route, requests, inTime, losses }) => [
     `${route || '(no route)'}: ${requests} requests, ${inTime} in time`,
@@ -85,12 +85,12 @@
   }
 }
 
-/** The reason with its figures left out, so that alike ones count together. */
+/** Returns the reason without its numbers, so that reasons of the same kind are counted together. */
 function reasonOf ({ decision, why, firstEventMs }: EndLine): string {
-  const alike = why.replace(/\d+(\.\d+)?/g, 'N')
-  if (decision === 'finish') return why.startsWith('late') ? alike : IN_TIME
+  const normalized = why.replace(/\d+(\.\d+)?/g, 'N')
+  if (decision === 'finish') return why.startsWith('late') ? normalized : IN_TIME
   if (decision === 'cancel') return `the caller left ${firstEventMs === undefined ? 'before' : 'after'} its first event`
-  return `${decision}: ${alike}`
+  return `${decision}: ${normalized}`
 }
 
 function groupBy<Key, Item> (items: readonly Item[], keyOf: (item: Item) => Key): Map<Key, Item[]> {
--- a/cli/story/src/read-lines.ts
+++ b/cli/story/src/read-lines.ts
@@ -1,20 +1,20 @@
-/** Log lines as records. */
+/** Parses log lines. */
 import { type LogRecord } from '@gullwall/core.logger'
 
-/** One line of a log, as it was written. */
+/** The record of one log line. */
 export type LogLine = LogRecord & {
-  /** Time of day at the process, ISO 8601. */
+  /** Time of day at the process, as ISO 8601 text. */
   time: string
   box: string
 }
 
 export interface ReadLines {
   lines: LogLine[]
-  /** Lines that are no record. */
+  /** Number of lines that contain no record. */
   skipped: number
 }
 
-/** Reads lines; whatever stands before the record in a line, such as a collector's prefix, is passed over. */
+/** Parses the lines of a text. Text before the record in a line, such as the prefix of a log collector, is ignored. */
 export function readLines (text: string): ReadLines {
   const lines: LogLine[] = []
   let skipped = 0
--- a/cli/story/test/losses.test.ts
+++ b/cli/story/test/losses.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { formatLosses, readLines, tellLosses } from '@gullwall/cli.story'
+import { formatLosses, readLines, summarizeLosses } from '@gullwall/cli.story'
 
 const START = Date.parse('2026-01-01T00:00:00Z')
 
@@ -21,7 +21,7 @@
 
 describe('the losses that log lines tell', () => {
   it('stand by route and reason, and add up to the requests that ended', () => {
-    const { routes, sampledOut } = tellLosses(readLines(LOG).lines, { windowMs: 2000 })
+    const { routes, sampledOut } = summarizeLosses(readLines(LOG).lines, { windowMs: 2000 })
     expect(routes.map(({ route, requests, inTime }) => [route, requests, inTime])).toEqual([['narrative', 7, 2], ['price', 1, 0]])
     for (const { requests, inTime, losses } of routes) {
       expect(inTime + losses.reduce((sum, loss) => sum + loss.requests, 0)).toBe(requests)
@@ -30,7 +30,7 @@
   })
 
   it('put alike reasons together, with when and where most of them were', () => {
-    const [narrative] = tellLosses(readLines(LOG).lines, { windowMs: 2000 }).routes
+    const [narrative] = summarizeLosses(readLines(LOG).lines, { windowMs: 2000 }).routes
     expect(narrative?.losses[0]).toEqual({
       reason: 'late: a pause of N ms of N',
       requests: 3,
@@ -40,7 +40,7 @@
   })
 
   it('read as a table', () => {
-    expect(formatLosses(tellLosses(readLines(LOG).lines, { windowMs: 2000 })).slice(0, 2)).toEqual([
+    expect(formatLosses(summarizeLosses(readLines(LOG).lines, { windowMs: 2000 })).slice(0, 2)).toEqual([
       'narrative: 7 requests, 2 in time',
       '      3  late: a pause of N ms of N; most from 4.0 s on (2), at i-2 (2)'
     ])
--- a/cli/story/test/story.test.ts
+++ b/cli/story/test/story.test.ts
@@ -1,7 +1,7 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { request } from 'undici'
 import { until } from '@gullwall/bench.deployment'
-import { formatStoryLine, readLines, tellStory, type StoryLine } from '@gullwall/cli.story'
+import { formatStoryLine, readLines, buildStory, type StoryLine } from '@gullwall/cli.story'
 import { GatewayDeployment, StubEndpoint, type Behaviour } from '../../../entry/gateway/test/gateway-deployment.ts'
 
 const first = new StubEndpoint('i-first', 'app')
@@ -24,7 +24,7 @@
     body
   })
   await reply.body.text().catch(() => '')
-  return { status: reply.statusCode, story: tellStory(readLines(deployment.logLines.join('\n')).lines, id) }
+  return { status: reply.statusCode, story: buildStory(readLines(deployment.logLines.join('\n')).lines, id) }
 }
 
 function behave (behaviour: Behaviour): void {
@@ -101,7 +101,7 @@
     const order = { time: at('00:00:00'), box: 'edge-1', channel: 'evacuation', event: 'applied', dataCentre: 'dc1', epoch: 1, why: 'evacuated' }
     const refusal = { time: at('05:00:00'), box: 'edge-1', channel: 'forward', decision: 'refuse', requestId: 'r-1', why: '503' }
     const { lines } = readLines([order, refusal].map((line) => JSON.stringify(line)).join('\n'))
-    expect(tellStory(lines, 'r-1').map(({ what }) => what)).toEqual(['evacuation applied', 'refuse'])
+    expect(buildStory(lines, 'r-1').map(({ what }) => what)).toEqual(['evacuation applied', 'refuse'])
   })
 
   it('a belief that is old: the document, the word of the endpoint, and a link that was lost', async () => {
@@ -122,7 +122,7 @@
   })
 
   it('gives nothing for a request that no line names, and lines that a person can read', () => {
-    expect(tellStory([], 'r-1')).toEqual([])
+    expect(buildStory([], 'r-1')).toEqual([])
     const line = { time: '2026-01-01T00:00:00.000Z', box: 'edge-1', sinceMs: 5, isOwn: true, what: 'fail', why: '502' }
     expect(formatStoryLine(line)).toMatch(/\+5 ms {2}\* edge-1 +fail +502$/)
   })
--- a/entry/gateway/test/notices.test.ts
+++ b/entry/gateway/test/notices.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterAll, afterEach, beforeAll, describe, expect, it, vi } from 'vitest'
 import { request } from 'undici'
-import { tellStory, type LogLine } from '@gullwall/cli.story'
+import { buildStory, type LogLine } from '@gullwall/cli.story'
 import { type GatewayServices } from '@gullwall/entry.gateway'
 import { type Kernel } from '@gullwall/core.kernel'
 import { until } from '@gullwall/bench.deployment'
@@ -93,7 +93,7 @@
       expect(retryAfterMs).toBeGreaterThanOrEqual(backoffMs(c))
       expect(retryAfterMs).toBeLessThanOrEqual(3000 + RETRY_SPREAD_MS)
       expect(tookMs).toBeLessThan(MAX_WAIT_MS)
-      expect(tellStory(deployment.logLines.map((line) => JSON.parse(line) as LogLine), id).at(-1)).toMatchObject({ what: 'refuse' })
+      expect(buildStory(deployment.logLines.map((line) => JSON.parse(line) as LogLine), id).at(-1)).toMatchObject({ what: 'refuse' })
       expect(text).toContain('requested a backoff')
     }
     expect(engines.reduce((sum, { requestIds }) => sum + requestIds.length, 0)).toBe(before)
--- a/entry/gateway/test/quarantined-request.test.ts
+++ b/entry/gateway/test/quarantined-request.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { request } from 'undici'
-import { tellStory, type LogLine } from '@gullwall/cli.story'
+import { buildStory, type LogLine } from '@gullwall/cli.story'
 import { type GatewayServices } from '@gullwall/entry.gateway'
 import { type Kernel } from '@gullwall/core.kernel'
 import { until } from '@gullwall/bench.deployment'
@@ -85,7 +85,7 @@
     expect({ status, retryAfter }).toEqual({ status: 503, retryAfter: 60 })
     expect(JSON.parse(text)).toMatchObject({ error: { ran: 'no' } })
     expect(text).toContain('crashed while this request was running there')
-    const story = tellStory(logLines(), id)
+    const story = buildStory(logLines(), id)
     expect(story.at(-1)).toMatchObject({ isOwn: true, what: 'refuse' })
     expect(story.filter(({ what }) => what === 'quarantine crashed').length).toBeGreaterThanOrEqual(3)
     expect(story.some(({ what }) => what === 'quarantine held')).toBe(true)
