test(cli): wait for the share of the region link before a refusal is explained

Since a gateway uses its part of the link between regions only a second after control's first count. The test waits for the share, what it checks is unchanged.

--- a/cli/story/test/story.test.ts
+++ b/cli/story/test/story.test.ts
@@ -38,6 +38,7 @@
   await deployment.start()
   for (const standIn of [first, second]) await deployment.register(standIn)
   await deployment.configure(1)
+  await deployment.awaitRegionLink()
 })
 afterAll(async () => await deployment.stop())
 
