fix(entry): show the retries left in the status, and let the test of the programs wait for one

Operators could not see either how many retries an entry has left. The status of an entry gives the retries left by service, and the test waits for one. What it checks is unchanged. The same run failed once in advertised-limit.test.ts: one request was answered 503, for a reason that the test did not print.

--- a/bench/processes/test/programs.test.ts
+++ b/bench/processes/test/programs.test.ts
@@ -64,6 +64,7 @@
   })
 
   it('resume a stream whose sidecar is killed, each token once', async () => {
+    await retriesEarned()
     const answer = ask('killed', 300)
     const busy = await busySidecar()
     await busy.child.kill()
@@ -117,6 +118,14 @@
   })
 })
 
+/** Waits until the entry may send a retry; it earns them after its start. */
+async function retriesEarned (): Promise<void> {
+  await until('a retry', async () => {
+    const status = await readJson<{ retriesLeft: Record<string, number> }>(deployment.entries[0]?.admin ?? '', '/status')
+    return (status?.retriesLeft['parts'] ?? 0) >= 1
+  })
+}
+
 async function busySidecar (): Promise<RunningProgram> {
   let found: RunningProgram | undefined
   await until('a sidecar to be busy', async () => {
--- a/entry/gateway/test/advertised-limit.test.ts
+++ b/entry/gateway/test/advertised-limit.test.ts
@@ -38,7 +38,8 @@
   const reply = await request(`http://${address}${path}`, {
     method: 'POST', headers: { authorization: 'Bearer secret', 'x-gullwall-request-id': `request-${++ids}` }, body: 'a body'
   })
-  await reply.body.text()
+  const text = await reply.body.text()
+  if (reply.statusCode !== 200) console.log(`${path} was answered ${reply.statusCode}: ${text}`)
   return reply.statusCode
 }
 
--- a/entry/program/src/admin.ts
+++ b/entry/program/src/admin.ts
@@ -33,7 +33,8 @@
   }
 
   private status (): object {
-    const { settings, store, dispatcher, metrics, sidecars } = this.services
+    const { settings, store, dispatcher, metrics, sidecars, callers } = this.services
+    const services = new Set([...dispatcher.directory.all()].map((view) => view.description.serves))
     return {
       role: 'entry',
       box: settings.box,
@@ -42,6 +43,7 @@
       links: sidecars.linkCount,
       queued: Object.fromEntries(dispatcher.countQueuedByClass()),
       classes: Object.fromEntries(metrics.byClass),
+      retriesLeft: Object.fromEntries([...services].map((service) => [service, callers.retryBudget.remaining(service)])),
       endpoints: [...dispatcher.directory.all()].map((view) => ({
         ...view.load, box: view.sidecar.name, serves: view.description.serves, health: dispatcher.health.state(view.description.name)
       }))
