--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -64,6 +64,10 @@
   tookMs?: number
   firstEventMs?: number
   longestPauseMs?: number
+  /** What marks the end of the latest response: its length, its last chunk, or the end of its connection. */
+  framing?: 'length' | 'chunks' | 'connection'
+  /** Bytes of a stream behind its last complete event when its latest response ended. */
+  incompleteBytes?: number
   /** Of a request that may have crashed an endpoint: the same for the same caller, path and body, whatever the id. */
   fingerprint?: string
   why: string
--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -83,6 +83,7 @@
   /** Returns the outcome of the attempt, and ends the caller's response if it is complete. */
   finish (end: ExchangeOutcome): AttemptOutcome {
     const { head } = this
+    if (head !== undefined) this.forwarder.recorder.recordResponseEnd({ framing: head.framing, incompleteBytes: this.incompleteBytes })
     if (end.type === 'cancelled') return { type: 'cancelled' }
     if (end.type === 'unsent' || end.type === 'withheld') return end
     if (this.isNotRun && head !== undefined) {
@@ -111,6 +112,11 @@
     return { type: 'answered' }
   }
 
+  /** Bytes of a stream behind its last complete event; undefined for any other response. */
+  private get incompleteBytes (): number | undefined {
+    return this.isStream ? this.splitter.remainder().length : undefined
+  }
+
   private get isStream (): boolean {
     const status = this.head?.status ?? 0
     return this.forwarder.context.call.route.kind === 'stream' && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -3,10 +3,14 @@
 import { messageOf } from '@gullwall/core.error'
 import { type Headers } from './dialect.ts'
 
+/** What marks the end of a response body: its length, its last chunk, or the end of its connection. */
+export type Framing = 'length' | 'chunks' | 'connection'
+
 /** The head of an endpoint's response. */
 export interface ExchangeHead {
   status: number
   headers: Headers
+  framing: Framing
   /** When the request of the response was sent, by the monotonic clock. */
   sentAt: number
 }
@@ -60,7 +64,7 @@
   private settle!: (outcome: ExchangeOutcome) => void
   private controller: Dispatcher.DispatchController | undefined
   private isOver = false
-  private isFramed = true
+  private framing: Framing = 'length'
   private connectTimer: NodeJS.Timeout | undefined
   private sentAt = -Infinity
 
@@ -135,18 +139,19 @@
         }
       },
       onResponseStart: (_controller, status, headers) => {
-        if (status < MIN_FINAL_STATUS) this.listener.onInterim({ status, headers, sentAt: this.sentAt })
+        const head: ExchangeHead = { status, headers, framing: framingOf(status, headers), sentAt: this.sentAt }
+        if (status < MIN_FINAL_STATUS) this.listener.onInterim(head)
         if (this.isOver || status < MIN_FINAL_STATUS) return
-        this.isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || NO_BODY_STATUSES.has(status)
-        if (this.listener.onHead({ status, headers, sentAt: this.sentAt })) return
+        this.framing = head.framing
+        if (this.listener.onHead(head)) return
         this.end({ type: 'broken', reason: 'the response head does not match the request', isClosed: false })
       },
       onResponseData: (_controller, chunk) => {
         if (!this.isOver) this.listener.onData(chunk)
       },
       onResponseEnd: () => {
-        if (this.isFramed) this.end({ type: 'complete' })
-        else void this.endUnframed(wasClosedCleanly())
+        if (this.framing === 'connection') void this.endUnframed(wasClosedCleanly())
+        else this.end({ type: 'complete' })
       },
       onResponseError: (_controller, error) => {
         const reason = messageOf(error)
@@ -156,6 +161,11 @@
   }
 }
 
+function framingOf (status: number, headers: Headers): Framing {
+  if (headers['transfer-encoding'] !== undefined) return 'chunks'
+  return headers['content-length'] !== undefined || NO_BODY_STATUSES.has(status) ? 'length' : 'connection'
+}
+
 function isRefusal (error: NodeJS.ErrnoException): boolean {
   return error.code === 'ECONNREFUSED'
 }
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -36,7 +36,7 @@
 
 export class RequestForwarder {
   private readonly history: AttemptHistory
-  private readonly recorder: RequestRecorder
+  readonly recorder: RequestRecorder
   private readonly retries: RequestRetries
   private readonly isReturning: boolean
   private lastEventId: string | undefined
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -6,6 +6,7 @@
 import { type GatewayServices } from './index.ts'
 
 type Decision = ForwardRecord['decision']
+export type ResponseEnd = Pick<ForwardRecord, 'framing' | 'incompleteBytes'>
 
 export class RequestRecorder {
   /** When events were last forwarded to the caller, by the monotonic clock. */
@@ -15,6 +16,7 @@
   /** The candidate of the latest attempt. */
   private latest: Candidate | undefined
   private fingerprint: string | undefined
+  private responseEnd: ResponseEnd = {}
   /** Whether an attempt was sent. Each later one that is sent is a retry. */
   private hasSent = false
 
@@ -24,6 +26,7 @@
   recordDispatch (candidate: Candidate): void {
     const { call, history, services } = this
     this.latest = candidate
+    this.responseEnd = {}
     const record = {
       ...this.record('dispatch'),
       why: describeChoice(candidate) + services.coldEndpoints.describeExcluded(call) + services.limits.describeExcluded(call)
@@ -54,6 +57,11 @@
     this.latestEventAt = now
   }
 
+  /** Adds how the latest response ended to all further log lines. */
+  recordResponseEnd (end: ResponseEnd): void {
+    this.responseEnd = end
+  }
+
   /** Adds the fingerprint to all further log lines: the latest attempt was interrupted, or the request is quarantined. */
   includeFingerprint (): void {
     this.fingerprint = this.call.fingerprint()
@@ -128,6 +136,7 @@
       documentAgeMs: services.view.documentAgeMs,
       elapsedMs: Math.round(this.elapsedMs),
       ...(latest === undefined ? {} : this.factsOf(latest)),
+      ...this.responseEnd,
       fingerprint: this.fingerprint
     }
   }
