--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -8,13 +8,14 @@
 import { originOf } from './connections.ts'
 import { yieldToIo } from './yield-to-io.ts'
 import {
-  chooseEndpoint, hasAlternative, isPauseSensitive, estimateOutputTokens, findAvailabilityDelayMs, findPermanentRefusalReason,
-  findNoEndpointReason, type EndpointChoiceOptions
+  hasAlternative, isPauseSensitive, estimateOutputTokens, findAvailabilityDelayMs, findPermanentRefusalReason, findNoEndpointReason,
+  type EndpointChoiceOptions
 } from './endpoint-choice.ts'
 import { findDataCentreRefusalReason } from './eligibility.ts'
 import { Exchange } from './exchange.ts'
 import { type GatewayServices } from './index.ts'
-import { chooseRetryAfterMs, waitRank, findWaitDeadline } from './endpoint-wait.ts'
+import { EndpointSearch } from './endpoint-search.ts'
+import { chooseRetryAfterMs } from './endpoint-wait.ts'
 import { QUARANTINE_RETRY_MS } from './quarantine.ts'
 import { RequestRecorder } from './request-recorder.ts'
 import { acquireSendPermit, findSendRefusalReason, type SendPermit } from './send-permit.ts'
@@ -40,11 +41,8 @@
   private readonly retries: RequestRetries
   private readonly isReturning: boolean
   private lastEventId: string | undefined
+  private readonly search = new EndpointSearch()
   private exchange: Exchange | undefined
-  /** When a request that may have run began to wait for its next endpoint; undefined while no such request waits. */
-  private resumedAt: number | undefined
-  /** Until when the request waits for its next endpoint. */
-  private waitDeadline = -Infinity
   private isOver = false
   private hasRecordedUsage = false
   private deadlineTimer: NodeJS.Timeout | undefined
@@ -81,7 +79,7 @@
         this.handleTimeout()
         return
       }
-      const candidate = await this.findCandidate()
+      const candidate = await this.search.find(this.choiceOptions, () => this.isOver)
       if (this.isOver || this.refuseIfQuarantined()) return
       if (candidate === undefined) {
         this.refuse(findNoEndpointReason(this.choiceOptions))
@@ -123,39 +121,10 @@
     return { services: this.services, call: this.call, history: this.history, isResumed: this.isResumed }
   }
 
-  /** Chooses an endpoint. If none is known or has capacity, waits for one for a limited time. */
-  private async findCandidate (): Promise<Candidate | undefined> {
-    const { call, services, history } = this
-    // A request that may have run can't be refused; it fails if no endpoint accepts it.
-    if (history.mayHaveRun && this.hasUntried) this.resumedAt ??= performance.now()
-    const { resumedAt } = this
-    for (;;) {
-      const candidate = chooseEndpoint(this.choiceOptions)
-      if (candidate !== undefined || this.isOver) return candidate
-      const now = performance.now()
-      const waitDeadline = findWaitDeadline(
-        { call, resumedAt, availabilityDelayMs: findAvailabilityDelayMs(services, call, history.excluded), now }
-      )
-      // A resumed request keeps waiting during the slow start that follows a backoff.
-      this.waitDeadline = resumedAt === undefined ? waitDeadline : Math.max(this.waitDeadline, waitDeadline)
-      const maxWaitMs = this.waitDeadline - now
-      if (maxWaitMs <= 0) return undefined
-      await services.view.waitForChange(maxWaitMs, waitRank(call))
-    }
-  }
-
-  /** Whether a usable endpoint has not been tried yet, even if a rule excludes that endpoint now. */
-  private get hasUntried (): boolean {
-    const { call, history, services: { view } } = this
-    const usable = call.route.split.flatMap(({ service }) => view.usable(service))
-    return usable.some(({ description }) => !history.excluded.has(description.incarnation))
-  }
-
   private async runAttempt ({ candidate, permit }: Attempt): Promise<AttemptOutcome> {
     const { call, services } = this
     const { endpoint, unreadTokens, urgency } = candidate
-    this.resumedAt = undefined
-    this.waitDeadline = -Infinity
+    this.search.reset()
     services.loadExchange.recordSending(endpoint, call.prompt)
     const sent: SentRequest = {
       prompt: call.prompt,
