fix(gateway): take a stream that ends inside an event for broken off

Cause: a response without a length was complete once its connection had been closed in order. A process that ends also closes its connections in order, so that only the events tell; the gateway kept their incomplete part, and passed it on as the end of the answer. Why this works: the events are looked at when a response has ended, however it was framed. A field or a line that was begun and not ended makes the attempt a broken one like any other: it is resumed, or the caller's connection is closed. Blank lines and comments behind the last event begin no event, and a response that is declared as something else than events is not judged by them.

--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -1,7 +1,7 @@
 /** Receives the response to one attempt and forwards its complete parts to the caller. */
 import { type AttemptVerdict, type Candidate, type InFlightRequest } from '@gullwall/routing.balancer'
 import { type BackoffPermit } from '@gullwall/routing.backoff'
-import { type AttemptResponseHead } from './dialect.ts'
+import { firstHeaderValue, type AttemptResponseHead } from './dialect.ts'
 import { EventSplitter } from './event-splitter.ts'
 import { type ExchangeOutcome, type ExchangeHead, type ExchangeListener } from './exchange.ts'
 import { type RequestForwarder } from './request-forwarder.ts'
@@ -22,6 +22,7 @@
   | { type: 'broken', reason: string, isClosed: boolean }
   | { type: 'cancelled' }
 
+const EVENT_STREAM = 'text/event-stream'
 const MAX_BODY_BYTES = 32 * 1024 * 1024
 const MIN_SUCCESS_STATUS = 200
 const MIN_REDIRECT_STATUS = 300
@@ -101,6 +102,9 @@
   private complete (head: ExchangeHead): AttemptOutcome {
     const { response } = this.forwarder.context
     if (this.isStream) {
+      if (this.isCutInsideEvent) {
+        return { type: 'broken', reason: `the stream ended inside the event after ${this.forwarder.lastEventId ?? 'its start'}`, isClosed: head.framing === 'connection' }
+      }
       this.sendHead(head)
       this.forwarder.recordAnswered()
       response.endStream(this.splitter.remainder())
@@ -112,6 +116,12 @@
     return { type: 'answered' }
   }
 
+  /** Whether the events have stopped inside one. Only a response that is not declared as something else consists of events. */
+  private get isCutInsideEvent (): boolean {
+    const type = firstHeaderValue(this.head?.headers ?? {}, 'content-type') ?? EVENT_STREAM
+    return type.startsWith(EVENT_STREAM) && this.splitter.isInsideEvent
+  }
+
   /** Bytes of a stream behind its last complete event; undefined for any other response. */
   private get incompleteBytes (): number | undefined {
     return this.isStream ? this.splitter.remainder().length : undefined
--- a/entry/gateway/src/event-splitter.ts
+++ b/entry/gateway/src/event-splitter.ts
@@ -2,6 +2,8 @@
 
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
+const COMMENT_START = ':'
+const LINE_END = /\r\n|\n|\r/
 const ID_LINE = /^id: ?(.*)$/m
 
 /** Complete events, and the id of the last one. */
@@ -27,6 +29,14 @@
   remainder (): Buffer {
     return this.incomplete
   }
+
+  /** Whether the stream has stopped inside an event or a line. Blank lines and comments behind an event begin no other. */
+  get isInsideEvent (): boolean {
+    if (this.incomplete.length === 0) return false
+    const lines = this.incomplete.toString('latin1').split(LINE_END)
+    const unterminated = lines.pop()
+    return unterminated !== '' || lines.some((line) => line !== '' && !line.startsWith(COMMENT_START))
+  }
 }
 
 /** Returns the offset behind the last empty line; 0 if there is none. */
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -40,7 +40,8 @@
   readonly recorder: RequestRecorder
   private readonly retries: RequestRetries
   private readonly isReturning: boolean
-  private lastEventId: string | undefined
+  /** The id of the last event that the caller has; undefined if it has none, or if events have no ids. */
+  lastEventId: string | undefined
   private readonly search = new EndpointSearch()
   private exchange: Exchange | undefined
   private isOver = false
--- a/entry/gateway/test/cut-stream.test.ts
+++ b/entry/gateway/test/cut-stream.test.ts
@@ -87,4 +87,61 @@
     expect(brokenOff).toMatchObject({ text: events(1, 2), isComplete: false })
     expect(decisionsOf(brokenOff.id)).toEqual(['dispatch', 'fail'])
   })
+
+  it.each([
+    ['in a field without a line end', 'data: 3'],
+    ['behind a field', 'id: 3\n'],
+    ['behind a field and a comment', 'id: 3\n: alive\n'],
+    ['in a comment', ': ali'],
+    ['in lines that end with a carriage return and a line feed', 'id: 3\r\nda']
+  ])('is recognised %s', async (_where, part) => {
+    answerWith(raw(events(1, 2) + part, { framing: 'connection' }), whole)
+    expect(await call('/draft/1')).toMatchObject({ text: events(1, 4), isComplete: true })
+  })
+
+  it('is recognised in a response with a last chunk', async () => {
+    answerWith(raw(`${events(1, 2)}id: 3\nda`, { framing: 'chunks', hasLastChunk: true }), whole)
+    expect(await call('/draft/1')).toMatchObject({ text: events(1, 4), isComplete: true })
+  })
+
+  it('is counted and logged as a failure, with the event at which it stopped', async () => {
+    const counter = async () => await deployment.gateway.get('registry').metrics()
+    answerWith(raw(`${events(1, 2)}id: 3\nda`, { framing: 'connection' }), whole)
+    const { id } = await call('/scan/1')
+    const end = deployment.logRecordsOf(id).at(-1)
+    expect(end).toMatchObject({ decision: 'fail', framing: 'connection', incompleteBytes: 8 })
+    expect(end?.['why']).toContain('ended inside the event after 2')
+    expect(await counter()).toMatch(/gullwall_\w+\{route="scan",outcome="error-502"\} [1-9]/)
+    expect(await counter()).not.toMatch(/\{route="scan",outcome="answered"\}/)
+  })
+})
+
+describe('a stream that ends with its connection', () => {
+  it.each([
+    ['right behind an event', events(1, 2), events(1, 2)],
+    ['with lines that end with a carriage return and a line feed', 'id: 1\r\ndata: 1\r\n\r\n', 'id: 1\r\ndata: 1\r\n\r\n'],
+    ['with another blank line', `${events(1, 2)}\n`, `${events(1, 2)}\n`],
+    ['with a comment', `${events(1, 2)}: end\n`, `${events(1, 2)}: end\n`],
+    ['without an event', '', '']
+  ])('is complete %s', async (_where, body, text) => {
+    answerWith(raw(body, { framing: 'connection' }), whole)
+    const reply = await call('/scan/1')
+    expect(reply).toMatchObject({ status: 200, text, isComplete: true })
+    expect(decisionsOf(reply.id)).toEqual(['dispatch', 'finish'])
+  })
+
+  it('is complete without a further event if it was taken up behind its last one', async () => {
+    answerWith(raw('', { framing: 'connection' }), whole)
+    expect(await call('/draft/1', { 'last-event-id': '4' })).toMatchObject({ status: 200, text: '', isComplete: true })
+  })
+
+  it('is complete if it is declared as something else than events', async () => {
+    const json: Behaviour = (incoming, response) => {
+      response.useChunkedEncodingByDefault = false
+      response.writeHead(200, { 'content-type': 'application/json', 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+      response.end('{}')
+    }
+    answerWith(json, whole)
+    expect(await call('/scan/1')).toMatchObject({ status: 200, text: '{}', isComplete: true })
+  })
 })
