refactor(gateway): forget how a connection ended once its end has been handled

How a connection ended is kept in one field for all connections, between the report of the end and its handling by the HTTP client. The field is cleared now at the next tick, so that no later response can be judged by an earlier connection at all.

--- a/entry/gateway/src/connections.ts
+++ b/entry/gateway/src/connections.ts
@@ -22,8 +22,9 @@
 
 export class Connections {
   private readonly pools = new Map<string, LimitedPool>()
-  private readonly connector = watchedConnector((check) => { this.latestEnd = check })
-  private latestEnd: Promise<boolean> = Promise.resolve(false)
+  private readonly connector = watchedConnector((wasClosedCleanly) => this.recordEnding(wasClosedCleanly))
+  /** How the connection whose end is being handled ended; undefined at any other time. */
+  private ending: Promise<boolean> | undefined
 
   constructor (private readonly onConnected: ConnectedListener = () => {}) {}
 
@@ -32,7 +33,13 @@
    * whose end is marked by the end of its connection.
    */
   async wasClosedCleanly (): Promise<boolean> {
-    return await this.latestEnd
+    return await (this.ending ?? false)
+  }
+
+  /** The HTTP client handles the end of a connection before the next tick, so that no response can be judged by another connection. */
+  private recordEnding (wasClosedCleanly: Promise<boolean>): void {
+    this.ending = wasClosedCleanly
+    process.nextTick(() => { if (this.ending === wasClosedCleanly) this.ending = undefined })
   }
 
   /**
@@ -80,7 +87,7 @@
  * complete even if the connection was reset, and the runtime reports a reset that arrives together with data as an ordinary
  * end.
  */
-function watchedConnector (onEnding: (wasClosedWell: Promise<boolean>) => void): buildConnector.connector {
+function watchedConnector (onEnding: (wasClosedCleanly: Promise<boolean>) => void): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
   return (options, callback) => {
     connect(options, (...result) => {
