fix(gateway): go on looking for the rest of a stream that stopped inside an event

What callers would have seen: a stream that stopped inside event 3 ended as complete behind event 2, if the endpoint that resumed it answered with no event. Cause: the resumed response was judged alone; an empty one is sound where the stream had ended behind its last event. Why this works: a part of an event shows that the stream has more, until an attempt has brought a further event. An empty response in between is a broken attempt.

--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -2,7 +2,7 @@
 import { type AttemptVerdict, type Candidate, type InFlightRequest } from '@gullwall/routing.balancer'
 import { type BackoffPermit } from '@gullwall/routing.backoff'
 import { firstHeaderValue, type AttemptResponseHead } from './dialect.ts'
-import { EventSplitter } from './event-splitter.ts'
+import { EventSplitter, hasField } from './event-splitter.ts'
 import { type ExchangeOutcome, type ExchangeHead, type ExchangeListener } from './exchange.ts'
 import { type RequestForwarder } from './request-forwarder.ts'
 
@@ -85,6 +85,8 @@
   finish (end: ExchangeOutcome): AttemptOutcome {
     const { head } = this
     if (head !== undefined) this.forwarder.recorder.recordResponseEnd({ framing: head.framing, incompleteBytes: this.incompleteBytes })
+    const isCut = this.isCutInsideEvent
+    if (isCut) this.forwarder.isEventUnfinished = true
     if (end.type === 'cancelled') return { type: 'cancelled' }
     if (end.type === 'unsent' || end.type === 'withheld') return end
     if (this.isNotRun && head !== undefined) {
@@ -96,15 +98,16 @@
     }
     if (end.type === 'broken' || head === undefined) return end.type === 'broken' ? end : { type: 'broken', reason: 'no response head', isClosed: false }
     if (head.status >= MIN_SERVER_ERROR_STATUS) return { type: 'failed', head, body: Buffer.concat(this.chunks) }
+    if (this.isStream && this.forwarder.isEventUnfinished) {
+      const reason = `the stream ended ${isCut ? 'inside' : 'before'} the event after ${this.forwarder.lastEventId ?? 'its start'}`
+      return { type: 'broken', reason, isClosed: head.framing === 'connection' }
+    }
     return this.complete(head)
   }
 
   private complete (head: ExchangeHead): AttemptOutcome {
     const { response } = this.forwarder.context
     if (this.isStream) {
-      if (this.isCutInsideEvent) {
-        return { type: 'broken', reason: `the stream ended inside the event after ${this.forwarder.lastEventId ?? 'its start'}`, isClosed: head.framing === 'connection' }
-      }
       this.sendHead(head)
       this.forwarder.recordAnswered()
       response.endStream(this.splitter.remainder())
@@ -119,7 +122,7 @@
   /** Whether the events have stopped inside one. Only a response that is not declared as something else consists of events. */
   private get isCutInsideEvent (): boolean {
     const type = firstHeaderValue(this.head?.headers ?? {}, 'content-type') ?? EVENT_STREAM
-    return type.startsWith(EVENT_STREAM) && this.splitter.isInsideEvent
+    return this.isStream && type.startsWith(EVENT_STREAM) && this.splitter.isInsideEvent
   }
 
   /** Bytes of a stream behind its last complete event; undefined for any other response. */
@@ -138,6 +141,7 @@
     const { response } = this.forwarder.context
     this.candidate.endpoint.recordEvents(this.inFlightRequest, performance.now())
     this.sendHead(this.head)
+    if (this.forwarder.isEventUnfinished && hasField(events.bytes)) this.forwarder.isEventUnfinished = false
     this.forwarder.recordEvents(events.lastId)
     if (!response.writeEvents(events.bytes)) this.forwarder.pauseUntilDrained()
   }
--- a/entry/gateway/src/event-splitter.ts
+++ b/entry/gateway/src/event-splitter.ts
@@ -4,6 +4,7 @@
 const CARRIAGE_RETURN = 13
 const COMMENT_START = ':'
 const LINE_END = /\r\n|\n|\r/
+const LAST_LINE_END = /[\r\n]$/
 const ID_LINE = /^id: ?(.*)$/m
 
 /** Complete events, and the id of the last one. */
@@ -32,13 +33,15 @@
 
   /** Whether the stream has stopped inside an event or a line. Blank lines and comments behind an event begin no other. */
   get isInsideEvent (): boolean {
-    if (this.incomplete.length === 0) return false
-    const lines = this.incomplete.toString('latin1').split(LINE_END)
-    const unterminated = lines.pop()
-    return unterminated !== '' || lines.some((line) => line !== '' && !line.startsWith(COMMENT_START))
+    return this.incomplete.length > 0 && (!LAST_LINE_END.test(this.incomplete.toString('latin1')) || hasField(this.incomplete))
   }
 }
 
+/** Whether bytes contain a field of an event. Blank lines and comments belong to none. */
+export function hasField (bytes: Buffer): boolean {
+  return bytes.toString('latin1').split(LINE_END).some((line) => line !== '' && !line.startsWith(COMMENT_START))
+}
+
 /** Returns the offset behind the last empty line; 0 if there is none. */
 function endOfLastEvent (bytes: Buffer): number {
   for (let index = bytes.length - 1; index > 0; index--) {
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -42,6 +42,8 @@
   private readonly isReturning: boolean
   /** The id of the last event that the caller has; undefined if it has none, or if events have no ids. */
   lastEventId: string | undefined
+  /** Whether an attempt has stopped inside an event that no attempt has completed since, so that the stream has more events. */
+  isEventUnfinished = false
   private readonly search = new EndpointSearch()
   private exchange: Exchange | undefined
   private isOver = false
