fix(gateway): end events at lines that end with a carriage return alone

Cause: the splitter knew blank lines of a line feed, alone or behind a carriage return; the format allows all three line ends. Evidence: the fuzz test over the three line ends failed before with "id: 1\\rdata: x\\r\\r". Why this works: a blank line is a line end that stands right behind another one, whichever they are; only a pair counts as one.

--- a/entry/gateway/src/event-splitter.ts
+++ b/entry/gateway/src/event-splitter.ts
@@ -42,18 +42,23 @@
   return bytes.toString('latin1').split(LINE_END).some((line) => line !== '' && !line.startsWith(COMMENT_START))
 }
 
-/** Returns the offset behind the last empty line; 0 if there is none. */
+/** Returns the offset behind the last blank line, in which an event ends; 0 if there is none. */
 function endOfLastEvent (bytes: Buffer): number {
   for (let index = bytes.length - 1; index > 0; index--) {
-    if (bytes[index] !== LINE_FEED) continue
-    const before = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1
-    if (before >= 0 && bytes[before] === LINE_FEED) return index + 1
+    if (!isLineEnd(bytes[index])) continue
+    const isPair = bytes[index] === LINE_FEED && bytes[index - 1] === CARRIAGE_RETURN
+    if (isLineEnd(bytes[isPair ? index - 2 : index - 1])) return index + 1
   }
   return 0
 }
 
+/** Whether a byte ends a line, alone or as a part of a carriage return and a line feed. */
+function isLineEnd (byte: number | undefined): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN
+}
+
 function lastIdOf (events: Buffer): string | undefined {
   const text = events.toString('latin1')
-  const start = text.lastIndexOf('\nid:')
+  const start = Math.max(text.lastIndexOf('\nid:'), text.lastIndexOf('\rid:'))
   return ID_LINE.exec(start >= 0 ? text.slice(start + 1) : text)?.[1]?.trim()
 }
--- a/entry/gateway/test/event-splitter.test.ts
+++ b/entry/gateway/test/event-splitter.test.ts
@@ -36,4 +36,27 @@
   it('are found if lines end with a carriage return and a line feed', () => {
     expect(new EventSplitter().push(Buffer.from('id: 4\r\ndata: a\r\n\r\n'))?.lastId).toBe('4')
   })
+
+  it(`are found with any line end and any division into chunks, and nothing is left that is part of an event (seed ${SEED})`, () => {
+    const lineEnd = fc.constantFrom('\n', '\r\n', '\r')
+    const event = fc.tuple(fc.integer({ min: 1, max: 99 }), lineEnd).map(([id, end]) => `id: ${id}${end}data: x${end}${end}`)
+    const body = fc.array(event, { minLength: 1, maxLength: 6 }).map((parts) => parts.join(''))
+    fc.assert(fc.property(body, fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }), fc.nat(), (text, sizes, cut) => {
+      const bytes = Buffer.from(text)
+      const isWhole = cut % 2 === 0
+      const end = isWhole ? bytes.length : cut % bytes.length
+      const splitter = new EventSplitter()
+      const received: Buffer[] = []
+      for (let offset = 0, turn = 0; offset < end; turn++) {
+        const next = Math.min(end, offset + (sizes[turn % sizes.length] ?? 1))
+        const events = splitter.push(bytes.subarray(offset, next))
+        if (events !== undefined) received.push(events.bytes)
+        offset = next
+      }
+      const all = Buffer.concat([...received, splitter.remainder()]).toString()
+      expect(all).toBe(text.slice(0, end))
+      if (isWhole) expect(splitter.isInsideEvent).toBe(false)
+      if (!isWhole && /[a-z0-9]$/.test(all)) expect(splitter.isInsideEvent).toBe(true)
+    }), { seed: SEED, numRuns: 500 })
+  })
 })
