fix(endpoint): do not take a response without a length for complete if its connection was reset, on the path with sidecars

What callers would have seen: half an answer of a plain service, framed as complete by the entry. Cause: only the gateway told a reset from a close; the client of sidecars passed on what the HTTP library reports, which is an ordinary end. Evidence: `without a length is not complete if its connection was reset` failed before ('{"half":' as the whole body). In chunks it held before. Why this works: the report of how connections end, which gateways use, moves to endpoint/http and serves both.

--- /dev/null
+++ b/endpoint/http/src/connection-ends.ts
@@ -0,0 +1,43 @@
+/** Tells whether the connection of a response without a length was closed in order, which the HTTP client does not report. */
+import { type Socket } from 'node:net'
+import { buildConnector } from 'undici'
+
+/**
+ * Reports how each connection ends before the HTTP client handles its end. The client accepts a response without a length as
+ * complete even if the connection was reset, and the runtime reports a reset that arrives together with data as an ordinary end.
+ */
+export class ConnectionEnds {
+  /** How the connection whose end is being handled ended; undefined at any other time. */
+  private ending: Promise<boolean> | undefined
+
+  /** Whether the connection that is ending at this moment was closed by the endpoint rather than reset. */
+  async wasClosedCleanly (): Promise<boolean> {
+    return await (this.ending ?? false)
+  }
+
+  /** Returns a connector for a pool of the HTTP client. */
+  createConnector (timeoutMs: number): buildConnector.connector {
+    const connect = buildConnector({ timeout: timeoutMs })
+    return (options, callback) => {
+      connect(options, (...result) => {
+        const socket: Socket | null = result[1]
+        socket?.prependListener('end', () => this.recordEnding(isWritable(socket)))
+        socket?.prependListener('error', () => this.recordEnding(Promise.resolve(false)))
+        callback(...result)
+      })
+    }
+  }
+
+  /** The HTTP client handles the end of a connection before the next tick, so that no response can be judged by another connection. */
+  private recordEnding (wasClosedCleanly: Promise<boolean>): void {
+    this.ending = wasClosedCleanly
+    process.nextTick(() => { if (this.ending === wasClosedCleanly) this.ending = undefined })
+  }
+}
+
+/** Tests whether a connection was closed in order: a write fails at once after a reset, and succeeds after a close by the peer. */
+async function isWritable (socket: Socket): Promise<boolean> {
+  return await new Promise((resolve) => {
+    socket.write('\r\n', (error) => resolve(error == null))
+  })
+}
--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -4,16 +4,25 @@
  */
 import { type Dispatcher, type Pool } from 'undici'
 import { type ResponseReceiver, type ResponseHeadListener } from '@gullwall/endpoint.dialect'
+import { framingOf, type Framing } from './framing.ts'
 
 /** The lowest status of a final response; lower ones are interim responses. */
 const MIN_FINAL_STATUS = 200
 
+export interface ExchangeOptions {
+  /** Called with all response headers, including those of interim responses. */
+  onResponseHead?: ResponseHeadListener
+  /** Whether the connection that is ending now was closed and not reset; a response without a length is complete only then. */
+  wasClosedCleanly?: () => Promise<boolean>
+}
+
 /** Sends a request. Resolves when the response is complete, and rejects if the response fails or the signal aborts it. */
 export function exchange (
   pool: Pool, options: Dispatcher.DispatchOptions, receiver: ResponseReceiver, signal: AbortSignal,
-  onResponseHead: ResponseHeadListener = () => {}
+  { onResponseHead = () => {}, wasClosedCleanly = async () => false }: ExchangeOptions = {}
 ): Promise<void> {
   let sentAt = performance.now()
+  let framing: Framing = 'length'
   return new Promise((resolve, reject) => {
     let controller: Dispatcher.DispatchController | undefined
     const abort = () => controller?.abort(getAbortReason(signal))
@@ -31,7 +40,9 @@
       },
       onResponseStart: (_controller, status, headers) => {
         onResponseHead({ status, headers, sentAt })
-        if (status >= MIN_FINAL_STATUS) receiver.onHead(status, headers)
+        if (status < MIN_FINAL_STATUS) return
+        framing = framingOf(status, headers)
+        receiver.onHead(status, headers)
       },
       onResponseData: (started, chunk) => {
         const writable = receiver.onData(chunk)
@@ -39,7 +50,10 @@
         started.pause()
         writable.then(() => started.resume(), (error: Error) => started.abort(error))
       },
-      onResponseEnd: () => settle(),
+      onResponseEnd: () => {
+        if (framing !== 'connection') settle()
+        else void wasClosedCleanly().then((isClean) => settle(isClean ? undefined : new Error('the connection was reset')))
+      },
       onResponseError: (_controller, error) => settle(error)
     })
   })
--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -2,9 +2,12 @@
 import { Pool, type Dispatcher } from 'undici'
 import { GullwallError } from '@gullwall/core.error'
 import { type ResponseReceiver, type Endpoint, type EndpointCall, type ResponseHeadListener } from '@gullwall/endpoint.dialect'
+import { ConnectionEnds } from './connection-ends.ts'
 import { exchange } from './exchange.ts'
 
+export { ConnectionEnds } from './connection-ends.ts'
 export { exchange } from './exchange.ts'
+export { framingOf, type Framing } from './framing.ts'
 
 /** Headers that apply to a single connection and are never forwarded (RFC 9110, section 7.6.1). */
 const HOP_BY_HOP = new Set([
@@ -14,10 +17,10 @@
 /** Codes of errors that occur before the first byte of a request is sent. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
 
-/** Opens a pool of keep-alive connections to an address. */
-export function createPool (address: string): Pool {
+/** Opens a pool of keep-alive connections to an address; `ends` reports how they end. */
+export function createPool (address: string, ends = new ConnectionEnds()): Pool {
   return new Pool(`http://${address}`, {
-    connections: null, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: { timeout: CONNECT_TIMEOUT_MS }
+    connections: null, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: ends.createConnector(CONNECT_TIMEOUT_MS)
   })
 }
 
@@ -41,18 +44,21 @@
 /** An endpoint that is reached by HTTP. */
 export class HttpEndpoint implements Endpoint {
   private readonly pool: Pool
+  private readonly ends = new ConnectionEnds()
 
   /** @param onResponseHead listener for all response headers, including those of interim responses */
   constructor (
     private readonly name: string, private readonly address: string, private readonly onResponseHead: ResponseHeadListener = () => {}
   ) {
-    this.pool = createPool(address)
+    this.pool = createPool(address, this.ends)
   }
 
   async run (call: EndpointCall, receiver: ResponseReceiver): Promise<void> {
     const options = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers: call.headers, body: call.body }
     try {
-      await exchange(this.pool, options, receiver, call.signal, this.onResponseHead)
+      await exchange(this.pool, options, receiver, call.signal, {
+        onResponseHead: this.onResponseHead, wasClosedCleanly: async () => await this.ends.wasClosedCleanly()
+      })
     } catch (cause) {
       const isUnsent = wasNotSent(cause)
       throw new GullwallError(isUnsent ? 'ERR_GULLWALL_ENDPOINT_REFUSED' : 'ERR_GULLWALL_ENDPOINT_FAILED',
--- /dev/null
+++ b/endpoint/http/test/http-endpoint.test.ts
@@ -0,0 +1,59 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { HttpEndpoint } from '@gullwall/endpoint.http'
+
+const HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
+
+let server: Server
+let endpoint: HttpEndpoint
+/** Ends the connection after the response, or a part of it, has been written. */
+let respond: (socket: Socket) => void
+
+beforeEach(async () => {
+  server = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.once('data', () => respond(socket))
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  endpoint = new HttpEndpoint('stub', `127.0.0.1:${(server.address() as AddressInfo).port}`)
+})
+afterEach(async () => {
+  await endpoint.close()
+  server.close()
+})
+
+/** Runs a request and returns the body, or the code of the error. */
+async function run (): Promise<string> {
+  const chunks: Buffer[] = []
+  try {
+    await endpoint.run({ method: 'GET', path: '/', headers: {}, body: undefined, signal: new AbortController().signal }, {
+      onHead: () => {},
+      onData: (chunk) => { chunks.push(chunk); return undefined }
+    })
+    return Buffer.concat(chunks).toString()
+  } catch (error) {
+    return String((error as { code: unknown }).code)
+  }
+}
+
+const reset = (text: string) => (socket: Socket) => { socket.write(text, () => setImmediate(() => socket.resetAndDestroy())) }
+
+describe('a response of an endpoint', () => {
+  it('without a length is not complete if its connection was reset', async () => {
+    respond = reset(`${HEAD}\r\n{"half":`)
+    expect(await run()).toBe('ERR_GULLWALL_ENDPOINT_FAILED')
+  })
+
+  it('in chunks is not complete without its last chunk, however its connection ends', async () => {
+    const part = `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n8\r\n{"half":\r\n`
+    respond = reset(part)
+    expect(await run()).toBe('ERR_GULLWALL_ENDPOINT_FAILED')
+    respond = (socket) => { socket.end(part) }
+    expect(await run()).toBe('ERR_GULLWALL_ENDPOINT_FAILED')
+  })
+
+  it('without a length is complete if its connection was closed in order', async () => {
+    respond = (socket) => { socket.end(`${HEAD}\r\n{}`) }
+    expect(await run()).toBe('{}')
+  })
+})
--- a/entry/gateway/src/connections.ts
+++ b/entry/gateway/src/connections.ts
@@ -1,6 +1,6 @@
 /** Connection pools to endpoints: one for each incarnation, limited to this entry's share of the endpoint's connections. */
-import { type Socket } from 'node:net'
-import { buildConnector, Pool, type Dispatcher } from 'undici'
+import { Pool, type buildConnector, type Dispatcher } from 'undici'
+import { ConnectionEnds } from '@gullwall/endpoint.http'
 import { type EndpointDescription } from '@gullwall/routing.balancer'
 
 const KEEP_ALIVE_MS = 4000
@@ -22,9 +22,8 @@
 
 export class Connections {
   private readonly pools = new Map<string, LimitedPool>()
-  private readonly connector = watchedConnector((wasClosedCleanly) => this.recordEnding(wasClosedCleanly))
-  /** How the connection whose end is being handled ended; undefined at any other time. */
-  private ending: Promise<boolean> | undefined
+  private readonly ends = new ConnectionEnds()
+  private readonly connector = this.ends.createConnector(CONNECT_TIMEOUT_MS)
 
   constructor (private readonly onConnected: ConnectedListener = () => {}) {}
 
@@ -33,13 +32,7 @@
    * whose end is marked by the end of its connection.
    */
   async wasClosedCleanly (): Promise<boolean> {
-    return await (this.ending ?? false)
-  }
-
-  /** The HTTP client handles the end of a connection before the next tick, so that no response can be judged by another connection. */
-  private recordEnding (wasClosedCleanly: Promise<boolean>): void {
-    this.ending = wasClosedCleanly
-    process.nextTick(() => { if (this.ending === wasClosedCleanly) this.ending = undefined })
+    return await this.ends.wasClosedCleanly()
   }
 
   /**
@@ -82,23 +75,6 @@
   }
 }
 
-/**
- * Reports how a connection ends before the HTTP client handles its end. The client accepts an answer without a length as
- * complete even if the connection was reset, and the runtime reports a reset that arrives together with data as an ordinary
- * end.
- */
-function watchedConnector (onEnding: (wasClosedCleanly: Promise<boolean>) => void): buildConnector.connector {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
-  return (options, callback) => {
-    connect(options, (...result) => {
-      const socket: Socket | null = result[1]
-      socket?.prependListener('end', () => onEnding(isWritable(socket)))
-      socket?.prependListener('error', () => onEnding(Promise.resolve(false)))
-      callback(...result)
-    })
-  }
-}
-
 /** Reports how long it takes to connect. */
 function timedConnector (connect: buildConnector.connector, onConnected: (tookMs: number) => void): buildConnector.connector {
   return (options, callback) => {
@@ -110,13 +86,6 @@
   }
 }
 
-/** Tests whether a connection was closed in order: a write fails at once after a reset, and succeeds after a close by the peer. */
-async function isWritable (socket: Socket): Promise<boolean> {
-  return await new Promise((resolve) => {
-    socket.write('\r\n', (error) => resolve(error == null))
-  })
-}
-
 export function originOf (address: string): string {
   return `http://${address}`
 }
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -1,11 +1,9 @@
 /** One HTTP exchange of an attempt: one request on one connection to one endpoint. */
 import { type Dispatcher } from 'undici'
 import { messageOf } from '@gullwall/core.error'
+import { framingOf, type Framing } from '@gullwall/endpoint.http'
 import { type Headers } from './dialect.ts'
 
-/** What marks the end of a response body: its length, its last chunk, or the end of its connection. */
-export type Framing = 'length' | 'chunks' | 'connection'
-
 /** The head of an endpoint's response. */
 export interface ExchangeHead {
   status: number
@@ -53,8 +51,6 @@
 
 /** The lowest status of a final response; lower ones are interim. */
 const MIN_FINAL_STATUS = 200
-/** Statuses of responses without a body, which need no length. */
-const NO_BODY_STATUSES = new Set([204, 304])
 
 type Handler = Required<Pick<Dispatcher.DispatchHandler,
   'onRequestStart' | 'onResponseStart' | 'onResponseData' | 'onResponseEnd' | 'onResponseError'>>
@@ -161,11 +157,6 @@
   }
 }
 
-function framingOf (status: number, headers: Headers): Framing {
-  if (headers['transfer-encoding'] !== undefined) return 'chunks'
-  return headers['content-length'] !== undefined || NO_BODY_STATUSES.has(status) ? 'length' : 'connection'
-}
-
 function isRefusal (error: NodeJS.ErrnoException): boolean {
   return error.code === 'ECONNREFUSED'
 }
