fix(http-server): reset the connection of an answer that breaks off if nothing else shows it

What callers would have seen: a caller of HTTP/1.0 got half a stream with an ordinary end, since its answers are marked by the end of their connection. Cause: an answer that can't go on was ended by closing its connection in order, which shows only where a last chunk or a length is missing. Evidence: `a caller of HTTP/1.0 does not take a stream that was broken off for complete` failed before with 'closed'. Why this works: without chunks and a length the connection is reset. A process that is killed can't do so; such callers can't tell then.

--- a/entry/answers/src/caller-response.ts
+++ b/entry/answers/src/caller-response.ts
@@ -1,6 +1,7 @@
 /** The answer to one caller: head once, bytes with back-pressure, and an error in the form that fits. */
 import { type IncomingHttpHeaders, type ServerResponse } from 'node:http'
 import { type Ran } from '@gullwall/core.types'
+import { abortResponse } from '@gullwall/transport.http-server'
 
 /** An error as the caller sees it. */
 export interface CallerError {
@@ -60,7 +61,7 @@
       return
     }
     if (this.isEventStream) this.response.end(`data: ${JSON.stringify(errorBody(error, this.requestId))}\n\n`)
-    else this.response.destroy()
+    else abortResponse(this.response)
   }
 
   /** Errors in what follows are events too. */
@@ -70,7 +71,7 @@
 
   private drained (): Promise<void> {
     return new Promise((resolve) => {
-      const timer = setTimeout(() => this.response.destroy(), SLOW_READER_MS)
+      const timer = setTimeout(() => abortResponse(this.response), SLOW_READER_MS)
       const done = () => {
         clearTimeout(timer)
         this.response.off('drain', done)
--- a/entry/gateway/src/caller-response.ts
+++ b/entry/gateway/src/caller-response.ts
@@ -1,5 +1,6 @@
 /** The HTTP response to a caller: the complete response of an endpoint, a stream event by event, or an error of this process. */
 import { type ServerResponse } from 'node:http'
+import { abortResponse } from '@gullwall/transport.http-server'
 import { type Headers } from './dialect.ts'
 
 const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'trailer', 'upgrade', 'proxy-connection'])
@@ -66,7 +67,7 @@
 
   /** Closes the connection, so that the caller can't mistake a partial response for a complete one. */
   abort (): void {
-    this.response.destroy()
+    abortResponse(this.response)
   }
 
   /** Sends an error of this process. A response that has begun is aborted instead. */
--- a/entry/server/src/api.ts
+++ b/entry/server/src/api.ts
@@ -12,7 +12,7 @@
 import { computeFingerprint } from '@gullwall/routing.quarantine'
 import { type OrganisationLimits } from '@gullwall/routing.limits'
 import { withoutOwnHeaders } from '@gullwall/transport.attempt'
-import { Koa, Router } from '@gullwall/transport.http-server'
+import { abortResponse, Koa, Router } from '@gullwall/transport.http-server'
 import { type EndpointKind } from '@gullwall/core.types'
 import { readBody, type BodyLimits } from './body.ts'
 import { identify, refusal, type Caller } from './caller-dialect.ts'
@@ -77,7 +77,7 @@
       await next()
     } catch (error) {
       this.options.logger.error({ channel: 'process', event: 'failed', why: `${context.method} ${context.path}`, error: errorRecord(error) })
-      if (context.res.headersSent) context.res.destroy()
+      if (context.res.headersSent) abortResponse(context.res)
       else this.refuse(context, { status: 500, code: 'internal_error', message: messageOf(error), ran: 'unknown', step: 'entry' })
       context.respond = !context.res.destroyed
     }
--- a/transport/http-server/src/index.ts
+++ b/transport/http-server/src/index.ts
@@ -6,6 +6,7 @@
 import { type Registry } from '@gullwall/core.metrics'
 import { listenOn } from './listen.ts'
 
+export * from './abort-response.ts'
 export * from './listen.ts'
 export { Koa, Router }
 
