--- a/entry/gateway/test/gateway-deployment.ts
+++ b/entry/gateway/test/gateway-deployment.ts
@@ -30,7 +30,14 @@
   disconnectCount = 0
   private readonly server: Server
 
-  constructor (readonly incarnation: string, readonly service: string, public behaviour: Behaviour = answerOk, readonly dataCentre = 'dc1') {
+  constructor (
+    readonly incarnation: string,
+    readonly service: string,
+    public behaviour: Behaviour = answerOk,
+    readonly dataCentre = 'dc1',
+    /** The build that its reports name; undefined if they name none. */
+    readonly build?: string
+  ) {
     this.server = createServer((request, response) => {
       const chunks: Buffer[] = []
       request.on('data', (chunk: Buffer) => chunks.push(chunk))
@@ -134,10 +141,9 @@
 
   /** Reports an endpoint to control and waits until the gateway uses it, or no longer uses it. */
   async register (stub: StubEndpoint, state: 'ready' | 'draining' = 'ready', sequence = 1, coldMs?: number): Promise<void> {
-    const { incarnation, service, address, dataCentre } = stub
-    await this.control.get('registrar').receiveHeartbeat({
-      incarnation, service, address, dataCentre, slots: 4, state, sequence, coldMs, ageMs: 0
-    })
+    const { incarnation, service, address, dataCentre, build } = stub
+    const lease = { incarnation, service, address, dataCentre, build, slots: 4, state, sequence, coldMs, ageMs: 0 }
+    await this.control.get('registrar').receiveHeartbeat(lease)
     const shouldBeUsable = state === 'ready'
     const isUsable = () => (
       this.gateway.get('view').usable(stub.service).some(({ description }) => description.incarnation === stub.incarnation)
