--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -5,7 +5,7 @@
 import { memberAddresses, ownLinkAddress } from './membership.ts'
 import { createOperatorApi } from './operator-api.ts'
 import { type ControlServices } from './index.ts'
-import { ThrottledAction } from './throttled-action.ts'
+import { ThrottledAction } from '@gullwall/core.clock'
 
 type ProcessRevision = MessageOf<'inForce'>['processes'][number]
 
--- a/control/program/src/lease-store.ts
+++ b/control/program/src/lease-store.ts
@@ -8,7 +8,7 @@
 import { messageOf } from '@gullwall/core.error'
 import { leaseSchema, type Lease } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
-import { ThrottledAction } from './throttled-action.ts'
+import { ThrottledAction } from '@gullwall/core.clock'
 
 const FILE = 'leases'
 /** Shortest interval between two writes of the file, in ms. Changes of state cause a write, refreshes of leases do not. */
--- a/control/program/src/load-relay.ts
+++ b/control/program/src/load-relay.ts
@@ -7,7 +7,7 @@
 import { type Link } from '@gullwall/transport.link'
 import { type Holding, type MessageOf, type Reading, type LoadSummary } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
-import { ThrottledAction } from './throttled-action.ts'
+import { ThrottledAction } from '@gullwall/core.clock'
 
 /**
  * Publishing interval for each entry of the deployment, in ms. Changes within the interval are published together, and the first
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -9,7 +9,7 @@
 import { type Lease, type MessageOf } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
 import { type PublishPriority } from './proximity.ts'
-import { ThrottledAction } from './throttled-action.ts'
+import { ThrottledAction } from '@gullwall/core.clock'
 
 /** Interval at which refreshed leases are published together, in ms. */
 const REFRESH_INTERVAL_MS = 3000
--- a/control/program/src/usage-store.ts
+++ b/control/program/src/usage-store.ts
@@ -8,7 +8,7 @@
 import { messageOf } from '@gullwall/core.error'
 import { usageCountSchema } from '@gullwall/transport.messages'
 import { type ControlServices } from './index.ts'
-import { ThrottledAction } from './throttled-action.ts'
+import { ThrottledAction } from '@gullwall/core.clock'
 
 const FILE = 'usage'
 /**
--- a/core/clock/src/index.ts
+++ b/core/clock/src/index.ts
@@ -6,6 +6,8 @@
  * only make a process believe less: end a lease, a grant, or the time that a request has left, and never shorten a wait.
  */
 
+export * from './throttled-action.ts'
+
 /** The two clocks, in ms. */
 export interface Clocks {
   steady: () => number
--- a/core/clock/test/throttled-action.test.ts
+++ b/core/clock/test/throttled-action.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, it, vi } from 'vitest'
-import { ThrottledAction } from '../src/throttled-action.ts'
+import { ThrottledAction } from '@gullwall/core.clock'
 
 const INTERVAL_MS = 40
 
