feat(registry): know the build of an endpoint

Heartbeats of the platform name the build of an endpoint's software, and nothing read it. Leases carry it now, native ones too. An earlier build of a process passes a lease on without it: that does not take a known build away, and a build that becomes known later is told at once, even with a heartbeat that came without it before. The messages by which bindings of streams are told and asked for are defined; nobody sends them yet.

--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -276,16 +276,20 @@
     if (lease.state !== 'ready') this.rememberLeaver(lease)
     if (known === undefined) {
       this.held.set(lease.incarnation, { ...rest, receivedAt: heardAt })
-      this.log(lease, `sequence ${lease.sequence}, heard ${Math.round(ageMs)} ms ago`)
+      this.log(lease, `build ${lease.build ?? 'unknown'}, sequence ${lease.sequence}, heard ${Math.round(ageMs)} ms ago`)
       return 'changed'
     }
     const goesOn = STATE_ORDER[lease.state] > STATE_ORDER[known.state]
-    if (lease.sequence <= known.sequence && !goesOn) return 'stale'
-    const state = goesOn ? lease.state : known.state
     const isNewer = lease.sequence > known.sequence
+    const isBuildNews = lease.build !== undefined && lease.build !== known.build && (isNewer || known.build === undefined)
+    if (isBuildNews) known.build = lease.build
+    if (!isNewer && !goesOn) return isBuildNews ? 'changed' : 'stale'
+    const state = goesOn ? lease.state : known.state
     const hasTurnedCold = isNewer && coldUntil({ ...rest, receivedAt: heardAt }) - Math.max(heardAt, coldUntil(known)) > TURNED_COLD_MS
     this.held.set(lease.incarnation, {
       ...(isNewer ? rest : known),
+      // A process that does not know of builds passes a lease on without it.
+      build: known.build,
       limit: known.limit,
       state,
       sequence: Math.max(lease.sequence, known.sequence),
@@ -293,7 +297,7 @@
     })
     const isFirstWord = this.unconfirmed.delete(lease.incarnation)
     // Refreshes are told together some seconds later; until then others would send as to a warm one.
-    if (!goesOn) return isFirstWord || hasTurnedCold ? 'changed' : 'refreshed'
+    if (!goesOn) return isFirstWord || hasTurnedCold || isBuildNews ? 'changed' : 'refreshed'
     this.log({ ...lease, state }, `sequence ${lease.sequence}, was ${known.state}`)
     return 'changed'
   }
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -1,5 +1,10 @@
 /** The typed messages of the links, each with a schema that is checked on arrival. */
 import { z } from 'zod'
+import { leaseSchema, limitReportSchema, type lifeSchema } from './leases.ts'
+import { streamBuildMessages } from './stream-builds.ts'
+
+export * from './leases.ts'
+export * from './stream-builds.ts'
 
 const count = z.number().int().min(0)
 const labels = z.record(z.string(), z.string())
@@ -48,45 +53,6 @@
   endpoints: z.array(z.string())
 })
 
-/** One start of an endpoint that may start again under its name. */
-export const lifeSchema = z.object({
-  /** The endpoint's own name, the same over its starts. */
-  name: z.string(),
-  /** When it started, by its own clock, in Unix ms. Of two lives of one name the one born later holds. */
-  born: z.number().int()
-})
-
-/** What an endpoint said in the head of an answer of the requests a second that it takes from all boxes together. */
-export const limitReportSchema = z.object({
-  /** None where it named no limit any more. */
-  perSecond: z.number().min(0).optional(),
-  /** How long ago the request was sent that it answered, in ms, when the message was sent. */
-  sentAgoMs: z.number(),
-  /** How long ago the head arrived, likewise; it was made in between. */
-  heardAgoMs: z.number()
-})
-
-/** The lease of an endpoint that registers itself by heartbeats. States only go forward. */
-export const leaseSchema = z.object({
-  /** Names one start of the endpoint; another start has another. */
-  incarnation: z.string(),
-  /** Which start of which endpoint it is, where the endpoint may start again under its name. */
-  life: lifeSchema.optional(),
-  service: z.string(),
-  address: z.string(),
-  dataCentre: z.string(),
-  slots: count,
-  state: z.enum(['ready', 'draining', 'gone']),
-  /** For how much longer the endpoint is cold, in ms, when the heartbeat was sent; none where it does not say. */
-  coldMs: z.number().min(0).optional(),
-  /** The latest word of its limit; none where it has named none, and from processes that do not know of limits. */
-  limit: limitReportSchema.optional(),
-  /** Grows with every heartbeat, so that a late one is recognised. */
-  sequence: count,
-  /** How long ago the heartbeat arrived, in ms, when the message was sent. */
-  ageMs: z.number()
-})
-
 /** What requests hold of an engine's memory. */
 export const memoryUseSchema = z.object({
   /** Tokens that they share with nobody, read and to come. */
@@ -267,6 +233,7 @@
   draining: z.object({ kind: z.literal('draining'), incarnations: z.array(z.string()) }),
   /** An entry tells what endpoints have said of their limits. */
   limits: z.object({ kind: z.literal('limits'), limits: z.array(limitReportSchema.extend({ incarnation: z.string() })) }),
+  ...streamBuildMessages,
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
   // Among control processes: the quorum protocol. `to` is the incarnation that the sender takes the receiver for.
--- a/transport/messages/test/recorded-builds.test.ts
+++ b/transport/messages/test/recorded-builds.test.ts
@@ -15,7 +15,10 @@
 
 /** Kinds that have come since the recorded builds, and what becomes of them at a process that does not know them. */
 const SINCE: Record<string, string> = {
-  limits: 'passed over: a control process that does not know limits tells nobody of them'
+  limits: 'passed over: a control process that does not know limits tells nobody of them',
+  streamBuilds: 'passed over: a control process that does not know builds holds no bindings',
+  streamBuildOf: 'not answered: who asks waits for the others, and does not go on with a stream that none of them knows',
+  streamBuild: 'never sent there: it answers a question that only entries ask'
 }
 
 describe.each(builds)('messages of build $build', ({ kinds, messages }) => {
@@ -37,8 +40,10 @@
     const { leases } = messageOf('leases') as { leases: object[] }
     const { wishes } = messageOf('coldAsk') as { wishes: object[] }
     const withLimit = { kind: 'leases', leases: leases.map((lease) => ({ ...lease, limit: { perSecond: 2, sentAgoMs: 9, heardAgoMs: 4 } })) }
+    const withBuild = { kind: 'leases', leases: leases.map((lease) => ({ ...lease, build: 'v1' })) }
     const withWish = { kind: 'coldAsk', entry: 'e1', wishes: wishes.map((wish) => ({ ...wish, perSecond: 2, isWarm: true })) }
     expect(parseMessage(withLimit)).toEqual({ ok: true, message: withLimit })
+    expect(parseMessage(withBuild)).toEqual({ ok: true, message: withBuild })
     expect(parseMessage(withWish)).toEqual({ ok: true, message: withWish })
     // A field that a build does not know is left out when it reads a message, as here.
     const [lease] = leases
