fix(gateway): go on with a stream only at the build that began it

Cause: a gateway resumed a stream at any endpoint of its service, and served a caller that took one up as a new request. No process read the build that endpoints name, and nobody knew later at which build a stream had begun. Class: what only one process knows, and forgets, decides about a whole that several processes carry on. Why this works: the first event binds a stream to a service and build, and a rule of eligibility excludes every other endpoint from then on, whatever the next attempt follows from. A gateway tells two control processes at once, and asks them when a caller comes back; what is not known is refused as not run, never guessed. Streams that go on are admitted like those that may have run: their caller holds a part. An endpoint without a name of its build keeps its streams to itself, so that the stubs of other tests name one.

--- a/bench/experiment/src/choice.ts
+++ b/bench/experiment/src/choice.ts
@@ -123,7 +123,7 @@
 
   private chooseOnce (): void {
     const call = this.nextCall()
-    const candidate = chooseEndpoint({ services: this.services, call, history: new AttemptHistory(call), isResumed: false })
+    const candidate = chooseEndpoint({ services: this.services, call, history: new AttemptHistory(call) })
     if (candidate === undefined) return
     const { endpoint, unreadTokens, urgency } = candidate
     this.unreadTokens += unreadTokens
@@ -168,6 +168,8 @@
       requestId: `r-${this.requests}`,
       waitMs: undefined,
       lastEventId: undefined,
+      resumes: undefined,
+      binding: undefined,
       key: undefined,
       output: { expectedTokens: OUTPUT_TOKENS },
       prompt: [this.subject(), { id: `own-${this.requests}`, tokens: OWN_TOKENS }],
--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -134,6 +134,10 @@
       this.services.registrar.receiveLimits(message.limits)
       return
     }
+    if (message.kind === 'streamBuilds') {
+      this.services.streamBuilds.receive(message)
+      return
+    }
     if (message.kind === 'usage') {
       this.services.usageReporter.receiveFromEntry(link, message)
       return
@@ -151,6 +155,7 @@
       case 'claim': return await proposer.claim(message)
       case 'settle': return await proposer.settle(message)
       case 'crashes': return await this.services.crashEvaluator.recordCrashes(message)
+      case 'streamBuildOf': return this.services.streamBuilds.answer(message)
       case 'coldAsk': return await this.services.granter.handleRequest(message, { isForwarded: link.peer.role === 'control' })
     }
     if (link.peer.role !== 'control') return { kind: 'failed', code: 'ERR_GULLWALL_NOT_ALLOWED', message: `${message.kind} from ${link.peer.role}` }
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -31,6 +31,7 @@
 import { UsageReporter } from './usage-reporter.ts'
 import { type UsageSink } from './usage-sink.ts'
 import { LoadRelay } from './load-relay.ts'
+import { StreamBuilds } from './stream-builds.ts'
 
 export * from './order-caller.ts'
 export * from './scaling-sink.ts'
@@ -58,6 +59,7 @@
   leaseStore: LeaseStore
   registrar: Registrar
   loadRelay: LoadRelay
+  streamBuilds: StreamBuilds
   documents: Documents
   evacuations: Evacuations
   joiner: Joiner
@@ -110,6 +112,7 @@
     .service('registrar', (services) => new Registrar(services))
     .service('leaseStore', (services) => new LeaseStore(services))
     .service('loadRelay', (services) => new LoadRelay(services))
+    .service('streamBuilds', () => new StreamBuilds())
     .service('documents', (services) => new Documents(services))
     .service('evacuations', (services) => new Evacuations(services))
     .service('server', (services) => new ControlServer(services))
@@ -175,6 +178,7 @@
     linkMetrics(registry)
     evacuations.addMetrics(registry)
     this.services.granter.addMetrics(registry)
+    this.services.streamBuilds.addMetrics(registry)
     this.services.crashEvaluator.addMetrics(registry)
     this.services.registrar.addMetrics(registry)
     this.services.scalingController.addMetrics(registry)
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -33,9 +33,11 @@
 /** One decision on one request that goes to endpoints directly. */
 export interface ForwardRecord {
   channel: 'forward'
-  decision: 'dispatch' | 'retry' | 'resume' | 'stop' | 'refuse' | 'fail' | 'cancel' | 'finish'
+  decision: 'dispatch' | 'take-up' | 'retry' | 'resume' | 'stop' | 'refuse' | 'fail' | 'cancel' | 'finish'
   /** The caller's own id; the same in every process and at the endpoint. */
   requestId: string
+  /** The request that brought the first event of the stream, if the caller takes one up. */
+  resumes?: string
   route: string
   organisation: string
   tier: number
@@ -49,6 +51,7 @@
   /** The incarnation of the endpoint, and how old this process's word of it is. */
   endpoint?: string
   service?: string
+  build?: string
   leaseAgeMs?: number
   /** What the choice weighed: cost in ms, foreseen time to the first event, prompt tokens to read there, own requests there. */
   cost?: number
--- a/entry/gateway/src/attempt-policy.ts
+++ b/entry/gateway/src/attempt-policy.ts
@@ -52,12 +52,12 @@
 
 /**
  * Refuses a request whose predicted wait is too long: a late response is worth little, and it delays the requests behind it.
- * Requests that may have run, have no prompt, or are of tier 0 are never refused here. No request is refused for a wait at which
- * less urgent requests are still accepted.
+ * Requests that may have run, go on with a stream, have no prompt, or are of tier 0 are never refused here. No request is refused for
+ * a wait at which less urgent requests are still accepted.
  */
 export function admit ({ call, history, acceptableWaitMs }: RequestState, { waitMs }: Candidate): Admission {
-  const { tier, prompt, route } = call
-  const isAlwaysAdmitted = history.mayHaveRun || prompt.length === 0 || tier === 0
+  const { tier, prompt, route, binding } = call
+  const isAlwaysAdmitted = history.mayHaveRun || binding !== undefined || prompt.length === 0 || tier === 0
   if (isAlwaysAdmitted || waitMs <= MAX_WAIT_FACTOR * acceptableWaitMs) return { type: 'send' }
   return { type: 'refuse', reason: `the first event would take ${Math.round(waitMs)} ms of ${route.targetMs}`, retryAfterMs: waitMs - route.targetMs }
 }
--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -141,11 +141,19 @@
     const { response } = this.forwarder.context
     this.candidate.endpoint.recordEvents(this.inFlightRequest, performance.now())
     this.sendHead(this.head)
-    if (this.forwarder.isEventUnfinished && hasField(events.bytes)) this.forwarder.isEventUnfinished = false
+    this.recordFirstFields(events.bytes)
     this.forwarder.recordEvents(events.lastId)
     if (!response.writeEvents(events.bytes)) this.forwarder.pauseUntilDrained()
   }
 
+  /** Binds the stream to this endpoint if the bytes have its first event, and notes that it has gone on behind an earlier stop. */
+  private recordFirstFields (bytes: Buffer): void {
+    const { call, services } = this.forwarder.context
+    if ((call.binding !== undefined && !this.forwarder.isEventUnfinished) || !hasField(bytes)) return
+    this.forwarder.isEventUnfinished = false
+    if (call.binding === undefined) services.streamBuilds.bind(call, this.candidate.endpoint.description)
+  }
+
   /** Sends the head of the first attempt of a stream; attempts that resume the stream continue under this head. */
   private sendHead (head: ExchangeHead): void {
     const { response } = this.forwarder.context
--- a/entry/gateway/src/call.ts
+++ b/entry/gateway/src/call.ts
@@ -2,10 +2,14 @@
 import { type IncomingMessage } from 'node:http'
 import { suspensions } from '@gullwall/core.clock'
 import { type OrganisationDescription, type Route, type RouteTable } from '@gullwall/config.document'
+import { type BuildBinding } from '@gullwall/routing.stream-builds'
 import { computeFingerprint } from '@gullwall/routing.quarantine'
 import { regionLimitsOf, type RegionLimits } from './allowed-regions.ts'
 import { type CallDialect, type CallHead } from './dialect.ts'
 
+/** The longest id of a request that a caller may name, in characters. */
+const MAX_REQUEST_ID_LENGTH = 256
+
 /** A request with everything that is known before it is routed. */
 export interface Call extends CallHead {
   method: string
@@ -24,6 +28,8 @@
   /** Total time for which the box had been suspended when the request arrived, in ms. */
   suspendedMs: number
   documentVersion: number
+  /** The build that the stream goes on at; undefined while it has brought no event. */
+  binding: BuildBinding | undefined
   /** Identifies the same request under other ids; computed from method, path, organisation and body on the first call. */
   fingerprint: () => string
 }
@@ -53,6 +59,9 @@
   if (table.hasOrganisations && !route.isPublic && organisation === undefined) {
     return { status: 401, code: 'ERR_GULLWALL_KEY', message: 'the API key is missing or unknown' }
   }
+  if (head.resumes !== undefined && head.resumes.length > MAX_REQUEST_ID_LENGTH) {
+    return { status: 400, code: 'ERR_GULLWALL_RESUMES', message: `the id of the resumed request is longer than ${MAX_REQUEST_ID_LENGTH} characters` }
+  }
   const method = request.method ?? 'GET'
   return {
     ...head,
@@ -68,6 +77,7 @@
     deadline: arrivedAt + Math.min(head.waitMs ?? Infinity, route.timeoutMs),
     suspendedMs: suspensions.suspendedMs(),
     documentVersion: table.version,
+    binding: undefined,
     fingerprint: memoise(() => computeFingerprint({ organisation: organisation?.name, method, path, body }))
   }
 }
@@ -77,6 +87,15 @@
   return deadline - performance.now() - (slept - suspendedMs)
 }
 
+/** Whether the caller has received events of the stream from an earlier request. */
+export function isTakeUp ({ route, lastEventId, resumes }: Pick<Call, 'route' | 'lastEventId' | 'resumes'>): boolean {
+  return route.kind === 'stream' && (isGiven(lastEventId) || isGiven(resumes))
+}
+
+function isGiven (value: string | undefined): boolean {
+  return value !== undefined && value !== ''
+}
+
 /** Whether a request may run more than once. */
 export function isRepeatable ({ route }: Call): boolean {
   return route.kind === 'repeatable' || (route.kind === 'stream' && route.isResumable)
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -175,12 +175,21 @@
     return this.confirmedRevision !== undefined && revision >= this.confirmedRevision
   }
 
+  /** Returns the open links to control processes, those of the own region apart from the others. */
+  linksByRegion (): { local: Link[], others: Link[] } {
+    const { settings } = this.services
+    const regions = new Regions(settings.regions)
+    const isLocal = (link: Link) => regions.regionOf(link.peer.dataCentre) === regions.regionOf(settings.dataCentre)
+    const links = this.links()
+    return { local: links.filter(isLocal), others: links.filter((link) => !isLocal(link)) }
+  }
+
   private links (): Link[] {
     return [...this.dialers.values()].flatMap((dialer) => dialer.link?.isOpen === true ? [dialer.link] : [])
   }
 
   private dialAll (addresses: readonly string[]): void {
-    const { settings, startId, logger, store, spreader } = this.services
+    const { settings, startId, logger, store, spreader, streamBuilds } = this.services
     for (const address of addresses) {
       if (this.dialers.has(address)) continue
       this.dialers.set(address, new Dialer(address, {
@@ -190,7 +199,10 @@
         timing: TIMING,
         maxBackoffMs: MAX_BACKOFF_MS,
         revision: () => store.revision,
-        onOpen: (link) => spreader.opened(link),
+        onOpen: (link) => {
+          spreader.opened(link)
+          streamBuilds.linkOpened()
+        },
         onMessage: (link, message) => this.receive(link, message),
         onClose: (link) => {
           spreader.closed(link)
--- a/entry/gateway/src/dialect.ts
+++ b/entry/gateway/src/dialect.ts
@@ -12,6 +12,8 @@
   waitMs: number | undefined
   /** The id of the last event that the caller has received, if it resumes a stream. */
   lastEventId: string | undefined
+  /** The id of the request that brought the first event of the stream that the caller takes up. */
+  resumes: string | undefined
   prompt: readonly PromptPart[]
   /** What the caller states about the length of the answer. */
   output?: OutputLengthHint | undefined
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -1,8 +1,9 @@
 /** Chooses the endpoint for one request: collects the eligible endpoints and the inputs of the balancing policy. */
 import {
   selectCandidates, choose, hasFreeSlot, requestSizeOf, findMemoryRefusalReason, type Candidate, type CandidateScope,
-  type ChoiceRequest, type EndpointState
+  type ChoiceRequest, type EndpointDescription, type EndpointState
 } from '@gullwall/routing.balancer'
+import { isSameBuild } from '@gullwall/routing.stream-builds'
 import { type AttemptHistory } from './attempt-history.ts'
 import { isRepeatable, type Call } from './call.ts'
 import { findRefusalReason, findDataCentreRefusalReason, findEndpointRefusalReason } from './eligibility.ts'
@@ -15,15 +16,13 @@
   services: GatewayServices
   call: Call
   history: AttemptHistory
-  /** Whether the caller has already received a part of the stream. */
-  isResumed: boolean
 }
 
 /** Maximum number of endpoints of a service or a data centre that are checked for a refusal reason or for an available endpoint. */
 const MAX_CHECKED_ENDPOINTS = 512
 
 /** Chooses the endpoint for the next attempt; undefined if no endpoint accepts the request. */
-export function chooseEndpoint ({ services, call, history, isResumed }: EndpointChoiceOptions): Candidate | undefined {
+export function chooseEndpoint ({ services, call, history }: EndpointChoiceOptions): Candidate | undefined {
   const { view, settings, weights, startedAt, crossRegionTraffic } = services
   const service = pickService(services, call)
   const engine = view.table?.service(service)?.engine
@@ -31,7 +30,7 @@
   const choiceRequest: ChoiceRequest = {
     prompt: call.prompt,
     tier: call.tier,
-    isResumed,
+    isResumed: call.binding !== undefined,
     needsSlot: engine !== undefined,
     isSingleAttempt: !isRepeatable(call) || call.route.maxAttempts === 1,
     dataCentre: settings.dataCentre,
@@ -75,6 +74,7 @@
     prefixHolders: view.index.prefixHolders,
     isDataCentreAllowed: (dataCentre) => findDataCentreRefusalReason(eligibility, dataCentre, call) === undefined,
     isAllowed: (endpoint) => findEndpointRefusalReason(eligibility, endpoint, call) === undefined,
+    isSelective: call.binding !== undefined,
     random: Math.random
   }
 }
@@ -93,6 +93,11 @@
   return view.reserved.isPauseSensitive({ route: route.name, maxPauseMs: route.pauseMs }, service)
 }
 
+/** Whether the stream of a call, if it has begun, may go on at the build of an endpoint. */
+export function isBuildAllowed ({ binding }: Call, description: EndpointDescription): boolean {
+  return binding === undefined || isSameBuild(binding, description)
+}
+
 const NONE: ReadonlySet<string> = new Set()
 
 /**
@@ -108,8 +113,9 @@
   for (const { service } of call.route.split.filter(({ weight }) => weight > 0)) {
     for (const { dataCentre, members } of view.pool(service).dataCentrePools) {
       if (findDataCentreRefusalReason(eligibility, dataCentre, call) !== undefined) continue
-      for (const { description: { incarnation } } of members.items) {
-        if (excluded.has(incarnation)) continue
+      for (const { description } of members.items) {
+        const { incarnation } = description
+        if (excluded.has(incarnation) || !isBuildAllowed(call, description)) continue
         soonest = Math.min(soonest, Math.max(backoffs.remainingMs(incarnation), limits.waitMs(incarnation)))
         if (soonest === 0) return 0
       }
@@ -147,7 +153,9 @@
 
 /** Picks one of the route's services at random by weight; services without an eligible endpoint are left out. */
 function pickService (services: GatewayServices, call: Call): string {
-  const { route } = call
+  const { route, binding } = call
+  // A stream goes on at its service, or nowhere if the route no longer leads there.
+  if (binding !== undefined) return route.split.some(({ service }) => service === binding.service) ? binding.service : ''
   const weighted = route.split.filter((part) => part.weight > 0)
   const [first] = weighted
   if (weighted.length <= 1) return first?.service ?? ''
--- a/entry/gateway/src/endpoint-search.ts
+++ b/entry/gateway/src/endpoint-search.ts
@@ -1,6 +1,6 @@
 /** Finds the endpoint for the next attempt of one request, and waits for one while none accepts the request. */
 import { type Candidate } from '@gullwall/routing.balancer'
-import { chooseEndpoint, findAvailabilityDelayMs, type EndpointChoiceOptions } from './endpoint-choice.ts'
+import { chooseEndpoint, findAvailabilityDelayMs, isBuildAllowed, type EndpointChoiceOptions } from './endpoint-choice.ts'
 import { findWaitDeadline, waitRank } from './endpoint-wait.ts'
 
 export class EndpointSearch {
@@ -37,8 +37,8 @@
   }
 }
 
-/** Whether a usable endpoint has not been tried yet, even if a rule excludes that endpoint now. */
+/** Whether a usable endpoint that may take the request has not been tried yet, even if it accepts no requests now. */
 function hasUntried ({ call, history, services: { view } }: EndpointChoiceOptions): boolean {
   const usable = call.route.split.flatMap(({ service }) => view.usable(service))
-  return usable.some(({ description }) => !history.excluded.has(description.incarnation))
+  return usable.some(({ description }) => !history.excluded.has(description.incarnation) && isBuildAllowed(call, description))
 }
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -26,6 +26,7 @@
 import { Quarantine } from './quarantine.ts'
 import { ReturningCallers } from './returning-callers.ts'
 import { CrossRegionTraffic } from './cross-region-traffic.ts'
+import { StreamBuilds } from './stream-builds.ts'
 import { UsageTracker } from './usage-tracker.ts'
 import { LoadExchange } from './load-exchange.ts'
 
@@ -59,6 +60,7 @@
   coldEndpoints: ColdEndpoints
   limits: EndpointLimits
   eligibility: EligibilityRules
+  streamBuilds: StreamBuilds
   retryBudgets: RetryBudgets
   returningCallers: ReturningCallers
   outputLengthEstimator: OutputLengthEstimator
@@ -102,6 +104,7 @@
     .service('coldEndpoints', createColdEndpoints)
     .service('limits', createLimits)
     .service('eligibility', createEligibility)
+    .service('streamBuilds', (services) => new StreamBuilds(services))
     .service('retryBudgets', createRetryBudgets)
     .service('returningCallers', () => new ReturningCallers())
     .service('outputLengthEstimator', () => new OutputLengthEstimator())
@@ -126,11 +129,12 @@
 }
 
 function createEligibility (services: GatewayServices): EligibilityRules {
-  const { evacuatedDataCentres, coldEndpoints, limits, notices } = services
+  const { evacuatedDataCentres, streamBuilds, coldEndpoints, limits, notices } = services
   // What an endpoint reported before its data centre was evacuated may no longer be true.
   evacuatedDataCentres.onWithdrawn((dataCentre) => coldEndpoints.assumeCold(dataCentre))
   return {
-    dataCentres: [evacuatedDataCentres.rule, createAllowedRegionsRule(services)], endpoints: [notices.rule, coldEndpoints.rule, limits.rule]
+    dataCentres: [evacuatedDataCentres.rule, createAllowedRegionsRule(services)],
+    endpoints: [streamBuilds.rule, notices.rule, coldEndpoints.rule, limits.rule]
   }
 }
 
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -30,7 +30,7 @@
 /** Registers gauges for the state of this process, which are read when the metrics are scraped. */
 export function registerStateGauges (registry: Registry, services: GatewayServices): void {
   const { view, controlLinks, retryBudgets, evacuatedDataCentres, crossRegionTraffic } = services
-  const { coldEndpoints, limits, quarantine, notices } = services
+  const { coldEndpoints, limits, quarantine, notices, streamBuilds } = services
   const add = (name: string, help: string, value: () => number) => {
     const metric = gauge(registry, name, help)
     Object.assign(metric, { collect: () => metric.set(value()) })
@@ -61,6 +61,9 @@
   add('gullwall_limited_withheld_requests_total', 'Requests kept back before their first byte', () => limits.totals.withheld)
   add('gullwall_limited_asks_total', 'Asks for grants to limited endpoints', () => limits.grantRequester.totals.requests)
   add('gullwall_limited_failed_asks_total', 'Such asks that nobody answered', () => limits.grantRequester.totals.failed)
+  add('gullwall_streams_taken_up_total', 'Streams that callers took up, and whose build was known', () => streamBuilds.totals.known)
+  add('gullwall_streams_of_unknown_build_total', 'Streams that callers took up, and whose build was not known', () => streamBuilds.totals.unknown)
+  add('gullwall_stream_bindings', 'Bindings of streams that this process holds', () => streamBuilds.size)
   add('gullwall_cold_asks_total', 'Asks for grants', () => coldEndpoints.grantRequester.totals.requests)
   add('gullwall_cold_failed_asks_total', 'Asks for grants that nobody answered', () => coldEndpoints.grantRequester.totals.failed)
 }
--- a/entry/gateway/src/native-dialect.ts
+++ b/entry/gateway/src/native-dialect.ts
@@ -13,6 +13,7 @@
 const PREFIX_SOURCE = 'x-gullwall-prefix-source'
 const RAN = 'x-gullwall-ran'
 const LAST_EVENT_ID = 'last-event-id'
+const RESUMES = 'x-gullwall-resumes'
 
 const HEADER_RULES: HeaderRules = {
   neverForwarded: new Set([WAIT_MS, ORGANISATION, URGENCY, INCARNATION, LAST_EVENT_ID, PREFIX_SOURCE, 'authorization']),
@@ -26,6 +27,7 @@
       requestId: firstHeaderValue(headers, REQUEST_ID) ?? '',
       waitMs: Number.isFinite(waitMs) && waitMs > 0 ? waitMs : undefined,
       lastEventId: firstHeaderValue(headers, LAST_EVENT_ID),
+      resumes: firstHeaderValue(headers, RESUMES),
       prompt: (firstHeaderValue(headers, PROMPT_PARTS) ?? '').split(',').filter(Boolean).map((part) => {
         const [id = '', tokens = '0'] = part.split(':')
         return { id, tokens: Number(tokens) }
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -1,10 +1,11 @@
 /** Forwards one request: chooses endpoints, sends attempts one after the other, and completes the response to the caller. */
 import { pauseSensitivityOf, type Candidate, type InFlightRequest, type RequestRetries, type SentRequest } from '@gullwall/routing.balancer'
+import { describeBinding } from '@gullwall/routing.stream-builds'
 import { type CallerResponse, type ErrorResponse } from './caller-response.ts'
 import { AttemptResponseReceiver, hasRun, verdictOf, type AttemptOutcome } from './attempt-response-receiver.ts'
 import { AttemptHistory } from './attempt-history.ts'
 import { admit, decideNextStep, findStallReason, WATCH_INTERVAL_MS, type NextStep, type RequestState } from './attempt-policy.ts'
-import { remainingMs, type Call } from './call.ts'
+import { isTakeUp, remainingMs, type Call } from './call.ts'
 import { originOf } from './connections.ts'
 import { yieldToIo } from './yield-to-io.ts'
 import {
@@ -28,6 +29,8 @@
 const DEADLINE_SLACK_MS = 4
 /** Minimum delay after which a refused caller may retry, in ms. */
 const MIN_RETRY_AFTER_MS = 300
+/** Delay after which a caller may take a stream up again whose build is not known, in ms: a gateway may be telling control right now. */
+const UNKNOWN_BUILD_RETRY_MS = 300
 
 /** An attempt that is ready to be sent. */
 interface Attempt {
@@ -66,6 +69,7 @@
     this.response.onDisconnected(() => this.cancel())
     this.deadlineTimer = setTimeout(() => this.handleTimeout(), call.deadline - performance.now())
     try {
+      if (isTakeUp(call)) await this.bindTakenUp()
       await this.runAttempts()
     } finally {
       clearTimeout(this.deadlineTimer)
@@ -73,7 +77,20 @@
     }
   }
 
+  /** Binds a stream that the caller takes up to the build that began it; refuses the request if that is not known. */
+  private async bindTakenUp (): Promise<void> {
+    const answer = await this.services.streamBuilds.find(this.call)
+    if (this.isOver) return
+    if (answer.type === 'unknown') {
+      this.refuse(answer.reason, UNKNOWN_BUILD_RETRY_MS)
+      return
+    }
+    this.call.binding = answer.binding
+    this.recorder.recordDecision('take-up', `goes on at ${describeBinding(answer.binding)}, as ${answer.source} knows`)
+  }
+
   private async runAttempts (): Promise<void> {
+    if (this.isOver) return
     const permanentReason = findPermanentRefusalReason(this.services, this.call)
     if (permanentReason !== undefined) this.refuse(permanentReason)
     while (!this.isOver) {
@@ -121,7 +138,7 @@
   }
 
   private get choiceOptions (): EndpointChoiceOptions {
-    return { services: this.services, call: this.call, history: this.history, isResumed: this.isResumed }
+    return { services: this.services, call: this.call, history: this.history }
   }
 
   private async runAttempt ({ candidate, permit }: Attempt): Promise<AttemptOutcome> {
@@ -206,7 +223,7 @@
         this.isOver = true
         break
       case 'retry':
-        this.recorder.recordDecision(this.isResumed ? 'resume' : 'retry', `${step.reason}; budget left ${step.budgetLeft.toFixed(1)}`)
+        this.recorder.recordDecision(this.call.binding === undefined ? 'retry' : 'resume', `${step.reason}; budget left ${step.budgetLeft.toFixed(1)}`)
         break
       case 'refuse':
         this.refuse(step.reason)
@@ -222,11 +239,6 @@
     }
   }
 
-  /** Whether the caller has received a part of the stream from an earlier attempt. */
-  private get isResumed (): boolean {
-    return this.lastEventId !== this.call.lastEventId
-  }
-
   /** Checks a running attempt at each interval: ends it at the deadline, and abandons it if its endpoint does not respond. */
   private checkAttempt (candidate: Candidate, inFlightRequest: InFlightRequest): void {
     const { exchange, recorder } = this
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -68,7 +68,7 @@
   }
 
   /** Records a decision after or during an attempt. */
-  recordDecision (decision: 'retry' | 'resume' | 'stop', why: string): void {
+  recordDecision (decision: 'retry' | 'resume' | 'stop' | 'take-up', why: string): void {
     this.services.logger.info({ ...this.record(decision), why })
   }
 
@@ -129,6 +129,7 @@
       decision,
       requestId: call.requestId,
       route: call.route.name,
+      resumes: call.resumes,
       organisation: call.organisation?.name ?? '',
       tier: call.tier,
       attempt: history.attemptNumber,
@@ -142,10 +143,11 @@
   }
 
   private factsOf ({ endpoint, cost, waitMs, unreadTokens, copiedTokens, source }: Candidate) {
-    const { incarnation, service } = endpoint.description
+    const { incarnation, service, build } = endpoint.description
     return {
       endpoint: incarnation,
       service,
+      build,
       leaseAgeMs: this.services.view.leaseAgeMs(incarnation),
       cost: Math.round(cost),
       waitMs: Math.round(waitMs),
--- a/entry/gateway/test/allowed-regions.fuzz.test.ts
+++ b/entry/gateway/test/allowed-regions.fuzz.test.ts
@@ -5,6 +5,7 @@
 import { Regions } from '@gullwall/config.settings'
 import { DEFAULT_WEIGHTS, EndpointIndex, EndpointState, OutputLengthEstimator, ReservedEngines } from '@gullwall/routing.balancer'
 import { createAllowedRegionsRule, regionLimitsOf } from '../src/allowed-regions.ts'
+import { bindTo } from '@gullwall/routing.stream-builds'
 import { AttemptHistory } from '../src/attempt-history.ts'
 import { type Call } from '../src/call.ts'
 import { chooseEndpoint, hasAlternative, findNoEndpointReason } from '../src/endpoint-choice.ts'
@@ -12,6 +13,7 @@
 import { CrossRegionTraffic } from '../src/cross-region-traffic.ts'
 
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 500)
+const BUILD = 'v1'
 const SEED = Number(process.env['FUZZ_SEED'] ?? 11)
 const REGIONS = ['a', 'b', 'c']
 /** Without a list every region is allowed, including the unnamed one. */
@@ -82,6 +84,8 @@
     requestId: 'x',
     waitMs: undefined,
     lastEventId: undefined,
+    resumes: undefined,
+    binding: undefined,
     prompt: PROMPT,
     key: 'k',
     method: 'POST',
@@ -101,7 +105,9 @@
 }
 
 function endpointOf ({ dataCentre, running, isCached }: Server, index: number): EndpointState {
-  const endpoint = new EndpointState({ incarnation: `i-${index}`, service: 'lm', address: `127.0.0.1:${9000 + index}`, dataCentre, slots: SLOTS })
+  const endpoint = new EndpointState({
+    incarnation: `i-${index}`, service: 'lm', build: BUILD, address: `127.0.0.1:${9000 + index}`, dataCentre, slots: SLOTS
+  })
   endpoint.othersLoad = { unread: [], running, strain: 0, sensitive: 0, unreachable: 0 }
   if (isCached) endpoint.prefixCache.record(PROMPT.slice(0, 1), -Infinity)
   return endpoint
@@ -139,7 +145,9 @@
       allowedLists.every((allowed) => allowed.includes(known.regionOf(description.dataCentre)))
     )
     const remaining = () => endpoints.filter((endpoint) => isAllowed(endpoint) && !history.excluded.has(endpoint.description.incarnation))
-    const options = { services, call, history, isResumed }
+    // All endpoints run the same build, so that a stream that has begun may go on at each of them.
+    if (isResumed) call.binding = bindTo({ service: 'lm', incarnation: '', build: BUILD })
+    const options = { services, call, history }
     // Each iteration is an attempt, a retry or a resumption, until no endpoint is left.
     for (let candidate = chooseEndpoint(options); candidate !== undefined; candidate = chooseEndpoint(options)) {
       expect(isAllowed(candidate.endpoint)).toBe(true)
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -35,6 +35,8 @@
     requestId: 'a',
     waitMs: undefined,
     lastEventId: undefined,
+    resumes: undefined,
+    binding: undefined,
     prompt: [{ id: 'p', tokens: 1000 }],
     key: undefined,
     method: 'POST',
--- a/entry/gateway/test/cut-stream.test.ts
+++ b/entry/gateway/test/cut-stream.test.ts
@@ -133,8 +133,9 @@
   })
 
   it('is complete without a further event if it was taken up behind its last one', async () => {
+    const { id } = await call('/draft/1')
     answerWith(raw('', { framing: 'connection' }), whole)
-    expect(await call('/draft/1', { 'last-event-id': '4' })).toMatchObject({ status: 200, text: '', isComplete: true })
+    expect(await call('/draft/1', { 'last-event-id': '4', 'x-gullwall-resumes': id })).toMatchObject({ status: 200, text: '', isComplete: true })
   })
 
   it('is complete if it is declared as something else than events', async () => {
--- a/entry/gateway/test/evacuation.test.ts
+++ b/entry/gateway/test/evacuation.test.ts
@@ -59,9 +59,11 @@
 beforeAll(async () => {
   await deployment.start()
   for (const [index, stub] of both.entries()) {
-    const { incarnation, service, address } = stub
+    const { incarnation, service, build, address } = stub
     const dataCentre = `dc${index + 1}`
-    await deployment.control.get('registrar').receiveHeartbeat({ incarnation, service, address, dataCentre, slots: 4, state: 'ready', sequence: 1, ageMs: 0 })
+    await deployment.control.get('registrar').receiveHeartbeat({
+      incarnation, service, build, address, dataCentre, slots: 4, state: 'ready', sequence: 1, ageMs: 0
+    })
   }
   await until('both endpoints', () => deployment.gateway.get('view').usable('app').length === 2)
   await deployment.configure(1)
--- a/entry/gateway/test/gateway-deployment.ts
+++ b/entry/gateway/test/gateway-deployment.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type AddressInfo } from 'node:net'
 import { freeAddresses, until } from '@gullwall/bench.deployment'
+import { type ControlSettings } from '@gullwall/config.settings'
 import { createControl, type ControlServices } from '@gullwall/control.program'
 import { MemoryDisk } from '@gullwall/control.storage'
 import { createGateway, type GatewayServices } from '@gullwall/entry.gateway'
@@ -36,7 +37,7 @@
     public behaviour: Behaviour = answerOk,
     readonly dataCentre = 'dc1',
     /** The build that its reports name; undefined if they name none. */
-    readonly build?: string
+    public build: string | undefined = 'v1'
   ) {
     this.server = createServer((request, response) => {
       const chunks: Buffer[] = []
@@ -73,6 +74,8 @@
 
 export class GatewayDeployment {
   control!: Kernel<ControlServices>
+  private controlOptions!: ControlSettings
+  private readonly disk = new MemoryDisk()
   gateway!: Kernel<GatewayServices>
   /** The log lines of all gateways. */
   readonly logLines: string[] = []
@@ -86,7 +89,7 @@
   async start (): Promise<void> {
     const [listen = ''] = await freeAddresses(1)
     const common = { box: 'b1', dataCentre: 'dc1', linkKey: LINK_KEY, logLevel: 'info' as const, admin: ANY_ADDRESS }
-    this.control = await createControl({
+    this.controlOptions = {
       ...common,
       listen,
       member: 'c1',
@@ -99,7 +102,8 @@
       quorumHeartbeatMs: 50,
       quorumElectionMs: 150,
       firstElectionShare: 1
-    }, { disk: new MemoryDisk(), write: () => {} })
+    }
+    this.control = await this.createControl()
     this.gateway = createGateway({
       ...common,
       listen: ANY_ADDRESS,
@@ -115,6 +119,18 @@
     await this.gateway.start()
   }
 
+  private async createControl (): Promise<Kernel<ControlServices>> {
+    return await createControl(this.controlOptions, { disk: this.disk, write: () => {} })
+  }
+
+  /** Stops control and starts it again with its disk. */
+  async restartControl (): Promise<void> {
+    await this.control.stop()
+    this.control = await this.createControl()
+    await this.control.start()
+    await until('a link to the new process', () => this.gateway.get('controlLinks').openCount > 0)
+  }
+
   /** Stores a document and waits until the gateway has applied it and is ready. */
   async configure (version: number, limits: RegionLists = {}, service: object = {}): Promise<void> {
     await this.configureWith(version, createDocument(version, limits, service))
--- a/entry/gateway/test/stream-builds.test.ts
+++ b/entry/gateway/test/stream-builds.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { request } from 'undici'
+import { until } from '@gullwall/bench.deployment'
 import { type Kernel } from '@gullwall/core.kernel'
 import { type GatewayServices } from '@gullwall/entry.gateway'
 import { GatewayDeployment, StubEndpoint, type Behaviour } from './gateway-deployment.ts'
@@ -30,6 +31,12 @@
   response.write(`${events(build, 1, 2)}id: 3\nda`, () => setImmediate(() => response.destroy()))
 }
 
+/** Breaks off inside the first event. */
+const breakOffBeforeEvent: Behaviour = (incoming, response) => {
+  response.writeHead(200, { 'content-type': 'text/event-stream', 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+  response.write('id: 1\nda', () => setImmediate(() => response.destroy()))
+}
+
 const reject: Behaviour = (_incoming, response) => { response.writeHead(503, { 'x-gullwall-ran': 'no' }).end() }
 
 let endpoints: StubEndpoint[]
@@ -39,7 +46,11 @@
 
 /** Starts a deployment with one endpoint for each of some builds. */
 async function deploy (...builds: Array<string | undefined>): Promise<void> {
-  endpoints = builds.map((build, index) => new StubEndpoint(`i-${index}`, 'app', stream(String(build)), 'dc1', build))
+  endpoints = builds.map((build, index) => {
+    const endpoint = new StubEndpoint(`i-${index}`, 'app', stream(String(build)))
+    endpoint.build = build
+    return endpoint
+  })
   deployment = new GatewayDeployment(endpoints)
   await deployment.start()
   for (const endpoint of endpoints) await deployment.register(endpoint)
@@ -110,4 +121,122 @@
       expect(reply).toMatchObject({ status: 200, text: events(String(beginner.build), 3), isComplete: true })
     }
   })
+
+  it('is not bound by an attempt that brought no event', async () => {
+    await deploy('v1', 'v2')
+    let isFirst = true
+    for (const endpoint of endpoints) {
+      endpoint.behaviour = (...args) => {
+        const act = isFirst ? breakOffBeforeEvent : stream(String(endpoint.build))
+        isFirst = false
+        act(...args)
+      }
+    }
+    const reply = await call()
+    expect(reply).toMatchObject({ status: 200, isComplete: true })
+    expect(endpoints.flatMap(({ requestIds }) => requestIds)).toHaveLength(2)
+  })
+
+  it('goes on at another endpoint of its build, within one answer and when it is taken up twice under one name', async () => {
+    await deploy('v2', 'v1', 'v1')
+    const others = [await startGateway('b2'), await startGateway('b3')]
+    const [newer] = endpoints as [StubEndpoint]
+    newer.behaviour = reject
+    let count = 0
+    for (const endpoint of endpoints.slice(1)) endpoint.behaviour = (...args) => { (++count === 1 ? breakOff : stream)('v1')(...args) }
+    expect(await call({ 'x-gullwall-request-id': 'began' })).toMatchObject({ text: events('v1', 1), isComplete: true })
+    newer.behaviour = stream('v2')
+    for (const [index, gateway] of others.entries()) {
+      const reply = await call({ 'x-gullwall-resumes': 'began', 'last-event-id': String(index + 1) }, gateway)
+      expect(reply).toMatchObject({ status: 200, text: events('v1', index + 2), isComplete: true })
+    }
+  })
+
+  it('is taken up after the gateway that began it was killed, as told in the log', async () => {
+    await deploy('v1', 'v2')
+    const first = breakOffFirst()
+    const other = await startGateway('b2')
+    const began = await startGateway('b3')
+    await call({ 'x-gullwall-request-id': 'began', 'x-gullwall-wait-ms': '20000' }, began)
+    await began.stop()
+    gateways = gateways.filter((gateway) => gateway !== began)
+    expect(await call({ ...takeUp('began'), 'x-gullwall-request-id': 'second' }, other)).toMatchObject({ text: events(String(first().build), 3) })
+    const line = deployment.logRecordsOf('second').find(({ decision }) => decision === 'take-up')
+    expect(line).toMatchObject({ resumes: 'began' })
+    expect(line?.['why']).toBe(`goes on at build ${first().build} of app, as c1 knows`)
+  })
+
+  it('is taken up after control has started again and lost what it held, since the gateway tells it again', async () => {
+    await deploy('v1', 'v2')
+    const first = breakOffFirst()
+    await call({ 'x-gullwall-request-id': 'began' })
+    await deployment.restartControl()
+    const other = await startGateway('b2')
+    await until('the binding', () => deployment.control.get('streamBuilds').size > 0)
+    expect(await call(takeUp('began'), other)).toMatchObject({ status: 200, text: events(String(first().build), 3) })
+  })
+})
+
+describe('a stream whose build is not known', () => {
+  /** Expects a refusal that says when to come back, and that nothing was sent. */
+  async function expectRefused (reply: Reply, reason: string): Promise<void> {
+    const sent = endpoints.flatMap(({ requestIds }) => requestIds).length
+    expect(reply).toMatchObject({ status: 503, isComplete: true })
+    expect(Number(reply.headers['retry-after'])).toBeGreaterThan(0)
+    expect(JSON.parse(reply.text)).toMatchObject({ error: { ran: 'no', message: expect.stringContaining(reason) as string } })
+    expect(sent).toBe(sentBefore)
+  }
+  let sentBefore = 0
+
+  it('is refused as not run: no name, an unknown name, the name of a stream on another route', async () => {
+    await deploy('v1')
+    await call({ 'x-gullwall-request-id': 'began' })
+    sentBefore = 1
+    await expectRefused(await call({ 'last-event-id': '2' }), 'does not name the request that brought the first event')
+    await expectRefused(await call(takeUp('nobody')), 'none of 1 control processes knows')
+    await expectRefused(await call(takeUp('began'), deployment.gateway, '/scan/1'), 'none of 1 control processes knows')
+    expect((await call(takeUp('began'))).status).toBe(200)
+  })
+
+  it('is refused at a gateway that is cut off from control, even if only one build serves', async () => {
+    await deploy('v1')
+    await call({ 'x-gullwall-request-id': 'began' })
+    const other = await startGateway('b2')
+    await deployment.control.stop()
+    await until('the links to be closed', () => other.get('controlLinks').openCount === 0)
+    sentBefore = 1
+    await expectRefused(await call(takeUp('began'), other), 'none of 0 control processes knows')
+    expect((await call(takeUp('began'))).status).toBe(200)
+  })
+
+  it('goes on only at the endpoint that began it if endpoints name no build', async () => {
+    await deploy(undefined, undefined)
+    const other = await startGateway('b2')
+    for (const beginner of endpoints) {
+      const name = `began-at-${beginner.incarnation}`
+      for (const endpoint of endpoints) endpoint.behaviour = endpoint === beginner ? breakOff(endpoint.incarnation) : reject
+      await call({ 'x-gullwall-request-id': name })
+      for (const endpoint of endpoints) endpoint.behaviour = stream(endpoint.incarnation)
+      expect(await call(takeUp(name), other)).toMatchObject({ status: 200, text: events(beginner.incarnation, 3) })
+    }
+  })
+
+  it('has a name of a reasonable length, or is refused for good with the reason', async () => {
+    await deploy('v1')
+    const reply = await call(takeUp('x'.repeat(300)))
+    expect(reply).toMatchObject({ status: 400 })
+    expect(reply.text).toContain('longer than 256 characters')
+  })
+})
+
+describe('a build that has left', () => {
+  it('is not replaced by the one that serves: its streams are refused as not run', async () => {
+    await deploy('v1', 'v2')
+    const first = breakOffFirst()
+    await call({ 'x-gullwall-request-id': 'began' })
+    await deployment.register(first(), 'draining', 2)
+    const reply = await call(takeUp('began'))
+    expect(reply.status).toBe(503)
+    expect(reply.text).toContain(`the stream began at build ${first().build} of app`)
+  })
 })
--- a/routing/balancer/src/candidate-set.ts
+++ b/routing/balancer/src/candidate-set.ts
@@ -32,6 +32,8 @@
   isDataCentreAllowed: (dataCentre: string) => boolean
   /** Whether the request may be sent to an endpoint. */
   isAllowed: (endpoint: EndpointState) => boolean
+  /** Whether `isAllowed` may hold for a few endpoints only, which a sample would miss. */
+  isSelective?: boolean
   /** Returns a random number from 0 to 1. */
   random: () => number
 }
@@ -48,7 +50,21 @@
 export function selectCandidates (request: ChoiceRequest, scope: CandidateScope): CandidateSet {
   const pools = [...scope.pool.dataCentrePools].filter(({ dataCentre }) => scope.isDataCentreAllowed(dataCentre))
   const count = pools.reduce((sum, { members }) => sum + members.items.length, 0)
-  return count <= SCORE_ALL_LIMIT ? allCandidates(scope, pools) : sampledCandidates(request, scope, pools)
+  if (count <= SCORE_ALL_LIMIT) return allCandidates(scope, pools)
+  return (scope.isSelective === true ? fewCandidates(scope, pools) : undefined) ?? sampledCandidates(request, scope, pools)
+}
+
+/** Returns all endpoints that are allowed if they are few; undefined otherwise. */
+function fewCandidates ({ isAllowed }: CandidateScope, pools: readonly DataCentrePool[]): CandidateSet | undefined {
+  const endpoints: EndpointState[] = []
+  for (const { members: { items } } of pools) {
+    for (const endpoint of items) {
+      if (!isAllowed(endpoint)) continue
+      endpoints.push(endpoint)
+      if (endpoints.length > SCORE_ALL_LIMIT) return undefined
+    }
+  }
+  return { endpoints, affinityEndpoints: undefined, copySources: endpoints }
 }
 
 function allCandidates ({ pool, isAllowed }: CandidateScope, pools: readonly DataCentrePool[]): CandidateSet {
--- a/routing/balancer/src/endpoint-state.ts
+++ b/routing/balancer/src/endpoint-state.ts
@@ -87,6 +87,8 @@
   /** The name under which the endpoint can restart, if it can. */
   life?: { name: string } | undefined
   service: string
+  /** The build of its software; undefined if it is not known. */
+  build?: string | undefined
   address: string
   dataCentre: string
   slots: number
