test(soak): engines of two builds, callers that take streams up, and checks of both

Engines run one of two builds, drawn at each start, and their events name it. Callers leave a quarter of the resumable streams after some events and take them up at another gateway, as they do with those that break off. `one-build`: the events of a stream, over all its requests, come from one build. `goes-on`: streams that are taken up at gateways in touch, while two engines of their build serve, go on at least half as often as new ones begin.

--- a/bench/soak/src/answers.ts
+++ b/bench/soak/src/answers.ts
@@ -5,9 +5,18 @@
 const MORE_EVENTS = 12
 const HASH_FACTOR = 31
 const HASH_RANGE = 65_521
+const EVENT = /id: (\d+)\ndata: \1 of (\d+) for (\S+) by (\S+)\n\n/y
 
-export function sentBody (id: string): string {
-  return `question of ${id}`
+/** The builds of the engines; what two of them write differs. */
+export const BUILDS = ['build-1', 'build-2'] as const
+
+/** The request whose stream a path names: the one that began it, also where the caller takes it up with another. */
+export function subjectOf (path: string): string {
+  return path.slice(path.lastIndexOf('/') + 1)
+}
+
+export function sentBody (subject: string): string {
+  return `question of ${subject}`
 }
 
 /** The whole answer of one run of a request. */
@@ -15,18 +24,29 @@
   return `${id} run ${serial} ${'x'.repeat((serial * HASH_FACTOR) % MAX_FILLER)} end of ${id}`
 }
 
-/** How many events the stream of a request has, whichever engine runs it. */
-export function eventCount (id: string): number {
+/** How many events a stream has, whichever engine runs it. */
+export function eventCount (subject: string): number {
   let hash = 0
-  for (const character of id) hash = (hash * HASH_FACTOR + character.charCodeAt(0)) % HASH_RANGE
+  for (const character of subject) hash = (hash * HASH_FACTOR + character.charCodeAt(0)) % HASH_RANGE
   return MIN_EVENTS + hash % MORE_EVENTS
 }
 
-export function eventOf (id: string, number: number): string {
-  return `id: ${number}\ndata: ${number} of ${eventCount(id)} for ${id}\n\n`
+export function eventOf (subject: string, number: number, build: string): string {
+  return `id: ${number}\ndata: ${number} of ${eventCount(subject)} for ${subject} by ${build}\n\n`
 }
 
-/** The events of a whole stream up to one of them. */
-export function events (id: string, until: number): string {
-  return Array.from({ length: until }, (_, index) => eventOf(id, index + 1)).join('')
+/** The builds of the events of a stream behind one of them, in their order; undefined if it is not just such events. */
+export function buildsOfEvents (subject: string, after: number, body: string): string[] | undefined {
+  const builds: string[] = []
+  let offset = 0
+  while (offset < body.length) {
+    EVENT.lastIndex = offset
+    const match = EVENT.exec(body)
+    const [text = '', number, count, of, build = ''] = match ?? []
+    const isNext = Number(number) === after + builds.length + 1
+    if (match === null || !isNext || Number(count) !== eventCount(subject) || of !== subject) return undefined
+    builds.push(build)
+    offset += text.length
+  }
+  return builds.length + after <= eventCount(subject) ? builds : undefined
 }
--- a/bench/soak/src/callers.ts
+++ b/bench/soak/src/callers.ts
@@ -4,6 +4,7 @@
 import { guestKey, HOST, KEY, KINDS, TIMEOUT_MS, versionPrefix } from './documents.ts'
 import { SMUGGLED } from './engine.ts'
 import { type Attempt } from './journal.ts'
+import { countEvents, nextTakeUp } from './take-ups.ts'
 import { type Random } from './random.ts'
 import { OPERATOR_TOKEN, type Site } from './site.ts'
 import { ask, isReady } from './waiting.ts'
@@ -17,6 +18,10 @@
 /** A caller that hears nothing for so long gives up, in ms; the gateway should have answered before. */
 const GIVE_UP_MS = TIMEOUT_MS + 3000
 const IDLE_CONNECTIONS = 8
+const OK = 200
+/** The share of streams that their callers leave after some events, to take them up elsewhere. */
+const MOVE_SHARE = 0.25
+const MOVE_EVENTS = 4
 const VERSION_RATE = 8
 const GUEST_RATE = 4
 const INTRUDE_MS = 3000
@@ -88,18 +93,40 @@
     const id = `q${this.count}-${Math.floor(this.random.next() * 1e6)}`
     const gateway = this.chooseGateway()
     const life = this.site.gateways.get(gateway)?.life ?? 0
-    const attempt: Attempt = { id, kind, path: `${prefix}${id}`, key, gateway, life, sentAt: this.site.journal.now }
+    const attempt: Attempt = {
+      id, subject: id, after: 0, kind, path: `${prefix}${id}`, key, gateway, life, sentAt: this.site.journal.now
+    }
+    this.begin(attempt)
+  }
+
+  private begin (attempt: Attempt): void {
     this.site.journal.attempts.push(attempt)
     const done = this.carry(attempt)
     this.open.add(done)
-    void done.finally(() => this.open.delete(done))
+    void done.finally(() => {
+      this.open.delete(done)
+      if (!this.stopped) this.takeUp(attempt)
+    })
+  }
+
+  /** Takes a stream up that has brought events and broke off, or that the caller has left, at another gateway where there is one. */
+  private takeUp (attempt: Attempt): void {
+    const next = nextTakeUp(attempt, this.site.journal)
+    if (next === undefined) return
+    this.count += 1
+    const gateway = this.chooseGateway(attempt.gateway)
+    const life = this.site.gateways.get(gateway)?.life ?? 0
+    setTimeout(() => {
+      if (!this.stopped) this.begin({ ...next.attempt, id: `${attempt.subject}-${this.count}`, gateway, life, sentAt: this.site.journal.now })
+    }, next.waitMs)
   }
 
-  private chooseGateway (): string {
-    const all = [...this.site.gateways.keys()]
+  private chooseGateway (other?: string): string {
+    const all = [...this.site.gateways.keys()].filter((name) => name !== other)
     const kept = all.filter((name) => Object.keys(this.agents.get(name)?.freeSockets ?? {}).length > 0)
     if (kept.length > 0 && this.random.chance(KEPT_SHARE)) return this.random.pick(kept)
-    return this.random.pick(this.ready.size > 0 ? [...this.ready] : all)
+    const ready = [...this.ready].filter((name) => name !== other)
+    return this.random.pick(ready.length > 0 ? ready : all)
   }
 
   private async carry (attempt: Attempt): Promise<void> {
@@ -112,7 +139,8 @@
         attempt.failure = failure
         resolve()
       }
-      const sent = this.request(attempt, finish)
+      const leavesAfter = attempt.kind === 'draft' && this.random.chance(MOVE_SHARE) ? 1 + Math.floor(this.random.next() * MOVE_EVENTS) : Infinity
+      const sent = this.request(attempt, finish, leavesAfter)
       const leavesMs = this.random.chance(LEAVE_SHARE) ? this.random.between(1, LEAVE_MS) : GIVE_UP_MS
       const timer = setTimeout(() => {
         finish('left')
@@ -121,15 +149,25 @@
     })
   }
 
-  private request (attempt: Attempt, finish: (failure?: Attempt['failure']) => void): ClientRequest {
+  private request (attempt: Attempt, finish: (failure?: Attempt['failure']) => void, leavesAfter: number): ClientRequest {
     const [host = '', port = ''] = (this.site.places.get(attempt.gateway)?.listen ?? '').split(':')
     const sent = request({
       host, port, path: attempt.path, method: 'POST', agent: this.agents.get(attempt.gateway), headers: this.headersFor(attempt)
     }, (response) => {
       const chunks: Buffer[] = []
-      response.on('data', (chunk: Buffer) => chunks.push(chunk))
+      response.on('data', (chunk: Buffer) => {
+        chunks.push(chunk)
+        if (response.statusCode !== OK || countEvents(Buffer.concat(chunks).toString()) < leavesAfter) return
+        attempt.status = response.statusCode
+        attempt.headers = response.headers
+        attempt.body = Buffer.concat(chunks).toString()
+        finish('left')
+        sent.destroy()
+      })
       response.on('error', () => {})
       response.on('close', () => {
+        // What comes after the caller has left is not its answer any more.
+        if (attempt.endedAt !== undefined) return
         attempt.status = response.statusCode
         attempt.headers = response.headers
         attempt.body = Buffer.concat(chunks).toString()
@@ -138,17 +176,18 @@
       })
     })
     sent.on('error', (error: NodeJS.ErrnoException) => finish(error.code === 'ECONNREFUSED' ? 'refused' : 'closed'))
-    sent.end(sentBody(attempt.id))
+    sent.end(sentBody(attempt.subject))
     return sent
   }
 
   /** Besides what is due, callers try to set what only gateways may tell engines. */
-  private headersFor ({ id, key }: Attempt): Record<string, string> {
+  private headersFor ({ id, key, subject, after, beganAt = this.site.journal.now }: Attempt): Record<string, string> {
     return {
       host: HOST,
       authorization: `Bearer ${key}`,
       'x-gullwall-request-id': id,
-      'x-gullwall-wait-ms': String(TIMEOUT_MS),
+      'x-gullwall-wait-ms': String(Math.max(1, Math.round(TIMEOUT_MS - (this.site.journal.now - beganAt)))),
+      ...after > 0 ? { 'x-gullwall-resumes': subject, 'last-event-id': String(after) } : {},
       'x-gullwall-incarnation': SMUGGLED,
       x_gullwall_incarnation: SMUGGLED,
       'x-gullwall-urgency': SMUGGLED,
--- a/bench/soak/src/checks/answers.ts
+++ b/bench/soak/src/checks/answers.ts
@@ -1,7 +1,8 @@
 /** Checks of single requests: whole answers to their own caller, no run too many, and nothing said that is not true. */
-import { answerBody, eventCount, events } from '../answers.ts'
+import { answerBody } from '../answers.ts'
 import { KEY, KINDS, MAX_ATTEMPTS } from '../documents.ts'
 import { type Attempt, type Journal, type Run } from '../journal.ts'
+import { wrongStream } from './streams.ts'
 import { type Check, type Violation } from './violation.ts'
 
 const OK = 200
@@ -32,19 +33,6 @@
   return brokenBy?.end === 'close' && !brokenBy.isFramed && answerBody(id, serial).startsWith(body)
 }
 
-function wrongStream ({ id, body = '', isWhole }: Attempt, journal: Journal): string | undefined {
-  const all = events(id, eventCount(id))
-  if (!all.startsWith(body)) return `not the events of this stream in their order: ${JSON.stringify(body.slice(-120))}`
-  if (isWhole !== true || body === all || journal.runsOf(id).some((run) => endsBehindItsEvent(run, body))) return undefined
-  return `looks whole after ${body.length} of ${all.length} bytes`
-}
-
-/** A stream without a length that was closed in order right behind an event can't be told from one that ended there. */
-function endsBehindItsEvent ({ id, brokenBy }: Run, body: string): boolean {
-  if (brokenBy?.end !== 'close' || brokenBy.isFramed || brokenBy.isBehindEvent !== true) return false
-  return events(id, body.split('\n\n').length - 1) === body
-}
-
 /** What may run once at most has not run twice; nothing runs more often than its route allows. */
 export const runsAtMost: Check = ({ journal }) => forAnswers(journal, 'once', (attempt) => {
   const runs = journal.runsOf(attempt.id).length
--- a/bench/soak/src/checks/index.ts
+++ b/bench/soak/src/checks/index.ts
@@ -4,6 +4,7 @@
 import { coldSpared, crashingIsHeld, drainWordIsKept, evacuatedGetNothing, leavingGetNothing, limitIsKept, restIsKept, stayHome } from './engines.ts'
 import { retriesAreBounded } from './retries.ts'
 import { endsAsAsked, nothingStarves, recovers, stopsCutNothing } from './service.ts'
+import { oneBuild, takenUpGoOn } from './streams.ts'
 import { type Check, type CheckInput, type Violation } from './violation.ts'
 
 export * from './violation.ts'
@@ -14,7 +15,7 @@
 
 export function checksFor ({ cold, regions }: Features): Check[] {
   return [
-    wholeAnswers, runsAtMost, refusalsTrue, unchanged, noIntrusion, urgencyByTier,
+    wholeAnswers, oneBuild, takenUpGoOn, runsAtMost, refusalsTrue, unchanged, noIntrusion, urgencyByTier,
     inForce, keysDropped, noReturn, readBack, acknowledgements, nothingLost,
     leavingGetNothing, evacuatedGetNothing, crashingIsHeld, restIsKept, drainWordIsKept, limitIsKept, retriesAreBounded,
     stopsCutNothing, endsAsAsked, nothingStarves, recovers,
--- a/bench/soak/src/engine.ts
+++ b/bench/soak/src/engine.ts
@@ -1,9 +1,9 @@
 /** A stand-in engine: answers with what its caller can check, and notes what has reached it. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type AddressInfo } from 'node:net'
-import { answerBody, eventCount, eventOf, sentBody } from './answers.ts'
+import { answerBody, BUILDS, eventCount, eventOf, sentBody, subjectOf } from './answers.ts'
 import { CRASHING } from './crashing-requests.ts'
-import { type Break, type Journal, type Run } from './journal.ts'
+import { type Break, type Journal, type Life, type Run } from './journal.ts'
 import { type Random } from './random.ts'
 
 export type Behaviour =
@@ -30,6 +30,8 @@
 interface EngineOptions extends EnginePlan {
   journal: Journal
   random: Random
+  /** Whether engines run several builds; earlier programs join the streams of all. */
+  hasBuilds: boolean
   sourceAt: (port: number) => string
   /** Ends this engine's process, and brings it back. */
   crash: (engine: Engine) => void
@@ -56,7 +58,8 @@
 export class Engine {
   behaviour: Behaviour = 'well'
   incarnation = ''
-  state: 'ready' | 'draining' | 'gone' = 'ready'
+  /** The build of its software; each start may bring another one. */
+  build = ''
   /** Whether its heartbeats reach nobody. */
   isUnheard = false
   sequence = 0
@@ -69,15 +72,29 @@
   /** Whether this process has asked anybody for rest. */
   private hasRested = false
   private starts = 0
+  private currentState: 'ready' | 'draining' | 'gone' = 'ready'
+  private life: Life | undefined
 
   constructor (readonly options: EngineOptions) {}
 
+  get state (): 'ready' | 'draining' | 'gone' {
+    return this.currentState
+  }
+
+  set state (state) {
+    this.currentState = state
+    if (state !== 'ready' && this.life !== undefined) this.life.to = Math.min(this.life.to, this.options.journal.now)
+  }
+
   /** Starts anew under a new incarnation. */
   async start (coldMs = 0): Promise<void> {
-    const { name, journal } = this.options
+    const { name, service, journal, random, hasBuilds } = this.options
     this.starts += 1
     this.incarnation = `${name}-${this.starts}`
+    this.build = hasBuilds ? random.pick(BUILDS) : BUILDS[0]
     this.state = 'ready'
+    this.life = { engine: name, service, build: this.build, from: journal.now, to: Infinity }
+    journal.lives.push(this.life)
     this.behaviour = 'well'
     this.isUnheard = false
     this.hasRested = false
@@ -94,6 +111,7 @@
 
   /** Ends at once. */
   stop (): void {
+    if (this.life !== undefined) this.life.to = Math.min(this.life.to, this.options.journal.now)
     this.server?.close()
     this.server?.closeAllConnections()
     this.server = undefined
@@ -185,7 +203,7 @@
       service,
       from: sourceAt(request.socket.remotePort ?? 0),
       path,
-      isAsSent: path.endsWith(`/${id}`) && body === sentBody(id),
+      isAsSent: body === sentBody(subjectOf(path)),
       urgency: Number(headerOf(request, 'x-gullwall-urgency')),
       organisation: headerOf(request, 'x-gullwall-organisation'),
       lastEventId: Number(headerOf(request, 'last-event-id')),
@@ -213,7 +231,8 @@
 
   private stream (run: Run, response: ServerResponse, isCut: boolean): void {
     const { random } = this.options
-    const total = eventCount(run.id)
+    const subject = subjectOf(run.path)
+    const total = eventCount(subject)
     const cutAfter = isCut ? Math.ceil(total / SECOND_WHOLE_FRAME) : Infinity
     const isFramed = !random.chance(UNFRAMED_STREAM_SHARE)
     if (!isFramed) unframe(response)
@@ -229,13 +248,13 @@
     const next = (number: number): void => this.after(EVENT_MS, response, () => {
       if (number === run.lastEventId + 1) begin()
       if (number > cutAfter) {
-        const event = eventOf(run.id, number)
+        const event = eventOf(subject, number, this.build)
         const cut = Math.floor(random.between(0, event.length))
         if (cut > 0) response.write(event.slice(0, cut))
-        this.breakOff(run, response, { isFramed, isBehindEvent: cut === 0 })
+        this.breakOff(run, response, { isFramed, behindEvent: cut === 0 ? number - 1 : undefined })
         return
       }
-      response.write(eventOf(run.id, number))
+      response.write(eventOf(subject, number, this.build))
       if (number < total) next(number + 1)
       else finish()
     })
--- a/bench/soak/src/heartbeats.ts
+++ b/bench/soak/src/heartbeats.ts
@@ -28,12 +28,12 @@
 
 /** Sends one heartbeat to the first control process that takes it; whether one did. */
 export async function beat (site: Site, engine: Engine): Promise<boolean> {
-  const { incarnation, state } = engine
+  const { incarnation, state, build } = engine
   const { name, service, address, dataCentre } = engine.options
   if (state === 'gone' || engine.isUnheard) return false
   engine.sequence += 1
   const coldMs = Math.max(0, Math.round(engine.coldUntil - site.journal.now))
-  const body = JSON.stringify({ service, address, dataCentre, slots: 8, state, coldMs, sequence: engine.sequence })
+  const body = JSON.stringify({ service, build, address, dataCentre, slots: 8, state, coldMs, sequence: engine.sequence })
   for (const control of shuffled(site)) {
     if (site.network.isHeld(name, control)) continue
     const reply = await ask({ address: site.controlAddress(control), method: 'PUT', path: `/v1/leases/${incarnation}`, token: OPERATOR_TOKEN, body })
--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -3,6 +3,12 @@
 /** One request of a caller. */
 export interface Attempt {
   id: string
+  /** The request that began the stream; its own id but where the caller takes a stream up. */
+  subject: string
+  /** The last event that the caller has of the stream; 0 for a new one. */
+  after: number
+  /** When the first request for the stream was sent, if this one takes it up. */
+  beganAt?: number
   kind: string
   path: string
   key: string
@@ -50,8 +56,8 @@
   end: 'reset' | 'close'
   /** Whether a length or chunks would have told where the answer ends. */
   isFramed: boolean
-  /** Whether the part of a stream that was sent ends with an event. */
-  isBehindEvent?: boolean
+  /** The last event that was sent, if the part of a stream that was sent ends with it. */
+  behindEvent?: number | undefined
 }
 
 /** A change that the operator asked for. */
@@ -96,6 +102,9 @@
 /** A time in which the answers of an engine named a limit, in requests a second. */
 export interface LimitSpell { incarnation: string, perSecond: number, from: number, to: number }
 
+/** One life of an engine, until it ended or said that it leaves. */
+export interface Life { engine: string, service: string, build: string, from: number, to: number }
+
 /** A time in which an engine was cold. */
 export interface ColdSpell { incarnation: string, from: number, to: number }
 
@@ -115,6 +124,7 @@
   readonly disturbances: Disturbance[] = []
   readonly ends: ProcessEnd[] = []
   readonly coldSpells: ColdSpell[] = []
+  readonly lives: Life[] = []
   readonly crashes: CrashingRun[] = []
   readonly rests: RestAsked[] = []
   readonly arrivals: Arrival[] = []
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -35,6 +35,31 @@
     replace: 'if (this.isStream && this.receivedBytes < 0)',
     faults: ['engine cuts answers']
   },
+  {
+    name: 'stream-goes-on-anywhere',
+    check: 'one-build',
+    file: `${GATEWAY}/stream-builds.ts`,
+    find: 'if (binding === undefined || isSameBuild(binding, description)) return undefined',
+    replace: 'if (binding !== null || isSameBuild(binding, description)) return undefined',
+    faults: ['engine cuts answers']
+  },
+  {
+    name: 'builds-not-told',
+    check: 'goes-on',
+    file: `${GATEWAY}/stream-builds.ts`,
+    find: 'this.outbox.add(record)',
+    replace: '',
+    faults: [CALM]
+  },
+  {
+    name: 'unknown-build-guessed',
+    check: 'one-build',
+    file: `${GATEWAY}/request-forwarder.ts`,
+    find: "if (answer.type === 'unknown') {",
+    replace: `if (answer.type === 'unknown' && this.call.resumes !== undefined) return
+    if (answer.type === 'unknown') {`,
+    faults: ['cut gateway off', 'kill everything']
+  },
   {
     name: 'answer-of-another',
     check: 'whole',
--- a/bench/soak/src/site.ts
+++ b/bench/soak/src/site.ts
@@ -19,6 +19,8 @@
   random: Random
   gateways: number
   controls: number
+  /** Whether engines run several builds. */
+  hasBuilds: boolean
 }
 
 interface Place { listen: string, dataCentre: string }
@@ -170,6 +172,7 @@
       address,
       journal: this.journal,
       random: this.options.random,
+      hasBuilds: this.options.hasBuilds,
       sourceAt: (port) => this.network.sourceAt(port),
       crash: (crashed) => { void crashAndReturn(this, crashed) }
     })
--- a/bench/soak/src/soak.ts
+++ b/bench/soak/src/soak.ts
@@ -68,7 +68,13 @@
 /** @throws ERR_GULLWALL_SOAK if the deployment does not come up at all */
 export async function soak (options: SoakOptions): Promise<Verdict> {
   const controls = options.processes >= MANY_PROCESSES ? MANY_CONTROLS : MIN_CONTROLS
-  const site = new Site({ random: new Random(options.seed + 1), controls, gateways: Math.max(2, options.processes - controls) })
+  const site = new Site({
+    random: new Random(options.seed + 1),
+    // Programs of an earlier build join the streams of all builds.
+    hasBuilds: options.from === undefined,
+    controls,
+    gateways: Math.max(2, options.processes - controls)
+  })
   const run = new SoakRun(site, options)
   try {
     const to = await buildPrograms(site.folder, { mutation: options.mutation })
--- /dev/null
+++ b/bench/soak/src/take-ups.ts
@@ -0,0 +1,35 @@
+/** When callers take a stream up again, and behind which event. */
+import { eventCount } from './answers.ts'
+import { TIMEOUT_MS } from './documents.ts'
+import { type Attempt, type Journal } from './journal.ts'
+
+const OK = 200
+const REFUSED = 503
+/** A caller comes back only while there is time for some events. */
+const LEAST_MS = 500
+const SECOND_MS = 1000
+
+export interface TakeUp {
+  attempt: Pick<Attempt, 'subject' | 'after' | 'beganAt' | 'kind' | 'path' | 'key'>
+  /** How long the caller waits before it comes back, in ms. */
+  waitMs: number
+}
+
+/** Returns how a caller goes on after a request for a stream has ended; undefined if it does not. */
+export function nextTakeUp (attempt: Attempt, { now }: Journal): TakeUp | undefined {
+  const { subject, after, kind, path, key, sentAt, status, headers, body = '', isWhole, beganAt = sentAt } = attempt
+  if (kind !== 'draft' || (isWhole === true && status === OK)) return undefined
+  const last = after + (status === OK ? countEvents(body) : 0)
+  const isRefused = status === REFUSED && after > 0
+  const waitMs = isRefused ? Number(headers?.['retry-after'] ?? 0) * SECOND_MS : 0
+  const hasEvents = last > 0 && last < eventCount(subject)
+  const isInTime = now + waitMs - beganAt < TIMEOUT_MS - LEAST_MS
+  // A caller that was refused for good, or has got nothing, has no stream to go on with.
+  if (!hasEvents || !isInTime || (status !== OK && status !== undefined && !isRefused)) return undefined
+  return { attempt: { subject, after: last, beganAt, kind, path, key }, waitMs }
+}
+
+/** Counts the complete events of a body. */
+export function countEvents (body: string): number {
+  return body.split('\n\n').length - 1
+}
