--- a/bench/soak/src/checks/streams.ts
+++ b/bench/soak/src/checks/streams.ts
@@ -48,7 +48,10 @@
   return kind === 'draft' && status === OK ? buildsOfEvents(subject, after, body) ?? [] : []
 }
 
-/** Streams that callers take up at gateways in touch, while engines of their build serve, go on about as often as new ones begin. */
+/**
+ * Streams that callers take up at gateways in touch other than the one that began them, while engines of their build serve, go on at
+ * least half as often as new ones begin.
+ */
 export const takenUpGoOn: Check = ({ journal, isOver }) => {
   if (!isOver) return []
   const streams = journal.attempts.filter(({ kind, endedAt }) => kind === 'draft' && endedAt !== undefined)
@@ -68,7 +71,8 @@
 
 function mustGoOn (journal: Journal, attempt: Attempt, first: Attempt | undefined): boolean {
   const [build] = first === undefined ? [] : buildsOf(first)
-  if (first === undefined || build === undefined || !isCalm(journal, attempt) || !isCalm(journal, first)) return false
+  if (first === undefined || build === undefined || attempt.gateway === first.gateway) return false
+  if (!isCalm(journal, attempt) || !isCalm(journal, first)) return false
   const lives = journal.lives.filter((life) => (
     life.service === 'model' && life.build === build && life.from <= first.sentAt && life.to > (attempt.endedAt ?? Infinity) &&
     journal.isCalm([life.engine], first.sentAt, attempt.endedAt)
