fix(gateway): go on with the streams of callers that do not name them if one build only can have begun them

Cause: such a stream is found under no name. Why this works: control processes note for each service since when it has had one build only, the endpoints that have just gone included. A gateway goes on if most control processes answer, and all of them say that it was the only one for as long as the caller can have waited. That is what has been, not what serves now: after another build has come, it does not hold for that time and while its leases are remembered; an endpoint that names no build excludes it. Nothing is sent or held for it per stream.

--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -156,6 +156,7 @@
       case 'settle': return await proposer.settle(message)
       case 'crashes': return await this.services.crashEvaluator.recordCrashes(message)
       case 'streamBuildOf': return this.services.streamBuilds.answer(message)
+      case 'onlyBuildOf': return this.services.streamBuilds.answerOnly(message)
       case 'coldAsk': return await this.services.granter.handleRequest(message, { isForwarded: link.peer.role === 'control' })
     }
     if (link.peer.role !== 'control') return { kind: 'failed', code: 'ERR_GULLWALL_NOT_ALLOWED', message: `${message.kind} from ${link.peer.role}` }
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -112,7 +112,7 @@
     .service('registrar', (services) => new Registrar(services))
     .service('leaseStore', (services) => new LeaseStore(services))
     .service('loadRelay', (services) => new LoadRelay(services))
-    .service('streamBuilds', () => new StreamBuilds())
+    .service('streamBuilds', ({ leases }) => new StreamBuilds(() => leases.all()))
     .service('documents', (services) => new Documents(services))
     .service('evacuations', (services) => new Evacuations(services))
     .service('server', (services) => new ControlServer(services))
@@ -145,6 +145,7 @@
     logger: services.logger,
     onChange: (changed) => {
       services.registrar.publishChanges(changed)
+      services.streamBuilds.recordChanged(changed)
       services.leaseStore.requestSave()
     }
   })
--- a/entry/gateway/src/stream-builds.ts
+++ b/entry/gateway/src/stream-builds.ts
@@ -74,9 +74,7 @@
   }
 
   private async findAnywhere (call: Call): Promise<StreamBuildAnswer> {
-    if (call.resumes === undefined || call.resumes === '') {
-      return { type: 'unknown', reason: 'the request does not name the request that brought the first event of the stream' }
-    }
+    if (call.resumes === undefined || call.resumes === '') return await this.findOnly(call)
     const key = keyOf(call, call.resumes)
     const held = this.table.find(key)
     if (held === AMBIGUOUS) return ambiguousAnswer('this gateway')
@@ -90,6 +88,30 @@
     return answer
   }
 
+  /**
+   * Finds the build of a stream whose caller does not name it: most control processes must say that its service has had that build only,
+   * for as long as the caller can have been waiting.
+   */
+  private async findOnly ({ route, waitMs }: Call): Promise<StreamBuildAnswer> {
+    const unnamed = 'the request does not name the request that brought the first event of the stream'
+    const services = route.split.filter(({ weight }) => weight > 0).map(({ service }) => service)
+    const [service] = services
+    if (service === undefined || services.length > 1) return { type: 'unknown', reason: `${unnamed}, and its route has several services` }
+    const { controlLinks } = this.services
+    const forMs = Math.ceil(Math.max(route.timeoutMs, waitMs ?? 0)) + VALID_MARGIN_MS
+    const { local, others } = controlLinks.linksByRegion()
+    const answers = await Promise.allSettled([...local, ...others].map(async (link) => (
+      await link.request({ kind: 'onlyBuildOf', service, forMs }, 'streamBuild', ASK_TIMEOUT_MS)
+    )))
+    const bindings = answers.flatMap((answer) => answer.status === 'fulfilled' ? [answer.value.binding] : [])
+    const [binding] = bindings
+    const isOnly = binding !== undefined && bindings.every((other) => other?.build === binding.build)
+    if (isOnly && bindings.length > controlLinks.dialledAddresses.length / 2) {
+      return { type: 'known', binding, source: `${bindings.length} control processes` }
+    }
+    return { type: 'unknown', reason: `${unnamed}, and ${service} may have had several builds` }
+  }
+
   /** Asks control processes at the same time; the first one that knows the stream decides. */
   private async ask (links: readonly Link[], key: string): Promise<StreamBuildAnswer | undefined> {
     const answers = links.map(async (link) => {
--- a/entry/gateway/test/stream-builds.test.ts
+++ b/entry/gateway/test/stream-builds.test.ts
@@ -229,6 +229,32 @@
   })
 })
 
+describe('a stream that its caller does not name', () => {
+  const unnamed = { 'last-event-id': '2' }
+
+  it('goes on if control has known one build only for as long as the caller can have waited, also at a new gateway', async () => {
+    await deploy('v1', 'v1')
+    await call({ 'x-gullwall-request-id': 'began' })
+    expect((await call(unnamed)).status).toBe(503)
+    await until('the longest wait to have passed', async () => (await call(unnamed)).status === 200)
+    const other = await startGateway('b2')
+    expect(await call(unnamed, other)).toMatchObject({ status: 200, text: events('v1', 3) })
+  })
+
+  it('is refused once another build has come, and while it may have begun a stream', async () => {
+    await deploy('v1', 'v1')
+    await until('the longest wait to have passed', async () => (await call(unnamed)).status === 200)
+    const newer = new StubEndpoint('i-newer', 'app', stream('v2'))
+    newer.build = 'v2'
+    await newer.start()
+    await deployment.register(newer)
+    expect((await call(unnamed)).status).toBe(503)
+    await deployment.register(newer, 'draining', 2)
+    expect((await call(unnamed)).status).toBe(503)
+    newer.stop()
+  })
+})
+
 describe('a build that has left', () => {
   it('is not replaced by the one that serves: its streams are refused as not run', async () => {
     await deploy('v1', 'v2')
--- a/routing/stream-builds/test/stream-builds.test.ts
+++ b/routing/stream-builds/test/stream-builds.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { AMBIGUOUS, bindTo, BindingTable, chooseHolders, isSameBuild, streamKeyOf } from '@gullwall/routing.stream-builds'
+import { AMBIGUOUS, bindTo, BindingTable, chooseHolders, isSameBuild, ServiceBuilds, streamKeyOf } from '@gullwall/routing.stream-builds'
 
 const v1 = { service: 'app', incarnation: 'i-1', build: 'v1' }
 const unknown = { service: 'app', incarnation: 'i-2' }
@@ -80,3 +80,39 @@
     expect(new Set(chosen).size).toBe(5)
   })
 })
+
+describe('the only build of a service', () => {
+  const endpoint = (incarnation: string, build?: string, service = 'app') => ({ service, incarnation, build })
+
+  it('is known once it has been the only one for long enough, and not for a while after another one', () => {
+    const builds = new ServiceBuilds()
+    builds.update([endpoint('a', 'v1')], 0)
+    expect(builds.findOnly('app', 1000, 999)).toBeUndefined()
+    builds.update([endpoint('a', 'v1'), endpoint('b', 'v1')], 900)
+    expect(builds.findOnly('app', 1000, 1000)?.build).toBe('v1')
+    builds.update([endpoint('a', 'v1'), endpoint('c', 'v2')], 1100)
+    builds.update([endpoint('a', 'v1')], 1200)
+    expect(builds.findOnly('app', 1000, 2199)).toBeUndefined()
+    expect(builds.findOnly('app', 1000, 2200)?.build).toBe('v1')
+  })
+
+  it('is not known if an endpoint names none, or starts again as another build', () => {
+    const builds = new ServiceBuilds()
+    builds.update([endpoint('a', 'v1'), endpoint('b'), endpoint('x', 'v1', 'other')], 0)
+    expect(builds.findOnly('app', 0, 5000)).toBeUndefined()
+    expect(builds.findOnly('other', 1000, 5000)?.build).toBe('v1')
+    builds.recordChanged([endpoint('x', 'v2', 'other')], 5000)
+    builds.update([endpoint('x', 'v2', 'other')], 5000)
+    expect(builds.findOnly('other', 1000, 5999)).toBeUndefined()
+    expect(builds.findOnly('nobody', 0, 5999)).toBeUndefined()
+  })
+
+  it('is not known for a while after another one that has gone before anybody asked', () => {
+    const builds = new ServiceBuilds()
+    builds.update([endpoint('a', 'v1')], 0)
+    builds.recordChanged([endpoint('b', 'v2')], 5000)
+    builds.update([endpoint('a', 'v1')], 5500)
+    expect(builds.findOnly('app', 1000, 6499)).toBeUndefined()
+    expect(builds.findOnly('app', 1000, 6500)?.build).toBe('v1')
+  })
+})
--- a/transport/messages/src/stream-builds.ts
+++ b/transport/messages/src/stream-builds.ts
@@ -25,6 +25,8 @@
   }),
   /** An entry asks which build began a stream that its caller takes up. */
   streamBuildOf: z.object({ kind: z.literal('streamBuildOf'), key: z.string().max(MAX_KEY_LENGTH) }),
+  /** The same for a caller that does not name its stream: which build the service has had, if only one for `forMs`. */
+  onlyBuildOf: z.object({ kind: z.literal('onlyBuildOf'), service: z.string(), forMs: count }),
   /** What a control process knows of it; `ambiguous` if two streams have the same name. */
   streamBuild: z.object({
     kind: z.literal('streamBuild'), found: z.enum(['known', 'ambiguous', 'unknown']), binding: buildBindingSchema.optional()
--- a/transport/messages/test/recorded-builds.test.ts
+++ b/transport/messages/test/recorded-builds.test.ts
@@ -18,6 +18,7 @@
   limits: 'passed over: a control process that does not know limits tells nobody of them',
   streamBuilds: 'passed over: a control process that does not know builds holds no bindings',
   streamBuildOf: 'not answered: who asks waits for the others, and does not go on with a stream that none of them knows',
+  onlyBuildOf: 'not answered: the same',
   streamBuild: 'never sent there: it answers a question that only entries ask'
 }
 
