--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -44,6 +44,7 @@
   private timer: NodeJS.Timeout | undefined
   /** The link over which this entry sends its load and receives the load of the other entries. */
   private primary: Link | undefined
+  private readonly regions: Regions
   private readonly selector: PrimaryLinkSelector
   private readonly entryCount: EntryCount
   /** Number of failed requests. */
@@ -51,7 +52,8 @@
   private confirmRetryMs = FIRST_CONFIRM_RETRY_MS
 
   constructor (private readonly services: GatewayServices) {
-    this.selector = new PrimaryLinkSelector(services.settings.dataCentre, new Regions(services.settings.regions))
+    this.regions = new Regions(services.settings.regions)
+    this.selector = new PrimaryLinkSelector(services.settings.dataCentre, this.regions)
     this.entryCount = new EntryCount({
       windowMs: retryMemoryMs(services.settings.retryWindowMs), suspendedMs: () => suspensions.suspendedMs()
     })
@@ -177,9 +179,8 @@
 
   /** Returns the open links to control processes, those of the own region apart from the others. */
   linksByRegion (): { local: Link[], others: Link[] } {
-    const { settings } = this.services
-    const regions = new Regions(settings.regions)
-    const isLocal = (link: Link) => regions.regionOf(link.peer.dataCentre) === regions.regionOf(settings.dataCentre)
+    const ownRegion = this.regions.regionOf(this.services.settings.dataCentre)
+    const isLocal = (link: Link) => this.regions.regionOf(link.peer.dataCentre) === ownRegion
     const links = this.links()
     return { local: links.filter(isLocal), others: links.filter((link) => !isLocal(link)) }
   }
--- a/entry/gateway/src/endpoint-choice.ts
+++ b/entry/gateway/src/endpoint-choice.ts
@@ -154,9 +154,9 @@
 /** Picks one of the route's services at random by weight; services without an eligible endpoint are left out. */
 function pickService (services: GatewayServices, call: Call): string {
   const { route, binding } = call
-  // A stream goes on at its service, or nowhere if the route no longer leads there.
-  if (binding !== undefined) return route.split.some(({ service }) => service === binding.service) ? binding.service : ''
   const weighted = route.split.filter((part) => part.weight > 0)
+  // A stream goes on at its service, or nowhere if the route no longer leads there.
+  if (binding !== undefined) return weighted.some(({ service }) => service === binding.service) ? binding.service : ''
   const [first] = weighted
   if (weighted.length <= 1) return first?.service ?? ''
   const available = weighted.filter((part) => isAvailable(services, call, part.service))
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -86,7 +86,7 @@
       return
     }
     this.call.binding = answer.binding
-    this.recorder.recordDecision('take-up', `goes on at ${describeBinding(answer.binding)}, as ${answer.source} knows`)
+    this.recorder.recordDecision('take-up', `goes on at ${describeBinding(answer.binding)}, according to ${answer.source}`)
   }
 
   private async runAttempts (): Promise<void> {
--- a/entry/gateway/src/stream-builds.ts
+++ b/entry/gateway/src/stream-builds.ts
@@ -13,7 +13,7 @@
 import { type GatewayServices } from './index.ts'
 
 /** Shortest interval between two messages to a holder, in ms; streams that begin meanwhile are told together. */
-const TELL_INTERVAL_MS = 50
+const TELL_INTERVAL_MS = 100
 /** Timeout of a question to control, in ms: several round trips between regions. */
 const ASK_TIMEOUT_MS = 250
 /** Upper limit of the time for which a binding is held, in ms. */
--- a/transport/link/src/index.ts
+++ b/transport/link/src/index.ts
@@ -2,5 +2,6 @@
 export * from './link.ts'
 export * from './dial.ts'
 export * from './accept.ts'
+export * from './codec.ts'
 export * from './handshake.ts'
 export * from './metrics.ts'
