feat(story): tell all requests of a stream together, with its build

`gullwall explain` of any request of a stream that was taken up tells the one that began it and the others, the build of each endpoint, and who knew it.

--- a/cli/story/src/index.ts
+++ b/cli/story/src/index.ts
@@ -21,9 +21,16 @@
   why: string
 }
 
-/** Returns the lines of a request in order, together with the events of its endpoints and processes around it. */
+/**
+ * Returns the lines of a request, and of the others for the same stream, in order, together with the events of its endpoints and
+ * processes around it.
+ */
 export function buildStory (lines: readonly LogLine[], requestId: string): StoryLine[] {
-  const own = lines.filter((line) => requestOf(line) === requestId)
+  // The requests of one stream are told together: the one that began it, and those that took it up.
+  const resumed = lines.filter((line) => requestOf(line) === requestId).flatMap((line) => resumesOf(line) ?? [])
+  const names = new Set([requestId, ...resumed])
+  const isOwn = (line: LogLine) => names.has(requestOf(line) ?? '') || names.has(resumesOf(line) ?? '')
+  const own = lines.filter(isOwn)
   if (own.length === 0) return []
   const times = own.map(timeOf)
   const first = Math.min(...times)
@@ -43,9 +50,9 @@
     time: line.time,
     box: line.box,
     sinceMs: timeOf(line) - first,
-    isOwn: requestOf(line) === requestId,
+    isOwn: isOwn(line),
     what: labelOf(line),
-    why: detailsOf(line)
+    why: requestOf(line) === requestId || !isOwn(line) ? detailsOf(line) : `as ${requestOf(line)}: ${detailsOf(line)}`
   }))
 }
 
@@ -65,6 +72,10 @@
   return 'requestId' in line ? line.requestId : undefined
 }
 
+function resumesOf (line: LogLine): string | undefined {
+  return line.channel === 'forward' ? line.resumes : undefined
+}
+
 function endpointOf (line: LogLine): string | undefined {
   return 'endpoint' in line ? line.endpoint : undefined
 }
@@ -90,9 +101,10 @@
   if (line.channel === 'evacuation') return `${line.dataCentre}: ${why}`
   if (line.channel === 'link') return `${line.peer}: ${why}`
   if (line.channel !== 'forward') return why
-  const { attempt, documentVersion, documentAgeMs, endpoint, leaseAgeMs, unreadTokens, copiedTokens, source, inFlight } = line
+  const { attempt, documentVersion, documentAgeMs, endpoint, build, leaseAgeMs, unreadTokens, copiedTokens, source, inFlight } = line
   const facts = [`attempt ${attempt}`, `document ${documentVersion} in force for ${documentAgeMs} ms`]
   if (endpoint !== undefined) facts.push(`endpoint ${endpoint}, heard ${leaseAgeMs ?? '?'} ms ago, ${inFlight ?? '?'} in flight`)
+  if (build !== undefined) facts.push(`build ${build}`)
   if ((unreadTokens ?? 0) > 0) facts.push(`${unreadTokens} tokens to read`)
   if (source !== undefined) facts.push(`${copiedTokens ?? 0} tokens from ${source}`)
   return `${why} (${facts.join('; ')})`
--- a/cli/story/test/story.test.ts
+++ b/cli/story/test/story.test.ts
@@ -80,6 +80,26 @@
     expect(own(story).at(-1)?.why).toContain('2 of 2 attempts made')
   })
 
+  it('a stream that another request took up, with the build that began it and who knew it', async () => {
+    behave((incoming, response) => {
+      const last = Number(incoming.headers['last-event-id'] ?? 0)
+      response.writeHead(200, { 'content-type': 'text/event-stream', 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+      response.end(last > 0 ? 'id: 2\ndata: 2\n\n' : 'id: 1\ndata: 1\n\n')
+    })
+    const headers = (id: string) => ({ authorization: 'Bearer secret', 'x-gullwall-request-id': id })
+    const send = async (id: string, more: Record<string, string>) => {
+      await (await request(deployment.url('/draft/4'), { headers: { ...headers(id), ...more } })).body.text()
+    }
+    await send('began', {})
+    await send('taken-up', { 'x-gullwall-resumes': 'began', 'last-event-id': '1' })
+    for (const id of ['began', 'taken-up']) {
+      const told = own(buildStory(readLines(deployment.logLines.join('')).lines, id))
+      expect(told.map(({ what }) => what)).toEqual(['dispatch', 'finish', 'take-up', 'dispatch', 'finish'])
+      expect(told.find(({ what }) => what === 'take-up')?.why).toContain('goes on at build v1 of app, according to this gateway')
+      expect(told[0]?.why).toContain('build v1')
+    }
+  })
+
   it('a refusal, since its only data centre is evacuated, with when that came into force', async () => {
     const caller = { isDisconnected: false, detectDisconnect: async () => false }
     const order = async (isEvacuated: boolean) => {
