fix(gateway): compare the media type of a stream without regard to case

A stream that declares its events as Text/Event-Stream was taken for something else, so that a part of an event passed for its end. The test failed before.

--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -122,7 +122,7 @@
   /** Whether the events have stopped inside one. Only a response that is not declared as something else consists of events. */
   private get isCutInsideEvent (): boolean {
     const type = firstHeaderValue(this.head?.headers ?? {}, 'content-type') ?? EVENT_STREAM
-    return this.isStream && type.startsWith(EVENT_STREAM) && this.splitter.isInsideEvent
+    return this.isStream && type.toLowerCase().startsWith(EVENT_STREAM) && this.splitter.isInsideEvent
   }
 
   /** Bytes of a stream behind its last complete event; undefined for any other response. */
--- a/entry/gateway/test/cut-stream.test.ts
+++ b/entry/gateway/test/cut-stream.test.ts
@@ -100,6 +100,16 @@
     expect(await call('/draft/1')).toMatchObject({ text: events(1, 4), isComplete: true })
   })
 
+  it('is recognised however the media type is written', async () => {
+    const cut: Behaviour = (incoming) => {
+      const id = String(incoming.headers['x-gullwall-request-id'])
+      const head = `HTTP/1.1 200 OK\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\nx-gullwall-request-id: ${id}\r\n\r\n`
+      incoming.socket.end(`${head}${events(1, 2)}id: 3\nda`)
+    }
+    answerWith(cut, whole)
+    expect(await call('/draft/1')).toMatchObject({ text: events(1, 4), isComplete: true })
+  })
+
   it('is recognised in a response with a last chunk', async () => {
     answerWith(raw(`${events(1, 2)}id: 3\nda`, { framing: 'chunks', hasLastChunk: true }), whole)
     expect(await call('/draft/1')).toMatchObject({ text: events(1, 4), isComplete: true })
