fix(link): close links that are about to open when their acceptor stops

Cause: a stop closed the links that were open. One whose handshake was under way opened 64 ms later, and the server, which no longer took connections, waited for that one to end. Why this works: links are known from their first byte on, and a stop closes them in any state.

--- a/transport/link/src/accept.ts
+++ b/transport/link/src/accept.ts
@@ -6,6 +6,8 @@
 /** Takes links on the path `/link` of a server. */
 export class LinkAcceptor {
   readonly links = new Set<Link>()
+  /** Links that are not open yet. A server can't close while one of them opens after the stop. */
+  private readonly opening = new Set<Link>()
   private readonly sockets: WebSocketServer
 
   constructor (server: Server, options: LinkOptions) {
@@ -17,14 +19,17 @@
       const link = new Link(socket, address, {
         ...options,
         onOpen: (opened) => {
+          this.opening.delete(opened)
           this.links.add(opened)
           options.onOpen(opened)
         },
         onClose: (closed, why) => {
+          this.opening.delete(closed)
           this.links.delete(closed)
           options.onClose(closed, why)
         }
       })
+      this.opening.add(link)
       link.hello()
     })
   }
@@ -35,7 +40,7 @@
   }
 
   stop (): void {
-    for (const link of this.links) link.close('stopped')
+    for (const link of [...this.links, ...this.opening]) link.close('stopped')
     this.sockets.close()
   }
 }
--- a/transport/link/test/link.test.ts
+++ b/transport/link/test/link.test.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http'
 import { connect, createServer as createTcpServer, type Socket } from 'node:net'
 import { type AddressInfo } from 'node:net'
-import { afterEach, describe, expect, it } from 'vitest'
+import { afterEach, describe, expect, it, vi } from 'vitest'
 import { Packr } from 'msgpackr'
 import { WebSocket } from 'ws'
 import { silentLogger } from '@gullwall/core.logger'
@@ -46,6 +46,22 @@
     return new Promise((resolve) => { dialer = new Dialer(address, optionsFor('dialling', { onOpen: resolve, ...more })) })
   }
 
+  it('that was about to open when its acceptor stopped does not keep the server from closing', async () => {
+    const address = await accept()
+    let stopped: Promise<void> | undefined
+    server.once('upgrade', () => setImmediate(() => {
+      acceptor.stop()
+      stopped = new Promise((resolve) => server.close(() => resolve()))
+    }))
+    let opened = 0
+    dialer = new Dialer(address, optionsFor('dialling', { onOpen: () => { opened += 1 } }))
+    await vi.waitUntil(() => stopped !== undefined)
+    await stopped
+    expect(opened).toBe(0)
+    // Closes at once in the clean-up.
+    await accept()
+  })
+
   it('opens, answers requests and passes failures on with their code', async () => {
     const address = await accept({ onRequest: async (_link, message) => message.kind === 'confirm' ? { kind: 'confirmed', revision: 9 } : Promise.reject(new Error('no')) })
     const link = await dial(address)
