--- a/routing/stream-builds/src/binding-table.ts
+++ b/routing/stream-builds/src/binding-table.ts
@@ -6,7 +6,7 @@
 
 /** Number of records that are checked for expiry with each new one. */
 const SWEEP_SIZE = 2
-/** Upper limit of the records; the oldest gives way. At the largest size two holders have 50,000 each. */
+/** Upper limit of the records; the oldest gives way. A control process of the largest deployment holds some 80,000. */
 const DEFAULT_MAX_RECORDS = 400_000
 
 /** Two streams have the same name, so that it does not tell which build began either. */
