--- a/routing/balancer/test/candidate-set.test.ts
+++ b/routing/balancer/test/candidate-set.test.ts
@@ -53,6 +53,16 @@
     }), SETTINGS)
   })
 
+  it('are all allowed endpoints of a large fleet if a rule leaves only a few, which a sample would miss', () => {
+    fc.assert(fc.property(seeds, fc.integer({ min: 1, max: SCORE_ALL_LIMIT }), (seed, count) => {
+      const fleet = new EndpointFixture(1500, seed)
+      const few = new Set(fleet.endpoints.filter((_, index) => index % Math.floor(1500 / count) === 0).slice(0, count).map(nameOf))
+      const isAllowed = (endpoint: EndpointState) => few.has(nameOf(endpoint))
+      const { endpoints } = selectCandidates(fleet.request(), fleet.scope({ isAllowed, isSelective: true }))
+      expect(new Set(endpoints.map(nameOf))).toEqual(few)
+    }), SETTINGS)
+  })
+
   it('are few on a large fleet, and the best of them costs little more than the best of all endpoints', () => {
     const cached = costExcessOf((fleet) => fleet.request())
     const uncached = costExcessOf((fleet) => fleet.request({ prompt: [{ id: 'new subject', tokens: 6300 }, { id: 'own', tokens: 2900 }] }))
