feat(gateway): log the parts of the prompts that were running when an endpoint crashed

Lines of crashes named the fingerprint of the whole request only. Nothing is decided by the new field.

--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -152,6 +152,8 @@
   endpoint?: string
   /** The request that was running, where the line is about one. */
   request?: string
+  /** The parts of its prompt, in order. */
+  parts?: string[]
   why: string
 }
 
--- a/endpoint/crashes/src/crash-detector.ts
+++ b/endpoint/crashes/src/crash-detector.ts
@@ -13,6 +13,8 @@
 export interface InterruptedRequest {
   requestId: string
   fingerprint: string
+  /** The ids of the parts of its prompt, in order; none if it declares none. */
+  parts?: string[]
 }
 
 /** The local state of an endpoint when a connection to it closes unexpectedly. */
--- a/entry/gateway/src/quarantine.ts
+++ b/entry/gateway/src/quarantine.ts
@@ -65,15 +65,18 @@
   }
 
   /** Records that the connection to an endpoint was lost while a request was running there. */
-  private recordBroken ({ description: { incarnation, address }, lastReceivedAt }: EndpointState, { requestId, fingerprint }: Call): void {
+  private recordBroken ({ description: { incarnation, address }, lastReceivedAt }: EndpointState, call: Call): void {
+    const { requestId, fingerprint, prompt } = call
     const silentMs = Math.min(performance.now() - lastReceivedAt, this.services.view.leases.silentMs(incarnation))
-    this.detector.recordBrokenConnection({ incarnation, address, silentMs }, { requestId, fingerprint: fingerprint() })
+    this.detector.recordBrokenConnection({ incarnation, address, silentMs }, {
+      requestId, fingerprint: fingerprint(), parts: prompt.map(({ id }) => id).filter((id) => id !== '')
+    })
   }
 
   private recordCrash (endpoint: string, requests: InterruptedRequest[]): void {
-    for (const { fingerprint, requestId } of requests) {
+    for (const { fingerprint, requestId, parts } of requests) {
       const why = `${endpoint} crashed while running this request and ${requests.length - 1} others of this box`
-      this.services.logger.info({ channel: 'quarantine', event: 'crashed', fingerprint, endpoint, request: requestId, why })
+      this.services.logger.info({ channel: 'quarantine', event: 'crashed', fingerprint, endpoint, request: requestId, parts, why })
     }
     this.reporter.recordCrash({ endpoint, requests: [...new Set(requests.map(({ fingerprint }) => fingerprint))] })
   }
