--- a/entry/gateway/test/crashing-engines.ts
+++ b/entry/gateway/test/crashing-engines.ts
@@ -13,6 +13,8 @@
   crashes: (body: string) => boolean
   /** Time after which a request receives its response, or crashes its engine, in ms. */
   runsForMs?: number
+  /** Whether an engine that crashes has sent the head and the first event of its response. */
+  crashesWhileWriting?: boolean
 }
 
 export class CrashingEngines {
@@ -83,15 +85,18 @@
   }
 
   private async run ({ slot, running, request, response, body }: Run): Promise<void> {
-    const { crashes, runsForMs = 20 } = this.options
+    const { crashes, runsForMs = 20, crashesWhileWriting = false } = this.options
     running.push(body)
     this.runs.push({ body, at: performance.now() })
     await sleep(runsForMs)
     if (crashes(body)) {
+      if (crashesWhileWriting) await writeFirstEvent(request, response)
       this.crash(slot)
     } else if (!response.destroyed) {
       running.splice(running.indexOf(body), 1)
-      answerOk(request, response, body)
+      if (crashesWhileWriting) await writeFirstEvent(request, response)
+      if (crashesWhileWriting) response.end('id: 2\ndata: 2\n\n')
+      else answerOk(request, response, body)
     }
   }
 
@@ -100,6 +105,11 @@
   }
 }
 
+async function writeFirstEvent (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  response.writeHead(200, { 'content-type': 'text/event-stream', 'x-gullwall-request-id': String(request.headers['x-gullwall-request-id'] ?? '') })
+  await new Promise<void>((resolve) => response.write('id: 1\ndata: 1\n\n', () => resolve()))
+}
+
 interface Run {
   slot: number
   running: string[]
