fix(quarantine): hold the part of prompts that crashes engines, not only whole requests

Cause: crash evidence knows a request by a digest of its body. Requests that share one part and nothing else have a digest each, so that no two crashes had a candidate in common (88 digests at 15 crashes).

Crash reports name the parts of the prompts. What tells the part that crashes engines from the others of the same prompts is what ran well: entries remember it, and answer with it once control names suspects. The leader's judgement enters the log as a change of records that older replicas apply alike.

--- a/bench/experiment/src/choice.ts
+++ b/bench/experiment/src/choice.ts
@@ -185,7 +185,8 @@
       deadline: arrivedAt + ROUTE.timeoutMs,
       documentVersion: 1,
       suspendedMs: 0,
-      fingerprint: () => ''
+      fingerprint: () => '',
+      sharedParts: () => []
     }
   }
 }
--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -138,6 +138,10 @@
       this.services.streamBuilds.receive(message)
       return
     }
+    if (message.kind === 'partRuns') {
+      this.services.partEvaluator.receiveRuns(message)
+      return
+    }
     if (message.kind === 'usage') {
       this.services.usageReporter.receiveFromEntry(link, message)
       return
@@ -185,6 +189,18 @@
     return await peers.call(leaderAddress, message, 'done', PEER_REQUEST_TIMEOUT_MS)
   }
 
+  /** Calls a function for the link of each process that runs requests at endpoints. */
+  forEachRunner (send: (link: Link) => void): void {
+    for (const link of this.acceptor?.links ?? []) {
+      if (link.peer.role !== 'control') send(link)
+    }
+  }
+
+  /** The boxes of the entries that are linked to this process. */
+  get entryBoxes (): string[] {
+    return [...new Set([...this.acceptor?.links ?? []].filter((link) => link.peer.role === 'entry').map((link) => link.peer.name))]
+  }
+
   forEachEntry (send: (link: Link) => void): void {
     for (const link of this.acceptor?.links ?? []) {
       if (link.peer.role === 'entry') send(link)
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -6,7 +6,7 @@
 import { type ControlSettings } from '@gullwall/config.settings'
 import { RevisionStore, Spreader } from '@gullwall/config.spread'
 import { LeaseTable } from '@gullwall/control.registry'
-import { ControlState } from '@gullwall/control.state'
+import { ControlState, heldPartsIn } from '@gullwall/control.state'
 import { QuorumNode } from '@gullwall/control.quorum'
 import { FolderDisk, type Disk } from '@gullwall/control.storage'
 import { createAdminServer, type HttpServer, type Koa } from '@gullwall/transport.http-server'
@@ -21,6 +21,7 @@
 import { LeaseStore } from './lease-store.ts'
 import { foundingOf, targetVoters } from './membership.ts'
 import { Registrar } from './registrar.ts'
+import { PartEvaluator } from './part-evaluator.ts'
 import { Proximity, type PublishPriority } from './proximity.ts'
 import { MemberTable } from './member-table.ts'
 import { ControlPeers } from './peers.ts'
@@ -55,6 +56,7 @@
   proposer: Proposer
   granter: Granter
   crashEvaluator: CrashEvaluator
+  partEvaluator: PartEvaluator
   leases: LeaseTable
   leaseStore: LeaseStore
   registrar: Registrar
@@ -120,6 +122,7 @@
     .service('proposer', (services) => new Proposer(services))
     .service('granter', (services) => new Granter(services))
     .service('crashEvaluator', (services) => new CrashEvaluator(services))
+    .service('partEvaluator', (services) => new PartEvaluator(services))
     .service('usageReporter', (services) => new UsageReporter(services))
     .service('scalingController', createScalingController)
     .service('joiner', (services) => new Joiner(services))
@@ -181,6 +184,7 @@
     this.services.granter.addMetrics(registry)
     this.services.streamBuilds.addMetrics(registry)
     this.services.crashEvaluator.addMetrics(registry)
+    this.services.partEvaluator.addMetrics(registry)
     this.services.registrar.addMetrics(registry)
     this.services.scalingController.addMetrics(registry)
     this.http = createAdminServer({
@@ -193,7 +197,8 @@
           revision: store.revision,
           quorum: quorum.status(),
           boxes: members.all().length,
-          quarantined: [...this.services.state.quarantine.evidence.quarantined]
+          quarantined: [...this.services.state.quarantine.evidence.quarantined],
+          quarantinedParts: [...heldPartsIn(store.records).values()]
         })
       }
     })
--- a/control/state/src/commands.ts
+++ b/control/state/src/commands.ts
@@ -3,7 +3,7 @@
 import { type RecordChange } from '@gullwall/config.records'
 import { type UsageCount } from '@gullwall/transport.messages'
 import { type Ran } from '@gullwall/core.types'
-import { type Crash } from '@gullwall/routing.quarantine'
+import { type Crash, type PartAtCrash, type PartRun } from '@gullwall/routing.quarantine'
 import { type StoredEvacuation } from './evacuations.ts'
 
 /** An operator's change. The same operation id again gives the first answer again. */
@@ -79,8 +79,11 @@
 /** Brings what an entry saw of crashed endpoints, and requests that ran well after they had been running at one. */
 export interface NoteCrashesCommand {
   type: 'note-crashes'
-  crashes: Crash[]
+  /** Processes that do not know of parts ignore them; see {@link Quarantine}. */
+  crashes: Array<Crash & { parts?: PartAtCrash[] | undefined }>
   ranWell: string[]
+  /** Runs of requests with suspected parts that went well; none from processes that do not know of parts. */
+  partRuns?: PartRun[]
 }
 
 /** Has the crashes judged that have come in: what a request is to be held for is held from then on. */
@@ -94,6 +97,8 @@
   endpoints: string[]
   /** Fingerprints of held requests. */
   requests: string[]
+  /** Whether the crashes are still evidence against parts of prompts; processes that do not know of parts have none. */
+  keepsParts?: boolean
 }
 
 /** The requests that a command has newly held, and those that it has let run again, by fingerprint. */
--- a/control/state/src/control-state.ts
+++ b/control/state/src/control-state.ts
@@ -1,7 +1,7 @@
 /** The state machine of control: applies commands in the order of the log. */
 import { checkReferences, RecordMap, type RecordChange } from '@gullwall/config.records'
 import { type Mistake } from '@gullwall/config.checker'
-import { type EvidenceSnapshot } from '@gullwall/routing.quarantine'
+import { NO_PART_EVIDENCE, type EvidenceSnapshot, type PartEvidenceSnapshot } from '@gullwall/routing.quarantine'
 import { Claims } from './claims.ts'
 import {
   DOCUMENT_KEY, type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type Difference, type DocumentCommand,
@@ -45,6 +45,8 @@
   scalingOrders?: ScalingOrder[]
   /** Missing in snapshots of processes that held no requests for crashes. */
   crashEvidence?: EvidenceSnapshot
+  /** Missing in snapshots of processes that held no parts of prompts. */
+  partEvidence?: PartEvidenceSnapshot
 }
 
 export class ControlState {
@@ -52,7 +54,7 @@
   readonly claims = new Claims()
   readonly usageReports = new UsageReports()
   readonly scalingOrders = new ScalingOrders()
-  readonly quarantine = new Quarantine((change) => this.put(change))
+  readonly quarantine = new Quarantine((change) => this.put(change), () => this.records)
   revision = 0
   private operations = new Map<string, ApplyResult>()
   private past: HistoryEntry[] = []
@@ -79,7 +81,8 @@
       claims: this.claims.dump(),
       usageReports: this.usageReports.dump(),
       scalingOrders: this.scalingOrders.dump(),
-      crashEvidence: this.quarantine.evidence.createSnapshot()
+      crashEvidence: this.quarantine.evidence.createSnapshot(),
+      partEvidence: this.quarantine.partEvidence.createSnapshot()
     }
     return JSON.stringify(dump)
   }
@@ -94,6 +97,7 @@
     this.usageReports.restore(dump.usageReports ?? [])
     this.scalingOrders.restore(dump.scalingOrders ?? [])
     this.quarantine.evidence.restore(dump.crashEvidence ?? NO_EVIDENCE)
+    this.quarantine.partEvidence.restore(dump.partEvidence ?? NO_PART_EVIDENCE)
     this.options.onRestored?.()
   }
 
@@ -176,6 +180,7 @@
 
   private accept (command: ApplyCommand, revision: number): void {
     const difference = differenceOf(command.changes, this.records)
+    this.quarantine.forgetReleasedParts(command.changes)
     this.records.apply(command.changes)
     this.revision = revision
     this.past.push({ revision, operationId: command.operationId, operator: command.operator, at: command.at, difference })
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -154,6 +154,10 @@
   request?: string
   /** The parts of its prompt, in order. */
   parts?: string[]
+  /** The part of prompts that the line is about, as `SERVICE/ID`. */
+  part?: string
+  /** The only organisation for which the part is held. */
+  organisation?: string
   why: string
 }
 
--- a/endpoint/crashes/src/crash-detector.ts
+++ b/endpoint/crashes/src/crash-detector.ts
@@ -4,6 +4,7 @@
  * announced that it is leaving.
  */
 import { connect } from 'node:net'
+import { type PartAtCrash } from '@gullwall/routing.quarantine'
 import { type Lease } from '@gullwall/transport.messages'
 
 /** The result of connecting to an endpoint's address; `silent` if its box has no power or can't be reached. */
@@ -15,6 +16,8 @@
   fingerprint: string
   /** The ids of the parts of its prompt, in order; none if it declares none. */
   parts?: string[]
+  /** The parts that may have crashed the endpoint; none if the request had run well there. */
+  suspectedParts?: PartAtCrash[]
 }
 
 /** The local state of an endpoint when a connection to it closes unexpectedly. */
--- a/endpoint/crashes/src/crash-reporter.ts
+++ b/endpoint/crashes/src/crash-reporter.ts
@@ -1,7 +1,7 @@
 /** Reports to control which requests were running at crashed endpoints, and repeats each report until a quorum has it. */
 import { messageOf } from '@gullwall/core.error'
 import { type Logger } from '@gullwall/core.logger'
-import { findCrashCauses, type Crash } from '@gullwall/routing.quarantine'
+import { findCrashCauses, type Crash, type PartAtCrash } from '@gullwall/routing.quarantine'
 import { type MessageOf } from '@gullwall/transport.messages'
 
 /** The delay before a report is sent, in ms, so that it covers all requests of a crash. */
@@ -17,6 +17,12 @@
 /** The time without a successful report after which this process decides alone, in ms: a quorum with a leader replies in about 50 ms. */
 const ISOLATION_MS = 1000
 
+/** A crash as this process has seen it. */
+export interface SeenCrash extends Crash {
+  /** The parts of the prompts of these requests that may have caused it. */
+  parts?: PartAtCrash[]
+}
+
 export interface CrashReporterOptions {
   /** Sends a report to control; rejects if no quorum has it. */
   sendReport: (report: Omit<MessageOf<'crashes'>, 'kind'>) => Promise<void>
@@ -27,7 +33,7 @@
 export class CrashReporter {
   /** The number of crashes recorded since the process started. */
   crashCount = 0
-  private unreported: Crash[] = []
+  private unreported: SeenCrash[] = []
   /** Fingerprints of requests that completed after they had been running at a crash, to be reported. */
   private succeeded: string[] = []
   /** Fingerprints of requests that were running at a crash and have not completed since. */
@@ -51,7 +57,7 @@
   }
 
   /** Records a crash with the requests that were running there. */
-  recordCrash (crash: Crash): void {
+  recordCrash (crash: SeenCrash): void {
     this.crashCount += 1
     this.unreported = [...this.unreported, crash].slice(-MAX_UNREPORTED)
     this.localDecision = undefined
@@ -77,14 +83,18 @@
    * evidence of all processes.
    */
   get locallyQuarantined (): ReadonlySet<string> {
-    const isIsolated = this.pendingSince !== undefined && this.now() - this.pendingSince > ISOLATION_MS
-    if (!isIsolated) return NONE
+    if (!this.isIsolated) return NONE
     this.localDecision ??= new Set(findCrashCauses({
       crashes: groupByEndpoint(this.unreported), quarantined: NONE, formerlyQuarantined: NONE
     }))
     return this.localDecision
   }
 
+  /** Whether reports have not reached control for a while, so that this process decides alone. */
+  get isIsolated (): boolean {
+    return this.pendingSince !== undefined && this.now() - this.pendingSince > ISOLATION_MS
+  }
+
   private scheduleNewReport (): void {
     this.pendingSince ??= this.now()
     this.scheduleReport(REPORT_DELAY_MS)
@@ -118,6 +128,17 @@
 
 const NONE: ReadonlySet<string> = new Set()
 
+/** Returns the parts that may have crashed an endpoint with some requests, each pair of part and organisation once. */
+export function collectSuspectedParts (requests: ReadonlyArray<{ suspectedParts?: PartAtCrash[] }>): PartAtCrash[] {
+  const pairs = new Map<string, PartAtCrash>()
+  // The latest requests come first: an endpoint crashes soon after it has begun with the cause, and the evidence of one crash is limited.
+  for (const [part, organisation, position] of requests.toReversed().flatMap(({ suspectedParts }) => suspectedParts ?? [])) {
+    const known = pairs.get(`${part} ${organisation}`)
+    pairs.set(`${part} ${organisation}`, [part, organisation, Math.min(position, known?.[2] ?? position)])
+  }
+  return [...pairs.values()]
+}
+
 /** Merges the requests of all reports about one endpoint. */
 function groupByEndpoint (crashes: readonly Crash[]): Array<Set<string>> {
   const groups = new Map<string, Set<string>>()
--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -22,6 +22,19 @@
   | { type: 'broken', reason: string, isClosed: boolean }
   | { type: 'cancelled' }
 
+/** What the response to an attempt shows about its run. */
+export interface AttemptRun {
+  /** When the endpoint began to write, by the monotonic clock; when the attempt was sent, if it brought no event. */
+  beganAt: number
+  /** Whether the endpoint ran on for long after it had begun to write. */
+  hasRunWell: boolean
+  /** Whether its status is a success: an endpoint may reject a request without running it. */
+  isSuccessful: boolean
+}
+
+/** Time after its first event, in ms, at which a stream that has another event runs well: an endpoint that crashes may write some first. */
+const RUNS_WELL_MS = 1000
+
 const EVENT_STREAM = 'text/event-stream'
 const MAX_BODY_BYTES = 32 * 1024 * 1024
 const MIN_SUCCESS_STATUS = 200
@@ -38,6 +51,8 @@
   private readonly chunks: Buffer[] = []
   private bodyBytes = 0
   private isNotRun = false
+  private firstEventAt: number | undefined
+  private hasRunWell = false
 
   constructor (
     private readonly forwarder: RequestForwarder,
@@ -81,6 +96,15 @@
     if (this.bodyBytes <= MAX_BODY_BYTES) this.chunks.push(chunk)
   }
 
+  get run (): AttemptRun {
+    const status = this.head?.status ?? 0
+    return {
+      beganAt: this.firstEventAt ?? this.inFlightRequest.startedAt,
+      hasRunWell: this.hasRunWell,
+      isSuccessful: status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS
+    }
+  }
+
   /** Returns the outcome of the attempt, and ends the caller's response if it is complete. */
   finish (end: ExchangeOutcome): AttemptOutcome {
     const { head } = this
@@ -139,13 +163,23 @@
     const events = this.splitter.push(chunk)
     if (events === undefined || this.head === undefined) return
     const { response } = this.forwarder.context
-    this.candidate.endpoint.recordEvents(this.inFlightRequest, performance.now())
+    const now = performance.now()
+    this.candidate.endpoint.recordEvents(this.inFlightRequest, now)
+    this.recordProgress(now)
     this.sendHead(this.head)
     this.recordFirstFields(events.bytes)
     this.forwarder.recordEvents(events.lastId)
     if (!response.writeEvents(events.bytes)) this.forwarder.pauseUntilDrained()
   }
 
+  private recordProgress (now: number): void {
+    this.firstEventAt ??= now
+    if (this.hasRunWell || now - this.firstEventAt < RUNS_WELL_MS) return
+    this.hasRunWell = true
+    const { call, services } = this.forwarder.context
+    services.quarantine.parts.recordRun(this.candidate.endpoint, call, this.firstEventAt)
+  }
+
   /** Binds the stream to this endpoint if the bytes have its first event, and notes that it has gone on behind an earlier stop. */
   private recordFirstFields (bytes: Buffer): void {
     const { call, services } = this.forwarder.context
--- a/entry/gateway/src/call.ts
+++ b/entry/gateway/src/call.ts
@@ -3,7 +3,7 @@
 import { suspensions } from '@gullwall/core.clock'
 import { type OrganisationDescription, type Route, type RouteTable } from '@gullwall/config.document'
 import { type BuildBinding } from '@gullwall/routing.stream-builds'
-import { computeFingerprint } from '@gullwall/routing.quarantine'
+import { computeFingerprint, findSharedParts } from '@gullwall/routing.quarantine'
 import { regionLimitsOf, type RegionLimits } from './allowed-regions.ts'
 import { type CallDialect, type CallHead } from './dialect.ts'
 
@@ -32,6 +32,8 @@
   binding: BuildBinding | undefined
   /** Identifies the same request under other ids; computed from method, path, organisation and body on the first call. */
   fingerprint: () => string
+  /** The ids of the parts of the prompt that may crash endpoints whatever else it holds. */
+  sharedParts: () => string[]
 }
 
 /** Why a request is refused before it is routed. */
@@ -78,7 +80,8 @@
     suspendedMs: suspensions.suspendedMs(),
     documentVersion: table.version,
     binding: undefined,
-    fingerprint: memoise(() => computeFingerprint({ organisation: organisation?.name, method, path, body }))
+    fingerprint: memoise(() => computeFingerprint({ organisation: organisation?.name, method, path, body })),
+    sharedParts: memoise(() => findSharedParts(head.prompt.map(({ id }) => id)))
   }
 }
 
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -185,6 +185,11 @@
     return { local: links.filter(isLocal), others: links.filter((link) => !isLocal(link)) }
   }
 
+  /** The open links to control processes. */
+  get openLinks (): readonly Link[] {
+    return this.links()
+  }
+
   private links (): Link[] {
     return [...this.dialers.values()].flatMap((dialer) => dialer.link?.isOpen === true ? [dialer.link] : [])
   }
@@ -208,6 +213,7 @@
         onClose: (link) => {
           spreader.closed(link)
           this.selector.forget(link)
+          this.services.quarantine.parts.observer.forgetLink(link)
         }
       }))
     }
@@ -218,6 +224,7 @@
     if (spreader.receive(link, message)) return
     if (message.kind === 'workSums' && link === this.primary) this.receiveLoad(link, message)
     if (message.kind === 'readings') this.services.loadExchange.adoptReadings(message)
+    if (message.kind === 'suspectParts') this.services.quarantine.parts.observer.receiveSuspects(link, message)
     if (message.kind === 'leases') this.mergeLeases(link, message.leases)
     if (message.kind !== 'controls') return
     this.addresses.recordAnnounced(message.addresses, performance.now())
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -134,7 +134,14 @@
   evacuatedDataCentres.onWithdrawn((dataCentre) => coldEndpoints.assumeCold(dataCentre))
   return {
     dataCentres: [evacuatedDataCentres.rule, createAllowedRegionsRule(services)],
-    endpoints: [streamBuilds.rule, notices.rule, coldEndpoints.rule, limits.rule]
+    endpoints: [
+      streamBuilds.rule,
+      // The quarantine is created after the rules.
+      (endpoint, call) => services.quarantine.parts.rule(endpoint, call),
+      notices.rule,
+      coldEndpoints.rule,
+      limits.rule
+    ]
   }
 }
 
--- a/entry/gateway/src/quarantine.ts
+++ b/entry/gateway/src/quarantine.ts
@@ -1,10 +1,11 @@
-/** Detects requests under which endpoints crash, reports them to control, and refuses the quarantined ones. */
+/** Detects requests and parts of prompts under which endpoints crash, reports them to control, and refuses the quarantined ones. */
 import { heldRequestsIn, whyHeld } from '@gullwall/control.state'
 import { type EndpointState } from '@gullwall/routing.balancer'
-import { CrashReporter, CrashDetector, type InterruptedRequest } from '@gullwall/endpoint.crashes'
-import { verdictOf, type AttemptOutcome } from './attempt-response-receiver.ts'
+import { collectSuspectedParts, CrashReporter, CrashDetector, type InterruptedRequest } from '@gullwall/endpoint.crashes'
+import { hasRun, verdictOf, type AttemptOutcome, type AttemptRun } from './attempt-response-receiver.ts'
 import { type Call } from './call.ts'
 import { type GatewayServices } from './index.ts'
+import { PartQuarantine } from './part-quarantine.ts'
 
 /** Retry delay for the caller of a quarantined request, in ms. A quarantine lasts for minutes, and each retry costs both sides. */
 export const QUARANTINE_RETRY_MS = 60_000
@@ -14,10 +15,11 @@
   refusedCount = 0
   private readonly detector: CrashDetector
   private readonly reporter: CrashReporter
+  readonly parts: PartQuarantine
   /** Fingerprints of the quarantined requests. */
   private quarantined: ReadonlySet<string> = new Set()
 
-  constructor (private readonly services: Pick<GatewayServices, 'store' | 'view' | 'logger' | 'controlLinks'>) {
+  constructor (private readonly services: Pick<GatewayServices, 'settings' | 'store' | 'view' | 'logger' | 'controlLinks'>) {
     const { store, view, logger, controlLinks } = services
     this.reporter = new CrashReporter({ logger, sendReport: async (report) => await controlLinks.reportCrashes(report) })
     this.detector = new CrashDetector({
@@ -25,6 +27,7 @@
       isReplaced: (incarnation) => view.leases.isReplaced(incarnation),
       onCrash: (endpoint, requests) => this.recordCrash(endpoint, requests)
     })
+    this.parts = new PartQuarantine(services, () => this.reporter.isIsolated)
     this.updateQuarantined()
     store.onChange(() => this.updateQuarantined())
   }
@@ -36,6 +39,7 @@
   stop (): void {
     this.detector.stop()
     this.reporter.stop()
+    this.parts.stop()
   }
 
   /** Number of quarantined requests that this process knows. */
@@ -49,7 +53,11 @@
   }
 
   /** Returns why a request may not be sent to any endpoint; undefined if it may. */
-  findRefusalReason ({ fingerprint }: Pick<Call, 'fingerprint'>): string | undefined {
+  findRefusalReason (call: Call): string | undefined {
+    return this.findRequestReason(call) ?? this.parts.findRefusalReason(call)
+  }
+
+  private findRequestReason ({ fingerprint }: Call): string | undefined {
     const localOnly = this.reporter.locallyQuarantined
     if (this.quarantined.size + localOnly.size === 0) return undefined
     const reason = whyHeld(this.services.store.records, fingerprint())
@@ -58,18 +66,24 @@
   }
 
   /** Records what the outcome of an attempt shows: the endpoint may have crashed, has ended, or is still running. */
-  recordOutcome (endpoint: EndpointState, call: Call, outcome: AttemptOutcome): void {
-    if (outcome.type === 'broken' && outcome.isClosed) this.recordBroken(endpoint, call)
+  recordOutcome (endpoint: EndpointState, call: Call, outcome: AttemptOutcome, run: AttemptRun): void {
+    if (hasRun(outcome)) this.parts.recordAttempt(call)
+    if (outcome.type === 'answered' && run.isSuccessful) this.parts.recordRun(endpoint, call, run.beganAt)
+    if (outcome.type === 'broken' && outcome.isClosed) this.recordBroken(endpoint, call, run)
     if ((outcome.type === 'unsent' && outcome.isRefused === true) || verdictOf(outcome) === 'ended') this.detector.recordProcessEnd(endpoint.description.incarnation)
     if (outcome.type === 'answered' || outcome.type === 'failed') this.reporter.recordSuccess(call.fingerprint)
   }
 
   /** Records that the connection to an endpoint was lost while a request was running there. */
-  private recordBroken ({ description: { incarnation, address }, lastReceivedAt }: EndpointState, call: Call): void {
+  private recordBroken (endpoint: EndpointState, call: Call, { hasRunWell }: AttemptRun): void {
+    const { description: { incarnation, address }, lastReceivedAt } = endpoint
     const { requestId, fingerprint, prompt } = call
     const silentMs = Math.min(performance.now() - lastReceivedAt, this.services.view.leases.silentMs(incarnation))
     this.detector.recordBrokenConnection({ incarnation, address, silentMs }, {
-      requestId, fingerprint: fingerprint(), parts: prompt.map(({ id }) => id).filter((id) => id !== '')
+      requestId,
+      fingerprint: fingerprint(),
+      parts: prompt.map(({ id }) => id).filter((id) => id !== ''),
+      suspectedParts: hasRunWell ? [] : this.parts.partsAtCrash(endpoint, call)
     })
   }
 
@@ -78,7 +92,9 @@
       const why = `${endpoint} crashed while running this request and ${requests.length - 1} others of this box`
       this.services.logger.info({ channel: 'quarantine', event: 'crashed', fingerprint, endpoint, request: requestId, parts, why })
     }
-    this.reporter.recordCrash({ endpoint, requests: [...new Set(requests.map(({ fingerprint }) => fingerprint))] })
+    const suspectedParts = collectSuspectedParts(requests)
+    this.parts.observer.recordCrash(endpoint, suspectedParts)
+    this.reporter.recordCrash({ endpoint, requests: [...new Set(requests.map(({ fingerprint }) => fingerprint))], parts: suspectedParts })
   }
 
   /** Updates the quarantined requests from the stored records, and logs the changes. */
@@ -93,7 +109,8 @@
     for (const fingerprint of before) {
       if (!this.quarantined.has(fingerprint)) logger.info({ channel: 'quarantine', event: 'released', fingerprint, why: 'quarantine ended' })
     }
+    const hasNewParts = this.parts.update()
     // Wakes waiting requests, so that quarantined ones among them are refused at once.
-    if (added.length > 0) view.wake()
+    if (added.length > 0 || hasNewParts) view.wake()
   }
 }
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -172,7 +172,7 @@
     if (verdict === 'unreachable' || verdict === 'ended') services.loadExchange.recordUnreachable()
     services.view.wake()
     if (outcome.type === 'broken') this.recorder.includeFingerprint()
-    services.quarantine.recordOutcome(endpoint, call, outcome)
+    services.quarantine.recordOutcome(endpoint, call, outcome, receiver.run)
     return outcome
   }
 
@@ -200,7 +200,7 @@
   private findRefusalReason ({ endpoint }: Candidate, permit: SendPermit): string | undefined {
     const { services, call } = this
     return findDataCentreRefusalReason(services.eligibility, endpoint.description.dataCentre, call) ??
-      services.quarantine.findRefusalReason(call) ??
+      services.quarantine.findRefusalReason(call) ?? services.quarantine.parts.rule(endpoint, call) ??
       services.notices.findRefusalReason(endpoint) ?? findSendRefusalReason(services, endpoint, permit)
   }
 
--- a/entry/gateway/test/allowed-regions.fuzz.test.ts
+++ b/entry/gateway/test/allowed-regions.fuzz.test.ts
@@ -100,7 +100,8 @@
     deadline: Infinity,
     documentVersion: document.version,
     suspendedMs: 0,
-    fingerprint: () => ''
+    fingerprint: () => '',
+    sharedParts: () => []
   }
 }
 
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -51,7 +51,8 @@
     deadline: 6000,
     documentVersion: 1,
     suspendedMs: 0,
-    fingerprint: () => ''
+    fingerprint: () => '',
+    sharedParts: () => []
   }
   const retries = new RetryBudgets({ ratio: 0, windowMs: 10_000, slack, entryCount: () => 1 }).recordRequest(route.split)
   return { call, history: new AttemptHistory(call), retries, isReturning, acceptableWaitMs: TARGET_MS }
--- a/entry/gateway/test/crashing-prompt-part.test.ts
+++ b/entry/gateway/test/crashing-prompt-part.test.ts
@@ -33,7 +33,8 @@
 const scenarios: Scenario[] = [
   { name: 'the second of three parts', path: '/draft/', crashing: ['system', 'deadly'], sound: ['system', 'other'], perSecond: 10, crashesWhileWriting: true, isWarm: true },
   { name: 'the first of three parts', path: '/draft/', crashing: ['deadly', 'document'], sound: ['system', 'document'], perSecond: 10, crashesWhileWriting: true, isWarm: true },
-  { name: 'a part that comes 25 times a second', path: '/look-up/', crashing: ['system', 'deadly'], sound: ['system', 'other'], perSecond: 25, crashesWhileWriting: false, isWarm: true }
+  { name: 'a part that comes 25 times a second', path: '/look-up/', crashing: ['system', 'deadly'], sound: ['system', 'other'], perSecond: 25, crashesWhileWriting: false, isWarm: true },
+  { name: 'a part of which no other part was known before', path: '/look-up/', crashing: ['system', 'deadly'], sound: ['system', 'other'], perSecond: 10, crashesWhileWriting: false, isWarm: false }
 ]
 
 describe.each(scenarios)('$name that crashes each engine', (scenario) => {
--- a/routing/quarantine/src/crash-evidence.ts
+++ b/routing/quarantine/src/crash-evidence.ts
@@ -3,6 +3,7 @@
  * The state is deterministic and has no clock: the replicating caller decides when to evaluate and when to drop old crashes.
  */
 import { findCrashCauses } from './crash-causes.ts'
+import { dropOldest } from './drop-oldest.ts'
 
 /** A crash of an endpoint, with the requests of one box that were running there. */
 export interface Crash {
@@ -102,6 +103,17 @@
     return [...this.crashes.values()].filter((requests) => requests.has(fingerprint)).length
   }
 
+  /** Whether any of some requests was running at the crash of an incarnation. */
+  hasAnyAt (endpoint: string, requests: ReadonlySet<string>): boolean {
+    return [...this.crashes.get(endpoint) ?? []].some((fingerprint) => requests.has(fingerprint))
+  }
+
+  /** Whether a request was running at none but these crashes, and at one of them. */
+  isOnlyAt (fingerprint: string, endpoints: ReadonlySet<string>): boolean {
+    const at = [...this.crashes].filter(([, requests]) => requests.has(fingerprint)).map(([endpoint]) => endpoint)
+    return at.length > 0 && at.every((endpoint) => endpoints.has(endpoint))
+  }
+
   /** Drops the crashes of these incarnations. */
   forgetCrashes (endpoints: readonly string[]): void {
     for (const endpoint of endpoints) this.crashes.delete(endpoint)
@@ -137,13 +149,3 @@
     this.isEvaluationCurrent = isJudged
   }
 }
-
-/**
- * Drops the first entries of a collection until it has at most `maxSize`.
- * @returns the keys of the dropped entries
- */
-function dropOldest<Key> (entries: Map<Key, unknown> | Set<Key>, maxSize: number): Key[] {
-  const dropped = [...entries.keys()].slice(0, Math.max(0, entries.size - maxSize))
-  for (const key of dropped) entries.delete(key)
-  return dropped
-}
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -1,9 +1,11 @@
 /** The typed messages of the links, each with a schema that is checked on arrival. */
 import { z } from 'zod'
 import { leaseSchema, limitReportSchema, type lifeSchema } from './leases.ts'
+import { partAtCrashSchema, quarantineMessages } from './quarantine.ts'
 import { streamBuildMessages } from './stream-builds.ts'
 
 export * from './leases.ts'
+export * from './quarantine.ts'
 export * from './stream-builds.ts'
 
 const count = z.number().int().min(0)
@@ -140,8 +142,11 @@
 /** Counts of one start of an entry. */
 export const usageSourceSchema = z.object({ source: z.string(), counts: z.array(usageCountSchema) })
 
-/** An endpoint that has crashed, and the requests that one entry had running there, by fingerprint. */
-export const crashSchema = z.object({ endpoint: z.string(), requests: z.array(z.string()) })
+/**
+ * An endpoint that has crashed, and the requests that one entry had running there, by fingerprint, with the parts of their prompts. No
+ * parts from processes that do not know of them.
+ */
+export const crashSchema = z.object({ endpoint: z.string(), requests: z.array(z.string()), parts: z.array(partAtCrashSchema).optional() })
 
 export const recordChangeSchema = z.object({ key: z.string(), value: z.string().nullable() })
 
@@ -233,6 +238,7 @@
   draining: z.object({ kind: z.literal('draining'), incarnations: z.array(z.string()) }),
   /** An entry tells what endpoints have said of their limits. */
   limits: z.object({ kind: z.literal('limits'), limits: z.array(limitReportSchema.extend({ incarnation: z.string() })) }),
+  ...quarantineMessages,
   ...streamBuildMessages,
   failed: z.object({ kind: z.literal('failed'), code: z.string(), message: z.string() }),
 
--- a/transport/messages/test/recorded-builds.test.ts
+++ b/transport/messages/test/recorded-builds.test.ts
@@ -19,6 +19,8 @@
   streamBuilds: 'passed over: a control process that does not know builds holds no bindings',
   streamBuildOf: 'not answered: who asks waits for the others, and does not go on with a stream that none of them knows',
   onlyBuildOf: 'not answered: the same',
+  suspectParts: 'passed over: an entry that does not know parts of prompts tells nobody which ran well',
+  partRuns: 'passed over: a control process that does not know parts of prompts has told no suspects',
   streamBuild: 'never sent there: it answers a question that only entries ask'
 }
 
@@ -46,6 +48,8 @@
     expect(parseMessage(withLimit)).toEqual({ ok: true, message: withLimit })
     expect(parseMessage(withBuild)).toEqual({ ok: true, message: withBuild })
     expect(parseMessage(withWish)).toEqual({ ok: true, message: withWish })
+    const withParts = { kind: 'crashes', crashes: [{ endpoint: 'i-1', requests: ['f'], parts: [['app/a', 'o', 0]] }], ranWell: [] }
+    expect(parseMessage(withParts)).toEqual({ ok: true, message: withParts })
     // A field that a build does not know is left out when it reads a message, as here.
     const [lease] = leases
     expect(parseMessage({ kind: 'leases', leases: [{ ...lease, yetUnknown: 1 }] })).toEqual({ ok: true, message: { kind: 'leases', leases: [lease] } })
