--- a/routing/quarantine/src/part-causes.ts
+++ b/routing/quarantine/src/part-causes.ts
@@ -38,7 +38,7 @@
 
 interface Candidate extends Scope {
   crashes: ReadonlySet<string>
-  /** Whether it ran well before the crashes. */
+  /** Whether it is known to have run well, for any organisation. */
   wasServed: boolean
   /** Whether it was the first part of a prompt. */
   isFirstPart: boolean
@@ -94,7 +94,8 @@
     part,
     organisation,
     crashes: new Set(at.map(({ crash }) => crash.endpoint)),
-    wasServed: options.evidence.wasServed(part, organisation),
+    // What runs well for others is less likely the cause than another part of the same requests.
+    wasServed: options.evidence.wasServed(part),
     isFirstPart: at.some(({ presence }) => presence.position === 0)
   }
 }
@@ -104,7 +105,9 @@
   const neverServed = candidates.filter(({ wasServed }) => !wasServed)
   const pool = neverServed.length > 0 ? neverServed : candidates
   const mostCrashes = Math.max(0, ...pool.map(({ crashes }) => crashes.size))
+  // Sorted, since the order of the crashes must not decide.
   const [best, ...others] = pool.filter(({ crashes }) => crashes.size === mostCrashes)
+    .sort((left, right) => nameOfHold(left) < nameOfHold(right) ? -1 : 1)
   if (best === undefined) return []
   const rivals = [best, ...others.filter((other) => sharesCrash(best, other))]
   const isDecided = rivals.length === 1 && !best.wasServed
