fix(sidecar): hold the message that crashes engines in chats that differ

What callers saw: the path with sidecars knew whole requests only, as the gateway did: a message that crashes engines in chats that are never alike was sent to one engine after the other.

The parts of a chat are its messages but the last. The entry names them to the sidecar, which reports crashes and good runs with them; the entry refuses. Requests that waited while their part was held are refused before they are sent: the grant of a waiting request was used without another look. A probe asks all control processes for entries, since an entry of this path is linked to one only. crashing-request.test.ts: 24 chats with the message; none reaches an engine once it is held, and chats with the same system message are served.

--- a/bench/fake-engine/src/engine-server.ts
+++ b/bench/fake-engine/src/engine-server.ts
@@ -18,7 +18,7 @@
   checksFence?: boolean
 }
 
-/** A prompt that holds this text ends the process that begins to run it. */
+/** A chat with a message that holds this text ends the process that begins to run it. */
 export const CRASHING_TEXT = 'no engine survives this'
 /** A process that has ended is back after so long, in ms. */
 const BACK_AFTER_MS = 250
@@ -149,7 +149,7 @@
     }
     const job = jobOf(body)
     context.respond = false
-    if (job.prompt.includes(CRASHING_TEXT)) setImmediate(() => { void this.crashAndRestart() })
+    if (body.messages.some(({ content }) => content.includes(CRASHING_TEXT))) setImmediate(() => { void this.crashAndRestart() })
     if (body.stream === true) this.runStream(context.res, job)
     else this.runWhole(context.res, job)
   }
--- a/control/client/src/index.ts
+++ b/control/client/src/index.ts
@@ -19,6 +19,9 @@
   announcement?: () => Member
   /** Receives the sidecars that control knows; only entries need them. */
   onMembers?: (message: MessageOf<'members'>) => void
+  /** Receives the parts of prompts that control suspects; only sidecars need them. */
+  onSuspectParts?: (link: Link, message: MessageOf<'suspectParts'>) => void
+  onClose?: (link: Link) => void
 }
 
 /** The result of a claim for a request that must run at most once. */
@@ -60,6 +63,7 @@
       onMessage: (link, message) => this.receive(link, message),
       onClose: (link) => {
         spreader.closed(link)
+        this.options.onClose?.(link)
         clearTimeout(this.confirmTimer)
       }
     })
@@ -116,6 +120,12 @@
     await this.openLink().request({ kind: 'crashes', ...report }, 'done', CRASHES_TIMEOUT_MS)
   }
 
+  /** The link to control, if it is open. */
+  get openLinks (): Link[] {
+    const link = this.dialer?.link
+    return link?.isOpen === true ? [link] : []
+  }
+
   private openLink (): Link {
     const link = this.dialer?.link
     if (link?.isOpen !== true) throw new GullwallError('ERR_GULLWALL_LINK_CLOSED', 'no link to control', { step: 'control link' })
@@ -124,6 +134,7 @@
 
   private receive (link: Link, message: Message): void {
     if (this.options.spreader.receive(link, message)) return
+    if (message.kind === 'suspectParts') this.options.onSuspectParts?.(link, message)
     if (message.kind === 'members') this.options.onMembers?.(message)
   }
 
--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -196,11 +196,6 @@
     }
   }
 
-  /** The boxes of the entries that are linked to this process. */
-  get entryBoxes (): string[] {
-    return [...new Set([...this.acceptor?.links ?? []].filter((link) => link.peer.role === 'entry').map((link) => link.peer.name))]
-  }
-
   forEachEntry (send: (link: Link) => void): void {
     for (const link of this.acceptor?.links ?? []) {
       if (link.peer.role === 'entry') send(link)
--- a/control/program/src/part-evaluator.ts
+++ b/control/program/src/part-evaluator.ts
@@ -10,17 +10,20 @@
 import { type MessageOf } from '@gullwall/transport.messages'
 import { AgeTracker } from './age-tracker.ts'
 import { type ControlServices } from './index.ts'
-import { chooseProbeStep } from './part-probes.ts'
+import { beginProbe, chooseProbeStep } from './part-probes.ts'
 
 /** Interval at which the evidence is looked at, in ms. */
 const CHECK_INTERVAL_MS = 50
 /** Interval at which suspects are told again, in ms: an entry may have opened its link in the meantime. */
 const REPEAT_SUSPECTS_MS = 1000
+const ENTRY_PREFIX = 'entry/'
+/** Shortest interval between two probes, in ms: each asks all control processes for their entries. */
+const MIN_PROBE_INTERVAL_MS = 1000
 /** The number of quarantined parts; the oldest is released. */
 const MAX_HELD_PARTS = 256
 
 type Services = Pick<ControlServices, 'state' | 'store' | 'quorum' | 'proposer' | 'logger' | 'startId'> & {
-  server: Pick<ControlServices['server'], 'forEachRunner' | 'entryBoxes'>
+  server: Pick<ControlServices['server'], 'forEachRunner' | 'collectProcessRevisions'>
 }
 
 export interface PartEvaluatorOptions {
@@ -43,6 +46,7 @@
   private publishedAt = -Infinity
   private hasPublished = false
   private operationCount = 0
+  private nextProbeAt = -Infinity
   private isBusy = false
   private held: { revision: number, parts: HeldPart[] } | undefined
   private timer: NodeJS.Timeout | undefined
@@ -199,19 +203,28 @@
         held,
         ageMs: this.holdAges.ageOf(key, now),
         hasRunWell: evidence.hasRunWhileHeld(held.part, held.organisation),
-        hasCrashed: crashCount > (this.crashesAtProbe.get(key) ?? crashCount),
-        boxes: this.services.server.entryBoxes
+        hasCrashed: crashCount > (this.crashesAtProbe.get(key) ?? crashCount)
       })
-      if (step === undefined) continue
-      if (step.type === 'release') {
+      if (step?.type === 'release') {
         await this.apply([changeToRelease(held)])
         this.logReleased(held, 'a request with the part ran well')
-      } else {
-        await this.apply([changeToHold(step.held)])
       }
+      if (step?.type === 'end-probe') await this.apply([changeToHold(step.held)])
+      if (step?.type === 'probe') await this.probe(held)
     }
   }
 
+  private async probe (held: HeldPart): Promise<void> {
+    const now = this.now()
+    if (now < this.nextProbeAt) return
+    this.nextProbeAt = now + MIN_PROBE_INTERVAL_MS
+    const processes = await this.services.server.collectProcessRevisions()
+    const boxes = processes.map(({ process }) => process).filter((name) => name.startsWith(ENTRY_PREFIX))
+      .map((name) => name.slice(ENTRY_PREFIX.length))
+    const probed = beginProbe(held, boxes)
+    if (probed !== undefined) await this.apply([changeToHold(probed)])
+  }
+
   /** Puts changes in force as an operator's change, which replicas of every build apply alike. */
   private async apply (changes: RecordChange[]): Promise<void> {
     this.operationCount += 1
--- a/control/program/src/part-probes.ts
+++ b/control/program/src/part-probes.ts
@@ -15,25 +15,25 @@
   hasRunWell: boolean
   /** Whether an endpoint has crashed under the part since the present probe began. */
   hasCrashed: boolean
-  /** The boxes that may let a request through. */
-  boxes: readonly string[]
 }
 
-export type ProbeStep = { type: 'release' } | { type: 'update', held: HeldPart }
+export type ProbeStep = { type: 'release' } | { type: 'end-probe', held: HeldPart } | { type: 'probe' }
 
 /** Returns what is done next with a quarantined part; undefined if nothing is due. */
-export function chooseProbeStep ({ held, ageMs, hasRunWell, hasCrashed, boxes }: ProbeState): ProbeStep | undefined {
+export function chooseProbeStep ({ held, ageMs, hasRunWell, hasCrashed }: ProbeState): ProbeStep | undefined {
   if (hasRunWell) return { type: 'release' }
   const { probe, failedProbes } = held
   if (probe === undefined) {
     const delayMs = Math.min(MAX_PROBE_DELAY_MS, FIRST_PROBE_DELAY_MS * 2 ** failedProbes)
-    return ageMs < delayMs ? undefined : beginProbe(held, 1, boxes)
+    return ageMs < delayMs ? undefined : { type: 'probe' }
   }
-  if (hasCrashed) return { type: 'update', held: { ...held, failedProbes: failedProbes + 1, probe: undefined } }
-  return ageMs < PROBE_TIMEOUT_MS ? undefined : beginProbe(held, probe.number + 1, boxes)
+  if (hasCrashed) return { type: 'end-probe', held: { ...held, failedProbes: failedProbes + 1, probe: undefined } }
+  return ageMs < PROBE_TIMEOUT_MS ? undefined : { type: 'probe' }
 }
 
-function beginProbe (held: HeldPart, number: number, boxes: readonly string[]): ProbeStep | undefined {
-  const box = [...boxes].sort()[(held.failedProbes + number) % Math.max(1, boxes.length)]
-  return box === undefined ? undefined : { type: 'update', held: { ...held, probe: { box, number } } }
+/** Begins the next probe of a part at one of the boxes, which take turns; undefined if there is none. */
+export function beginProbe (held: HeldPart, boxes: readonly string[]): HeldPart | undefined {
+  const number = (held.probe?.number ?? 0) + 1
+  const box = [...new Set(boxes)].sort()[(held.failedProbes + number) % Math.max(1, boxes.length)]
+  return box === undefined ? undefined : { ...held, probe: { box, number } }
 }
--- a/control/program/test/part-evaluator.test.ts
+++ b/control/program/test/part-evaluator.test.ts
@@ -37,7 +37,10 @@
       quorum: { get role () { return isLeader() ? 'leader' : 'follower' } },
       proposer: { applyQuarantineCommand: apply, applyOperation: apply },
       logger: { info: add, warn: add, sampled: (_name: string, line: LogRecord) => add(line) },
-      server: { entryBoxes: ['b2', 'b1'], forEachRunner: (send: (link: object) => void) => send({ send: (message: Message) => this.sent.push(message) }) },
+      server: {
+        collectProcessRevisions: async () => ['control/c1', 'entry/b2', 'entry/b1', 'sidecar/b3'].map((process) => ({ process, revision: 1 })),
+        forEachRunner: (send: (link: object) => void) => send({ send: (message: Message) => this.sent.push(message) })
+      },
       startId: name
     }
     const now = () => this.now
--- a/entry/answers/src/request-run.ts
+++ b/entry/answers/src/request-run.ts
@@ -6,6 +6,7 @@
 import { readCompletion, createResumeBody, addPriority, type StreamedCompletion } from '@gullwall/endpoint.openai'
 import { type DecisionLog } from '@gullwall/routing.decision-log'
 import { type Dispatcher, type Grant, type Refusal, type RoutedRequest } from '@gullwall/routing.dispatcher'
+import { nameOfPart } from '@gullwall/routing.quarantine'
 import { type RetryBudget } from '@gullwall/routing.limits'
 import { type AttemptHead } from '@gullwall/transport.attempt'
 import { runAttempt, type AttemptCall, type AttemptOutcome } from './attempt.ts'
@@ -22,6 +23,8 @@
   betweenTokensMs: number
   /** Knows the request again when it comes under another id. */
   fingerprint: string
+  /** The ids of the parts of its prompt that may crash endpoints. */
+  parts: string[]
 }
 
 /** What requests share in an entry. */
@@ -34,7 +37,9 @@
   maxAnswerBytes: number
   poolOf: (address: string) => Pool
   /** Why a request is sent to no endpoint, since they crash under it; undefined if it may be. */
-  whyHeld: (fingerprint: string) => string | undefined
+  whyHeld: (request: RequestToRun) => string | undefined
+  /** Records that an endpoint has run a request, or may have. */
+  recordAttempt: (request: RequestToRun) => void
   /** Asks the sidecar of a grant whether an attempt started; `unknown` if it does not answer. */
   revoke: (grant: Grant, attemptId: string) => Promise<Ran>
 }
@@ -83,7 +88,7 @@
   /** Runs the request to its end; the caller has been answered when it resolves. */
   async run (): Promise<RunResult> {
     for (;;) {
-      const held = this.services.whyHeld(this.request.fingerprint)
+      const held = this.services.whyHeld(this.request)
       if (held !== undefined) return this.refuseHeld(held)
       const submitted = this.services.dispatcher.submit(this.request, { atFront: this.hasBeenGranted })
       this.logWait()
@@ -103,6 +108,11 @@
       services.dispatcher.completeGrant(grant, true)
       return this.result('cancelled')
     }
+    const held = services.whyHeld(request)
+    if (held !== undefined) {
+      services.dispatcher.completeGrant(grant, true)
+      return this.refuseHeld(held)
+    }
     this.attempts += 1
     this.hasBeenGranted = true
     const attemptId = services.attemptIds.next()
@@ -126,6 +136,7 @@
     services.dispatcher.ejections.off(grant.endpoint, onEjected)
     services.dispatcher.completeGrant(grant, outcome.kind === 'whole' || outcome.kind === 'cancelled')
     request.late = 'serve'
+    if (outcome.kind !== 'not-run') services.recordAttempt(request)
     return this.settle(outcome, grant, attemptId)
   }
 
@@ -277,6 +288,8 @@
       attemptId,
       requestId: request.id,
       fingerprint: request.fingerprint,
+      parts: request.parts.map((id) => nameOfPart(request.serves, id)),
+      organisation: request.organisation,
       entry: this.services.startId,
       endpoint: grant.endpoint,
       sidecarStartId: grant.sidecar.startId,
--- a/entry/program/src/caller-server.ts
+++ b/entry/program/src/caller-server.ts
@@ -1,7 +1,9 @@
 /** The server that callers reach, and its planned stop. */
 import { type IdSequence } from '@gullwall/core.ids'
-import { whyHeld } from '@gullwall/control.state'
+import { heldPartsIn, whyHeld } from '@gullwall/control.state'
+import { type RequestToRun } from '@gullwall/entry.answers'
 import { createApi } from '@gullwall/entry.server'
+import { describeHeldPart, HeldParts } from '@gullwall/routing.quarantine'
 import { OrganisationLimits, RetryBudget } from '@gullwall/routing.limits'
 import { HttpServer } from '@gullwall/transport.http-server'
 import { type EntryServices } from './index.ts'
@@ -21,10 +23,14 @@
   readonly retryBudget = new RetryBudget()
   private readonly http: HttpServer
   private readonly limits = new OrganisationLimits()
+  private readonly heldParts: HeldParts
   private sweepTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: EntryServices, options: CallerServerOptions) {
     const { settings, store, metrics, control, dispatcher, decisions, startId, sidecars } = services
+    this.heldParts = new HeldParts(settings.box)
+    this.heldParts.replace(heldPartsIn(store.records))
+    store.onChange(() => { this.heldParts.replace(heldPartsIn(store.records)) })
     this.http = new HttpServer(createApi({
       logger: services.logger,
       records: store.records,
@@ -41,13 +47,19 @@
         attemptIds: options.attemptIds,
         startId,
         maxAnswerBytes: settings.maxAnswerBytes,
-        whyHeld: (fingerprint) => whyHeld(store.records, fingerprint),
+        whyHeld: (request) => whyHeld(store.records, request.fingerprint) ?? this.whyPartHeld(request),
+        recordAttempt: (request) => this.heldParts.recordRun(request),
         poolOf: (address) => sidecars.poolOf(address),
         revoke: (grant, attemptId) => sidecars.revoke(grant, attemptId)
       }
     }))
   }
 
+  private whyPartHeld (request: RequestToRun): string | undefined {
+    const held = this.heldParts.find(request, request, request.serves)
+    return held === undefined ? undefined : describeHeldPart(held)
+  }
+
   async start (): Promise<void> {
     const { settings, logger, store } = this.services
     this.address = await this.http.listen(settings.listen)
--- a/entry/program/test/crashing-request.test.ts
+++ b/entry/program/test/crashing-request.test.ts
@@ -75,3 +75,46 @@
     }
   })
 })
+
+describe('a message that ends each engine that runs a chat with it', () => {
+  const lines: string[] = []
+  const deployment = new Deployment({
+    records,
+    entries: [{ box: 'e1', dataCentre: 'east' }, { box: 'e2', dataCentre: 'west' }],
+    boxes: ['b1', 'b2', 'b3', 'b4'].map((box, index) => (
+      { box, dataCentre: index % 2 === 0 ? 'east' : 'west', engines: [{ name: `g${index}`, model: 'parts' }] }
+    )),
+    speed: { stepMs: 5, perStreamMs: 0.5 },
+    write: (line) => lines.push(line)
+  })
+  beforeAll(async () => await deployment.start())
+  afterAll(async () => await deployment.stop())
+
+  async function ask (entry: number, ...messages: string[]): Promise<{ status: number, text: string, ran: string }> {
+    const answer = await request(`http://${deployment.entryAddress(entry)}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${counter.key}`, 'gullwall-class': 'interactive', 'gullwall-repeatable': 'true' },
+      body: JSON.stringify({ model: 'parts', stream: false, messages: messages.map((content) => ({ role: 'user', content })) })
+    })
+    return { status: answer.statusCode, text: await answer.body.text(), ran: String(answer.headers['gullwall-ran']) }
+  }
+
+  const system = promptText('system', 10)
+  const deadly = `${promptText('document', 10)} ${CRASHING_TEXT}`
+  const ended = () => deployment.ledger.runs.filter(({ outcome }) => outcome === 'crashed').length
+
+  it('is sent no more after five crashes, whatever else the chats hold, and chats with their other messages are served', async () => {
+    for (let arrival = 0; arrival < 24; arrival += 1) {
+      await ask(arrival, system, deadly, promptText(`question-${arrival}`, 5))
+      await ask(arrival + 1, system, promptText(`sound-${arrival}`, 5))
+      await sleep(PAUSE_MS)
+    }
+    const before = ended()
+    expect(lines.some((line) => line.includes('"event":"held"') && line.includes('"part":"parts/'))).toBe(true)
+    const { status, text, ran } = await ask(1, system, deadly, promptText('one more', 5))
+    expect({ status, ran }).toEqual({ status: 503, ran: 'no' })
+    expect(text).toContain('of their prompts were running there')
+    for (const entry of [0, 1]) expect((await ask(entry, system, promptText(`good-${entry}`, 20))).status).toBe(200)
+    expect(ended()).toBe(before)
+  }, 30_000)
+})
--- a/entry/server/src/api.ts
+++ b/entry/server/src/api.ts
@@ -9,7 +9,7 @@
 import { selectEndToEndHeaders } from '@gullwall/endpoint.http'
 import { chatRequestSchema, CHAT_PATH, isResumable, type ChatRequest } from '@gullwall/endpoint.openai'
 import { CallerResponse, errorBody, RequestRun, type CallerError, type RequestToRun, type RunResult, type RunServices } from '@gullwall/entry.answers'
-import { computeFingerprint } from '@gullwall/routing.quarantine'
+import { computeFingerprint, findSharedParts } from '@gullwall/routing.quarantine'
 import { type OrganisationLimits } from '@gullwall/routing.limits'
 import { withoutOwnHeaders } from '@gullwall/transport.attempt'
 import { abortResponse, Koa, Router } from '@gullwall/transport.http-server'
@@ -66,6 +66,8 @@
   body: Buffer
   stream: boolean
   resumable: boolean
+  /** The ids of the parts of the prompt that may crash engines. */
+  parts: string[]
 }
 
 class Api {
@@ -95,7 +97,7 @@
     const body = await this.body(context, caller)
     const path = context.url.slice(SERVICE_PREFIX.length + service.length) || '/'
     const wanted = body.map((bytes): Wanted => ({
-      kind: 'service', serves: service, path: path.startsWith('/') ? path : `/${path}`, body: bytes, stream: false, resumable: false
+      kind: 'service', serves: service, path: path.startsWith('/') ? path : `/${path}`, body: bytes, stream: false, resumable: false, parts: []
     }))
     await this.serve(context, caller, wanted.chain((value) => this.known(value)))
   }
@@ -222,6 +224,7 @@
       fingerprint: computeFingerprint({
         organisation: caller.organisationName, method: context.method, path: wanted.path, body: wanted.body
       }),
+      parts: wanted.parts,
       repeatable: caller.repeatable,
       stream: wanted.stream,
       resumable: wanted.resumable,
@@ -258,7 +261,16 @@
 }
 
 function wantedChat (chat: ChatRequest, bytes: Buffer): Wanted {
-  return { kind: 'engine', serves: chat.model, path: CHAT_PATH, body: bytes, stream: chat.stream === true, resumable: isResumable(chat) }
+  const { model, messages } = chat
+  return {
+    kind: 'engine',
+    serves: model,
+    path: CHAT_PATH,
+    body: bytes,
+    stream: chat.stream === true,
+    resumable: isResumable(chat),
+    parts: findSharedParts(messages.map((message) => JSON.stringify(message)))
+  }
 }
 
 function parseJson (bytes: Buffer): Either<CallerError, unknown> {
--- a/sidecar/attempts/src/runner.ts
+++ b/sidecar/attempts/src/runner.ts
@@ -11,7 +11,7 @@
 import {
   ATTEMPT_PREFIX, readHead, REFUSED_STATUS, withoutOwnHeaders, writeRefusal, type AttemptHead, type AttemptRefused
 } from '@gullwall/transport.attempt'
-import { type AttemptCrashes, type ServedAttempt } from './crashes.ts'
+import { type AttemptCrashes, type AttemptProgress, type ServedAttempt } from './crashes.ts'
 import { type AttemptRegistry } from './registry.ts'
 
 /** An endpoint of this box, its dialect and its slots. */
@@ -36,6 +36,10 @@
 /** With a status from 400 on, the value `no` of this header means that the endpoint has not run the request. */
 const RAN_HEADER = 'x-gullwall-ran'
 const CLIENT_ERROR = 400
+const MIN_SUCCESS_STATUS = 200
+const MIN_REDIRECT_STATUS = 300
+/** Time after the first chunk of a stream, in ms, at which another one shows a good run: an endpoint that crashes may write some first. */
+const RUNS_WELL_MS = 1000
 const DEFAULT_MIN_STALL_MS = 2000
 /** A stream counts as stalled after this multiple of its target without a token. */
 const STALL_FACTOR = 20
@@ -91,6 +95,9 @@
   private isStream = false
   /** Whether the endpoint has rejected the attempt without running it. */
   private isRejected = false
+  private isSuccessful = false
+  private firstChunkAt: number | undefined
+  private hasRunWell = false
   private readonly attempt: ServedAttempt
 
   constructor (
@@ -100,8 +107,9 @@
     private readonly options: RunnerOptions
   ) {
     this.response = context.res
-    const { endpoint, requestId, fingerprint } = head
-    this.attempt = { life: options.crashes.currentLife(endpoint), address: served.local.address, requestId, fingerprint }
+    const { endpoint, requestId, fingerprint, parts, organisation } = head
+    const life = options.crashes.currentLife(endpoint)
+    this.attempt = { life, address: served.local.address, requestId, fingerprint, parts, organisation }
   }
 
   /** Stops the attempt; the entry receives the reason. */
@@ -121,6 +129,7 @@
         return
       }
       this.options.crashes.recordSuccess(this.attempt)
+      if (this.isSuccessful) this.options.crashes.recordGoodRun(this.attempt, this.progress)
       response.end()
       if (!this.isStream) this.served.slots.recordFirstToken(performance.now() - this.startedAt)
     } catch (error) {
@@ -137,7 +146,11 @@
   private recordCrash (error: unknown): void {
     if (this.abort.signal.aborted || !(error instanceof GullwallError)) return
     if (error.code === 'ERR_GULLWALL_ENDPOINT_REFUSED') this.options.crashes.recordRefusedConnection(this.attempt)
-    if (error.code === 'ERR_GULLWALL_ENDPOINT_FAILED') this.options.crashes.recordBrokenConnection(this.attempt)
+    if (error.code === 'ERR_GULLWALL_ENDPOINT_FAILED') this.options.crashes.recordBrokenConnection(this.attempt, this.progress)
+  }
+
+  private get progress (): AttemptProgress {
+    return { beganAt: this.firstChunkAt ?? this.startedAt, hasRunWell: this.hasRunWell }
   }
 
   private callEndpoint (): Promise<void> {
@@ -175,6 +188,7 @@
     const { response } = this
     this.isRejected = status >= CLIENT_ERROR && headers[RAN_HEADER] === 'no'
     if (this.isRejected) return
+    this.isSuccessful = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS
     this.served.slots.recordResponse(this.head.attemptId)
     this.isStream = isEventStream(headers)
     this.context.respond = false
@@ -212,6 +226,11 @@
 
   private recordChunk (): void {
     const now = performance.now()
+    this.firstChunkAt ??= now
+    if (this.isStream && this.isSuccessful && !this.hasRunWell && now - this.firstChunkAt >= RUNS_WELL_MS) {
+      this.hasRunWell = true
+      this.options.crashes.recordGoodRun(this.attempt, this.progress)
+    }
     if (this.lastTokenAt === 0) {
       if (this.isStream) this.served.slots.recordFirstToken(now - this.startedAt)
     } else if (this.isStream) {
--- a/sidecar/program/src/index.ts
+++ b/sidecar/program/src/index.ts
@@ -65,7 +65,8 @@
     .service('departure', (services) => new Departure(services))
 }
 
-function createControlClient ({ settings, startId, logger, store, spreader, entryLinks, endpoints }: SidecarServices): ControlClient {
+function createControlClient (services: SidecarServices): ControlClient {
+  const { settings, startId, logger, store, spreader, entryLinks, endpoints } = services
   const announcement = (): Member => ({
     box: settings.box,
     dataCentre: settings.dataCentre,
@@ -75,7 +76,17 @@
     serves: [...new Set([...endpoints.values()].map(({ local }) => local.serves))]
   })
   const local = { role: 'sidecar' as const, name: settings.box, startId, dataCentre: settings.dataCentre }
-  return new ControlClient({ local, sharedKey: settings.linkKey, addresses: settings.control, logger, store, spreader, announcement })
+  return new ControlClient({
+    local,
+    sharedKey: settings.linkKey,
+    addresses: settings.control,
+    logger,
+    store,
+    spreader,
+    announcement,
+    onSuspectParts: (link, message) => services.crashes.parts.receiveSuspects(link, message),
+    onClose: (link) => services.crashes.parts.forgetLink(link)
+  })
 }
 
 /**
--- a/transport/attempt/src/index.ts
+++ b/transport/attempt/src/index.ts
@@ -11,6 +11,10 @@
   requestId: string
   /** The same for the same caller, method, path and body, whatever the ids; see routing/quarantine. */
   fingerprint: string
+  /** The parts of its prompt that may crash endpoints, by name; none from entries that do not know of parts. */
+  parts: string[]
+  /** The caller's organisation; an empty text from entries that do not know of parts. */
+  organisation: string
   /** The entry process, by its start id. */
   entry: string
   endpoint: string
@@ -46,7 +50,8 @@
 export function writeHead (head: AttemptHead): Record<string, string> {
   const headers: Record<string, string> = {}
   for (const [name, value] of Object.entries(head)) {
-    if (value !== undefined) headers[PREFIX + name.toLowerCase()] = String(value)
+    // Names of organisations may hold any character.
+    if (value !== undefined) headers[PREFIX + name.toLowerCase()] = name === 'organisation' ? encodeURIComponent(String(value)) : String(value)
   }
   return headers
 }
@@ -61,6 +66,8 @@
     attemptId: text('attemptId') ?? '',
     requestId: text('requestId') ?? '',
     fingerprint: text('fingerprint') ?? '',
+    parts: (text('parts') ?? '').split(',').filter(Boolean),
+    organisation: decodeName(text('organisation') ?? ''),
     entry: text('entry') ?? '',
     endpoint: text('endpoint') ?? '',
     sidecarStartId: text('sidecarStartId') ?? '',
@@ -75,6 +82,10 @@
   })
 }
 
+function decodeName (encoded: string): string {
+  return Either.encase(() => decodeURIComponent(encoded)).orDefault(encoded)
+}
+
 /** Gives the headers without those of the system itself. */
 export function withoutOwnHeaders<Value> (headers: Record<string, Value>): Record<string, Value> {
   return Object.fromEntries(Object.entries(headers).filter(([name]) => !name.toLowerCase().startsWith(PREFIX)))
