--- a/cli/client/src/index.ts
+++ b/cli/client/src/index.ts
@@ -5,6 +5,7 @@
 import { type RecordChange } from '@gullwall/config.records'
 import { type QuorumStatus } from '@gullwall/control.quorum'
 import { type ApplyResult, type EvacuationResult, type HistoryEntry } from '@gullwall/control.state'
+import { type HeldPart } from '@gullwall/routing.quarantine'
 import { type Member } from '@gullwall/transport.messages'
 
 export interface OperatorClientOptions {
@@ -34,6 +35,14 @@
   revision: number
 }
 
+/** What is not sent to endpoints because endpoints crashed under it. */
+export interface QuarantineList {
+  /** Parts of prompts, each with the name by which it is released. */
+  parts: Array<HeldPart & { name: string }>
+  /** Fingerprints of whole requests. */
+  requests: string[]
+}
+
 const REQUEST_TIMEOUT_MS = 5000
 /** Maximum number of rounds over all addresses before a request fails. */
 const MAX_ROUNDS = 3
@@ -83,6 +92,15 @@
     return await this.send(isEvacuated ? 'PUT' : 'DELETE', `/v1/evacuations/${encodeURIComponent(dataCentre)}`)
   }
 
+  async quarantine (): Promise<QuarantineList> {
+    return await this.send('GET', '/v1/quarantine')
+  }
+
+  /** Ends the quarantine of a part, by the name of its hold, or of a request, by its fingerprint. */
+  async releaseFromQuarantine (name: string): Promise<void> {
+    await this.send('DELETE', `/v1/quarantine/${encodeURIComponent(name)}?operator=${encodeURIComponent(this.options.operator)}`)
+  }
+
   /**
    * Waits until a revision is in force at all linked processes.
    * @returns the processes with an older revision at the deadline
--- a/cli/gullwall/src/main.ts
+++ b/cli/gullwall/src/main.ts
@@ -9,6 +9,7 @@
 import { diffCommand, exportCommand, historyCommand, restoreCommand } from './commands/history.ts'
 import { keyCommand } from './commands/key.ts'
 import { lossesCommand } from './commands/losses.ts'
+import { quarantineCommands } from './commands/quarantine.ts'
 import { statusCommand } from './commands/status.ts'
 
 const program = subcommands({
@@ -23,6 +24,7 @@
     drain: drainCommand,
     undrain: undrainCommand,
     evacuate: evacuateCommand,
+    quarantine: quarantineCommands,
     status: statusCommand,
     explain: explainCommand,
     losses: lossesCommand,
--- a/cli/story/src/index.ts
+++ b/cli/story/src/index.ts
@@ -38,11 +38,13 @@
   const boxes = new Set(own.map(({ box }) => box))
   const endpoints = new Set(own.flatMap((line) => endpointOf(line) ?? []))
   const fingerprints = new Set(own.flatMap((line) => fingerprintOf(line) ?? []))
+  const parts = new Set(own.flatMap((line) => line.channel === 'forward' ? line.part ?? [] : []))
   const isNear = (line: LogLine) => timeOf(line) >= first - CONTEXT_MARGIN_MS && timeOf(line) <= last + CONTEXT_MARGIN_MS
   // An evacuation remains in force until the next order, however old it is.
   const isInForce = (line: LogLine) => line.channel === 'evacuation' && line.event === 'applied' && timeOf(line) <= last
-  // A quarantine is caused by the same request under other ids, at any box and at any earlier time.
-  const isSameRequest = (line: LogLine) => line.channel === 'quarantine' && fingerprints.has(line.fingerprint) && timeOf(line) <= last
+  // A quarantine is caused by the same request under other ids, or by others with the same part, at any box and at any earlier time.
+  const isSameRequest = (line: LogLine) => line.channel === 'quarantine' && timeOf(line) <= last &&
+    (fingerprints.has(line.fingerprint) || parts.has(line.part ?? ''))
   const context = lines.filter((line) => requestOf(line) === undefined && (
     isSameRequest(line) || ((isNear(line) || isInForce(line)) && isContext(line, boxes, endpoints))
   ))
@@ -97,7 +99,10 @@
 function detailsOf (line: LogLine): string {
   const why = 'why' in line ? line.why : ''
   if (line.channel === 'endpoint') return `${line.endpoint}: ${why}`
-  if (line.channel === 'quarantine') return `${line.request === undefined ? '' : `as ${line.request}: `}${why}`
+  if (line.channel === 'quarantine') {
+    const subject = line.request === undefined ? '' : `as ${line.request}: `
+    return `${subject}${line.part === undefined ? '' : `part ${line.part}: `}${why}`
+  }
   if (line.channel === 'evacuation') return `${line.dataCentre}: ${why}`
   if (line.channel === 'link') return `${line.peer}: ${why}`
   if (line.channel !== 'forward') return why
--- a/control/program/src/operator-api.ts
+++ b/control/program/src/operator-api.ts
@@ -6,7 +6,8 @@
 import { checkChanges } from '@gullwall/config.records'
 import { addressSchema } from '@gullwall/config.settings'
 import { toGullwallError } from '@gullwall/core.error'
-import { type ApplyCommand, type ApplyResult } from '@gullwall/control.state'
+import { newStartId } from '@gullwall/core.ids'
+import { changeToRelease, heldPartsIn, heldRequestsIn, type ApplyCommand, type ApplyResult } from '@gullwall/control.state'
 import { Koa, Router } from '@gullwall/transport.http-server'
 import { leaseSchema, type MessageOf } from '@gullwall/transport.messages'
 import { HttpCaller } from './order-caller.ts'
@@ -84,6 +85,13 @@
   router.delete('/evacuations/:dataCentre', async (context) => await orderEvacuation(context, services, false))
   router.get('/evacuations', async (context) => { context.body = { evacuations: Object.fromEntries(await services.evacuations.read()) } })
 
+  router.get('/quarantine', async (context) => {
+    await proposer.confirmRevision()
+    const parts = [...heldPartsIn(store.records)].map(([name, held]) => ({ name, ...held }))
+    context.body = { revision: store.revision, parts, requests: [...heldRequestsIn(store.records)] }
+  })
+  router.delete('/quarantine/:name', async (context) => await releaseFromQuarantine(context, services))
+
   const app = new Koa()
   app.silent = true
   app.use(reportErrors)
@@ -130,6 +138,27 @@
   context.body = await evacuations.order({ dataCentre, isEvacuated, caller: new HttpCaller(context.res) })
 }
 
+async function releaseFromQuarantine (context: Context, { proposer, store }: ControlServices): Promise<void> {
+  const name = String(context.params['name'])
+  await proposer.confirmRevision()
+  const part = heldPartsIn(store.records).get(name)
+  if (part !== undefined) {
+    context.body = await proposer.applyOperation({
+      type: 'apply',
+      operationId: newStartId(),
+      expectedRevision: null,
+      changes: [changeToRelease(part)],
+      operator: String(context.query['operator'] ?? ''),
+      at: new Date().toISOString()
+    })
+  } else if (heldRequestsIn(store.records).has(name)) {
+    context.body = await proposer.applyQuarantineCommand({ type: 'forget-crashes', endpoints: [], requests: [name] })
+  } else {
+    context.status = 404
+    context.body = { type: 'failed', code: 'ERR_GULLWALL_NOT_QUARANTINED', message: `${name} is not quarantined`, hint: 'see gullwall quarantine list' }
+  }
+}
+
 function statusOf (result: ApplyResult): number {
   switch (result.type) {
     case 'accepted': return 200
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -73,6 +73,8 @@
   incompleteBytes?: number
   /** Of a request that may have crashed an endpoint: the same for the same caller, path and body, whatever the id. */
   fingerprint?: string
+  /** The part of the prompt for which the request is refused. */
+  part?: string
   why: string
 }
 
--- a/entry/gateway/src/part-quarantine.ts
+++ b/entry/gateway/src/part-quarantine.ts
@@ -38,6 +38,12 @@
     return reasons.includes(undefined) ? undefined : reasons[0]
   }
 
+  /** Returns the quarantined part for which a request may not be sent to any service of its route, by name; undefined if there is none. */
+  findHeldPart (call: Call): string | undefined {
+    const request = { parts: call.sharedParts(), organisation: organisationOf(call) }
+    return call.route.split.map(({ service }) => this.held.find(call, request, service)?.part).find((part) => part !== undefined)
+  }
+
   /** Excludes the endpoints of services at which a part of the prompt is quarantined. */
   readonly rule: EndpointRule = ({ description: { service } }, call) => this.findServiceReason(call, service)
 
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -127,6 +127,7 @@
     if (reason === undefined) return false
     this.services.quarantine.refusedCount += 1
     this.recorder.includeFingerprint()
+    this.recorder.includePart(this.services.quarantine.parts.findHeldPart(this.call))
     this.refuse(reason, QUARANTINE_RETRY_MS)
     return true
   }
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -16,6 +16,7 @@
   /** The candidate of the latest attempt. */
   private latest: Candidate | undefined
   private fingerprint: string | undefined
+  private part: string | undefined
   private responseEnd: ResponseEnd = {}
   /** Whether an attempt was sent. Each later one that is sent is a retry. */
   private hasSent = false
@@ -67,6 +68,11 @@
     this.fingerprint = this.call.fingerprint()
   }
 
+  /** Adds the quarantined part of the prompt to all further log lines. */
+  includePart (part: string | undefined): void {
+    this.part = part
+  }
+
   /** Records a decision after or during an attempt. */
   recordDecision (decision: 'retry' | 'resume' | 'stop' | 'take-up', why: string): void {
     this.services.logger.info({ ...this.record(decision), why })
@@ -138,7 +144,8 @@
       elapsedMs: Math.round(this.elapsedMs),
       ...(latest === undefined ? {} : this.factsOf(latest)),
       ...this.responseEnd,
-      fingerprint: this.fingerprint
+      fingerprint: this.fingerprint,
+      part: this.part
     }
   }
 
