fix(gateway): close connections unread while there is no processor time for them

What callers saw: while a balancer sends nine of ten new connections to one gateway, that gateway served nearly none, with the others idle.

Cause: connections wait in the kernel until they are accepted. What is accepted then has a caller that has left: 240 of 300 lines said that the caller disconnected, at 0 ms. What binds is processor time: budgets, pools and links had room.

Fix: while the event loop has no pause for half a second, a growing share of the new connections is closed before anything is read, 0.85 at most; their callers open another one, which is likely to reach another gateway.

--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { messageOf } from '@gullwall/core.error'
 import { isOpenedEarly, listenOn } from '@gullwall/transport.http-server'
+import { ConnectionShedder, WINDOW_MS } from './connection-shedder.ts'
 import { CallerResponse, type ErrorResponse } from './caller-response.ts'
 import { resolveCall, type Refusal } from './call.ts'
 import { RequestForwarder } from './request-forwarder.ts'
@@ -27,12 +28,14 @@
 export class Ingress {
   address = ''
   isStopping = false
+  readonly shedder = new ConnectionShedder()
   /** Whether all requests are refused: the balancer has noticed the stop, but requests still arrive on idle connections. */
   private isRefusingAll = false
   private server: Server | undefined
   /** Settles when the server listens at an address that was opened early. */
   private takeOver: Promise<void> | undefined
   private inFlight = 0
+  private utilizationTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: GatewayServices) {}
 
@@ -44,6 +47,11 @@
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
       keepAlive: false
     }, (request, response) => { void this.serve(request, response) })
+    this.server.on('connection', (socket) => {
+      // Nothing has been read yet, so that the caller may send any request again elsewhere.
+      if (this.shedder.shouldClose()) socket.destroy()
+    })
+    this.measureUtilization()
     this.applyLimits()
     store.onChange(() => this.applyLimits())
     if (isOpenedEarly(settings.listen)) {
@@ -67,6 +75,17 @@
     await listenOn(server, settings.listen)
   }
 
+  /** Measures the use of the event loop. A process that starts has work of its own, which says nothing about its callers. */
+  private measureUtilization (): void {
+    let latest = performance.eventLoopUtilization()
+    this.utilizationTimer = setInterval(() => {
+      const present = performance.eventLoopUtilization()
+      const { utilization } = performance.eventLoopUtilization(present, latest)
+      latest = present
+      if (performance.now() - this.services.startedAt > START_UP_MS + WINDOW_MS) this.shedder.recordUtilization(utilization)
+    }, WINDOW_MS)
+  }
+
   /** Stops in the order in which callers notice: readiness, new connections, idle connections, requests in flight. */
   async stop (): Promise<void> {
     const { settings } = this.services
@@ -81,6 +100,7 @@
     this.server?.closeIdleConnections()
     await this.until(() => this.inFlight === 0, endsAt)
     this.server?.closeAllConnections()
+    clearInterval(this.utilizationTimer)
   }
 
   /** Waits until a condition holds, at most until `endsAt` by the monotonic clock. */
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -49,6 +49,7 @@
   add('gullwall_cold_sent_requests_total', 'Requests sent to cold endpoints under a grant', () => coldEndpoints.totals.sent)
   add('gullwall_endpoint_crashes_total', 'Crashes of endpoints at which requests of this process were running', () => quarantine.crashCount)
   add('gullwall_quarantined_requests', 'Requests that are held because endpoints crash under them, as this process knows', () => quarantine.size)
+  add('gullwall_connections_closed_unread_total', 'New connections that were closed unread while this process had too much work', () => services.ingress.shedder.closedCount)
   add('gullwall_quarantined_parts', 'Parts of prompts that are held because endpoints crash under them, as this process knows', () => quarantine.parts.size)
   add('gullwall_quarantine_refusals_total', 'Requests that were refused since they are held', () => quarantine.refusedCount)
   add('gullwall_backing_off_endpoints', 'Endpoints that asked this process to be left alone, or come back from that', () => notices.backoffs.size)
