fix(gateway): ask control again for the build of a stream that is taken up at once

What callers saw: streams that a caller took up at another gateway 3 ms after it had left were refused, since the gateway that began them tells control every 100 ms.

Fix: a gateway that hears of no holder asks once more after 130 ms, unless the caller's time is over by then.

--- a/entry/gateway/src/stream-builds.ts
+++ b/entry/gateway/src/stream-builds.ts
@@ -8,7 +8,7 @@
 import { type EndpointDescription } from '@gullwall/routing.balancer'
 import { type Link } from '@gullwall/transport.link'
 import { MAX_BINDINGS, type MessageOf } from '@gullwall/transport.messages'
-import { type Call } from './call.ts'
+import { remainingMs, type Call } from './call.ts'
 import { type EndpointRule } from './eligibility.ts'
 import { type GatewayServices } from './index.ts'
 
@@ -16,6 +16,11 @@
 const TELL_INTERVAL_MS = 100
 /** Timeout of a question to control, in ms: several round trips between regions. */
 const ASK_TIMEOUT_MS = 250
+/**
+ * Delay after which control is asked again, in ms. A caller that comes back at once may be faster than the word of the gateway that began
+ * the stream, which is sent after an interval at most.
+ */
+const ASK_AGAIN_MS = TELL_INTERVAL_MS + 30
 /** Upper limit of the time for which a binding is held, in ms. */
 const MAX_VALID_MS = 600_000
 /** Time that a caller may be late without its binding having expired, in ms. */
@@ -80,7 +85,8 @@
     if (held === AMBIGUOUS) return ambiguousAnswer('this gateway')
     if (held !== undefined) return { type: 'known', binding: held, source: 'this gateway' }
     const { local, others } = this.services.controlLinks.linksByRegion()
-    const answer = await this.ask(local, key) ?? await this.ask(others, key)
+    const ask = async () => await this.ask(local, key) ?? await this.ask(others, key)
+    const answer = await ask() ?? await this.askLater(call, ask)
     if (answer === undefined) {
       return { type: 'unknown', reason: `none of ${local.length + others.length} control processes knows the build that began the stream` }
     }
@@ -88,6 +94,13 @@
     return answer
   }
 
+  /** Asks once more after a while, unless the caller's time is over by then. */
+  private async askLater (call: Call, ask: () => Promise<StreamBuildAnswer | undefined>): Promise<StreamBuildAnswer | undefined> {
+    if (remainingMs(call) <= ASK_AGAIN_MS) return undefined
+    await new Promise((resolve) => setTimeout(resolve, ASK_AGAIN_MS))
+    return await ask()
+  }
+
   /**
    * Finds the build of a stream whose caller does not name it: most control processes must say that its service has had that build only,
    * for as long as the caller can have been waiting.
--- a/entry/gateway/test/stream-builds.test.ts
+++ b/entry/gateway/test/stream-builds.test.ts
@@ -31,6 +31,12 @@
   response.write(`${events(build, 1, 2)}id: 3\nda`, () => setImmediate(() => response.destroy()))
 }
 
+/** Streams two events and then nothing. */
+const beginOnly = (build: string): Behaviour => (incoming, response) => {
+  response.writeHead(200, { 'content-type': 'text/event-stream', 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
+  response.write(events(build, 1, 2))
+}
+
 /** Breaks off inside the first event. */
 const breakOffBeforeEvent: Behaviour = (incoming, response) => {
   response.writeHead(200, { 'content-type': 'text/event-stream', 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
@@ -84,6 +90,15 @@
   return { status: reply.statusCode, headers: reply.headers, text: Buffer.concat(chunks).toString(), isComplete }
 }
 
+/** Begins a stream whose caller leaves after the first events. */
+async function leaveAfterFirstEvents (name: string): Promise<void> {
+  const reply = await request(deployment.url('/draft/1'), {
+    method: 'POST', headers: { authorization: 'Bearer secret', 'x-gullwall-request-id': name }, body: 'x'
+  })
+  await new Promise((resolve) => reply.body.once('data', resolve).once('error', () => {}))
+  reply.body.destroy()
+}
+
 /** Lets the endpoint that gets the next request break off; the others stream. Returns that endpoint once it has got one. */
 function breakOffFirst (): () => StubEndpoint {
   let first: StubEndpoint | undefined
@@ -122,6 +137,28 @@
     }
   })
 
+  it('is taken up at another gateway before control has been told who began it', async () => {
+    await deploy('v1', 'v2')
+    const other = await startGateway('b2')
+    for (const endpoint of endpoints) {
+      endpoint.behaviour = (...args) => {
+        const act = args[0].headers['last-event-id'] === undefined ? beginOnly : stream
+        act(String(endpoint.build))(...args)
+      }
+    }
+    const pause = async (ms: number) => { await new Promise((resolve) => setTimeout(resolve, ms)) }
+    const statuses = await Promise.all(Array.from({ length: 100 }, async (_unused, index) => {
+      await pause(20 * index)
+      const name = `quick-${index}`
+      await leaveAfterFirstEvents(name)
+      await pause(3)
+      return (await call(takeUp(name), other)).status
+    }))
+    const refused = statuses.filter((status) => status !== 200).length
+    console.log(`${refused} of ${statuses.length} refused`)
+    expect(refused).toBe(0)
+  })
+
   it('is not bound by an attempt that brought no event', async () => {
     await deploy('v1', 'v2')
     let isFirst = true
