test(soak): a part of prompts that crashes engines beside sound requests with its first part, and checks of both bounds

crashing-part: sent to three more engines at most, 3 s after the fifth crash; part-neighbours: half of the sound requests beside it are served from 6 s on.

--- a/bench/soak/src/checks/engines.ts
+++ b/bench/soak/src/checks/engines.ts
@@ -1,5 +1,5 @@
 /** Checks of what reaches engines: nothing for those that leave or are evacuated, little for cold ones, none abroad. */
-import { COLD, KINDS, REGIONS } from '../documents.ts'
+import { COLD, KINDS, REGIONS, TIMEOUT_MS } from '../documents.ts'
 import { type Journal, type Run } from '../journal.ts'
 import { type Check, type Violation } from './violation.ts'
 
@@ -11,6 +11,10 @@
 const ON_ITS_WAY = 1
 /** With so many engines ended under a request it is to be known. */
 const CRASHES_TO_KNOW = 3
+const PART_CRASHES_TO_KNOW = 5
+/** Fewer requests beside a part tell nothing. */
+const MIN_NEIGHBOURS = 20
+const MIN_NEIGHBOURS_SERVED = 0.5
 
 /** An engine that leaves gets nothing a few seconds after that was acknowledged. */
 export const leavingGetNothing: Check = ({ journal, bounds }) => {
@@ -68,6 +72,38 @@
   })
 }
 
+/** A part of prompts under which engines crash reaches few more once it has ended five and all could know. */
+export const crashingPartIsHeld: Check = ({ journal, bounds }) => {
+  const parts = new Set(journal.partCrashes.map(({ body }) => body))
+  return [...parts].flatMap((part) => {
+    const runs = journal.partCrashes.filter((run) => run.body === part)
+    const knownFrom = (runs[PART_CRASHES_TO_KNOW - 1]?.at ?? Infinity) + bounds.knownMs
+    const late = runs.filter(({ from, at }) => at > knownFrom && journal.isInTouch(from, at))
+    const [, , , oneTooMany] = late
+    if (oneTooMany === undefined) return []
+    const { at, engine, from } = oneTooMany
+    const what = `at ${engine} from ${from}: reached ${runs.length} engines, ${late.length} of them once it was known`
+    return [{ check: 'crashing-part', at, subject: part, what }]
+  })
+}
+
+/** Sound requests beside those with such a part are served once the part could be known. */
+export const neighboursAreServed: Check = ({ journal, bounds }) => {
+  const parts = new Set(journal.neighbours.map(({ part }) => part))
+  return [...parts].flatMap((part) => {
+    const crashes = journal.partCrashes.filter(({ body }) => body === part)
+    // No engine crashes under a part that was held before.
+    const lastThatCounts = crashes[Math.min(PART_CRASHES_TO_KNOW, crashes.length) - 1]?.at ?? 0
+    const engines = [...new Set(crashes.map(({ engine }) => engine))]
+    const sent = journal.neighbours.filter((neighbour) => neighbour.part === part && neighbour.sentAt > lastThatCounts + 2 * bounds.knownMs)
+      .filter(({ sentAt }) => sentAt < journal.now - TIMEOUT_MS)
+      .filter(({ gateway, sentAt }) => journal.isCalm([gateway, ...engines], sentAt))
+    const served = sent.filter(({ isServed }) => isServed).length
+    if (sent.length < MIN_NEIGHBOURS || served >= sent.length * MIN_NEIGHBOURS_SERVED) return []
+    return [{ check: 'part-neighbours', at: lastThatCounts, subject: part, what: `${served} of ${sent.length} sound requests beside it were served` }]
+  })
+}
+
 /** A gateway that was asked for rest sends no more than what was under way, unless it was restarted, frozen or cut off since. */
 export const restIsKept: Check = ({ journal, bounds }) => journal.rests.flatMap(({ incarnation, from, at, ms }) => {
   const until = at + ms
--- a/bench/soak/src/checks/index.ts
+++ b/bench/soak/src/checks/index.ts
@@ -1,7 +1,7 @@
 /** All checks of a run. */
 import { noIntrusion, refusalsTrue, runsAtMost, unchanged, urgencyByTier, wholeAnswers } from './answers.ts'
 import { acknowledgements, inForce, keysDropped, noReturn, nothingLost, readBack } from './configuration.ts'
-import { coldSpared, crashingIsHeld, drainWordIsKept, evacuatedGetNothing, leavingGetNothing, limitIsKept, restIsKept, stayHome } from './engines.ts'
+import { coldSpared, crashingIsHeld, crashingPartIsHeld, drainWordIsKept, evacuatedGetNothing, leavingGetNothing, limitIsKept, neighboursAreServed, restIsKept, stayHome } from './engines.ts'
 import { retriesAreBounded } from './retries.ts'
 import { endsAsAsked, nothingStarves, recovers, stopsCutNothing } from './service.ts'
 import { oneBuild, takenUpGoOn } from './streams.ts'
@@ -17,7 +17,8 @@
   return [
     wholeAnswers, oneBuild, takenUpGoOn, runsAtMost, refusalsTrue, unchanged, noIntrusion, urgencyByTier,
     inForce, keysDropped, noReturn, readBack, acknowledgements, nothingLost,
-    leavingGetNothing, evacuatedGetNothing, crashingIsHeld, restIsKept, drainWordIsKept, limitIsKept, retriesAreBounded,
+    leavingGetNothing, evacuatedGetNothing, crashingIsHeld, crashingPartIsHeld, neighboursAreServed,
+    restIsKept, drainWordIsKept, limitIsKept, retriesAreBounded,
     stopsCutNothing, endsAsAsked, nothingStarves, recovers,
     ...cold ? [coldSpared] : [],
     ...regions ? [stayHome] : []
--- a/bench/soak/src/engine.ts
+++ b/bench/soak/src/engine.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type AddressInfo } from 'node:net'
 import { answerBody, BUILDS, eventCount, eventOf, sentBody, subjectOf } from './answers.ts'
-import { CRASHING } from './crashing-requests.ts'
+import { BESIDE_PART, CRASHING, CRASHING_PART } from './crashing-requests.ts'
 import { type Break, type Journal, type Life, type Run } from './journal.ts'
 import { type Random } from './random.ts'
 
@@ -140,6 +140,14 @@
       response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
       return
     }
+    if (body.startsWith(BESIDE_PART)) {
+      this.after(WORK_MS.from, response, () => response.writeHead(200, { 'x-gullwall-request-id': id }).end(body))
+      return
+    }
+    if (body.startsWith(CRASHING_PART)) {
+      this.crashUnderPart(request, body, response, id)
+      return
+    }
     if (body.startsWith(CRASHING)) {
       this.crashUnder(request, body, response)
       return
@@ -189,6 +197,17 @@
     this.after(WORK_MS.from, response, () => crash(this))
   }
 
+  /** Ends once it has begun to write. */
+  private crashUnderPart (request: IncomingMessage, body: string, response: ServerResponse, id: string): void {
+    const { journal, name, sourceAt, crash } = this.options
+    const part = body.slice(CRASHING_PART.length).split(' ')[0] ?? ''
+    journal.partCrashes.push({ body: part, at: journal.now, engine: name, from: sourceAt(request.socket.remotePort ?? 0) })
+    this.after(WORK_MS.from, response, () => {
+      response.writeHead(200, { 'x-gullwall-request-id': id })
+      response.write('begun', () => crash(this))
+    })
+  }
+
   private runOf (request: IncomingMessage, id: string, body: string): Run {
     const { journal, name, dataCentre, service, sourceAt } = this.options
     serial += 1
--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -2,7 +2,7 @@
 import { readdirSync, rmSync, statSync } from 'node:fs'
 import { join } from 'node:path'
 import { type Callers } from './callers.ts'
-import { sendCrashing } from './crashing-requests.ts'
+import { sendCrashing, sendCrashingPart } from './crashing-requests.ts'
 import { REGIONS } from './documents.ts'
 import { type Behaviour, type Engine } from './engine.ts'
 import { tellGone, tellLeaving } from './heartbeats.ts'
@@ -95,6 +95,7 @@
   },
   evacuation: evacuate,
   'request crashes engines': async ({ site }, fault) => await sendCrashing(site, fault),
+  'part crashes engines': async ({ site }, fault) => await sendCrashingPart(site, fault),
   'engine asks for rest': async (world, fault) => await misbehave(world, fault, 'resting'),
   'all engines ask for rest': restTogether,
   'all engines shed': shedTogether,
--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -87,6 +87,9 @@
 /** A request under which an engine's process ends reached one. */
 export interface CrashingRun { body: string, at: number, engine: string, from: string }
 
+/** A sound request that shares its caller, route and first part with requests under whose other part engines crash. */
+export interface Neighbour { part: string, gateway: string, sentAt: number, isServed: boolean }
+
 /** An engine turned a gateway away and asked it for rest. */
 export interface RestAsked { incarnation: string, from: string, at: number, ms: number }
 
@@ -126,6 +129,9 @@
   readonly coldSpells: ColdSpell[] = []
   readonly lives: Life[] = []
   readonly crashes: CrashingRun[] = []
+  /** The same for parts of prompts; `body` is the name of the part. */
+  readonly partCrashes: CrashingRun[] = []
+  readonly neighbours: Neighbour[] = []
   readonly rests: RestAsked[] = []
   readonly arrivals: Arrival[] = []
   readonly deliveries: Delivery[] = []
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -209,6 +209,22 @@
     replace: 'if (now - this.unevaluatedSince < 1e9) return',
     faults: ['request crashes engines']
   },
+  {
+    name: 'part-sent-on',
+    check: 'crashing-part',
+    file: 'control/program/src/part-evaluator.ts',
+    find: 'if (causes.held.length === 0) return',
+    replace: 'if (causes.held.length >= 0) return',
+    faults: ['part crashes engines']
+  },
+  {
+    name: 'neighbours-held',
+    check: 'part-neighbours',
+    file: 'routing/quarantine/src/held-parts.ts',
+    find: 'const held = this.held.get(part) ?? this.held.get(nameOfHold({ part, organisation }))',
+    replace: 'const [held] = this.held.values()',
+    faults: ['part crashes engines']
+  },
   {
     name: 'stop-cuts-off',
     check: 'planned-stop',
