--- a/control/program/src/part-evaluator.ts
+++ b/control/program/src/part-evaluator.ts
@@ -19,6 +19,8 @@
 const ENTRY_PREFIX = 'entry/'
 /** Shortest interval between two probes, in ms: each asks all control processes for their entries. */
 const MIN_PROBE_INTERVAL_MS = 1000
+/** Share of the time that judgements may take: with the evidence of many crashes, each takes tens of milliseconds. */
+const MAX_JUDGING_SHARE = 0.1
 /** The number of quarantined parts; the oldest is released. */
 const MAX_HELD_PARTS = 256
 
@@ -47,6 +49,7 @@
   private hasPublished = false
   private operationCount = 0
   private nextProbeAt = -Infinity
+  private nextJudgementAt = -Infinity
   private isBusy = false
   private held: { revision: number, parts: HeldPart[] } | undefined
   private timer: NodeJS.Timeout | undefined
@@ -148,7 +151,7 @@
 
   private async judge (): Promise<void> {
     const { evidence } = this
-    if (evidence.version !== this.evaluatedVersion || this.hasCandidates) {
+    if ((evidence.version !== this.evaluatedVersion || this.hasCandidates) && this.now() >= this.nextJudgementAt) {
       this.evaluatedVersion = evidence.version
       await this.holdCauses()
     }
@@ -159,12 +162,14 @@
     const { evidence, heldParts, services: { state } } = this
     const now = this.now()
     const held = state.quarantine.evidence.quarantined
+    const begunAt = performance.now()
     const causes = findPartCauses({
       evidence,
       held: heldParts,
       isExplainedByRequest: (endpoint) => state.quarantine.evidence.hasAnyAt(endpoint, held),
       agesOf: (part) => ({ suspectMs: this.suspectAges.ageOf(part, now), candidateMs: this.candidateAges.ageOf(part, now) })
     })
+    this.nextJudgementAt = now + (performance.now() - begunAt) / MAX_JUDGING_SHARE
     this.candidateAges.update(causes.candidates, now)
     this.hasCandidates = causes.candidates.length > 0
     if (causes.held.length === 0) return
