--- a/entry/gateway/test/prompt-part-neighbours.test.ts
+++ b/entry/gateway/test/prompt-part-neighbours.test.ts
@@ -2,10 +2,11 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { request } from 'undici'
-import { heldPartsIn } from '@gullwall/control.state'
+import { changeToHold, heldPartsIn } from '@gullwall/control.state'
 import { type GatewayServices } from '@gullwall/entry.gateway'
 import { type Kernel } from '@gullwall/core.kernel'
 import { until } from '@gullwall/bench.deployment'
+import { type HeldPart } from '@gullwall/routing.quarantine'
 import { buildStory, type LogLine } from '@gullwall/cli.story'
 import { CrashingEngines } from './crashing-engines.ts'
 import { createDocument, GatewayDeployment } from './gateway-deployment.ts'
@@ -64,6 +65,10 @@
     return [...heldPartsIn(this.deployment.control.get('store').records).keys()]
   }
 
+  get heldParts (): HeldPart[] {
+    return [...heldPartsIn(this.deployment.control.get('store').records).values()]
+  }
+
   get heldRequests (): number {
     return this.deployment.control.get('state').quarantine.evidence.quarantined.size
   }
@@ -193,3 +198,32 @@
     expect((await site.send(['system', 'manual'], { gateway })).status).toBe(200)
   }, 30_000)
 })
+
+describe('a probe of a quarantined part', () => {
+  const site = new Site()
+  beforeAll(async () => await site.start())
+  afterAll(async () => await site.stop())
+
+  async function holdWithProbe (part: string): Promise<void> {
+    const held = { part, crashes: 5, failedProbes: 0, probe: { box: 'b1', number: 1 } }
+    await site.deployment.control.get('proposer').applyOperation({
+      type: 'apply', operationId: part, expectedRevision: null, changes: [changeToHold(held)], operator: 'test', at: ''
+    })
+    await until('the record', () => site.gateways.every((gateway) => gateway.get('quarantine').parts.size > 0))
+  }
+
+  it('is one request at one gateway, which crashes one endpoint at most', async () => {
+    await holdWithProbe('app/deadly')
+    await Promise.all(Array.from({ length: 20 }, async (_unused, index) => await site.send(['system', 'deadly'], { gateway: site.gateways[index % 2] })))
+    expect(site.runsWith('deadly')).toBe(1)
+    await until('the end of the probe', () => site.heldParts[0]?.failedProbes === 1)
+  })
+
+  it('releases the part if it runs well, and its caller has the answer', async () => {
+    await holdWithProbe('app/manual')
+    const replies = await Promise.all(Array.from({ length: 6 }, async () => await site.send(['system', 'manual'], { gateway: site.deployment.gateway })))
+    expect(replies.filter(({ status }) => status === 200)).toHaveLength(1)
+    await until('the release', () => !site.held.includes('app/manual'))
+    await until('an answer', async () => (await site.send(['system', 'manual'])).status === 200)
+  })
+})
