--- a/entry/program/test/crashing-request.test.ts
+++ b/entry/program/test/crashing-request.test.ts
@@ -27,7 +27,7 @@
 /** Three engines by which it is known, and what is under way then. */
 const MOST_ENDED = 6
 
-describe('a request that ends each engine that runs it', () => {
+function createDeployment (): { lines: string[], deployment: Deployment } {
   const lines: string[] = []
   const deployment = new Deployment({
     records,
@@ -38,17 +38,24 @@
     speed: { stepMs: 5, perStreamMs: 0.5 },
     write: (line) => lines.push(line)
   })
+  return { lines, deployment }
+}
+
+async function askAt (deployment: Deployment, entry: number, messages: string[]): Promise<{ status: number, text: string, ran: string }> {
+  const answer = await request(`http://${deployment.entryAddress(entry)}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${counter.key}`, 'gullwall-class': 'interactive', 'gullwall-repeatable': 'true' },
+    body: JSON.stringify({ model: 'parts', stream: false, messages: messages.map((content) => ({ role: 'user', content })) })
+  })
+  return { status: answer.statusCode, text: await answer.body.text(), ran: String(answer.headers['gullwall-ran']) }
+}
+
+describe('a request that ends each engine that runs it', () => {
+  const { lines, deployment } = createDeployment()
   beforeAll(async () => await deployment.start())
   afterAll(async () => await deployment.stop())
 
-  async function ask (entry: number, content: string): Promise<{ status: number, text: string, ran: string }> {
-    const answer = await request(`http://${deployment.entryAddress(entry)}/v1/chat/completions`, {
-      method: 'POST',
-      headers: { authorization: `Bearer ${counter.key}`, 'gullwall-class': 'interactive', 'gullwall-repeatable': 'true' },
-      body: JSON.stringify({ model: 'parts', stream: false, messages: [{ role: 'user', content }] })
-    })
-    return { status: answer.statusCode, text: await answer.body.text(), ran: String(answer.headers['gullwall-ran']) }
-  }
+  const ask = async (entry: number, content: string) => await askAt(deployment, entry, [content])
 
   const crashing = `${promptText('crash', 20)} ${CRASHING_TEXT}`
   const ended = () => deployment.ledger.runs.filter(({ id, outcome }) => id === 'crash' && outcome === 'crashed').length
@@ -77,27 +84,11 @@
 })
 
 describe('a message that ends each engine that runs a chat with it', () => {
-  const lines: string[] = []
-  const deployment = new Deployment({
-    records,
-    entries: [{ box: 'e1', dataCentre: 'east' }, { box: 'e2', dataCentre: 'west' }],
-    boxes: ['b1', 'b2', 'b3', 'b4'].map((box, index) => (
-      { box, dataCentre: index % 2 === 0 ? 'east' : 'west', engines: [{ name: `g${index}`, model: 'parts' }] }
-    )),
-    speed: { stepMs: 5, perStreamMs: 0.5 },
-    write: (line) => lines.push(line)
-  })
+  const { lines, deployment } = createDeployment()
   beforeAll(async () => await deployment.start())
   afterAll(async () => await deployment.stop())
 
-  async function ask (entry: number, ...messages: string[]): Promise<{ status: number, text: string, ran: string }> {
-    const answer = await request(`http://${deployment.entryAddress(entry)}/v1/chat/completions`, {
-      method: 'POST',
-      headers: { authorization: `Bearer ${counter.key}`, 'gullwall-class': 'interactive', 'gullwall-repeatable': 'true' },
-      body: JSON.stringify({ model: 'parts', stream: false, messages: messages.map((content) => ({ role: 'user', content })) })
-    })
-    return { status: answer.statusCode, text: await answer.body.text(), ran: String(answer.headers['gullwall-ran']) }
-  }
+  const ask = async (entry: number, ...messages: string[]) => await askAt(deployment, entry, messages)
 
   const system = promptText('system', 10)
   const deadly = `${promptText('document', 10)} ${CRASHING_TEXT}`
