fix(quarantine): a part that is held for one organisation needs no fewer crashes to be held for all

By reading: crashes that such a part explains were left out of the crashes of its time, so that its share could exceed 1 and three crashes weighed as nine. The share is 1 at most.

--- a/routing/quarantine/src/part-causes.ts
+++ b/routing/quarantine/src/part-causes.ts
@@ -86,7 +86,10 @@
     for (const [part, presence] of crash.parts) {
       // A part that is quarantined for one organisation may crash endpoints under another one as well.
       const isExplained = [...explanations].some((other) => other !== part)
-      if (!isExplained && !names.has(part)) presences.set(part, [...presences.get(part) ?? [], { crash, presence }])
+      if (isExplained || names.has(part)) continue
+      const known = presences.get(part)
+      if (known === undefined) presences.set(part, [{ crash, presence }])
+      else known.push({ crash, presence })
     }
   }
   return [...presences].flatMap(([part, at]) => {
@@ -118,7 +121,8 @@
   const crashesOfItsTime = unexplained.filter(({ round }) => round >= first && round <= last).length
   // What runs well for others is less likely the cause than another part of the same requests.
   const wasServed = options.evidence.wasServed(part)
-  const share = outside.length / crashesOfItsTime
+  // Crashes that the part itself explains, quarantined for one organisation, are not among the unexplained ones.
+  const share = Math.min(1, outside.length / crashesOfItsTime)
   const weight = at.reduce((sum, { presence }) => sum + (presence.isUnserved ? 1 : SERVED_ELSEWHERE_WEIGHT), 0)
   if (weight * share < CONCLUSIVE_PART_CRASHES) return undefined
   return {
