fix(cli): send commands again for as long as control may need to elect a leader

Cause, by the code: three rounds with 300 ms between them, under a second in all, while the followers still send to the leader that is gone. Ruled out: the quarantine, since the deployment has no engine that crashes at this step.

--- a/cli/client/src/index.ts
+++ b/cli/client/src/index.ts
@@ -44,8 +44,8 @@
 }
 
 const REQUEST_TIMEOUT_MS = 5000
-/** Maximum number of rounds over all addresses before a request fails. */
-const MAX_ROUNDS = 3
+/** Time for which a request that no control process accepts is sent again, in ms: a lost leader is replaced within it. */
+const RETRY_MS = 3000
 const ROUND_DELAY_MS = 300
 
 export class OperatorClient {
@@ -121,7 +121,8 @@
 
   private async send<T> (method: Dispatcher.HttpMethod, path: string, body?: object): Promise<T> {
     let failure: unknown
-    for (let round = 0; round < MAX_ROUNDS; round++) {
+    const endsAt = performance.now() + RETRY_MS
+    do {
       for (const address of this.options.control) {
         try {
           return await this.sendTo<T>(address, method, path, body)
@@ -131,7 +132,7 @@
         }
       }
       await new Promise((resolve) => setTimeout(resolve, ROUND_DELAY_MS))
-    }
+    } while (performance.now() < endsAt)
     throw new GullwallError('ERR_GULLWALL_NO_CONTROL', `no control process accepted the request: ${messageOf(failure)}`, {
       step: `${method} ${path}`, hint: 'check the addresses given with --control and that a majority of them is up', cause: failure
     })
