--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,8 +1,10 @@
 /** A late extra answer of an earlier request, in the slot of the next answer, is taken for that answer if it says "not executed". */
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { Client, configurationOf, isTroubled, Runner, runCase, sleep } from '../stand-ins.mjs'
+import { Client, configurationOf, Runner, runCase, sleep } from '../stand-ins.mjs'
 
+/** With TROUBLE=0 the script does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0'
 const PATH = '/puxa403/'
 const SECONDS = 30
 const CLIENTS = 12
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -5,8 +5,10 @@
 import { mkdirSync, rmSync } from 'node:fs'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { BOUNDS, call, Client, configurationOf, isTroubled, KEY, now, Runner, runCase, sleep } from '../stand-ins.mjs'
+import { BOUNDS, call, Client, configurationOf, KEY, now, Runner, runCase, sleep } from '../stand-ins.mjs'
 
+/** With TROUBLE=0 the script does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0'
 const PATH = '/cufi504/'
 const SERVICE = 'catalog-api'
 /** Routes that the largest `big_config` of the pages' site files adds. */
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,8 +1,10 @@
 /** A leave that control acknowledged is forgotten when its processes and the gateways are killed at once: the runner gets work again. */
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { BOUNDS, Client, configurationOf, isTroubled, Runner, runCase, sleep } from '../stand-ins.mjs'
+import { BOUNDS, Client, configurationOf, Runner, runCase, sleep } from '../stand-ins.mjs'
 
+/** With TROUBLE=0 the script does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0'
 const PATH = '/cufi504/'
 const ROUNDS = 4
 const CLIENTS = 24
--- a/review/deployment.mjs
+++ b/review/deployment.mjs
@@ -161,6 +161,7 @@
     for (let index = 0; now() < end; index += 1) {
       const address = this.controlAddresses[index % this.controlAddresses.length]
       const answer = await call(address, { method: 'PUT', path: '/v1/config', body, headers: { 'content-type': 'application/json' }, timeoutMs: 1000 })
+      this.record.add('configuration sent', { version: configuration.version, to: address, status: answer.status, error: answer.error })
       if (answer.status === 200) {
         this.record.add('configuration acknowledged', { version: configuration.version, by: address })
         return
--- a/review/peers.mjs
+++ b/review/peers.mjs
@@ -37,7 +37,9 @@
       const answer = await call(controlAddresses[this.at % controlAddresses.length], {
         method, path: `/v1/instances/${this.id}`, headers: { 'content-type': 'application/json' }, body, timeoutMs: 1000
       })
-      if (answer.status >= 200 && answer.status < 300) return { by: controlAddresses[this.at % controlAddresses.length], at: answer.ended }
+      const by = controlAddresses[this.at % controlAddresses.length]
+      this.record.add('runner told control', { runner: this.id, method, state: this.state, to: by, status: answer.status, error: answer.error })
+      if (answer.status >= 200 && answer.status < 300) return { by, at: answer.ended }
       this.at += 1
     }
     return undefined
--- a/review/record.mjs
+++ b/review/record.mjs
@@ -8,7 +8,6 @@
 /** Time since the start of the script, in ms. */
 export const now = () => Math.round((performance.now() - startedAt) * 10) / 10
 export const sleep = async (ms) => await new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)))
-export const isTroubled = process.env.TROUBLE !== '0'
 
 /** Writes what was sent, answered and run into record.txt beside the script. */
 export class Record {
