--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,104 +1,72 @@
-/**
- * Control processes that missed two changes of a large configuration never catch up. Two lost disks then take the acknowledged
- * configuration with them.
- */
-import { mkdirSync, rmSync } from 'node:fs'
+/** A late extra answer of an earlier request, in the slot of the next answer, is taken for that answer if it says "not executed". */
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { BOUNDS, call, Client, configurationOf, KEY, now, Runner, runCase, sleep } from '../stand-ins.mjs'
+import { Client, configurationOf, Runner, runCase, sleep } from '../stand-ins.mjs'
 
 /** With TROUBLE=0 the script does the same without the disruption. */
 const isTroubled = process.env.TROUBLE !== '0'
-const PATH = '/cufi504/'
-const SERVICE = 'catalog-api'
-/** Routes that the largest `big_config` of the pages' site files adds. */
-const ROUTES = 1600
-/** Organisations of the size that the letter names, each with two keys, as in the example of the wire. */
-const ORGANISATIONS = 33_000
-const KEY_CHARACTERS = 20
-/** For how long machines that have returned may catch up, in ms: well over `catch_up_s`. */
-const CATCH_UP_MS = 15_000
-/** For how long the operator asks for the configuration at the end, in ms. */
-const READ_MS = 30_000
+const PATH = '/puxa403/'
+const SECONDS = 30
+const CLIENTS = 12
+/** Share of the requests that a runner turns away although its health check is good (srv_grey), with and without the disruption. */
+const SHED_SHARE = 0.1
+/** Share of these answers of which a second one is sent late (garble, extra late). */
+const EXTRA_SHARE = 0.5
 
-function keyOf (index, number) {
-  return `n${number}${index.toString(36).padStart(KEY_CHARACTERS - 2, '0')}`
-}
+/** Connections on which a second answer is due, with its bytes. */
+const due = new WeakMap()
 
-function configuration (version, { routes, organisations }) {
-  const more = Array.from({ length: routes }, (_, index) => ({
-    name: `r-${index}`, path_prefix: `/more/r${index}/`, route_type: 'idempotent', service: SERVICE
-  }))
-  const others = Array.from({ length: organisations }, (_, index) => ({
-    name: `org${index}`, api_keys: [keyOf(index, 1), keyOf(index, 2)], priority: 1
-  }))
-  return configurationOf(version, {
-    routes: [{ name: 'price-fetch', path_prefix: PATH, route_type: 'idempotent', service: SERVICE, max_attempts: 2 }, ...more],
-    services: [{ name: SERVICE }],
-    tenants: [{ name: 'hule930', api_keys: [KEY], priority: 1 }, ...others]
-  })
-}
-
-/** Asks each control process for the configuration, again and again until it comes; gives the highest version that came. */
-async function readBack (deployment, record) {
-  const end = now() + READ_MS
-  const addresses = deployment.controlAddresses
-  let highest = 0
-  for (let index = 0; now() < end && (highest === 0 || index < addresses.length); index += 1) {
-    const address = addresses[index % addresses.length]
-    const { status, body, error } = await call(address, { method: 'GET', path: '/v1/config', timeoutMs: 2000 })
-    const version = status === 200 ? JSON.parse(body).version : undefined
-    record.add('read', { by: address, status, error, version })
-    highest = Math.max(highest, version ?? 0)
-    await sleep(300)
+function onRequest (runner, incoming, response, id) {
+  const { socket } = incoming
+  const extra = due.get(socket)
+  if (extra !== undefined) {
+    due.delete(socket)
+    runner.record.add('second answer', { runner: runner.id, of: extra.id, whenCame: id })
+    socket.write(extra.bytes)
+    return false
   }
-  return highest
-}
-
-async function startAgain (machines, { hasDisk }) {
-  for (const machine of machines) {
-    if (!hasDisk) {
-      rmSync(machine.fields.data_dir, { recursive: true })
-      mkdirSync(machine.fields.data_dir)
-    }
-    machine.start()
+  if (Math.random() >= SHED_SHARE) return false
+  runner.turnAway(response, id)
+  if (isTroubled && Math.random() < EXTRA_SHARE) {
+    due.set(socket, { id, bytes: `HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: ${id}\r\nContent-Length: 0\r\n\r\n` })
   }
+  return true
 }
 
 async function play (deployment, record) {
-  await deployment.open({ controls: 5, gateways: 2, tolerance: 2 })
-  await deployment.configure(configuration(1, { routes: 0, organisations: 0 }))
-  const runner = new Runner(deployment, { id: 'i-1', service: SERVICE, zone: 'ulemiste', slots: 6, workMs: 20 })
-  await runner.start()
-  await deployment.ready()
-  await sleep(3000)
-  const [, , , fourth, fifth] = deployment.controls
-  if (isTroubled) await Promise.all([fourth, fifth].map(async (machine) => await machine.kill()))
-  await sleep(1000)
-  await deployment.configure(configuration(2, { routes: ROUTES, organisations: 0 }))
-  await deployment.configure(configuration(3, { routes: ROUTES, organisations: ORGANISATIONS }))
-  if (isTroubled) await startAgain([fourth, fifth], { hasDisk: true })
-  await sleep(CATCH_UP_MS)
-  const client = new Client(record, deployment.gateways[0], 'c1')
-  await client.send({ method: 'GET', path: `${PATH}2f`, deadlineMs: 1000 })
-  client.close()
-  record.add('before', { version: await readBack(deployment, record) })
-  const lost = deployment.controls.slice(0, 2)
-  if (isTroubled) {
-    await Promise.all(lost.map(async (machine) => await machine.kill()))
-    await sleep(500)
-    await startAgain(lost, { hasDisk: false })
+  await deployment.open({ controls: 3, gateways: 2, tolerance: 1 })
+  await deployment.configure(configurationOf(1, {
+    routes: [{ name: 'stock-check', path_prefix: PATH, route_type: 'non_idempotent', service: 'catalog-api', max_attempts: 2 }],
+    services: [{ name: 'catalog-api' }]
+  }))
+  for (const [index, zone] of ['ulemiste', 'lasnamae', 'mustamae'].entries()) {
+    await new Runner(deployment, { id: `i-${index + 1}`, service: 'catalog-api', zone, slots: 6, workMs: 40, onRequest }).start()
   }
-  record.add('at the end', { version: await readBack(deployment, record) })
+  await deployment.ready()
+  await sleep(2000)
+  const clients = Array.from({ length: CLIENTS }, (_, index) => new Client(record, deployment.gateways[index % 2], `c${index + 1}`))
+  const end = performance.now() + SECONDS * 1000
+  await Promise.all(clients.map(async (client) => {
+    while (performance.now() < end) {
+      await client.send({ method: 'POST', path: `${PATH}2f`, deadlineMs: 1000, body: '{"part":1}' })
+      await sleep(100 + 100 * Math.random())
+    }
+  }))
+  await sleep(500)
+  for (const client of clients) client.close()
 }
 
 function check (record) {
-  const acknowledged = Math.max(...record.of('configuration acknowledged').map(({ version }) => version))
-  const [before] = record.of('before')
-  const [end] = record.of('at the end')
-  if (before.version !== acknowledged) throw new Error(`version ${before.version} was read before the disks were lost`)
-  if (end.version >= acknowledged) return []
-  return [`LOST version ${acknowledged} was acknowledged, and ${end.version === 0 ? 'no version' : `version ${end.version}`} came in ${READ_MS} ms at the end; contact_ms is ${BOUNDS.contact_ms}`]
+  const runs = new Map()
+  for (const { attempt, runner, t } of record.of('run')) runs.set(attempt, [...runs.get(attempt) ?? [], `${runner} at ${t}`])
+  const promised = record.of('answered').filter(({ status }) => [408, 421, 429, 503].includes(status))
+  const answered = record.of('answered').filter(({ status }) => status === 200).length
+  record.add('totals', { sent: record.of('sent').length, answered, turnedAway: record.of('turned away').length, seconds: record.of('second answer').length })
+  if (answered < 100) throw new Error(`only ${answered} requests were answered`)
+  return [
+    ...[...runs].filter(([, places]) => places.length > 1).map(([attempt, places]) => `TWICE ${attempt} ran by ${places.join(' and by ')}`),
+    ...promised.filter(({ attempt }) => runs.has(attempt)).map(({ attempt, status }) => `REFUSED ${attempt} got ${status} and ran by ${runs.get(attempt).join(', ')}`)
+  ]
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), play, check)
--- a/review/new/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec node case.mjs
