--- a/review/deployment.mjs
+++ b/review/deployment.mjs
@@ -52,6 +52,34 @@
   return ports
 }
 
+/** Port of the page that each program serves on its own address; the settings templates name it. */
+const ADMIN_PORT = 7355
+
+/** Whether no other deployment of this machine uses the addresses. */
+async function areFree (ips) {
+  const results = await Promise.all(ips.map(async (ip) => {
+    const server = createNetServer().listen(ADMIN_PORT, ip)
+    try {
+      await once(server, 'listening')
+    } catch {
+      return false
+    }
+    server.close()
+    await once(server, 'close')
+    return true
+  }))
+  return results.every((isFree) => isFree)
+}
+
+/** Gives a function that makes loopback addresses, none of the first `count` of which is in use. */
+async function findAddresses (count) {
+  for (;;) {
+    const block = 1 + Math.floor(Math.random() * 200)
+    const ipOf = (index) => `127.${block}.${10 + Math.floor(index / 100)}.${1 + index % 100}`
+    if (await areFree(Array.from({ length: count }, (_, index) => ipOf(index)))) return ipOf
+  }
+}
+
 /** One machine that runs one role. */
 class Machine {
   child = undefined
@@ -103,8 +131,7 @@
 
   async open ({ controls, gateways, tolerance }) {
     const { roles } = parse(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8'))
-    const block = 1 + Math.floor(Math.random() * 200)
-    const ipOf = (index) => `127.${block}.${10 + Math.floor(index / 100)}.${1 + index % 100}`
+    const ipOf = await findAddresses(controls + gateways + 1)
     const [frontend, readiness, control, internal] = await freePorts(ipOf(0), 4)
     const coreIps = Array.from({ length: controls }, (_, index) => ipOf(index))
     const seeds = coreIps.slice(0, 3).map((ip) => `${ip}:${control}`)
