--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -26,6 +26,7 @@
 import { MemberTable } from './member-table.ts'
 import { ControlPeers } from './peers.ts'
 import { Proposer } from './proposer.ts'
+import { addQuorumMetrics } from './quorum-metrics.ts'
 import { type ScalingController } from './scaling-controller.ts'
 import { type ScalingSink } from './scaling-sink.ts'
 import { createScalingController } from './create-scaling-controller.ts'
@@ -180,6 +181,7 @@
     const { settings, quorum, store, members, evacuations } = this.services
     const registry = createRegistry({ process: true })
     linkMetrics(registry)
+    addQuorumMetrics(registry, quorum)
     evacuations.addMetrics(registry)
     this.services.granter.addMetrics(registry)
     this.services.streamBuilds.addMetrics(registry)
--- a/control/quorum/src/leader.ts
+++ b/control/quorum/src/leader.ts
@@ -5,7 +5,7 @@
 import { isVoter, majority, othersOf, promoted, withLearner, withoutMember, withoutVoter, type Membership, type QuorumMember } from './members.ts'
 import { type QuorumNode } from './quorum-node.ts'
 import { Replicator, type Leadership } from './replicator.ts'
-import { type Applied, type QuorumTiming, type QuorumTransport } from './types.ts'
+import { type Applied, type MemberProgress, type QuorumTiming, type QuorumTransport } from './types.ts'
 import { type ReplicatedLog } from './replicated-log.ts'
 
 interface PendingProposal {
@@ -148,6 +148,15 @@
     this.promoteLearners()
   }
 
+  /** How far the other members are. */
+  replication (): MemberProgress[] {
+    return [...this.replicators.values()].map((replicator) => replicator.progress())
+  }
+
+  record (event: 'member', why: string): void {
+    this.node.record(event, why)
+  }
+
   sawTerm (term: number): void {
     void this.node.lock.run(async () => await this.node.adoptTerm(term))
   }
--- a/control/quorum/src/quorum-node.ts
+++ b/control/quorum/src/quorum-node.ts
@@ -148,7 +148,8 @@
       commitIndex: this.commitIndex,
       snapshotIndex: this.log.snapshotIndex,
       voters: Object.keys(voters),
-      learners: Object.keys(learners)
+      learners: Object.keys(learners),
+      replication: this.leader?.replication() ?? []
     }
   }
 
@@ -275,14 +276,14 @@
     this.assertMeant(message.to, 'append')
     if (message.term < this.vote.term) return this.appended(false)
     await this.followLeader(message.term, message.leader)
-    if (message.prevIndex < this.log.snapshotIndex) return this.appended(false, this.commitIndex)
-    if (this.log.termAt(message.prevIndex) !== message.prevTerm) {
-      return this.appended(false, Math.min(this.log.lastIndex, message.prevIndex - 1))
-    }
+    // What a snapshot replaces is committed, so that it stands in the log of every later leader.
+    const isKnown = message.prevIndex < this.log.snapshotIndex || this.log.termAt(message.prevIndex) === message.prevTerm
+    if (!isKnown) return this.appended(false, Math.min(this.log.lastIndex, message.prevIndex - 1))
     await this.log.take(message.entries)
     const matched = message.prevIndex + message.entries.length
     this.commitTo(Math.min(message.commit, matched))
-    return this.appended(true, matched)
+    // A leader that missed earlier answers learns at once up to where this member holds the same entries.
+    return this.appended(true, Math.max(matched, this.commitIndex))
   }
 
   private async followLeader (term: number, leader: string): Promise<void> {
--- a/control/quorum/src/replicator.ts
+++ b/control/quorum/src/replicator.ts
@@ -2,7 +2,7 @@
 import { type MessageOf } from '@gullwall/transport.messages'
 import { type QuorumMember } from './members.ts'
 import { type ReplicatedLog } from './replicated-log.ts'
-import { type QuorumTiming, type QuorumTransport } from './types.ts'
+import { type MemberProgress, type QuorumTiming, type QuorumTransport } from './types.ts'
 
 /** What the task needs of the leader. */
 export interface Leadership {
@@ -18,18 +18,29 @@
   acknowledged (): void
   /** A member has told a higher term. */
   sawTerm (term: number): void
+  record (event: 'member', why: string): void
 }
 
 const MAX_CHARACTERS_PER_APPEND = 512 * 1024
 const SNAPSHOT_PART_CHARACTERS = 512 * 1024
+/** A member that answers but has been brought no further for so long is logged, in ms. */
+const STALL_LOG_MS = 3000
+
+/** What follows an exchange: there is more to send, nothing to send, or the exchange has brought the member no further. */
+type NextSend = 'more' | 'none' | 'stalled'
 
 export class Replicator {
   /** The member is known to hold the same entries up to here. */
   matchIndex = 0
   /** When the latest request that the member answered was sent. */
   acknowledgedAt = -Infinity
+  /** Always above `matchIndex`. */
   private nextIndex: number
+  /** When the member was brought further, or was last not behind. */
+  private gainedAt = performance.now()
+  private stallLoggedAt = -Infinity
   private wakeUp: (() => void) | undefined
+  private endDelay: (() => void) | undefined
   private wasWoken = false
   private stopped = false
 
@@ -44,8 +55,10 @@
   /** Runs until the leadership is over or the member is removed. */
   async run (): Promise<void> {
     while (this.isWanted) {
-      const isBehind = await this.sendNext()
-      if (!isBehind) await this.pause()
+      const next = await this.sendNext()
+      if (next === 'none') await this.pause()
+      // New entries do not cut this wait short: the same exchange would only be repeated at their rate.
+      if (next === 'stalled') await this.delay(this.leadership.timing.heartbeatMs, { endsOnWake: false })
     }
   }
 
@@ -57,15 +70,29 @@
 
   stop (): void {
     this.stopped = true
-    this.wake()
+    this.wasWoken = true
+    this.endDelay?.()
+  }
+
+  /** How far the member is. */
+  progress (): MemberProgress {
+    const now = performance.now()
+    const behind = Math.max(0, this.leadership.log.lastIndex - this.matchIndex)
+    return {
+      member: this.peer,
+      matchIndex: this.matchIndex,
+      behind,
+      answeredMs: this.acknowledgedAt === -Infinity ? null : Math.round(now - this.acknowledgedAt),
+      stalledMs: behind === 0 ? 0 : Math.round(now - this.gainedAt)
+    }
   }
 
   private get isWanted (): boolean {
     return !this.stopped && this.leadership.isActive()
   }
 
-  /** Sends what comes next; true if there is more to send at once. */
-  private async sendNext (): Promise<boolean> {
+  /** Sends what comes next. */
+  private async sendNext (): Promise<NextSend> {
     const { log, transport, timing } = this.leadership
     this.wasWoken = false
     const sentAt = performance.now()
@@ -76,7 +103,7 @@
       return this.noteReply(message, reply, sentAt)
     } catch {
       await this.delay(timing.heartbeatMs)
-      return false
+      return 'none'
     }
   }
 
@@ -95,25 +122,56 @@
     }
   }
 
-  private noteReply (message: MessageOf<'append'>, reply: MessageOf<'appended'>, sentAt: number): boolean {
+  private noteReply (message: MessageOf<'append'>, reply: MessageOf<'appended'>, sentAt: number): NextSend {
     const { leadership } = this
     if (reply.term > leadership.term) {
       leadership.sawTerm(reply.term)
-      return false
+      return 'none'
     }
     this.acknowledgedAt = sentAt
-    if (!reply.ok) {
-      this.nextIndex = Math.max(1, Math.min(this.nextIndex - 1, reply.lastIndex + 1))
-      leadership.acknowledged()
-      return true
+    const hasGained = reply.ok
+      ? this.noteMatch(Math.max(reply.lastIndex, message.prevIndex + message.entries.length))
+      : this.noteRefusal(message.prevIndex, reply.lastIndex)
+    leadership.acknowledged()
+    if (this.nextIndex > leadership.log.lastIndex) {
+      this.gainedAt = performance.now()
+      return 'none'
     }
-    this.matchIndex = Math.max(this.matchIndex, message.prevIndex + message.entries.length)
+    if (!hasGained) this.logStall()
+    return hasGained ? 'more' : 'stalled'
+  }
+
+  /** Notes that the member holds the same entries up to an index; returns whether that is news. */
+  private noteMatch (index: number): boolean {
+    const before = this.matchIndex
+    this.matchIndex = Math.max(before, Math.min(index, this.leadership.log.lastIndex))
     this.nextIndex = this.matchIndex + 1
-    leadership.acknowledged()
-    return this.nextIndex <= leadership.log.lastIndex
+    if (this.matchIndex > before) this.gainedAt = performance.now()
+    return this.matchIndex > before
+  }
+
+  /** Goes back behind entries that the member lacks; returns whether another exchange can bring it further. */
+  private noteRefusal (prevIndex: number, lastIndex: number): boolean {
+    // A member of an older build refuses entries behind its snapshot and gives its commit index, up to which it holds the same entries.
+    if (lastIndex > prevIndex) return this.noteMatch(lastIndex)
+    const before = this.nextIndex
+    this.nextIndex = Math.max(1, Math.min(before - 1, lastIndex + 1))
+    if (this.nextIndex > this.matchIndex) return this.nextIndex < before
+    // Going back this far at once would let a member whose answers contradict each other keep the leader busy.
+    this.leadership.record('member', `${this.peer} lacks entries from ${this.nextIndex} on, though it has confirmed them up to ${this.matchIndex}`)
+    this.matchIndex = this.nextIndex - 1
+    return false
+  }
+
+  private logStall (): void {
+    const { behind, stalledMs } = this.progress()
+    const now = performance.now()
+    if (stalledMs < STALL_LOG_MS || now - this.stallLoggedAt < STALL_LOG_MS) return
+    this.stallLoggedAt = now
+    this.leadership.record('member', `${this.peer} answers, but has been brought no further for ${stalledMs} ms; it is ${behind} entries behind`)
   }
 
-  private async sendSnapshot (): Promise<boolean> {
+  private async sendSnapshot (): Promise<NextSend> {
     const { leadership } = this
     const text = await leadership.log.snapshotText()
     const { index } = JSON.parse(text) as { index: number }
@@ -130,14 +188,13 @@
       }, 'appended', leadership.timing.callMs)
       if (reply.term > leadership.term) {
         leadership.sawTerm(reply.term)
-        return false
+        return 'none'
       }
       this.acknowledgedAt = sentAt
       leadership.acknowledged()
     }
-    this.matchIndex = Math.max(this.matchIndex, index)
-    this.nextIndex = this.matchIndex + 1
-    return true
+    if (!this.isWanted) return 'none'
+    return this.noteMatch(index) ? 'more' : 'stalled'
   }
 
   private async pause (): Promise<void> {
@@ -145,13 +202,17 @@
     await this.delay(this.leadership.timing.heartbeatMs)
   }
 
-  private delay (ms: number): Promise<void> {
+  private delay (ms: number, { endsOnWake = true } = {}): Promise<void> {
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, ms)
-      this.wakeUp = () => {
+      const end = () => {
         clearTimeout(timer)
+        this.wakeUp = undefined
+        this.endDelay = undefined
         resolve()
       }
+      const timer = setTimeout(end, ms)
+      this.endDelay = end
+      if (endsOnWake) this.wakeUp = end
     })
   }
 }
--- a/control/quorum/src/types.ts
+++ b/control/quorum/src/types.ts
@@ -44,6 +44,21 @@
   snapshotIndex: number
   voters: string[]
   learners: string[]
+  /** How far the other members are, as the leader knows; none at other members. */
+  replication: MemberProgress[]
+}
+
+/** How far a leader has brought another member. */
+export interface MemberProgress {
+  member: string
+  /** The member holds the same entries as the leader up to here. */
+  matchIndex: number
+  /** Entries of the leader's log that the member is not known to hold. */
+  behind: number
+  /** Time since the latest request that the member answered was sent, in ms; null if it has answered none in this term. */
+  answeredMs: number | null
+  /** For how long the member has been behind without being brought further, in ms; 0 if it is not behind. */
+  stalledMs: number
 }
 
 export interface QuorumTiming {
--- a/control/quorum/test/cluster.ts
+++ b/control/quorum/test/cluster.ts
@@ -31,14 +31,32 @@
   isUp: boolean
 }
 
+interface Settling {
+  resolve: (reply: Message) => void
+  reject: (error: Error) => void
+}
+
 const MAX_DELAY_MS = 8
 const STEP_MS = 20
+const SNAPSHOT_EVERY = 12
 
 export class Cluster {
   readonly members = new Map<string, Member>()
   readonly acknowledged: string[] = []
   /** One-way cuts, as `from>to`. */
   readonly cuts = new Set<string>()
+  /** By how much the answers of a member are later, in ms. */
+  readonly answerDelays = new Map<string, number>()
+  /** By how much the requests to a member are later, in ms. */
+  readonly requestDelays = new Map<string, number>()
+  /** After how many entries a member takes a snapshot, where it is not the usual number. */
+  readonly snapshotEvery = new Map<string, number>()
+  /** The share of requests that arrive twice. */
+  doubledShare = 0
+  /** Requests that were sent to each member so far. */
+  readonly exchanges = new Map<string, number>()
+  /** Changes a member that starts, for one of an older build. */
+  onBoot: ((name: string, node: QuorumNode) => void) | undefined
   /** A vote that contradicts an earlier one of the same disk in the same term; none as long as all is well. */
   doubleVote: string | undefined
   /** Whom each disk has voted for in each term, itself included. */
@@ -167,8 +185,16 @@
     const founding = { self: name, addresses: this.names, mayFound }
     const timing = { firstElectionShare: this.firstElectionShare }
     const node = new QuorumNode({
-      member: name, founding, disk, machine, transport: this.transport(name), logger: silentLogger(), snapshotEvery: 12, timing
+      member: name,
+      founding,
+      disk,
+      machine,
+      transport: this.transport(name),
+      logger: silentLogger(),
+      snapshotEvery: this.snapshotEvery.get(name) ?? SNAPSHOT_EVERY,
+      timing
     })
+    this.onBoot?.(name, node)
     const started = node.start()
     await this.advance(1)
     await started
@@ -199,27 +225,33 @@
 
   private deliver (from: string, to: string, message: Message, timeoutMs: number): Promise<Message> {
     this.noteVotes(from, to, message)
+    this.exchanges.set(to, (this.exchanges.get(to) ?? 0) + 1)
     return new Promise((resolve, reject) => {
       setTimeout(() => reject(new Error('timed out')), timeoutMs)
-      this.afterDelay(from, to, () => {
-        const member = this.members.get(to)
-        if (member === undefined || !member.isUp) return
-        member.node.handle(message).then(
-          (reply) => {
-            if (!member.isUp) return
-            this.noteVotes(from, to, message, reply)
-            this.afterDelay(to, from, () => resolve(reply))
-          },
-          (error: Error) => reject(error)
-        )
-      })
+      const arrive = () => this.answer(from, to, message, { resolve, reject })
+      const delayMs = this.requestDelays.get(to)
+      this.afterDelay(from, to, arrive, delayMs)
+      if (this.doubledShare > 0 && this.random() < this.doubledShare) this.afterDelay(from, to, arrive, delayMs)
     })
   }
 
+  private answer (from: string, to: string, message: Message, { resolve, reject }: Settling): void {
+    const member = this.members.get(to)
+    if (member === undefined || !member.isUp) return
+    member.node.handle(message).then(
+      (reply) => {
+        if (!member.isUp) return
+        this.noteVotes(from, to, message, reply)
+        this.afterDelay(to, from, () => resolve(reply), this.answerDelays.get(to))
+      },
+      (error: Error) => reject(error)
+    )
+  }
+
   /** Messages overtake each other, and are lost where the network is cut. */
-  private afterDelay (from: string, to: string, action: () => void): void {
+  private afterDelay (from: string, to: string, action: () => void, delayMs = 0): void {
     setTimeout(() => {
       if (!this.cuts.has(`${from}>${to}`)) action()
-    }, 1 + Math.floor(this.random() * MAX_DELAY_MS))
+    }, 1 + Math.floor(this.random() * MAX_DELAY_MS) + delayMs)
   }
 }
--- a/control/quorum/test/fuzz.ts
+++ b/control/quorum/test/fuzz.ts
@@ -59,7 +59,7 @@
     await cluster.start()
     const reads: Array<Promise<void>> = []
     for (const next of steps) {
-      await apply(cluster, next, reads)
+      await applyStep(cluster, next, reads)
       note(checkAgreement(cluster))
     }
     note(await settle(cluster))
@@ -70,7 +70,7 @@
   }
 }
 
-async function apply (cluster: Cluster, next: Step, reads: Array<Promise<void>>): Promise<void> {
+export async function applyStep (cluster: Cluster, next: Step, reads: Array<Promise<void>>): Promise<void> {
   switch (next.do) {
     case 'propose':
       for (let time = 0; time < next.times; time++) cluster.propose(next.at)
@@ -107,7 +107,7 @@
 }
 
 /** What an operator does after a lost disk: remove the member and add it again. */
-async function readmitAll (cluster: Cluster): Promise<void> {
+export async function readmitAll (cluster: Cluster): Promise<void> {
   for (const name of NAMES) {
     const known = cluster.leader()?.membership.voters[name]
     if (known?.incarnation === cluster.get(name).node.vote.incarnation) continue
