--- a/control/quorum/src/quorum-node.ts
+++ b/control/quorum/src/quorum-node.ts
@@ -12,6 +12,7 @@
 import { ElectionTimer } from './election-timer.ts'
 import { commandData, parseData } from './entry-data.ts'
 import { found } from './founding.ts'
+import { IncomingSnapshot } from './incoming-snapshot.ts'
 import { Leader } from './leader.ts'
 import { Lock } from './lock.ts'
 import { isVoter, NO_MEMBERS, type Membership, type QuorumMember } from './members.ts'
@@ -48,7 +49,7 @@
   private leader: Leader | undefined
   private heardFromLeaderAt = -Infinity
   private readonly electionTimer: ElectionTimer
-  private installing = ''
+  private readonly incoming = new IncomingSnapshot()
   private readonly snapshots: SnapshotTrigger
   private diskFailedAt = -Infinity
   private stopped = false
@@ -299,12 +300,9 @@
     this.assertMeant(message.to, 'install')
     if (message.term < this.vote.term) return this.appended(false)
     await this.followLeader(message.term, message.leader)
-    if (message.offset === 0) this.installing = ''
-    if (message.offset !== this.installing.length) throw this.error('ERR_GULLWALL_SNAPSHOT_GAP', 'install', 'parts of the snapshot are missing')
-    this.installing += message.data
-    if (!message.last) return this.appended(true, 0)
-    const snapshot = JSON.parse(this.installing) as Snapshot
-    this.installing = ''
+    const text = this.incoming.add(message)
+    if (text === undefined) return this.appended(true, 0)
+    const snapshot = JSON.parse(text) as Snapshot
     if (snapshot.index > this.commitIndex) await this.installSnapshot(snapshot)
     return this.appended(true, snapshot.index)
   }
--- a/control/quorum/src/replicator.ts
+++ b/control/quorum/src/replicator.ts
@@ -182,6 +182,7 @@
         to: this.member.incarnation,
         term: leadership.term,
         leader: leadership.name,
+        index,
         offset,
         last: offset + SNAPSHOT_PART_CHARACTERS >= text.length,
         data: text.slice(offset, offset + SNAPSHOT_PART_CHARACTERS)
--- a/control/quorum/test/late-answers.test.ts
+++ b/control/quorum/test/late-answers.test.ts
@@ -69,3 +69,25 @@
     expect(leader.status().replication.find(({ member }) => member === late.name)).toMatchObject({ behind: 0, stalledMs: 0 })
   })
 })
+
+it('parts of two snapshots of one leader are not joined', async () => {
+  cluster = new Cluster(NAMES, SEED)
+  await cluster.start()
+  const leader = cluster.leader()
+  const follower = cluster.get(NAMES.find((name) => name !== leader?.name) ?? '').node
+  const message = { kind: 'install', to: follower.vote.incarnation, term: leader?.vote.term ?? 0, leader: leader?.name ?? '' } as const
+  const textOf = (index: number) => JSON.stringify({ index, term: message.term, membership: follower.membership, state: JSON.stringify([`state at ${index}`]) })
+  const [first, second] = [textOf(700), textOf(900)]
+  const HALF = 40
+  const handle = async (index: number, offset: number, text: string) => await follower.handle({
+    ...message, index, offset, last: offset > 0, data: offset > 0 ? text.slice(HALF) : text.slice(0, HALF)
+  })
+  await handle(700, 0, first)
+  await handle(900, 0, second)
+  // The rest of the first one was sent before the second one began, and arrives late.
+  await expect(handle(700, HALF, first)).rejects.toMatchObject({ code: 'ERR_GULLWALL_SNAPSHOT_GAP' })
+  expect(follower.commitIndex).toBeLessThan(700)
+  await handle(900, 0, second)
+  expect(await handle(900, HALF, second)).toMatchObject({ ok: true })
+  expect(cluster.get(follower.name).machine.commands).toEqual(['state at 900'])
+})
--- a/control/quorum/test/older-builds.ts
+++ b/control/quorum/test/older-builds.ts
@@ -11,6 +11,7 @@
   log: QuorumNode['log']
   commitIndex: number
   handleAppend: (message: Append) => Promise<Appended>
+  handleInstall: (message: MessageOf<'install'>) => Promise<Appended>
 }
 
 interface OpenReplicator {
@@ -31,6 +32,8 @@
     if (isInSnapshot) return { ...reply, ok: false, lastIndex: open.commitIndex }
     return reply.ok ? { ...reply, lastIndex: message.prevIndex + message.entries.length } : reply
   }
+  const handleInstall = open.handleInstall.bind(node)
+  open.handleInstall = async ({ index: _index, ...message }) => await handleInstall(message)
 }
 
 /** Makes the members that `isOlder` names lead as older builds do: each refusal sends them back, and nothing makes them wait. */
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -272,6 +272,8 @@
     to: z.string(),
     term: count,
     leader: z.string(),
+    /** The index of the snapshot, which tells its parts from those of another one; none from processes of before. */
+    index: count.optional(),
     offset: count,
     last: z.boolean(),
     /** A part of the snapshot file's text. */
