fix(gateway): count a response only for the request whose id it bears

Cause: "not run" and 421 were used before the id was compared, and notices (draining, limit, backoff) of any head. A late second rejection of request A, in the slot of the response of B, so counted as the rejection of B.

Why it works: a head with another id, or without one, is used for nothing; the request counts as one that may have run, and its connection is closed. A true rejection bears the id and is still one.

Stubs repeat the id where they reject, as endpoints do.

Cost: one comparison of strings for each response head.

--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -82,7 +82,7 @@
 export interface EndpointRecord {
   channel: 'endpoint'
   endpoint: string
-  event: 'up' | 'down' | 'leaving' | 'ejected' | 'probing' | 'readmitted' | 'limit' | 'cold' | 'warm' | 'granted' | 'not-granted' | 'refused' | 'notice' | 'backs-off' | 'back' | 'limited' | 'unlimited'
+  event: 'up' | 'down' | 'leaving' | 'ejected' | 'probing' | 'readmitted' | 'limit' | 'cold' | 'warm' | 'granted' | 'not-granted' | 'refused' | 'notice' | 'foreign' | 'backs-off' | 'back' | 'limited' | 'unlimited'
   why: string
 }
 
--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -62,25 +62,34 @@
   ) {}
 
   onInterim (head: ExchangeHead): void {
-    this.readHead(head)
+    this.readOwnHead(head)
   }
 
   onHead (head: ExchangeHead): boolean {
-    const { call } = this.forwarder.context
-    const { requestId, isFromService, isNotRun } = this.readHead(head)
+    const { call, services } = this.forwarder.context
+    const own = this.readOwnHead(head)
+    if (own === undefined) {
+      services.notices.recordForeignResponse(this.candidate.endpoint.description, head.status, call.requestId)
+      return false
+    }
     this.head = head
-    this.isNotRun = isNotRun || head.status === MISDIRECTED_REQUEST_STATUS
+    this.isNotRun = own.isNotRun || head.status === MISDIRECTED_REQUEST_STATUS
     if (this.isNotRun) return true
     this.permit.recordResponse()
-    return requestId === call.requestId && isFromService && head.headers['content-encoding'] === undefined
+    return own.requestId !== undefined && own.isFromService && head.headers['content-encoding'] === undefined
   }
 
-  /** Applies the notices of any response head: they describe the endpoint, even if the response belongs to another request. */
-  private readHead ({ status, headers, sentAt }: ExchangeHead): AttemptResponseHead {
-    const { services } = this.forwarder.context
+  /**
+   * Applies the notices of a response head to this request. Returns undefined for a head with another id, of which nothing is used: a late
+   * second response of an earlier request would otherwise say that this one has not run, or request a backoff for it.
+   */
+  private readOwnHead ({ status, headers, sentAt }: ExchangeHead): AttemptResponseHead | undefined {
+    const { call, services } = this.forwarder.context
+    const head = services.dialect.readResponse(status, headers)
+    // Endpoints reject a request that came without an id, and have none to repeat.
+    if ((head.requestId ?? '') !== call.requestId) return undefined
     const { endpoint } = this.candidate
     endpoint.lastReceivedAt = performance.now()
-    const head = services.dialect.readResponse(status, headers)
     services.notices.apply(endpoint.description, { status, sentAt, notices: head.notices })
     return head
   }
--- a/entry/gateway/src/connections.ts
+++ b/entry/gateway/src/connections.ts
@@ -11,6 +11,9 @@
 /** Minimum number of connections of one entry to an endpoint. */
 const MIN_CONNECTIONS = 2
 
+/** The error with which the HTTP client closes a connection on which a response arrives while no request waits for one. */
+const UNSOLICITED_RESPONSE = 'bad response'
+
 /** Called with the data centre of an endpoint and the time that it took to connect, in ms. */
 export type ConnectedListener = (dataCentre: string, tookMs: number) => void
 
@@ -22,6 +25,8 @@
 
 export class Connections {
   private readonly pools = new Map<string, LimitedPool>()
+  /** Number of connections that were closed because of a response that nobody waited for. */
+  unsolicitedCount = 0
   private readonly ends = new ConnectionEnds()
   private readonly connector = this.ends.createConnector(CONNECT_TIMEOUT_MS)
 
@@ -50,7 +55,7 @@
   }
 
   private createPool ({ address, dataCentre }: EndpointDescription, connections: number): Pool {
-    return new Pool(originOf(address), {
+    const pool = new Pool(originOf(address), {
       connections,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -59,6 +64,8 @@
       bodyTimeout: 0,
       connect: timedConnector(this.connector, (tookMs) => this.onConnected(dataCentre, tookMs))
     })
+    pool.on('disconnect', (_origin, _targets, { message }) => { if (message === UNSOLICITED_RESPONSE) this.unsolicitedCount += 1 })
+    return pool
   }
 
   /** Closes the connections to an incarnation once its running requests have ended. */
--- a/entry/gateway/src/endpoint-notices.ts
+++ b/entry/gateway/src/endpoint-notices.ts
@@ -27,6 +27,8 @@
   invalid: number
   /** Responses that advertised a limit. */
   limits: number
+  /** Responses with the id of another request than the one that waited for a response. */
+  foreign: number
 }
 
 /** The notices of one response. */
@@ -38,7 +40,7 @@
 }
 
 export class EndpointNotices {
-  readonly totals: NoticeTotals = { draining: 0, invalid: 0, limits: 0 }
+  readonly totals: NoticeTotals = { draining: 0, invalid: 0, limits: 0, foreign: 0 }
   readonly backoffs: BackoffTable
   private readonly draining = new Set<string>()
   private isWaking = false
@@ -85,6 +87,13 @@
     if (notices.isDraining) this.recordDraining(incarnation)
   }
 
+  /** Counts and logs a response that belongs to another request. It has no other effect. */
+  recordForeignResponse ({ incarnation }: EndpointDescription, status: number, requestId: string): void {
+    this.totals.foreign += 1
+    const why = `responded ${status} with another id to ${requestId}, which may have run; ${this.totals.foreign} such responses since the start`
+    this.services.logger.sampled('foreign response', { channel: 'endpoint', event: 'foreign', endpoint: incarnation, why })
+  }
+
   /** Returns the limits known here that differ from those in the leases of a control process. */
   findLimitsToReport (leases: readonly Lease[]): EndpointLimitReport[] {
     const now = performance.now()
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -30,7 +30,7 @@
 /** Registers gauges for the state of this process, which are read when the metrics are scraped. */
 export function registerStateGauges (registry: Registry, services: GatewayServices): void {
   const { view, controlLinks, retryBudgets, evacuatedDataCentres, crossRegionTraffic } = services
-  const { coldEndpoints, limits, quarantine, notices, streamBuilds } = services
+  const { coldEndpoints, limits, quarantine, notices, streamBuilds, connections } = services
   const add = (name: string, help: string, value: () => number) => {
     const metric = gauge(registry, name, help)
     Object.assign(metric, { collect: () => metric.set(value()) })
@@ -56,6 +56,8 @@
   add('gullwall_backoffs_asked_total', 'Answers in which endpoints asked to be left alone', () => notices.backoffs.requestedCount)
   add('gullwall_draining_heard_total', 'Endpoints of which an answer first told that they drain', () => notices.totals.draining)
   add('gullwall_unreadable_notices_total', 'Times and limits named by endpoints that could not be understood', () => notices.totals.invalid)
+  add('gullwall_foreign_responses_total', 'Responses that belong to another request than the one that waited for a response', () => notices.totals.foreign)
+  add('gullwall_unsolicited_responses_total', 'Connections that were closed because a response came while no request was waiting', () => connections.unsolicitedCount)
   add('gullwall_limits_named_total', 'Answers in which endpoints named a limit of requests a second', () => notices.totals.limits)
   add('gullwall_limited_endpoints', 'Endpoints that have named a limit, as this process knows', () => limits.size)
   add('gullwall_limited_kept_requests_total', 'Requests kept from a limited endpoint for want of a grant', () => limits.totals.excluded)
--- a/entry/gateway/test/gateway-deployment.ts
+++ b/entry/gateway/test/gateway-deployment.ts
@@ -22,6 +22,11 @@
   response.end(`${request.method} ${request.url} ${body}`)
 }
 
+/** Rejects the request: it has not run, and never will. */
+export const answerNotRun: Behaviour = (request, response) => {
+  response.writeHead(503, { 'x-gullwall-request-id': String(request.headers['x-gullwall-request-id'] ?? ''), 'x-gullwall-ran': 'no' }).end()
+}
+
 export class StubEndpoint {
   address = ''
   /** The ids of the requests that arrived. */
