fix(sidecar): do not take the response of another attempt of an endpoint that repeats ids

What callers would see: as behind a gateway, a request that may run once runs twice.

Cause: attempts behind a sidecar had no id that the endpoint could repeat.

Attempts now carry x-gullwall-attempt-id. A response that names another one ends the attempt as one that may have run, and its notices are not read; it is no sign of a crash.

--- a/endpoint/dialect/src/index.ts
+++ b/endpoint/dialect/src/index.ts
@@ -41,7 +41,7 @@
   /**
    * Runs a request; resolves when the response is complete.
    * @throws ERR_GULLWALL_ENDPOINT_REFUSED if the request was certainly not run,
-   *   ERR_GULLWALL_ENDPOINT_FAILED if it may have run.
+   *   ERR_GULLWALL_ENDPOINT_FAILED or ERR_GULLWALL_FOREIGN_RESPONSE if it may have run.
    */
   run (call: EndpointCall, receiver: ResponseReceiver): Promise<void>
   /** Queries the load report, if the dialect has one. */
--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -3,15 +3,21 @@
  * the connection: a readable stream between them would need a turn of the event loop and a buffer for each chunk.
  */
 import { type Dispatcher, type Pool } from 'undici'
+import { GullwallError } from '@gullwall/core.error'
 import { type ResponseReceiver, type ResponseHeadListener } from '@gullwall/endpoint.dialect'
 import { framingOf, type Framing } from './framing.ts'
 
+/** Names an attempt to an endpoint, which may repeat it in its response. */
+export const ATTEMPT_ID_HEADER = 'x-gullwall-attempt-id'
+
 /** The lowest status of a final response; lower ones are interim responses. */
 const MIN_FINAL_STATUS = 200
 
 export interface ExchangeOptions {
   /** Called with all response headers, including those of interim responses. */
   onResponseHead?: ResponseHeadListener
+  /** The id of this attempt. A response that names another one belongs to an earlier attempt, and nothing of it is used. */
+  attemptId?: string | undefined
   /** Whether the connection that is ending now was closed and not reset; a response without a length is complete only then. */
   wasClosedCleanly?: () => Promise<boolean>
 }
@@ -19,7 +25,7 @@
 /** Sends a request. Resolves when the response is complete, and rejects if the response fails or the signal aborts it. */
 export function exchange (
   pool: Pool, options: Dispatcher.DispatchOptions, receiver: ResponseReceiver, signal: AbortSignal,
-  { onResponseHead = () => {}, wasClosedCleanly = async () => false }: ExchangeOptions = {}
+  { onResponseHead = () => {}, wasClosedCleanly = async () => false, attemptId }: ExchangeOptions = {}
 ): Promise<void> {
   let sentAt = performance.now()
   let framing: Framing = 'length'
@@ -38,7 +44,11 @@
         sentAt = performance.now()
         if (signal.aborted) abort()
       },
-      onResponseStart: (_controller, status, headers) => {
+      onResponseStart: (started, status, headers) => {
+        if (isForeign(headers, attemptId)) {
+          started.abort(new GullwallError('ERR_GULLWALL_FOREIGN_RESPONSE', 'the response belongs to another attempt', { step: 'run' }))
+          return
+        }
         onResponseHead({ status, headers, sentAt })
         if (status < MIN_FINAL_STATUS) return
         framing = framingOf(status, headers)
@@ -59,6 +69,12 @@
   })
 }
 
+/** Endpoints that do not repeat the id can't be told apart. */
+function isForeign (headers: Record<string, string | string[] | undefined>, attemptId: string | undefined): boolean {
+  const named = headers[ATTEMPT_ID_HEADER]
+  return named !== undefined && attemptId !== undefined && named !== attemptId
+}
+
 function getAbortReason (signal: AbortSignal): Error {
   return signal.reason instanceof Error ? signal.reason : new Error('aborted')
 }
--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -3,10 +3,10 @@
 import { GullwallError } from '@gullwall/core.error'
 import { type ResponseReceiver, type Endpoint, type EndpointCall, type ResponseHeadListener } from '@gullwall/endpoint.dialect'
 import { ConnectionEnds } from './connection-ends.ts'
-import { exchange } from './exchange.ts'
+import { ATTEMPT_ID_HEADER, exchange } from './exchange.ts'
 
 export { ConnectionEnds } from './connection-ends.ts'
-export { exchange } from './exchange.ts'
+export { ATTEMPT_ID_HEADER, exchange } from './exchange.ts'
 export { framingOf, type Framing } from './framing.ts'
 
 /** Headers that apply to a single connection and are never forwarded (RFC 9110, section 7.6.1). */
@@ -57,9 +57,12 @@
     const options = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers: call.headers, body: call.body }
     try {
       await exchange(this.pool, options, receiver, call.signal, {
-        onResponseHead: this.onResponseHead, wasClosedCleanly: async () => await this.ends.wasClosedCleanly()
+        onResponseHead: this.onResponseHead,
+        wasClosedCleanly: async () => await this.ends.wasClosedCleanly(),
+        attemptId: String(call.headers[ATTEMPT_ID_HEADER] ?? '') || undefined
       })
     } catch (cause) {
+      if (cause instanceof GullwallError) throw cause
       const isUnsent = wasNotSent(cause)
       throw new GullwallError(isUnsent ? 'ERR_GULLWALL_ENDPOINT_REFUSED' : 'ERR_GULLWALL_ENDPOINT_FAILED',
         isUnsent ? 'the endpoint could not be connected to' : 'the endpoint failed before its response was complete',
--- a/sidecar/attempts/src/runner.ts
+++ b/sidecar/attempts/src/runner.ts
@@ -5,7 +5,7 @@
 import { type Logger } from '@gullwall/core.logger'
 import { type LocalEndpoint } from '@gullwall/config.settings'
 import { type Endpoint } from '@gullwall/endpoint.dialect'
-import { selectEndToEndHeaders } from '@gullwall/endpoint.http'
+import { ATTEMPT_ID_HEADER, selectEndToEndHeaders } from '@gullwall/endpoint.http'
 import { formatEndComment, isEventStream, type EndReason } from '@gullwall/endpoint.openai'
 import { type EndpointSlots } from '@gullwall/sidecar.slots'
 import {
@@ -159,7 +159,7 @@
     return this.served.endpoint.run({
       method: context.method,
       path: context.url.slice(ATTEMPT_PREFIX.length),
-      headers: withoutOwnHeaders(selectEndToEndHeaders(context.headers)),
+      headers: { ...withoutOwnHeaders(selectEndToEndHeaders(context.headers)), [ATTEMPT_ID_HEADER]: this.head.attemptId },
       body: hasBody ? context.req : undefined,
       signal: this.abort.signal
     }, {
