fix(build): do not start a bundle from the code cache of an earlier one

What was seen: gateways built over an earlier build in the same folder ended at their first log line (ReferenceError: et is not defined), in three plays of three; the same commit built in an empty folder ran. Both bundles were equal byte for byte, the code caches were not.

Cause: the cache of a bundle was made by running it with the cache that was there. V8 tells sources apart by their length alone, so that the cache of an earlier bundle of the same length was taken, with functions at other places. Minified bundles change names without changing length.

The earlier cache is removed before a new one is made.

--- a/tools/code-cache.mjs
+++ b/tools/code-cache.mjs
@@ -4,7 +4,7 @@
  * command line before it loads the bundle, which takes most of a start.
  */
 import { execFileSync } from 'node:child_process'
-import { writeFileSync } from 'node:fs'
+import { rmSync, writeFileSync } from 'node:fs'
 import { EARLY_SIGNALS } from './early-signals.mjs'
 
 const LOADER = `'use strict'
@@ -64,5 +64,7 @@
 export function makeCodeCache (folder, name, nodeOptions) {
   const loader = `${folder}/${name}.cjs`
   writeFileSync(loader, LOADER.replaceAll('NAME', name))
+  // V8 tells sources apart by their length alone, and would take the cache of an earlier bundle of the same length.
+  rmSync(`${folder}/${name}.cache`, { force: true })
   execFileSync(process.execPath, [...nodeOptions, loader], { env: { ...process.env, GULLWALL_CODE_CACHE: 'make' }, stdio: 'ignore' })
 }
