fix(control): acknowledge a leave once a majority has it on its disks

Cause: a leave was acknowledged once a majority had it in memory, and written to the file of leases up to half a second later. A restarted process restored the endpoint as ready and told gateways so.

Evidence: control/program/test/acknowledged-leaves.test.ts keeps the disks of five processes as they are at the acknowledgement, kills all, and starts them again with all disks, without two others, and without the one that acknowledged and another.

Why it works: a leave is an entry of the replicated log, so that a majority has synced it, and any later majority of intact disks has it. After its start a process tells no endpoint as ready until it has applied all that the leader had committed when it was asked. Leaves are remembered by incarnation, 4,096 of them, and restored leases that are older than that are dropped.

Old and new builds: the leave travels in a command that older processes know, as a field that they pass over; their logs store it. A process that is asked by an older one to confirm a leave answers once it is in the log. Older processes can't read the new file of leases and start without it, as with a damaged one.

The file of leases is written less often the larger it is (256 KiB a second at most): at 12,000 endpoints it would be 3 MB twice a second while endpoints leave.

control-links.test.ts: the two processes of its deployment found a quorum now; before, one waited to join a quorum that never was, and told endpoints as ready all the same. Its stand-in of an entry moved to a file of its own.

--- a/control/program/src/control-server.ts
+++ b/control/program/src/control-server.ts
@@ -167,7 +167,7 @@
     switch (message.kind) {
       case 'inForce': return { kind: 'inForce', processes: this.localRevisions() }
       case 'leases':
-        this.services.leases.merge(message.leases)
+        await this.services.registrar.confirmToPeer(message.leases)
         return { kind: 'done' }
       case 'usageOf': return this.services.usageReporter.getUsageParts(message.window)
       case 'join': return await this.admit(message)
--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -6,19 +6,21 @@
 import { type ControlSettings } from '@gullwall/config.settings'
 import { RevisionStore, Spreader } from '@gullwall/config.spread'
 import { LeaseTable } from '@gullwall/control.registry'
-import { ControlState, heldPartsIn } from '@gullwall/control.state'
+import { ControlState, heldPartsIn, type Leave } from '@gullwall/control.state'
 import { QuorumNode } from '@gullwall/control.quorum'
 import { FolderDisk, type Disk } from '@gullwall/control.storage'
 import { createAdminServer, type HttpServer, type Koa } from '@gullwall/transport.http-server'
 import { linkMetrics, type Link } from '@gullwall/transport.link'
 import { nativeFormat, type DocumentFormat } from '@gullwall/config.document'
 import { Granter } from './granter.ts'
+import { CatchUp } from './catch-up.ts'
 import { CrashEvaluator } from './crash-evaluator.ts'
 import { ControlServer } from './control-server.ts'
 import { Documents } from './documents.ts'
 import { Evacuations } from './evacuations.ts'
 import { Joiner } from './joiner.ts'
 import { LeaseStore } from './lease-store.ts'
+import { LeaveRecorder } from './leave-recorder.ts'
 import { foundingOf, targetVoters } from './membership.ts'
 import { Registrar } from './registrar.ts'
 import { PartEvaluator } from './part-evaluator.ts'
@@ -59,7 +61,9 @@
   crashEvaluator: CrashEvaluator
   partEvaluator: PartEvaluator
   leases: LeaseTable
+  leaveRecorder: LeaveRecorder
   leaseStore: LeaseStore
+  catchUp: CatchUp
   registrar: Registrar
   loadRelay: LoadRelay
   streamBuilds: StreamBuilds
@@ -113,6 +117,7 @@
     .value('scalingSink', options.scalingSink)
     .service('leases', createLeases)
     .service('registrar', (services) => new Registrar(services))
+    .service('leaveRecorder', (services) => new LeaveRecorder(services))
     .service('leaseStore', (services) => new LeaseStore(services))
     .service('loadRelay', (services) => new LoadRelay(services))
     .service('streamBuilds', ({ leases }) => new StreamBuilds(() => leases.all()))
@@ -127,18 +132,26 @@
     .service('usageReporter', (services) => new UsageReporter(services))
     .service('scalingController', createScalingController)
     .service('joiner', (services) => new Joiner(services))
+    .service('catchUp', (services) => new CatchUp(services))
     .service('admin', (services) => new ControlAdmin(services))
 }
 
-function createState ({ store }: ControlServices): ControlState {
+function createState (services: ControlServices): ControlState {
+  const { store } = services
   const state: ControlState = new ControlState({
     records: store.records,
     onAccepted: (revision, changes) => store.apply(revision, changes),
-    onRestored: () => { store.replace(state.revision, [...state.records.entries()]) }
+    onRestored: () => { store.replace(state.revision, [...state.records.entries()]) },
+    onLeaves: (leaves) => recordLeaves(services, leaves)
   })
   return state
 }
 
+function recordLeaves ({ leases }: ControlServices, leaves: readonly Leave[]): void {
+  const now = Date.now()
+  for (const { at, ...leave } of leaves) leases.recordLeave({ ...leave, sinceMs: Math.max(0, now - at) })
+}
+
 /** Returns the delay of a push. Each entry is linked to every control process, and the processes close to it push first. */
 function pushDelayMs (link: Link, { proximity }: ControlServices): number {
   return link.peer.role === 'entry' ? PUSH_DELAY_MS[proximity.getPublishPriority(link)] : 0
@@ -188,6 +201,7 @@
     this.services.crashEvaluator.addMetrics(registry)
     this.services.partEvaluator.addMetrics(registry)
     this.services.registrar.addMetrics(registry)
+    this.services.leaveRecorder.addMetrics(registry)
     this.services.scalingController.addMetrics(registry)
     this.http = createAdminServer({
       registry,
--- a/control/program/src/proposer.ts
+++ b/control/program/src/proposer.ts
@@ -4,7 +4,7 @@
 import {
   type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type DecideScalingCommand, type DecideUsageCommand,
   type DocumentCommand, type DocumentResult, type EvacuateCommand, type EvacuationResult, type ForgetCrashesCommand,
-  type JudgeCrashesCommand, type NoteCrashesCommand, type QuarantineResult, type ScalingResult, type UsageDeliveredCommand,
+  type JudgeCrashesCommand, type Leave, type NoteCrashesCommand, type QuarantineResult, type ScalingResult, type UsageDeliveredCommand,
   type UsageReport
 } from '@gullwall/control.state'
 import { type MessageOf } from '@gullwall/transport.messages'
@@ -78,8 +78,13 @@
   async confirmRevision (): Promise<MessageOf<'confirmed'>> {
     const { quorum, store } = this.services
     if (!this.leadsHere) return await this.forward({ kind: 'confirm' }, 'confirmed')
-    await quorum.confirmRead()
-    return { kind: 'confirmed', revision: store.revision }
+    const index = await quorum.confirmRead()
+    return { kind: 'confirmed', revision: store.revision, index }
+  }
+
+  /** Proposes to remember that endpoints leave. A majority has them on its disks once this resolves. */
+  async recordLeaves (leaves: Leave[]): Promise<void> {
+    await this.propose({ type: 'note-crashes', crashes: [], ranWell: [], leaves })
   }
 
   /** Forwards the grant requests of an entry to the leader, the only process that grants. */
--- a/control/program/src/registrar.ts
+++ b/control/program/src/registrar.ts
@@ -1,8 +1,7 @@
 /**
  * Receives the heartbeats of endpoints. A heartbeat with the state `draining` or `gone` is acknowledged only after a majority of
- * control processes has stored it. Entries that are linked to any of them then receive the state, even if this process is cut off.
+ * control processes has it on its disks. Entries that are linked to any of them then receive the state, even if this process is cut off.
  */
-import { GullwallError } from '@gullwall/core.error'
 import { gauge, type Registry } from '@gullwall/core.metrics'
 import { lifeOf, limitFromWire, type KnownLease } from '@gullwall/control.registry'
 import { type Link } from '@gullwall/transport.link'
@@ -24,8 +23,6 @@
 const FARTHEST_INTERVAL_MS = 1000
 /** Number of rounds after which refreshed leases go to all entries. In the other rounds they go to nearby entries only. */
 const ROUNDS_PER_FULL_REFRESH = 3
-/** Timeout of the confirmation by a majority, in ms. It is shorter than the second that an endpoint waits for the response. */
-const CONFIRM_TIMEOUT_MS = 800
 
 /** Largest number of characters of an invalid report, and of the name of its endpoint, that are logged. */
 const MAX_LOGGED_LENGTH = 200
@@ -61,18 +58,20 @@
 
   /**
    * Receives one heartbeat.
-   * @throws ERR_GULLWALL_NO_QUORUM if the endpoint is not ready and no majority confirms that state in time
+   * @throws ERR_GULLWALL_NO_QUORUM if the endpoint is not ready and no majority stores that state in time
    */
   async receiveHeartbeat (lease: Lease): Promise<void> {
-    const { leases } = this.services
+    const { leases, leaveRecorder } = this.services
     const [merged] = leases.merge([lease])
-    if (lease.state !== 'ready') {
-      await this.confirmByMajority(lease.incarnation)
-    } else if (merged === 'changed') {
-      this.publishToPeers([lease.incarnation])
-    } else if (merged === 'refreshed') {
-      this.refreshed.add(lease.incarnation)
-    }
+    if (merged === 'changed') this.publishToPeers([lease.incarnation])
+    else if (merged === 'refreshed') this.refreshed.add(lease.incarnation)
+    await leaveRecorder.record(lease)
+  }
+
+  /** Receives leases from a peer of an older build, which takes the answer for the confirmation that their states are stored. */
+  async confirmToPeer (received: readonly Lease[]): Promise<void> {
+    this.services.leases.merge(received)
+    await Promise.all(received.map(async (lease) => await this.services.leaveRecorder.record(lease)))
   }
 
   /** Receives from an entry the endpoints that announced in a response that they are draining. */
@@ -145,37 +144,37 @@
   }
 
   private publishToEntries (incarnations: readonly string[], isIncluded: (link: Link) => boolean): void {
-    if (incarnations.length === 0) return
-    const message = { kind: 'leases', leases: this.wire(incarnations) } as const
+    const leases = this.wire(incarnations)
+    if (leases.length === 0) return
+    const message = { kind: 'leases', leases } as const
     this.services.server.forEachEntry((link) => { if (isIncluded(link)) link.send(message) })
   }
 
   private wire (incarnations: Iterable<string>): Lease[] {
     const { leases } = this.services
-    return leases.toWire([...incarnations].flatMap((incarnation) => leases.get(incarnation) ?? []))
+    return this.toWire([...incarnations].flatMap((incarnation) => leases.get(incarnation) ?? []))
+  }
+
+  private toWire (leases: readonly KnownLease[]): Lease[] {
+    return this.services.leases.toWire(leases.filter((lease) => this.services.catchUp.mayTell(lease)))
   }
 
   /** Sends all leases on a link that has just opened. */
   sendAllLeases (link: Link): void {
-    link.send({ kind: 'leases', leases: this.services.leases.toWire() })
+    link.send({ kind: 'leases', leases: this.toWire(this.services.leases.all()) })
   }
 
-  private async confirmByMajority (incarnation: string): Promise<void> {
-    const { quorum, leases, peers } = this.services
-    const lease = leases.get(incarnation)
-    const message = { kind: 'leases', leases: leases.toWire(lease === undefined ? [] : [lease]) } as const
-    const { voters } = quorum.membership
-    const others = Object.entries(voters).filter(([name]) => name !== quorum.name)
-    const needed = Math.floor(Object.keys(voters).length / 2) + 1
-    const self = voters[quorum.name] === undefined ? 0 : 1
-    const confirmations = others.map(async ([, member]) => await peers.call(member.address, message, 'done', CONFIRM_TIMEOUT_MS))
-    if (Object.keys(voters).length > 0 && await haveSucceeded(confirmations, needed - self)) return
-    throw new GullwallError('ERR_GULLWALL_NO_QUORUM', 'no majority of control processes confirmed the state in time', { step: 'leave', peer: incarnation })
+  /** Sends all leases to everybody, once they may be told. */
+  publishAll (): void {
+    const { server, peers } = this.services
+    for (const link of peers.links()) this.sendAllLeases(link)
+    server.forEachEntry((link) => this.sendAllLeases(link))
   }
 
   private publishToPeers (incarnations: readonly string[]): void {
-    const message = { kind: 'leases', leases: this.wire(incarnations) } as const
-    for (const link of this.services.peers.links()) link.send(message)
+    const leases = this.wire(incarnations)
+    if (leases.length === 0) return
+    for (const link of this.services.peers.links()) link.send({ kind: 'leases', leases })
   }
 
   private publishRefreshes (): void {
@@ -195,20 +194,3 @@
   set.clear()
   return members
 }
-
-/** Resolves to true as soon as `needed` calls have succeeded, and to false as soon as that is no longer possible. */
-async function haveSucceeded (calls: Array<Promise<unknown>>, needed: number): Promise<boolean> {
-  if (needed <= 0) return true
-  return await new Promise((resolve) => {
-    let succeeded = 0
-    let pending = calls.length
-    const settle = (ok: boolean) => {
-      pending -= 1
-      if (ok) succeeded += 1
-      if (succeeded >= needed) resolve(true)
-      else if (succeeded + pending < needed) resolve(false)
-    }
-    if (pending < needed) resolve(false)
-    for (const call of calls) call.then(() => settle(true), () => settle(false))
-  })
-}
--- a/control/program/test/control-links.test.ts
+++ b/control/program/test/control-links.test.ts
@@ -1,51 +1,11 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { freeAddresses, until } from '@gullwall/bench.deployment'
-import { createLogger } from '@gullwall/core.logger'
-import { Dialer } from '@gullwall/transport.link'
-import { type Message, type MessageOf } from '@gullwall/transport.messages'
+import { type MessageOf } from '@gullwall/transport.messages'
 import { running, start, stopAll, type Control } from './control-processes.ts'
-
-const LINK_KEY = 'a-shared-key-for-loopback'
-const logger = createLogger({ program: 'test', box: 'test', level: 'error', write: () => {} })
-const dialers: Dialer[] = []
-
-/** An entry that records the messages it receives, with the address of the sending control process. */
-class Entry {
-  readonly received: Array<{ from: string, message: Message }> = []
-  private readonly dialers = new Map<string, Dialer>()
-
-  constructor (readonly name: string, dataCentre: string, addresses: readonly string[]) {
-    for (const address of addresses) {
-      const dialer = new Dialer(address, {
-        local: { role: 'entry', name, startId: name, dataCentre },
-        sharedKey: LINK_KEY,
-        logger,
-        revision: () => 0,
-        onOpen: () => {},
-        onMessage: (_link, message) => this.received.push({ from: address, message }),
-        onClose: () => {}
-      })
-      this.dialers.set(address, dialer)
-      dialers.push(dialer)
-    }
-  }
-
-  get isLinked (): boolean {
-    return [...this.dialers.values()].every(({ link }) => link?.isOpen === true)
-  }
-
-  send (address: string, message: Message): void {
-    this.dialers.get(address)?.link?.send(message)
-  }
-
-  /** Closes all links. */
-  closeLinks (): void {
-    for (const dialer of this.dialers.values()) dialer.stop()
-  }
-}
+import { closeEntries, Entry } from './entries.ts'
 
 afterEach(async () => {
-  for (const dialer of dialers.splice(0)) dialer.stop()
+  closeEntries()
   await stopAll()
 })
 
@@ -53,7 +13,7 @@
   const [near = '', far = ''] = await freeAddresses(2)
   const seeds = [near, far]
   await start({ address: near, seeds, dataCentre: 'dc1' })
-  await start({ address: far, seeds, dataCentre: 'dc2', founds: false })
+  await start({ address: far, seeds, dataCentre: 'dc2' })
   const isPeered = (control: Control) => control.get('peers').links().length === 1
   await until('links of control', () => [...running.values()].every(isPeered))
   const entries = ['dc1', 'dc1', 'dc2', 'dc3'].map((dataCentre, index) => new Entry(`entry-${index}`, dataCentre, seeds))
--- a/control/program/test/lease-store.test.ts
+++ b/control/program/test/lease-store.test.ts
@@ -9,7 +9,7 @@
 
 async function startOn (disk: MemoryDisk): Promise<Control> {
   const [address = ''] = await freeAddresses(1)
-  return await start({ address, seeds: [address], disk })
+  return await start({ address, seeds: [address], disk, tolerance: 0 })
 }
 
 async function stop (control: Control): Promise<void> {
@@ -17,6 +17,8 @@
   running.clear()
 }
 
+const knowsLog = (control: Control) => control.get('catchUp').mayTell({ state: 'ready', receivedAt: -Infinity })
+
 describe('LeaseStore', () => {
   it('restores ready and gone endpoints after a restart, before any heartbeat', async () => {
     const disk = new MemoryDisk()
@@ -30,6 +32,32 @@
     expect(second.get('leases').get('i-2')?.state).toBe('gone')
   })
 
+  it('drops leases that are older than what is remembered of leaves, once the log is known', async () => {
+    const disk = new MemoryDisk()
+    const [address = ''] = await freeAddresses(1)
+    const first = await start({ address, seeds: [address], disk, tolerance: 0 })
+    await first.get('registrar').receiveHeartbeat(lease)
+    await until('it is written', async () => (await readChecked(disk, 'leases'))?.includes('i-1') === true)
+    const old = await readChecked(disk, 'leases') ?? ''
+    await until('the log to be known', () => knowsLog(first))
+    const leaves = Array.from({ length: 4200 }, (_, index) => ({ incarnation: `gone-${index}`, state: 'gone' as const, hasLife: true, at: Date.now() }))
+    for (let from = 0; from < leaves.length; from += 100) await first.get('proposer').recordLeaves(leaves.slice(from, from + 100))
+    await stop(first)
+    await writeChecked(disk, 'leases', old)
+    const second = await start({ address, seeds: [address], disk: disk.reopened(), tolerance: 0 })
+    await until('the log to be known', () => knowsLog(second))
+    expect(second.get('leases').get('i-1')).toBeUndefined()
+  })
+
+  it('restores the file of a build that stored no index of the log', async () => {
+    const disk = new MemoryDisk()
+    await writeChecked(disk, 'leases', JSON.stringify([lease]))
+    const control = await startOn(disk)
+    expect(control.get('leases').get('i-1')?.state).toBe('ready')
+    await until('the log to be known', () => knowsLog(control))
+    expect(control.get('leases').get('i-1')?.state).toBe('ready')
+  })
+
   it('repeats a write after the disk has failed', async () => {
     const disk = new MemoryDisk()
     const control = await startOn(disk)
--- a/control/registry/src/lease-table.ts
+++ b/control/registry/src/lease-table.ts
@@ -8,20 +8,12 @@
 import { type Logger } from '@gullwall/core.logger'
 import { selectLatestLimit, type AdvertisedLimit } from '@gullwall/routing.rates'
 import { type Lease, type Life } from '@gullwall/transport.messages'
+import { Leavers, STATE_ORDER, TOMBSTONE_MS } from './leavers.ts'
 import { limitFromWire, limitToWire } from './limit-words.ts'
 
-const STATE_ORDER = { ready: 0, draining: 1, gone: 2 }
-
 /** A lease that was not refreshed for so long has run out, in ms. */
 const DEFAULT_LEASE_MS = 12_000
-/** An incarnation that is gone is remembered for so long, so that a late heartbeat does not bring it back, in ms. */
-const TOMBSTONE_MS = 120_000
 const SWEEP_MS = 1000
-/**
- * Incarnations that have said that they leave are remembered beyond their lease, so many: more than the 2,100 endpoints that are
- * replaced in a day of the largest deployment. The oldest gives way.
- */
-const MAX_LEAVERS = 4096
 /** Lives that have been followed by another are remembered for those whose requests they had: as many as start within some minutes. */
 const MAX_OUTLIVED = 256
 /** An endpoint that is cold for so much longer than was told before has turned cold again, in ms: more than clocks and rounding do. */
@@ -35,11 +27,13 @@
   limit?: AdvertisedLimit | undefined
 }
 
-interface Leaver {
-  state: Lease['state']
-  /** Whether the endpoint tells its lives; another start of one that does not has the same name. */
+/** A leave that is known from elsewhere than a heartbeat. */
+export interface RecordedLeave {
+  incarnation: string
+  state: 'draining' | 'gone'
   hasLife: boolean
-  since: number
+  /** How long ago it was announced, in ms. */
+  sinceMs: number
 }
 
 interface HeldLife {
@@ -70,8 +64,7 @@
   private readonly lives = new Map<string, HeldLife>()
   /** What lives had last said of themselves when a later one was heard; the oldest gives way. */
   private readonly outlived = new Map<string, Lease['state']>()
-  /** Incarnations that have said that they drain or are gone, and when that was heard first. */
-  private readonly leavers = new Map<string, Leaver>()
+  private readonly leavers = new Leavers()
   /** Leases from before a restart that no heartbeat has confirmed yet. */
   private readonly unconfirmed = new Set<string>()
   private readonly now: () => number
@@ -112,13 +105,29 @@
    * whatever heartbeats that were on their way still say. Gives whether that is news.
    */
   recordDraining (incarnation: string): boolean {
+    return this.recordLeave({ incarnation, state: 'draining', hasLife: false, sinceMs: 0 })
+  }
+
+  /** Notes the same of an endpoint that drains or is gone, announced `sinceMs` ago. Gives whether that is news of a lease that is held. */
+  recordLeave ({ incarnation, state, hasLife, sinceMs }: RecordedLeave): boolean {
     const held = this.held.get(incarnation)
     if (held === undefined) {
-      this.rememberLeaver({ incarnation, state: 'draining' })
+      this.leavers.remember(incarnation, { state, hasLife, since: this.now() - sinceMs })
       return false
     }
     const [lease] = this.toWire([held])
-    return lease !== undefined && held.state === 'ready' && this.merge([{ ...lease, state: 'draining' }])[0] === 'changed'
+    return lease !== undefined && STATE_ORDER[held.state] < STATE_ORDER[state] && this.merge([{ ...lease, state }])[0] === 'changed'
+  }
+
+  /** Forgets what was restored and no heartbeat has confirmed since. */
+  dropUnconfirmed (): void {
+    for (const incarnation of this.unconfirmed) {
+      const lease = this.held.get(incarnation)
+      if (lease === undefined) continue
+      this.forget(incarnation, lease)
+      this.options.onTouched?.(incarnation)
+    }
+    this.unconfirmed.clear()
   }
 
   /** Notes what an endpoint said of its limit, and gives whether that is news. It ends with the life that said it. */
@@ -268,12 +277,14 @@
 
   private mergeOne (given: Lease): Merged {
     const known = this.held.get(given.incarnation)
-    const lease = known === undefined ? this.asRemembered(given) : given
+    const lease = known === undefined ? this.leavers.asRemembered(given, this.now()) : given
     const { ageMs, limit: _limit, ...rest } = lease
     const heardAt = this.now() - ageMs
     const isTooOld = known === undefined && ageMs > (this.options.leaseMs ?? DEFAULT_LEASE_MS) && lease.state !== 'gone'
     if (isTooOld || (lease.life !== undefined && !this.isLatest(lease.incarnation, lease.life))) return 'stale'
-    if (lease.state !== 'ready') this.rememberLeaver(lease)
+    if (lease.state !== 'ready') {
+      this.leavers.remember(lease.incarnation, { state: lease.state, hasLife: lease.life !== undefined, since: this.now() })
+    }
     if (known === undefined) {
       this.held.set(lease.incarnation, { ...rest, receivedAt: heardAt })
       this.log(lease, `build ${lease.build ?? 'unknown'}, sequence ${lease.sequence}, heard ${Math.round(ageMs)} ms ago`)
@@ -302,23 +313,6 @@
     return 'changed'
   }
 
-  /** A lease of an incarnation that is not held any more, in the state that it had come to. */
-  private asRemembered (lease: Lease): Lease {
-    const leaver = this.leavers.get(lease.incarnation)
-    if (leaver === undefined || STATE_ORDER[leaver.state] <= STATE_ORDER[lease.state]) return lease
-    const isAnotherStart = !leaver.hasLife && this.now() - leaver.since > TOMBSTONE_MS
-    return isAnotherStart ? lease : { ...lease, state: leaver.state }
-  }
-
-  private rememberLeaver ({ incarnation, state, life }: Pick<Lease, 'incarnation' | 'state' | 'life'>): void {
-    const known = this.leavers.get(incarnation)
-    if (known !== undefined && STATE_ORDER[known.state] >= STATE_ORDER[state] && known.hasLife) return
-    this.leavers.delete(incarnation)
-    this.leavers.set(incarnation, { state, hasLife: life !== undefined, since: this.now() })
-    const [oldest] = this.leavers.keys()
-    if (this.leavers.size > MAX_LEAVERS && oldest !== undefined) this.leavers.delete(oldest)
-  }
-
   /**
    * Gives whether the address has another holder now. Later words win, so that a heartbeat that arrives late is put right by
    * the next one of the successor.
--- a/control/state/src/commands.ts
+++ b/control/state/src/commands.ts
@@ -76,7 +76,21 @@
   seen: number
 }
 
-/** Brings what an entry saw of crashed endpoints, and requests that ran well after they had been running at one. */
+/** An endpoint has announced that it takes no new requests. */
+export interface Leave {
+  incarnation: string
+  state: 'draining' | 'gone'
+  /** Whether the endpoint tells its lives; another start of one that does not has the same name. */
+  hasLife: boolean
+  /** When it was announced, in Unix ms. */
+  at: number
+}
+
+/**
+ * Brings what was seen of endpoints that have ended or are about to: crashes, requests that ran well after they had been running at one
+ * that crashed, and leaves. One command brings all of it, since processes of older builds have no result for a command that they do not
+ * know, and pass over fields that they do not know.
+ */
 export interface NoteCrashesCommand {
   type: 'note-crashes'
   /** Processes that do not know of parts ignore them; see {@link Quarantine}. */
@@ -84,6 +98,8 @@
   ranWell: string[]
   /** Runs of requests with suspected parts that went well; none from processes that do not know of parts. */
   partRuns?: PartRun[]
+  /** Endpoints that leave; none from processes that do not know of leaves. */
+  leaves?: Leave[]
 }
 
 /** Has the crashes judged that have come in: what a request is to be held for is held from then on. */
--- a/control/state/src/control-state.ts
+++ b/control/state/src/control-state.ts
@@ -5,11 +5,12 @@
 import { Claims } from './claims.ts'
 import {
   DOCUMENT_KEY, type ApplyCommand, type ApplyResult, type ClaimResult, type Command, type Difference, type DocumentCommand,
-  type DocumentResult, type EvacuateCommand, type EvacuationResult, type HistoryEntry, type ScalingOrder, type ScalingResult,
+  type DocumentResult, type EvacuateCommand, type EvacuationResult, type HistoryEntry, type Leave, type ScalingOrder, type ScalingResult,
   type QuarantineResult, type StoredDocument, type UsageReport
 } from './commands.ts'
 import { decideEvacuation } from './evacuations.ts'
 import { Quarantine } from './quarantine.ts'
+import { Leaves, type LeavesSnapshot } from './leaves.ts'
 import { ScalingOrders } from './scaling-orders.ts'
 import { UsageReports } from './usage-reports.ts'
 
@@ -24,6 +25,8 @@
   onAccepted?: (revision: number, changes: readonly RecordChange[]) => void
   /** Told when the whole state was replaced by a snapshot. */
   onRestored?: () => void
+  /** Told of endpoints that leave: of each once, and of all when the whole state was replaced. */
+  onLeaves?: (leaves: readonly Leave[]) => void
 }
 
 type CommandResult = (
@@ -47,6 +50,8 @@
   crashEvidence?: EvidenceSnapshot
   /** Missing in snapshots of processes that held no parts of prompts. */
   partEvidence?: PartEvidenceSnapshot
+  /** Missing in snapshots of processes that kept no leaves. */
+  leaves?: LeavesSnapshot
 }
 
 export class ControlState {
@@ -54,6 +59,7 @@
   readonly claims = new Claims()
   readonly usageReports = new UsageReports()
   readonly scalingOrders = new ScalingOrders()
+  readonly leaves = new Leaves()
   readonly quarantine = new Quarantine((change) => this.put(change), () => this.records)
   revision = 0
   private operations = new Map<string, ApplyResult>()
@@ -68,8 +74,8 @@
     return this.past
   }
 
-  apply (_index: number, text: string): string {
-    return JSON.stringify(this.run(JSON.parse(text) as Command))
+  apply (index: number, text: string): string {
+    return JSON.stringify(this.run(index, JSON.parse(text) as Command))
   }
 
   snapshot (): string {
@@ -82,7 +88,8 @@
       usageReports: this.usageReports.dump(),
       scalingOrders: this.scalingOrders.dump(),
       crashEvidence: this.quarantine.evidence.createSnapshot(),
-      partEvidence: this.quarantine.partEvidence.createSnapshot()
+      partEvidence: this.quarantine.partEvidence.createSnapshot(),
+      leaves: this.leaves.createSnapshot()
     }
     return JSON.stringify(dump)
   }
@@ -98,10 +105,12 @@
     this.scalingOrders.restore(dump.scalingOrders ?? [])
     this.quarantine.evidence.restore(dump.crashEvidence ?? NO_EVIDENCE)
     this.quarantine.partEvidence.restore(dump.partEvidence ?? NO_PART_EVIDENCE)
+    this.leaves.restore(dump.leaves)
     this.options.onRestored?.()
+    this.options.onLeaves?.(this.leaves.all())
   }
 
-  private run (command: Command): CommandResult {
+  private run (index: number, command: Command): CommandResult {
     switch (command.type) {
       case 'apply': return this.runApply(command)
       case 'claim': return this.claims.claim(command)
@@ -115,12 +124,19 @@
         return {}
       case 'evacuate': return this.runEvacuate(command)
       case 'decide-scaling': return this.scalingOrders.decide(command)
-      case 'note-crashes': return this.quarantine.note(command)
+      case 'note-crashes':
+        this.recordLeaves(index, command.leaves ?? [])
+        return this.quarantine.note(command)
       case 'judge-crashes': return this.quarantine.judge()
       case 'forget-crashes': return this.quarantine.forget(command)
     }
   }
 
+  private recordLeaves (index: number, leaves: readonly Leave[]): void {
+    const news = this.leaves.record(index, leaves)
+    if (news.length > 0) this.options.onLeaves?.(news)
+  }
+
   private runApply (command: ApplyCommand): ApplyResult {
     const known = this.operations.get(command.operationId)
     if (known !== undefined) return known
--- a/transport/messages/src/index.ts
+++ b/transport/messages/src/index.ts
@@ -186,7 +186,8 @@
   members: z.object({ kind: z.literal('members'), whole: z.boolean(), present: z.array(memberSchema), gone: z.array(z.string()) }),
   inForce: z.object({ kind: z.literal('inForce'), processes: z.array(z.object({ process: z.string(), revision: count })) }),
   confirm: z.object({ kind: z.literal('confirm') }),
-  confirmed: z.object({ kind: z.literal('confirmed'), revision: count }),
+  /** `index` is the index of the log up to which the leader has applied; none from processes of before. */
+  confirmed: z.object({ kind: z.literal('confirmed'), revision: count, index: count.optional() }),
   claim: z.object({ kind: z.literal('claim'), key: z.string(), requestId: z.string(), holdMs: count }),
   settle: z.object({ kind: z.literal('settle'), key: z.string(), requestId: z.string(), outcome: z.enum(['no', 'partly', 'yes', 'unknown']) }),
   claimed: z.object({ kind: z.literal('claimed'), granted: z.boolean(), holder: z.string(), outcome: z.string() }),
