fix(quorum): send an entry that would exceed the limit of an append alone

Cause: an append held up to 512 Ki characters and one more entry of any size, so that an entry which fits a message by itself was joined to others and exceeded the 4 MiB that a link takes. The receiver closed the link, and the leader sent the same again for ever.

An entry that would exceed the limit of an append waits for the next one.

--- a/control/quorum/src/replicated-log.ts
+++ b/control/quorum/src/replicated-log.ts
@@ -73,15 +73,16 @@
     return index === this.base.index ? this.base.term : this.entryAt(index)?.term
   }
 
-  /** Entries from an index on, up to a number of characters, but at least one. */
+  /** Entries from an index on, up to a number of characters, but at least one: a longer entry goes alone. */
   slice (from: number, maxCharacters: number): LogEntry[] {
     const taken: LogEntry[] = []
     let characters = 0
-    for (let index = from; index <= this.lastIndex && characters < maxCharacters; index++) {
+    for (let index = from; index <= this.lastIndex; index++) {
       const entry = this.entryAt(index)
       if (entry === undefined) break
-      taken.push(entry)
       characters += entry.data.length
+      if (taken.length > 0 && characters > maxCharacters) break
+      taken.push(entry)
     }
     return taken
   }
--- a/control/quorum/test/cluster.ts
+++ b/control/quorum/test/cluster.ts
@@ -53,6 +53,8 @@
   readonly snapshotEvery = new Map<string, number>()
   /** The share of requests that arrive twice. */
   doubledShare = 0
+  /** A link that is to carry a longer message closes instead. */
+  maxMessageCharacters = Infinity
   /** Requests that were sent to each member so far. */
   readonly exchanges = new Map<string, number>()
   /** Changes a member that starts, for one of an older build. */
@@ -226,6 +228,7 @@
   private deliver (from: string, to: string, message: Message, timeoutMs: number): Promise<Message> {
     this.noteVotes(from, to, message)
     this.exchanges.set(to, (this.exchanges.get(to) ?? 0) + 1)
+    if (JSON.stringify(message).length > this.maxMessageCharacters) return Promise.reject(new Error('the link has closed'))
     return new Promise((resolve, reject) => {
       setTimeout(() => reject(new Error('timed out')), timeoutMs)
       const arrive = () => this.answer(from, to, message, { resolve, reject })
