fix(control): refuse a change at once that is too large for the links

Cause: no bound on the size of a command; a link takes no message of over 4 MiB.

A process that is asked by an older one to propose checks the size too.

--- a/control/program/src/proposer.ts
+++ b/control/program/src/proposer.ts
@@ -7,11 +7,16 @@
   type JudgeCrashesCommand, type Leave, type NoteCrashesCommand, type QuarantineResult, type ScalingResult, type UsageDeliveredCommand,
   type UsageReport
 } from '@gullwall/control.state'
+import { MAX_MESSAGE_BYTES } from '@gullwall/transport.link'
 import { type MessageOf } from '@gullwall/transport.messages'
 import { targetVoters } from './membership.ts'
 import { type ControlServices } from './index.ts'
 
 const FORWARD_TIMEOUT_MS = 3000
+/** What a message holds beside a command, in bytes, with room to spare. */
+const MESSAGE_OVERHEAD_BYTES = 64 * 1024
+/** The largest command that reaches other control processes. A larger one would be sent to them for ever, since links refuse it. */
+const MAX_COMMAND_BYTES = MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES
 
 export class Proposer {
   private clockBase = 0
@@ -94,6 +99,7 @@
 
   /** Proposes a command that a peer has forwarded. */
   async proposeLocally (data: string): Promise<Applied> {
+    assertSize(data)
     this.assertTolerance()
     return await this.services.quorum.propose(data)
   }
@@ -122,6 +128,7 @@
 
   private async propose (command: Command): Promise<Applied> {
     const data = JSON.stringify(command)
+    assertSize(data)
     if (this.leadsHere) return await this.proposeLocally(data)
     const { index, result } = await this.forward({ kind: 'propose', data }, 'proposed')
     return { index, result }
@@ -153,3 +160,12 @@
     return time
   }
 }
+
+/** @throws ERR_GULLWALL_TOO_LARGE */
+function assertSize (data: string): void {
+  const bytes = Buffer.byteLength(data)
+  if (bytes <= MAX_COMMAND_BYTES) return
+  throw new GullwallError('ERR_GULLWALL_TOO_LARGE', `the change takes ${bytes} bytes in the log; at most ${MAX_COMMAND_BYTES} can be stored`, {
+    step: 'propose', hint: 'split it, or make the document smaller'
+  })
+}
