--- a/bench/soak/src/build.ts
+++ b/bench/soak/src/build.ts
@@ -5,7 +5,7 @@
 import { build, type Plugin } from 'esbuild'
 import { GullwallError } from '@gullwall/core.error'
 import { EARLY_SIGNALS } from '../../../tools/early-signals.mjs'
-import { type Mutation } from './mutations.ts'
+import { type Mutation, type Replacement } from './mutations.ts'
 
 export interface BuiltPrograms { gateway: string, control: string }
 
@@ -41,20 +41,22 @@
 }
 
 /** The mutated text of a source file. */
-export function mutate ({ name, file, find, replace }: Mutation): string {
+export function mutate ({ file, find, replace }: Replacement): string {
   const text = readFileSync(join(ROOT, file), 'utf8')
   const places = text.split(find).length - 1
-  if (places !== 1) throw new GullwallError('ERR_GULLWALL_SOAK', `mutation ${name}: ${places} places in ${file}, not 1`, { step: 'mutate' })
+  if (places !== 1) throw new GullwallError('ERR_GULLWALL_SOAK', `mutation: ${places} places of «${find}» in ${file}, not 1`, { step: 'mutate' })
   return text.replace(find, () => replace)
 }
 
 function mutating (mutation: Mutation): Plugin {
+  const replacements = [mutation, ...mutation.more ?? []]
   return {
     name: 'mutation',
     setup (builder) {
-      builder.onLoad({ filter: /\.ts$/ }, ({ path }) => (
-        path === join(ROOT, mutation.file) ? { contents: mutate(mutation), loader: 'ts' } : undefined
-      ))
+      builder.onLoad({ filter: /\.ts$/ }, ({ path }) => {
+        const replacement = replacements.find(({ file }) => path === join(ROOT, file))
+        return replacement === undefined ? undefined : { contents: mutate(replacement), loader: 'ts' }
+      })
     }
   }
 }
--- a/bench/soak/src/checks/configuration.ts
+++ b/bench/soak/src/checks/configuration.ts
@@ -89,6 +89,15 @@
   return read >= newest ? [] : [{ check: 'config', at: journal.now, subject: 'the end', what: `version ${newest} was acknowledged, ${read} is there` }]
 }
 
+/** The operator changes the document while the standings are read. */
+const MAX_BEHIND = 3
+
+/** A control process that nothing disturbs any more holds what the leader holds. */
+export const catchesUp: Check = ({ journal }) => journal.standings.flatMap(({ at, control, behind }) => {
+  if (behind !== undefined && behind <= MAX_BEHIND) return []
+  return [{ check: 'catches-up', at, subject: control, what: behind === undefined ? 'it does not say how far it is' : `${behind} entries behind the leader` }]
+})
+
 function documentsOf (journal: Journal): Order[] {
   return journal.orders.filter(({ kind, isValid }) => kind === 'document' && isValid)
 }
--- a/bench/soak/src/checks/index.ts
+++ b/bench/soak/src/checks/index.ts
@@ -1,6 +1,6 @@
 /** All checks of a run. */
 import { noIntrusion, refusalsTrue, runsAtMost, unchanged, urgencyByTier, wholeAnswers } from './answers.ts'
-import { acknowledgements, inForce, keysDropped, noReturn, nothingLost, readBack } from './configuration.ts'
+import { acknowledgements, catchesUp, inForce, keysDropped, noReturn, nothingLost, readBack } from './configuration.ts'
 import { coldSpared, crashingIsHeld, crashingPartIsHeld, drainWordIsKept, evacuatedGetNothing, leavingGetNothing, limitIsKept, neighboursAreServed, restIsKept, stayHome } from './engines.ts'
 import { retriesAreBounded } from './retries.ts'
 import { endsAsAsked, nothingStarves, recovers, stopsCutNothing } from './service.ts'
@@ -16,7 +16,7 @@
 export function checksFor ({ cold, regions }: Features): Check[] {
   return [
     wholeAnswers, oneBuild, takenUpGoOn, runsAtMost, refusalsTrue, unchanged, noIntrusion, urgencyByTier,
-    inForce, keysDropped, noReturn, readBack, acknowledgements, nothingLost,
+    inForce, keysDropped, noReturn, readBack, acknowledgements, nothingLost, catchesUp,
     leavingGetNothing, evacuatedGetNothing, crashingIsHeld, crashingPartIsHeld, neighboursAreServed,
     restIsKept, drainWordIsKept, limitIsKept, retriesAreBounded,
     stopsCutNothing, endsAsAsked, nothingStarves, recovers,
--- a/bench/soak/src/engine.ts
+++ b/bench/soak/src/engine.ts
@@ -1,6 +1,6 @@
 /** A stand-in engine: answers with what its caller can check, and notes what has reached it. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { type AddressInfo } from 'node:net'
+import { type AddressInfo, type Socket } from 'node:net'
 import { answerBody, BUILDS, eventCount, eventOf, sentBody, subjectOf } from './answers.ts'
 import { BESIDE_PART, CRASHING, CRASHING_PART } from './crashing-requests.ts'
 import { type Break, type Journal, type Life, type Run } from './journal.ts'
@@ -18,6 +18,8 @@
   | 'resting'
   /** Runs requests and fails. */
   | 'failing'
+  /** Rejects some requests, and sends each rejection a second time when the next request comes on its connection. */
+  | 'rejecting twice'
 
 export interface EnginePlan {
   name: string
@@ -45,6 +47,7 @@
 const SLOW_FACTOR = 10
 const CUT_SHARE = 0.4
 const SHED_SHARE = 0.7
+const REJECTED_TWICE_SHARE = 0.3
 const UNFRAMED_SHARE = 0.1
 const UNFRAMED_STREAM_SHARE = 0.4
 const SECOND_WHOLE_FRAME = 2
@@ -72,6 +75,8 @@
   /** Whether this process has asked anybody for rest. */
   private hasRested = false
   private starts = 0
+  /** Rejections that are due a second time, by connection. */
+  private readonly rejections = new WeakMap<Socket, string>()
   private currentState: 'ready' | 'draining' | 'gone' = 'ready'
   private life: Life | undefined
 
@@ -136,6 +141,12 @@
       this.askForRest(id, from, response)
       return
     }
+    this.repeatRejection(request)
+    if (this.behaviour === 'rejecting twice' && this.options.random.chance(REJECTED_TWICE_SHARE)) {
+      this.rejections.set(request.socket, `HTTP/1.1 503 Rejected\r\nx-gullwall-ran: no\r\nx-gullwall-request-id: ${id}\r\ncontent-length: 0\r\n\r\n`)
+      response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
+      return
+    }
     if (this.isRejecting) {
       response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
       return
@@ -164,6 +175,13 @@
     else this.answer(run, response, isCut)
   }
 
+  /** Writes the rejection of an earlier request on this connection again, before the response of this one. */
+  private repeatRejection ({ socket }: IncomingMessage): void {
+    const rejection = this.rejections.get(socket)
+    this.rejections.delete(socket)
+    if (rejection !== undefined) socket.write(rejection)
+  }
+
   private get isRejecting (): boolean {
     const { random } = this.options
     return this.behaviour === 'refusing' || (this.behaviour === 'shedding' && random.chance(SHED_SHARE)) || this.running.size >= SLOTS
--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -2,16 +2,17 @@
 import { readdirSync, rmSync, statSync } from 'node:fs'
 import { join } from 'node:path'
 import { type Callers } from './callers.ts'
-import { sendCrashing, sendCrashingPart } from './crashing-requests.ts'
+import { crashAndReturn, sendCrashing, sendCrashingPart } from './crashing-requests.ts'
 import { REGIONS } from './documents.ts'
 import { type Behaviour, type Engine } from './engine.ts'
-import { tellGone, tellLeaving } from './heartbeats.ts'
+import { beat, tellGone, tellLeaving } from './heartbeats.ts'
 import { CORE } from './journal.ts'
 import { type Harm } from './network.ts'
 import { type Operator } from './operator.ts'
 import { type Program } from './program.ts'
-import { GRACE_MS, OPERATOR_TOKEN, type Site } from './site.ts'
-import { ask, pause } from './waiting.ts'
+import { GRACE_MS, type Site } from './site.ts'
+import { isFullyReplicated } from './standings.ts'
+import { pause } from './waiting.ts'
 
 export interface World { site: Site, callers: Callers, operator: Operator }
 
@@ -40,11 +41,15 @@
 const MAX_TOGETHER_MS = 4000
 /** A data centre that stays evacuated would spoil the rest of a run. */
 const RETURN_TRIES = 4
-const VOTERS = 3
 const SERIES_KILLS = 3
 const SERIES_GAP_MS = 1800
-/** A process that lacks so many entries of the log has not caught up. */
-const MAX_BEHIND = 3
+/** From the start of an engine until another one leaves, and from the acknowledgement of that until the kill, in ms. */
+const BEFORE_LEAVE_MS = 150
+const BEFORE_KILL_MS = 60
+const LINGER_AFTER_KILL_MS = 9000
+const STORM_CHANGES = 14
+const STORM_GAP_MS = 60
+const STORM_FREEZE_MS = { from: 2050, to: 2300 }
 
 export const FAULTS = {
   'stop gateway': async ({ site }, { gateway, durationMs }) => await downAndUp(site, [gateway], 'SIGTERM', durationMs / 2),
@@ -100,6 +105,9 @@
   'all engines ask for rest': restTogether,
   'all engines shed': shedTogether,
   'engine leaves unheard': leaveUnheard,
+  'engine leaves before a kill': leaveBeforeKill,
+  'all engines reject twice': async (world, fault) => await misbehaveTogether(world, fault, 'rejecting twice'),
+  'freeze control in a storm': freezeInStorm,
   'engine names a limit': nameLimit,
   burst: async ({ callers }, { durationMs }) => {
     callers.load *= BURST
@@ -115,6 +123,38 @@
   await act(world, fault)
 }
 
+/** An engine leaves right after another one has started, and all processes are killed as soon as that is acknowledged; it serves on. */
+async function leaveBeforeKill (world: World, { engine: name }: PlannedFault): Promise<void> {
+  const { site } = world
+  const engine = site.engineNamed(name)
+  const other = site.engines.find(({ options, state }) => options.service === engine?.options.service && options.name !== name && state === 'ready')
+  if (engine === undefined || engine.state !== 'ready' || other === undefined) return
+  const end = site.journal.disturb(name, 'leaves before a kill')
+  await crashAndReturn(site, other)
+  await beat(site, other)
+  await pause(BEFORE_LEAVE_MS)
+  await tellGone(site, engine)
+  await pause(BEFORE_KILL_MS)
+  await downAndUp(site, [...site.gateways.keys(), ...site.controls.keys()], 'SIGKILL', 0)
+  await pause(LINGER_AFTER_KILL_MS)
+  await site.network.close(name)
+  engine.stop()
+  await comeBack(site, engine)
+  end()
+}
+
+/** Control processes are frozen, each for about as long as the leader waits for two answers, while the document changes fast. */
+async function freezeInStorm ({ site, operator }: World, { durationMs }: PlannedFault): Promise<void> {
+  const end = site.journal.disturb(CORE, 'storm')
+  for (const until = site.journal.now + durationMs; site.journal.now < until;) {
+    const control = site.options.random.pick([...site.controls.keys()])
+    const frozen = freeze(site, control, site.options.random.between(STORM_FREEZE_MS.from, STORM_FREEZE_MS.to))
+    for (let change = 0; change < STORM_CHANGES; change += 1) await Promise.all([operator.change(), pause(STORM_GAP_MS)])
+    await frozen
+  }
+  end()
+}
+
 /** Ends programs and starts them again; those that somebody else works on are left alone. */
 async function downAndUp (site: Site, names: readonly string[], signal: 'SIGTERM' | 'SIGKILL', downMs: number): Promise<void> {
   await Promise.all(claim(site, names).map(async (program) => {
@@ -168,19 +208,6 @@
   }
 }
 
-interface Status { quorum: { role: string, voters: string[], commitIndex: number } }
-
-/** Whether every control process runs and a leader counts all as voters. */
-async function isFullyReplicated (site: Site): Promise<boolean> {
-  const replies = await Promise.all([...site.controls.keys()].map(async (name) => (
-    await ask({ address: site.controlAddress(name), method: 'GET', path: '/v1/status', token: OPERATOR_TOKEN })
-  )))
-  const statuses = replies.flatMap((reply) => reply?.status === 200 ? [JSON.parse(reply.body) as Status] : [])
-  const leader = statuses.find(({ quorum }) => quorum.role === 'leader')?.quorum
-  if (statuses.length < site.controls.size || leader === undefined) return false
-  return leader.voters.length >= VOTERS && statuses.every(({ quorum }) => quorum.commitIndex >= leader.commitIndex - MAX_BEHIND)
-}
-
 /** No file of the process grows any more, as on a full disk. */
 async function fillDisk ({ site }: World, { control, durationMs }: PlannedFault): Promise<void> {
   const program = site.controls.get(control)
--- a/bench/soak/src/heartbeats.ts
+++ b/bench/soak/src/heartbeats.ts
@@ -56,13 +56,17 @@
   }
 }
 
-/** Says that an engine is gone. */
+/** Says that an engine is gone; notes when that was acknowledged, if nothing was before. */
 export async function tellGone (site: Site, engine: Engine): Promise<void> {
+  const { journal } = site
   engine.state = 'gone'
   for (const control of shuffled(site)) {
     const { incarnation } = engine
     const reply = await ask({ address: site.controlAddress(control), method: 'DELETE', path: `/v1/leases/${incarnation}`, token: OPERATOR_TOKEN })
-    if (reply !== undefined && reply.status < 300) return
+    if (reply === undefined || reply.status >= 300) continue
+    const isKnown = journal.leavings.some((leaving) => leaving.incarnation === incarnation)
+    if (!isKnown) journal.leavings.push({ incarnation, ackedAt: journal.now })
+    return
   }
 }
 
--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -105,6 +105,9 @@
 /** A time in which the answers of an engine named a limit, in requests a second. */
 export interface LimitSpell { incarnation: string, perSecond: number, from: number, to: number }
 
+/** How far a control process was, against the leader, in entries of the log; undefined where it did not say. */
+export interface Standing { at: number, control: string, behind: number | undefined }
+
 /** One life of an engine, until it ended or said that it leaves. */
 export interface Life { engine: string, service: string, build: string, from: number, to: number }
 
@@ -137,6 +140,8 @@
   readonly deliveries: Delivery[] = []
   readonly drainWords: DrainWord[] = []
   readonly limits: LimitSpell[] = []
+  /** Read once all should be well again. */
+  readonly standings: Standing[] = []
   /** Answers of control to callers without its token. */
   readonly intrusions: Array<{ at: number, path: string, status: number }> = []
   private readonly runsById = new Map<string, Run[]>()
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -4,13 +4,19 @@
  */
 import { type FaultKind } from './faults.ts'
 
-export interface Mutation {
-  name: string
-  /** The check that must catch it. */
-  check: string
+/** A text in one source file that is replaced. */
+export interface Replacement {
   file: string
   find: string
   replace: string
+}
+
+export interface Mutation extends Replacement {
+  name: string
+  /** The check that must catch it. */
+  check: string
+  /** What else is changed, so that the fault shows within a short run. */
+  more?: readonly Replacement[]
   /** Faults that bring it about; none where the usual requests do. */
   faults: FaultKind[]
 }
@@ -256,5 +262,38 @@
     find: 'if (!prevote || node.isStopped) return',
     replace: 'if (!prevote || node.isStopped || node.vote.term > 2) return',
     faults: ['kill everything', 'kill control']
+  },
+  {
+    name: 'rejection-of-another-taken',
+    check: 'not-run',
+    file: `${GATEWAY}/attempt-response-receiver.ts`,
+    find: "if ((head.requestId ?? '') !== call.requestId) return undefined",
+    replace: "if (!head.isNotRun && (head.requestId ?? '') !== call.requestId) return undefined",
+    faults: ['all engines reject twice']
+  },
+  {
+    name: 'leave-acknowledged-from-memory',
+    check: 'leaves',
+    file: 'control/program/src/leave-recorder.ts',
+    find: 'await this.propose(leave)',
+    replace: '',
+    faults: ['engine leaves before a kill']
+  },
+  {
+    name: 'entries-behind-a-snapshot-refused',
+    check: 'catches-up',
+    file: 'control/quorum/src/quorum-node.ts',
+    find: 'const isKnown =',
+    replace: 'if (message.prevIndex < this.log.snapshotIndex) return this.appended(false, this.commitIndex)\n    const isKnown =',
+    more: [
+      { file: 'control/quorum/src/replicator.ts', find: 'if (lastIndex > prevIndex) return this.noteMatch(lastIndex)', replace: '' },
+      // Members take snapshots at different indices, as those do that have installed one.
+      {
+        file: 'control/quorum/src/snapshot-trigger.ts',
+        find: 'return entries >= snapshotEvery ||',
+        replace: "return entries >= ((this.limits as { member?: string }).member === 'control-1' ? snapshotEvery : 6) ||"
+      }
+    ],
+    faults: ['freeze control in a storm']
   }
 ]
--- a/bench/soak/src/plan.ts
+++ b/bench/soak/src/plan.ts
@@ -28,7 +28,8 @@
 /** Drawn each by itself after all others, so that a seed from before them still gives the same series of the others. */
 const APART: readonly FaultKind[] = [
   'request crashes engines', 'engine asks for rest', 'engine leaves unheard', 'all engines ask for rest', 'engine names a limit',
-  'all engines shed', 'kill gateways in series', 'part crashes engines'
+  'all engines shed', 'kill gateways in series', 'part crashes engines', 'engine leaves before a kill', 'all engines reject twice',
+  'freeze control in a storm'
 ]
 const APART_MS = { from: 15_000, to: 35_000 }
 const APART_LENGTH_MS = { from: 6000, to: 15_000 }
--- a/bench/soak/src/soak.ts
+++ b/bench/soak/src/soak.ts
@@ -12,6 +12,7 @@
 import { planFaults } from './plan.ts'
 import { Random } from './random.ts'
 import { Site } from './site.ts'
+import { readStandings } from './standings.ts'
 import { upgrade, type UpgradeOptions } from './upgrade.ts'
 import { until } from './waiting.ts'
 
@@ -113,7 +114,10 @@
     if (builds !== undefined) this.acting.push(this.upgrade(builds))
     await this.injectAll(plan)
     const healedAt = options.waitsForRecovery === false ? undefined : site.journal.now
-    if (healedAt !== undefined) await this.checkUntil(healedAt + RECOVER_MS + LAST_MS)
+    if (healedAt !== undefined) {
+      await this.checkUntil(healedAt + RECOVER_MS + LAST_MS)
+      site.journal.standings.push(...await readStandings(site))
+    }
     await operator.stop()
     await callers.stop()
     await this.readAtLast()
--- a/bench/soak/test/soak.test.ts
+++ b/bench/soak/test/soak.test.ts
@@ -21,7 +21,7 @@
 }, 60_000)
 
 it.each(MUTATIONS)('$name can be made', (mutation) => {
-  expect(mutate(mutation)).toContain(mutation.replace)
+  for (const replacement of [mutation, ...mutation.more ?? []]) expect(mutate(replacement)).toContain(replacement.replace)
 })
 
 it('a seed gives the same series of faults again, of every kind', () => {
