fix(gateway): never write the request of an exchange a second time

The HTTP client puts a request that it has written back into its queue if it closes the connection for a reason of its own (an informational error): the exchange would be told of a second start and count it as a new sending. An exchange that has begun now aborts the second start before a byte is written, and ends as one that may have run. The test failed before (onSending called twice).

--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -116,6 +116,12 @@
   private handler ({ wasClosedCleanly, findRefusalReason, onSending }: ExchangeRequest, connectBy: number): Handler {
     return {
       onRequestStart: (controller) => {
+        if (this.controller !== undefined) {
+          // The HTTP client puts a request that it has written back into its queue if it closes the connection for a reason of its own.
+          controller.abort(new Error('the request has been sent before'))
+          this.end({ type: 'broken', reason: 'the connection was closed after the request had been sent', isClosed: false })
+          return
+        }
         // A process that was suspended may handle the connection before the timer; its permit to send has expired by then.
         if (performance.now() > connectBy) this.end({ type: 'unsent', reason: 'the connection was established too late' })
         if (this.isOver) {
--- a/entry/gateway/test/exchange.test.ts
+++ b/entry/gateway/test/exchange.test.ts
@@ -7,12 +7,13 @@
 /** Starts an exchange; `connect` reports to the exchange that its connection is established. */
 function startExchange () {
   let handler: Dispatcher.DispatchHandler | undefined
+  const onSending = vi.fn()
   const dispatcher = { dispatch: (_options: unknown, given: Dispatcher.DispatchHandler) => { handler = given } } as unknown as Dispatcher
   const exchange = new Exchange(dispatcher, 'http://10.0.0.1:80', {
-    method: 'GET', path: '/', headers: [], body: undefined, connectMs: CONNECT_MS, findRefusalReason: () => undefined, onSending: () => {}, wasClosedCleanly: async () => true
+    method: 'GET', path: '/', headers: [], body: undefined, connectMs: CONNECT_MS, findRefusalReason: () => undefined, onSending, wasClosedCleanly: async () => true
   }, { onInterim: () => {}, onHead: () => true, onData: () => {} })
   const abort = vi.fn()
-  return { exchange, abort, connect: () => handler?.onRequestStart?.({ abort } as unknown as Dispatcher.DispatchController, {}) }
+  return { exchange, abort, onSending, connect: () => handler?.onRequestStart?.({ abort } as unknown as Dispatcher.DispatchController, {}) }
 }
 
 afterEach(() => { vi.restoreAllMocks() })
@@ -36,4 +37,13 @@
     expect(abort).toHaveBeenCalledOnce()
     expect(await exchange.outcome).toEqual({ type: 'unsent', reason: 'the connection was established too late' })
   })
+
+  it('is not sent a second time if the HTTP client writes it again on another connection', async () => {
+    const { exchange, abort, onSending, connect } = startExchange()
+    connect()
+    connect()
+    expect(onSending).toHaveBeenCalledOnce()
+    expect(abort).toHaveBeenCalled()
+    expect(await exchange.outcome).toMatchObject({ type: 'broken', isClosed: false })
+  })
 })
