fix(gateway): leave a running request alone if what follows on its connection is malformed or late

A caller that had sent a request and, behind it, bytes that are no request or a head that came late read 400, 408 or 431 as the response to the first request, while an endpoint ran it; 408 promises that it has not run. Node's HTTP server writes these by itself. The gateway's server now uses handleClientErrors, which closes such a connection without a byte.

pipelined-request.test.ts: 3 of 3 cases failed before (400, 408 and 431 received), and hold now.

--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for callers: reads requests, handles those that need no endpoint, and stops without interrupting any. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { messageOf } from '@gullwall/core.error'
-import { isOpenedEarly, listenOn } from '@gullwall/transport.http-server'
+import { handleClientErrors, isOpenedEarly, listenOn } from '@gullwall/transport.http-server'
 import { ConnectionShedder, WINDOW_MS } from './connection-shedder.ts'
 import { CallerResponse, type FailureResponse, type RefusalResponse } from './caller-response.ts'
 import { resolveCall, type InvalidCall } from './call.ts'
@@ -47,6 +47,7 @@
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
       keepAlive: false
     }, (request, response) => { void this.serve(request, response) })
+    handleClientErrors(this.server)
     this.server.on('connection', (socket) => {
       // Nothing has been read yet, so that the caller may send any request again elsewhere.
       if (this.shedder.shouldClose()) socket.destroy()
