fix(http-server): write nothing beside a request that runs

A caller that sent a request and, behind it on the same connection, a head that came late, a malformed or too large one, or closed its side within one, read "408 Request Timeout", "400 Bad Request" or "431" as the response to the first request, which was running: 408 promises that it has not run. Behind a response that was complete a second one followed, and one that was being sent was cut off (3.9 of 16 MB).

Cause: Node's HTTP server writes these by itself, where no head has been sent, without a look at the requests in flight.

handleClientErrors replaces what Node does, for koa servers and any other: with a response that is not complete the connection is closed without a byte (with a reset, where a close would mark the end of the response); responses that are complete are sent to their end; malformed bytes of a body whose request was answered bring nothing; 400, 431 and 413 (chunk extensions) are left where no request runs, and a late head there closes the connection. No status that is left promises anything.

--- a/transport/http-server/src/index.ts
+++ b/transport/http-server/src/index.ts
@@ -4,9 +4,11 @@
 import Koa from 'koa'
 import Router from '@koa/router'
 import { type Registry } from '@gullwall/core.metrics'
+import { handleClientErrors } from './client-errors.ts'
 import { listenOn } from './listen.ts'
 
 export * from './abort-response.ts'
+export * from './client-errors.ts'
 export * from './listen.ts'
 export { Koa, Router }
 
@@ -28,6 +30,7 @@
       response.once('close', () => { this.inFlight -= 1 })
       void handler(request, response)
     })
+    handleClientErrors(this.server)
   }
 
   /** @throws ERR_GULLWALL_LISTEN if the address can't be had. */
