fix(endpoint-http): take only what was never written for unsent

Behind a sidecar, and between an entry and a sidecar, a request counted as not run by the code of an error: ECONNREFUSED, a connect timeout and the like. Such an error can belong to a later connection than the one on which the request was written (the HTTP client can put a written request back into its queue, and then fail to connect again): its caller would read 503 "not run", or it would be sent on to another endpoint. For the same reason the HTTP client could write a request a second time.

The exchange itself is the evidence now: it throws UnsentError only if it was never started, a second start is aborted before its first byte, and an aborted request that still waits for a connection is not written. With HTTP/1.1 and one request a connection no way was found in which the installed client puts a written request back; the tests play it with a stub. Interim responses are bounded (100), since a sidecar waited for as long as they came.

The tests fail on the code before (REFUSED instead of FAILED for three codes; a second start that was not aborted; 30 s of interim responses).

--- a/endpoint/dialect/src/index.ts
+++ b/endpoint/dialect/src/index.ts
@@ -40,7 +40,7 @@
 export interface Endpoint {
   /**
    * Runs a request; resolves when the response is complete.
-   * @throws ERR_GULLWALL_ENDPOINT_REFUSED if the request was certainly not run,
+   * @throws ERR_GULLWALL_ENDPOINT_REFUSED or ERR_GULLWALL_UNSENT if no byte of the request was written,
    *   ERR_GULLWALL_ENDPOINT_FAILED or ERR_GULLWALL_FOREIGN_RESPONSE if it may have run.
    */
   run (call: EndpointCall, receiver: ResponseReceiver): Promise<void>
--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -2,8 +2,9 @@
  * One HTTP exchange through undici, with a response that is streamed to a receiver. The receiver gets each chunk directly from
  * the connection: a readable stream between them would need a turn of the event loop and a buffer for each chunk.
  */
+import { type IncomingHttpHeaders } from 'node:http'
 import { type Dispatcher, type Pool } from 'undici'
-import { GullwallError } from '@gullwall/core.error'
+import { GullwallError, messageOf } from '@gullwall/core.error'
 import { type ResponseReceiver, type ResponseHeadListener } from '@gullwall/endpoint.dialect'
 import { framingOf, type Framing } from './framing.ts'
 
@@ -12,6 +13,15 @@
 
 /** The lowest status of a final response; lower ones are interim responses. */
 const MIN_FINAL_STATUS = 200
+/** Interim responses to one request; an endpoint that sends more may never send a final one. */
+const MAX_INTERIM_RESPONSES = 100
+
+/** The failure of an exchange of which no byte was written, so that its request has certainly not run. */
+export class UnsentError extends Error {
+  constructor (cause: Error) {
+    super(messageOf(cause), { cause })
+  }
+}
 
 export interface ExchangeOptions {
   /** Called with all response headers, including those of interim responses. */
@@ -22,53 +32,89 @@
   wasClosedCleanly?: () => Promise<boolean>
 }
 
-/** Sends a request. Resolves when the response is complete, and rejects if the response fails or the signal aborts it. */
+/**
+ * Sends a request, at most once. Resolves when the response is complete, and rejects if the response fails or the signal aborts it.
+ * @throws UnsentError if no byte of the request was written; after any other error it may have run
+ */
 export function exchange (
-  pool: Pool, options: Dispatcher.DispatchOptions, receiver: ResponseReceiver, signal: AbortSignal,
-  { onResponseHead = () => {}, wasClosedCleanly = async () => false, attemptId }: ExchangeOptions = {}
+  pool: Pool, options: Dispatcher.DispatchOptions, receiver: ResponseReceiver, signal: AbortSignal, exchangeOptions: ExchangeOptions = {}
 ): Promise<void> {
-  let sentAt = performance.now()
-  let framing: Framing = 'length'
   return new Promise((resolve, reject) => {
-    let controller: Dispatcher.DispatchController | undefined
-    const abort = () => controller?.abort(getAbortReason(signal))
-    const settle = (error?: Error) => {
-      signal.removeEventListener('abort', abort)
+    const handler = new ExchangeHandler(receiver, signal, exchangeOptions, (error) => {
+      signal.removeEventListener('abort', handler.abort)
       if (error === undefined) resolve()
       else reject(error)
-    }
-    signal.addEventListener('abort', abort)
-    pool.dispatch(options, {
-      onRequestStart: (started) => {
-        controller = started
-        sentAt = performance.now()
-        if (signal.aborted) abort()
-      },
-      onResponseStart: (started, status, headers) => {
-        if (isForeign(headers, attemptId)) {
-          started.abort(new GullwallError('ERR_GULLWALL_FOREIGN_RESPONSE', 'the response belongs to another attempt', { step: 'run' }))
-          return
-        }
-        onResponseHead({ status, headers, sentAt })
-        if (status < MIN_FINAL_STATUS) return
-        framing = framingOf(status, headers)
-        receiver.onHead(status, headers)
-      },
-      onResponseData: (started, chunk) => {
-        const writable = receiver.onData(chunk)
-        if (writable === undefined) return
-        started.pause()
-        writable.then(() => started.resume(), (error: Error) => started.abort(error))
-      },
-      onResponseEnd: () => {
-        if (framing !== 'connection') settle()
-        else void wasClosedCleanly().then((isClean) => settle(isClean ? undefined : new Error('the connection was reset')))
-      },
-      onResponseError: (_controller, error) => settle(error)
     })
+    signal.addEventListener('abort', handler.abort)
+    pool.dispatch(options, handler)
   })
 }
 
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+  /** Controls the exchange once a byte of the request may have been written. */
+  private controller: Dispatcher.DispatchController | undefined
+  private sentAt = 0
+  private framing: Framing = 'length'
+  private interimCount = 0
+
+  constructor (
+    private readonly receiver: ResponseReceiver,
+    private readonly signal: AbortSignal,
+    private readonly options: ExchangeOptions,
+    private readonly settle: (error?: Error) => void
+  ) {}
+
+  readonly abort = (): void => { this.controller?.abort(getAbortReason(this.signal)) }
+
+  onRequestStart (started: Dispatcher.DispatchController): void {
+    if (this.controller !== undefined) {
+      // The client puts a request that was written back into its queue when its connection ends for a reason of the client.
+      started.abort(new Error('the request was sent before, and is not sent again'))
+    } else if (this.signal.aborted) {
+      started.abort(getAbortReason(this.signal))
+    } else {
+      this.controller = started
+      this.sentAt = performance.now()
+    }
+  }
+
+  onResponseStart (started: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    if (isForeign(headers, this.options.attemptId)) {
+      started.abort(new GullwallError('ERR_GULLWALL_FOREIGN_RESPONSE', 'the response belongs to another attempt', { step: 'run' }))
+      return
+    }
+    this.options.onResponseHead?.({ status, headers, sentAt: this.sentAt })
+    if (status < MIN_FINAL_STATUS) {
+      this.interimCount += 1
+      if (this.interimCount > MAX_INTERIM_RESPONSES) started.abort(new Error(`over ${MAX_INTERIM_RESPONSES} interim responses`))
+      return
+    }
+    this.framing = framingOf(status, headers)
+    this.receiver.onHead(status, headers)
+  }
+
+  onResponseData (started: Dispatcher.DispatchController, chunk: Buffer): void {
+    const writable = this.receiver.onData(chunk)
+    if (writable === undefined) return
+    started.pause()
+    writable.then(() => started.resume(), (error: Error) => started.abort(error))
+  }
+
+  onResponseEnd (): void {
+    if (this.framing !== 'connection') this.settle()
+    else void this.endUnframed(this.options.wasClosedCleanly?.())
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    this.settle(this.controller === undefined ? new UnsentError(error) : error)
+  }
+
+  /** Ends a response without a length, which is complete only if its connection was closed and not reset. */
+  private async endUnframed (wasClosedCleanly: Promise<boolean> | undefined): Promise<void> {
+    this.settle(await wasClosedCleanly === true ? undefined : new Error('the connection was reset'))
+  }
+}
+
 /** Endpoints that do not repeat the id can't be told apart. */
 function isForeign (headers: Record<string, string | string[] | undefined>, attemptId: string | undefined): boolean {
   const named = headers[ATTEMPT_ID_HEADER]
--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -1,12 +1,12 @@
 /** The HTTP client that all dialects use: a pool of undici connections for each endpoint. */
 import { Pool, type Dispatcher } from 'undici'
-import { GullwallError } from '@gullwall/core.error'
+import { GullwallError, type ErrorCode } from '@gullwall/core.error'
 import { type ResponseReceiver, type Endpoint, type EndpointCall, type ResponseHeadListener } from '@gullwall/endpoint.dialect'
 import { ConnectionEnds } from './connection-ends.ts'
-import { ATTEMPT_ID_HEADER, exchange } from './exchange.ts'
+import { ATTEMPT_ID_HEADER, exchange, UnsentError } from './exchange.ts'
 
 export { ConnectionEnds } from './connection-ends.ts'
-export { ATTEMPT_ID_HEADER, exchange } from './exchange.ts'
+export { ATTEMPT_ID_HEADER, exchange, UnsentError } from './exchange.ts'
 export { framingOf, type Framing } from './framing.ts'
 
 /** Headers that apply to a single connection and are never forwarded (RFC 9110, section 7.6.1). */
@@ -14,8 +14,8 @@
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'
 ])
 const CONNECT_TIMEOUT_MS = 2000
-/** Codes of errors that occur before the first byte of a request is sent. */
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
+/** Codes of failures to connect. */
+const CONNECT_FAILURE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
 
 /** Opens a pool of keep-alive connections to an address; `ends` reports how they end. */
 export function createPool (address: string, ends = new ConnectionEnds()): Pool {
@@ -36,9 +36,9 @@
   return selected
 }
 
-/** Whether an error proves that no part of the request was sent. */
-export function wasNotSent (error: unknown): boolean {
-  return NOT_SENT_CODES.has((error as NodeJS.ErrnoException).code ?? '')
+/** Whether a request was not sent because its endpoint could not be connected to. */
+function isConnectFailure (error: UnsentError): boolean {
+  return CONNECT_FAILURE_CODES.has((error.cause as NodeJS.ErrnoException).code ?? '')
 }
 
 /** An endpoint that is reached by HTTP. */
@@ -63,13 +63,16 @@
       })
     } catch (cause) {
       if (cause instanceof GullwallError) throw cause
-      const isUnsent = wasNotSent(cause)
-      throw new GullwallError(isUnsent ? 'ERR_GULLWALL_ENDPOINT_REFUSED' : 'ERR_GULLWALL_ENDPOINT_FAILED',
-        isUnsent ? 'the endpoint could not be connected to' : 'the endpoint failed before its response was complete',
-        { step: 'run', peer: `${this.name}@${this.address}`, cause })
+      throw new GullwallError(...this.describeFailure(cause), { step: 'run', peer: `${this.name}@${this.address}`, cause })
     }
   }
 
+  private describeFailure (cause: unknown): [code: ErrorCode, message: string] {
+    if (!(cause instanceof UnsentError)) return ['ERR_GULLWALL_ENDPOINT_FAILED', 'the endpoint failed before its response was complete']
+    if (isConnectFailure(cause)) return ['ERR_GULLWALL_ENDPOINT_REFUSED', 'the endpoint could not be connected to']
+    return ['ERR_GULLWALL_UNSENT', 'the request was not sent']
+  }
+
   /** Requests a path and parses the response as JSON, whatever its status. */
   async getJson (path: string): Promise<unknown> {
     return await (await this.request('GET', path)).body.json()
--- /dev/null
+++ b/endpoint/http/test/unsent.test.ts
@@ -0,0 +1,96 @@
+import { createServer, type AddressInfo } from 'node:net'
+import { Pool, type Dispatcher } from 'undici'
+import { afterEach, describe, expect, it, vi } from 'vitest'
+import { HttpEndpoint } from '@gullwall/endpoint.http'
+
+type Handler = Dispatcher.DispatchHandler
+interface Controller { abort: (reason: Error) => void }
+
+/** Lets a stub handle what the HTTP client is given to send. */
+function stubClient (handle: (handler: Handler, start: () => Controller) => void): void {
+  vi.spyOn(Pool.prototype, 'dispatch').mockImplementation((_options, handler) => {
+    const start = () => {
+      const controller = { abort: vi.fn((reason: Error) => handler.onResponseError?.(controller as never, reason)) }
+      handler.onRequestStart?.(controller as never, {})
+      return controller
+    }
+    handle(handler, start)
+    return true
+  })
+}
+
+function errorWithCode (code: string): Error {
+  return Object.assign(new Error(code), { code })
+}
+
+/** Runs a request and returns the code of the error. */
+async function run (address = '127.0.0.1:1', signal = new AbortController().signal): Promise<string> {
+  const endpoint = new HttpEndpoint('stub', address)
+  try {
+    await endpoint.run({ method: 'POST', path: '/', headers: {}, body: Buffer.from('{}'), signal }, { onHead: () => {}, onData: () => undefined })
+    return 'complete'
+  } catch (error) {
+    return String((error as { code: unknown }).code)
+  } finally {
+    await endpoint.close()
+  }
+}
+
+describe('a request that was written', () => {
+  afterEach(() => vi.restoreAllMocks())
+
+  // The HTTP client may put it back into its queue, and then fail to connect again.
+  it.each(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH'])('does not count as unsent after %s of a later connection', async (code) => {
+    stubClient((handler, start) => {
+      const controller = start()
+      handler.onResponseError?.(controller as never, errorWithCode(code))
+    })
+    expect(await run()).toBe('ERR_GULLWALL_ENDPOINT_FAILED')
+  })
+
+  it('is not sent again by the HTTP client', async () => {
+    const aborted: boolean[] = []
+    stubClient((_handler, start) => {
+      for (const controller of [start(), start()]) aborted.push(vi.mocked(controller.abort).mock.calls.length > 0)
+    })
+    expect(await run()).toBe('ERR_GULLWALL_ENDPOINT_FAILED')
+    expect(aborted).toEqual([false, true])
+  })
+})
+
+describe('a request of which no byte was written', () => {
+  afterEach(() => vi.restoreAllMocks())
+
+  it('counts as unsent, whatever the error', async () => {
+    for (const [code, expected] of [['ECONNREFUSED', 'ERR_GULLWALL_ENDPOINT_REFUSED'], ['ECONNRESET', 'ERR_GULLWALL_UNSENT']] as const) {
+      stubClient((handler) => { handler.onResponseError?.(undefined as never, errorWithCode(code)) })
+      expect(await run()).toBe(expected)
+    }
+  })
+
+  it('is not written once it was aborted', async () => {
+    const abort = new AbortController()
+    abort.abort(new Error('no longer wanted'))
+    let received = 0
+    const server = createServer((socket) => { socket.on('data', (chunk) => { received += chunk.length }).on('error', () => {}) })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    expect(await run(`127.0.0.1:${(server.address() as AddressInfo).port}`, abort.signal)).toBe('ERR_GULLWALL_UNSENT')
+    await new Promise<void>((resolve) => server.close(() => resolve()))
+    expect(received).toBe(0)
+  })
+})
+
+describe('an endpoint that sends interim responses without end', () => {
+  it('has broken off, and its connection is closed', async () => {
+    let closed: () => void
+    const isClosed = new Promise<void>((resolve) => { closed = resolve })
+    const server = createServer((socket) => {
+      const send = () => { if (socket.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(50)) && !socket.destroyed) setImmediate(send) }
+      socket.once('data', send).on('drain', send).on('error', () => {}).on('close', () => closed())
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    expect(await run(`127.0.0.1:${(server.address() as AddressInfo).port}`)).toBe('ERR_GULLWALL_ENDPOINT_FAILED')
+    await isClosed
+    server.close()
+  })
+})
--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -4,7 +4,7 @@
 import { messageOf } from '@gullwall/core.error'
 import { type Ran } from '@gullwall/core.types'
 import { type ResponseReceiver } from '@gullwall/endpoint.dialect'
-import { selectEndToEndHeaders, exchange, wasNotSent } from '@gullwall/endpoint.http'
+import { selectEndToEndHeaders, exchange, UnsentError } from '@gullwall/endpoint.http'
 import { EventRelay, isEventStream, rewriteResumedEvents, type StreamedCompletion } from '@gullwall/endpoint.openai'
 import {
   ATTEMPT_PREFIX, readRefusal, withoutOwnHeaders, writeHead, type AttemptHead, type AttemptRefusal, type AttemptRefused
@@ -64,7 +64,7 @@
 
 async function whatBecameOf (options: AttemptOptions, error: unknown): Promise<AttemptOutcome> {
   const why = messageOf(error)
-  if (wasNotSent(error)) return { kind: 'not-run', reason: 'unreachable', why }
+  if (error instanceof UnsentError) return { kind: 'not-run', reason: 'unreachable', why }
   const ran = await options.revoke()
   return ran === 'no' ? { kind: 'not-run', reason: 'revoked', why } : { kind: 'broken', ran, reason: 'lost', why }
 }
--- a/sidecar/attempts/src/runner.ts
+++ b/sidecar/attempts/src/runner.ts
@@ -36,6 +36,8 @@
 /** With a status from 400 on, the value `no` of this header means that the endpoint has not run the request. */
 const RAN_HEADER = 'x-gullwall-ran'
 const CLIENT_ERROR = 400
+/** Errors that prove that no byte of the request was written. */
+const UNSENT_CODES: ReadonlySet<string> = new Set(['ERR_GULLWALL_ENDPOINT_REFUSED', 'ERR_GULLWALL_UNSENT'])
 const MIN_SUCCESS_STATUS = 200
 const MIN_REDIRECT_STATUS = 300
 /** Time after the first chunk of a stream, in ms, at which another one shows a good run: an endpoint that crashes may write some first. */
@@ -170,7 +172,7 @@
 
   private refuseFailed (error: unknown): void {
     if (this.endReason === undefined && this.abort.signal.aborted) return // The entry has disconnected.
-    const certain = error instanceof GullwallError && error.code === 'ERR_GULLWALL_ENDPOINT_REFUSED'
+    const certain = error instanceof GullwallError && UNSENT_CODES.has(error.code)
     if (certain) this.options.registry.notStarted(this.head.attemptId)
     if (this.endReason !== 'preempted') this.served.slots.recordFailure()
     const reason = this.endReason === undefined || this.endReason === 'engine-failed'
