fix(sidecar): prove "not run" by the mark and the id, not by the status

Behind a sidecar a caller got 408, 421, 429 or 503 for a request that an endpoint had run: the sidecar passed such a status on without the mark of a request that was not run. A mark counted without the attempt's id, so that a late rejection of one attempt was taken for that of the next one, which ran: it was sent on, or its caller was told "not run". An endpoint whose own 409 bore the sidecar's headers counted as one that had run nothing. A rejection whose body had no end kept the slot and the entry waiting for as long as its bytes came.

One function (readRejection) reads the evidence from the head: the mark, in the final head of a failure, with the one id of the attempt. Any other response with such a status is reported to the entry as one that may have run. The entry is told at the head; the rest is read for 1 s or 64 KiB. A rejected attempt stays "never started" for an entry that asks after a lost response (it was overwritten with "finished"). Responses of a sidecar repeat the attempt's id.

--- a/bench/fake-engine/src/engine-server.ts
+++ b/bench/fake-engine/src/engine-server.ts
@@ -136,7 +136,7 @@
       return
     }
     context.status = 503
-    context.set({ 'retry-after': String(this.restS), 'x-gullwall-ran': 'no' })
+    context.set({ 'retry-after': String(this.restS), 'x-gullwall-ran': 'no', 'x-gullwall-attempt-id': context.get('x-gullwall-attempt-id') })
     context.body = { error: { message: 'no room', type: 'server_error', code: 'overloaded', param: null } }
   }
 
--- a/sidecar/attempts/src/registry.ts
+++ b/sidecar/attempts/src/registry.ts
@@ -30,8 +30,9 @@
     return 'started'
   }
 
+  /** Records the end of an attempt; one that did not start stays as it is. */
   finish (attemptId: string): void {
-    this.remember(attemptId, 'finished')
+    if (this.attempts.get(attemptId)?.state === 'started') this.remember(attemptId, 'finished')
   }
 
   /** Records that a started attempt did not reach the endpoint. */
--- a/sidecar/attempts/src/runner.ts
+++ b/sidecar/attempts/src/runner.ts
@@ -13,6 +13,7 @@
 } from '@gullwall/transport.attempt'
 import { type AttemptCrashes, type AttemptProgress, type ServedAttempt } from './crashes.ts'
 import { type AttemptRegistry } from './registry.ts'
+import { readRejection } from './rejection.ts'
 
 /** An endpoint of this box, its dialect and its slots. */
 export interface ServedEndpoint {
@@ -33,11 +34,11 @@
   minStallMs?: number
 }
 
-/** With a status from 400 on, the value `no` of this header means that the endpoint has not run the request. */
-const RAN_HEADER = 'x-gullwall-ran'
-const CLIENT_ERROR = 400
 /** Errors that prove that no byte of the request was written. */
 const UNSENT_CODES: ReadonlySet<string> = new Set(['ERR_GULLWALL_ENDPOINT_REFUSED', 'ERR_GULLWALL_UNSENT'])
+/** The rest of a rejection that is still read, so that its connection can be used again; it is closed after either of the two. */
+const MAX_REJECTION_BYTES = 65_536
+const MAX_REJECTION_MS = 1000
 const MIN_SUCCESS_STATUS = 200
 const MIN_REDIRECT_STATUS = 300
 /** Time after the first chunk of a stream, in ms, at which another one shows a good run: an endpoint that crashes may write some first. */
@@ -95,8 +96,10 @@
   private endReason: EndReason | undefined
   private stallTimer: NodeJS.Timeout | undefined
   private isStream = false
-  /** Whether the endpoint has rejected the attempt without running it. */
-  private isRejected = false
+  /** How the endpoint rejected the attempt; undefined if it did not. */
+  private rejection: AttemptRefused | undefined
+  private rejectionBytes = 0
+  private onRejected = (): void => {}
   private isSuccessful = false
   private firstChunkAt: number | undefined
   private hasRunWell = false
@@ -122,12 +125,13 @@
 
   async run (): Promise<void> {
     const { response } = this
-    response.once('close', () => this.abort.abort())
+    response.once('close', () => { if (this.rejection === undefined) this.abort.abort() })
     this.watchForStall(this.firstTokenStallMs())
     try {
-      await this.callEndpoint()
-      if (this.isRejected) {
-        this.refuseRejected()
+      const call = this.callEndpoint()
+      await Promise.race([call, new Promise<void>((resolve) => { this.onRejected = resolve })])
+      if (this.rejection !== undefined) {
+        this.refuseRejected(this.rejection, call)
         return
       }
       this.options.crashes.recordSuccess(this.attempt)
@@ -144,6 +148,11 @@
     }
   }
 
+  private refuse (refused: AttemptRefused, why: string): void {
+    this.context.set(ATTEMPT_ID_HEADER, this.head.attemptId)
+    sendRefusal(this.context, refused, why)
+  }
+
   /** Records a broken connection that this process has not closed itself: the endpoint may have crashed. */
   private recordCrash (error: unknown): void {
     if (this.abort.signal.aborted || !(error instanceof GullwallError)) return
@@ -178,28 +187,43 @@
     const reason = this.endReason === undefined || this.endReason === 'engine-failed'
       ? (certain ? 'endpoint-down' : 'endpoint-failed')
       : this.endReason
-    sendRefusal(this.context, { reason, ran: certain ? 'no' : 'partly' }, messageOf(error))
+    this.refuse({ reason, ran: certain ? 'no' : 'partly' }, messageOf(error))
   }
 
-  private refuseRejected (): void {
-    this.options.registry.notStarted(this.head.attemptId)
-    sendRefusal(this.context, { reason: 'turned-away', ran: 'no' }, 'the endpoint has no room')
+  /** Refuses a rejected attempt as soon as its head is here: the body of a rejection may have no end. */
+  private refuseRejected (rejection: AttemptRefused, call: Promise<void>): void {
+    if (rejection.ran === 'no') this.options.registry.notStarted(this.head.attemptId)
+    else this.options.crashes.recordSuccess(this.attempt)
+    const timer = setTimeout(() => this.abort.abort(new Error(`no end within ${MAX_REJECTION_MS} ms`)), MAX_REJECTION_MS)
+    call.catch((error: unknown) => {
+      const why = `the connection of a rejection was closed: ${messageOf(error)}`
+      this.options.logger.sampled('rejection', { channel: 'endpoint', event: 'notice', endpoint: this.head.endpoint, why })
+    }).finally(() => clearTimeout(timer))
+    const why = rejection.ran === 'no' ? 'the endpoint has no room' : 'the endpoint rejected the request, and did not say that it has not run it'
+    this.refuse(rejection, why)
   }
 
   private relayHead (status: number, headers: IncomingHttpHeaders): void {
     const { response } = this
-    this.isRejected = status >= CLIENT_ERROR && headers[RAN_HEADER] === 'no'
-    if (this.isRejected) return
+    this.rejection = readRejection(status, headers, this.head.attemptId)
+    if (this.rejection !== undefined) {
+      this.onRejected()
+      return
+    }
     this.isSuccessful = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS
     this.served.slots.recordResponse(this.head.attemptId)
     this.isStream = isEventStream(headers)
     this.context.respond = false
-    response.writeHead(status, withoutOwnHeaders(selectEndToEndHeaders(headers)))
+    response.writeHead(status, { ...withoutOwnHeaders(selectEndToEndHeaders(headers)), [ATTEMPT_ID_HEADER]: this.head.attemptId })
     response.flushHeaders()
   }
 
   private relayChunk (chunk: Buffer): Promise<void> | undefined {
-    if (this.isRejected) return undefined
+    if (this.rejection !== undefined) {
+      this.rejectionBytes += chunk.length
+      if (this.rejectionBytes > MAX_REJECTION_BYTES) this.abort.abort(new Error(`over ${MAX_REJECTION_BYTES} bytes`))
+      return undefined
+    }
     this.recordChunk()
     return this.response.write(chunk) ? undefined : waitForDrain(this.response)
   }
--- a/transport/attempt/src/index.ts
+++ b/transport/attempt/src/index.ts
@@ -100,5 +100,6 @@
 export function readRefusal (headers: IncomingHttpHeaders): AttemptRefused | undefined {
   const reason = headers[`${PREFIX}refused`]
   if (typeof reason !== 'string') return undefined
-  return { reason: reason as AttemptRefusal, ran: (headers[`${PREFIX}ran`] as Ran | undefined) ?? 'unknown' }
+  const ran = headers[`${PREFIX}ran`]
+  return { reason: reason as AttemptRefusal, ran: ran === 'no' || ran === 'partly' ? ran : 'unknown' }
 }
