fix(entry): promise that a request has not run only with proof of it

On the path with sidecars a caller got 503 for a request that had run: after an attempt that broke off, the queue's refusal, a spent retry budget or five more rejections were answered with 503, since only the state of the last attempt was looked at. A status of an endpoint (408, 421, 429, 503) and its header `gullwall-ran` were passed on as the entry's word. A request that may run once was sent again when its endpoint wrote the comment by which sidecars report a preemption, and any other one without end. A stream that can't be resumed was sent again from its beginning.

RunEvidence (core/types) records each attempt and alone issues the proof; CallerResponse.refuse is the only function that writes 408, 421, 429 or 503 and takes the proof of this request; the types of the other functions exclude these statuses, at the door as well. True refusals stay 503 with Retry-After, now also after rejections.

--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -1,4 +1,5 @@
 /** The small types that packages of several domains share. */
+export * from './run-evidence.ts'
 export * from './statuses.ts'
 
 /** Labels of an endpoint, model, adapter, organisation or class. */
--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -2,7 +2,7 @@
 import { type IncomingHttpHeaders } from 'node:http'
 import { type Dispatcher as UndiciDispatcher, type Pool } from 'undici'
 import { messageOf } from '@gullwall/core.error'
-import { type Ran } from '@gullwall/core.types'
+import { isNotRunStatus, toForwardable, type Ran } from '@gullwall/core.types'
 import { type ResponseReceiver } from '@gullwall/endpoint.dialect'
 import { selectEndToEndHeaders, exchange, UnsentError } from '@gullwall/endpoint.http'
 import { EventRelay, isEventStream, rewriteResumedEvents, type StreamedCompletion } from '@gullwall/endpoint.openai'
@@ -24,7 +24,7 @@
 export type AttemptOutcome =
   | { kind: 'whole', status: number }
   | { kind: 'not-run', reason: AttemptRefusal | 'unreachable', why: string }
-  | { kind: 'broken', ran: Ran, reason: AttemptRefusal | 'lost', why: string }
+  | { kind: 'broken', ran: Exclude<Ran, 'no'>, reason: AttemptRefusal | 'lost', why: string }
   | { kind: 'cancelled' }
 
 export interface AttemptOptions {
@@ -53,8 +53,10 @@
     body: call.body
   }
   try {
-    await exchange(pool, request, relay, AbortSignal.any([caller.gone.signal, move]))
+    const signal = AbortSignal.any([caller.gone.signal, move, relay.withheld.signal])
+    await exchange(pool, request, relay, signal, { attemptId: head.attemptId })
   } catch (error) {
+    if (relay.withheld.signal.aborted) return { kind: 'broken', ran: 'unknown', reason: 'turned-away', why: messageOf(error) }
     if (caller.isGone) return { kind: 'cancelled' }
     if (move.aborted) return { kind: 'broken', ran: 'partly', reason: 'moved', why: 'its endpoint was put aside' }
     return relay.hasHead ? { kind: 'broken', ran: 'partly', reason: 'lost', why: messageOf(error) } : await whatBecameOf(options, error)
@@ -72,6 +74,8 @@
 /** Passes a sidecar's answer on to the caller. */
 class AnswerRelay implements ResponseReceiver {
   hasHead = false
+  /** Aborts when the response has a status that would be a promise to the caller, without the proof of a sidecar. */
+  readonly withheld = new AbortController()
   private status = 0
   private headers: IncomingHttpHeaders = {}
   private refusal: AttemptRefused | undefined
@@ -86,6 +90,10 @@
     this.status = status
     this.headers = headers
     this.refusal = readRefusal(headers)
+    if (this.refusal === undefined && isNotRunStatus(status)) {
+      this.withheld.abort(new Error(`a response with ${status} does not prove that the request has not run`))
+      return
+    }
     this.isStream = isEventStream(headers)
     if (this.isStream) this.options.caller.markEventStream()
   }
@@ -103,7 +111,8 @@
     const { refusal } = this
     if (refusal !== undefined) {
       const why = this.refusalText
-      return refusal.ran === 'no' ? { kind: 'not-run', reason: refusal.reason, why } : { kind: 'broken', ...refusal, why }
+      const { reason, ran } = refusal
+      return ran === 'no' ? { kind: 'not-run', reason, why } : { kind: 'broken', reason, ran, why }
     }
     if (this.isStream && !this.events.isDone) {
       return { kind: 'broken', ran: 'partly', reason: this.endReason(), why: 'the stream ended before its answer was whole' }
@@ -134,7 +143,7 @@
 
   private beginAnswer (): void {
     const { caller } = this.options
-    if (!caller.hasBegun) caller.begin(this.status, withoutOwnHeaders(selectEndToEndHeaders(this.headers)))
+    if (!caller.hasBegun) caller.begin(toForwardable(this.status), withoutOwnHeaders(selectEndToEndHeaders(this.headers)))
   }
 
   private endReason (): AttemptRefusal | 'lost' {
--- a/entry/answers/src/caller-response.ts
+++ b/entry/answers/src/caller-response.ts
@@ -1,19 +1,36 @@
 /** The answer to one caller: head once, bytes with back-pressure, and an error in the form that fits. */
 import { type IncomingHttpHeaders, type ServerResponse } from 'node:http'
-import { type Ran } from '@gullwall/core.types'
+import { isNotRunStatus, RunEvidence, type ForwardableStatus, type NotRunProof, type NotRunStatus, type Ran } from '@gullwall/core.types'
 import { abortResponse } from '@gullwall/transport.http-server'
 
-/** An error as the caller sees it. */
-export interface CallerError {
-  status: number
+/** Statuses with which an entry reports a failure; none of them promises anything about the run of the request. */
+export type FailureStatus = 400 | 401 | 403 | 404 | 409 | 413 | 500 | 502
+
+interface ErrorDescription {
   code: string
   message: string
-  ran: Ran
   step: string
   peer?: string
+}
+
+/** A failure, which promises nothing about the run of the request. */
+export interface CallerFailure extends ErrorDescription {
+  status: FailureStatus
+  ran: Ran
+}
+
+/** A refusal, which promises that the request has not run and never will. */
+export interface CallerRefusal extends ErrorDescription {
+  status: NotRunStatus
   retryAfterMs?: number
 }
 
+/** An error as the caller sees it. */
+export type CallerError = CallerFailure | CallerRefusal
+
+/** The header in which an entry states whether a request has run. */
+const RAN_HEADER = 'gullwall-ran'
+const UNPROVEN_STATUS = 502
 /** A caller that takes no byte for so long is given up, in ms. */
 const SLOW_READER_MS = 30_000
 const MS_PER_SECOND = 1000
@@ -21,6 +38,8 @@
 export class CallerResponse {
   /** Resolves when the connection is gone before the answer was whole. */
   readonly gone = new AbortController()
+  /** Whether the request may have run. */
+  readonly evidence = new RunEvidence()
   private isEventStream = false
 
   constructor (private readonly response: ServerResponse, readonly requestId: string) {
@@ -38,9 +57,11 @@
     return this.response.headersSent
   }
 
-  begin (status: number, headers: IncomingHttpHeaders | Record<string, string | string[]>): void {
+  /** Sends the head of an endpoint's response. */
+  begin (status: ForwardableStatus, headers: IncomingHttpHeaders | Record<string, string | string[]>): void {
     if (this.hasBegun) return
-    this.response.writeHead(status, { ...headers, 'x-request-id': this.requestId })
+    const { [RAN_HEADER]: _ofEndpoint, ...forwarded } = headers
+    this.response.writeHead(status, { ...forwarded, 'x-request-id': this.requestId })
   }
 
   /** Writes bytes; a promise resolves when a slow caller has taken them. */
@@ -52,18 +73,45 @@
     this.response.end()
   }
 
-  /** Answers with an error; in a stream that has begun it is the last event, without `[DONE]`. */
-  fail (error: CallerError): void {
-    if (this.isGone) return
-    if (!this.hasBegun) {
-      this.response.writeHead(error.status, errorHeaders(error, this.requestId))
-      this.response.end(JSON.stringify(errorBody(error, this.requestId)))
-      return
+  /** Reports an error. A refusal without the proof that the request has not run is reported as a failure. Returns the status. */
+  report (error: CallerError): CallerError['status'] {
+    if (!isRefusal(error)) {
+      this.fail(error)
+      return error.status
     }
-    if (this.isEventStream) this.response.end(`data: ${JSON.stringify(errorBody(error, this.requestId))}\n\n`)
+    const proof = this.evidence.proveNotRun()
+    if (proof !== undefined && !this.hasBegun) {
+      this.refuse(error, proof)
+      return error.status
+    }
+    const { code, message, step, peer } = error
+    this.fail({ status: UNPROVEN_STATUS, code, message, step, ...(peer === undefined ? {} : { peer }), ran: this.evidence.ran })
+    return UNPROVEN_STATUS
+  }
+
+  /** Reports a failure; in a stream that has begun it is the last event, without `[DONE]`. */
+  fail (failure: CallerFailure): void {
+    if (this.isGone) return
+    if (!this.hasBegun) this.writeError(failure, failure.ran)
+    else if (this.isEventStream) this.response.end(`data: ${JSON.stringify(errorBody(failure, failure.ran, this.requestId))}\n\n`)
     else abortResponse(this.response)
   }
 
+  /**
+   * Refuses the request. No other function writes a status that promises that the request has not run.
+   * @throws Error if the proof is about another request
+   */
+  refuse (refusal: CallerRefusal, proof: NotRunProof): void {
+    if (!proof.isAbout(this.evidence)) throw new Error('the proof is about another request')
+    if (!this.isGone) this.writeError(refusal, 'no')
+  }
+
+  private writeError (error: CallerError, ran: Ran): void {
+    const body = Buffer.from(JSON.stringify(errorBody(error, ran, this.requestId)))
+    this.response.writeHead(error.status, { ...errorHeaders(error, ran, this.requestId), 'content-length': body.length })
+    this.response.end(body)
+  }
+
   /** Errors in what follows are events too. */
   markEventStream (): void {
     this.isEventStream = true
@@ -84,15 +132,19 @@
   }
 }
 
+function isRefusal (error: CallerError): error is CallerRefusal {
+  return isNotRunStatus(error.status)
+}
+
 /** The body of an error, in the form that clients of the chat API read. */
-export function errorBody (error: CallerError, requestId: string): object {
+function errorBody (error: CallerError, ran: Ran, requestId: string): object {
   return {
     error: {
       message: error.message,
       type: typeOf(error.status),
       code: error.code,
       param: null,
-      ran: error.ran,
+      ran,
       step: error.step,
       peer: error.peer ?? null,
       request_id: requestId
@@ -100,13 +152,14 @@
   }
 }
 
-function errorHeaders (error: CallerError, requestId: string): Record<string, string> {
+function errorHeaders (error: CallerError, ran: Ran, requestId: string): Record<string, string> {
   const headers: Record<string, string> = {
-    'content-type': 'application/json; charset=utf-8', 'x-request-id': requestId, 'gullwall-ran': error.ran
+    'content-type': 'application/json; charset=utf-8', 'x-request-id': requestId, [RAN_HEADER]: ran
   }
   // Clients that retry by themselves must not repeat what may have run.
-  if (error.ran !== 'no') headers['x-should-retry'] = 'false'
-  if (error.retryAfterMs !== undefined) headers['retry-after'] = String(Math.ceil(error.retryAfterMs / MS_PER_SECOND))
+  if (ran !== 'no') headers['x-should-retry'] = 'false'
+  if (error.status === 401) headers['www-authenticate'] = 'Bearer'
+  if (isRefusal(error) && error.retryAfterMs !== undefined) headers['retry-after'] = String(Math.ceil(error.retryAfterMs / MS_PER_SECOND))
   return headers
 }
 
--- a/entry/answers/src/request-run.ts
+++ b/entry/answers/src/request-run.ts
@@ -2,15 +2,16 @@
 import { type Pool } from 'undici'
 import { type IdSequence } from '@gullwall/core.ids'
 import { type RoutingRecord } from '@gullwall/core.logger'
-import { type Ran } from '@gullwall/core.types'
-import { readCompletion, createResumeBody, addPriority, type StreamedCompletion } from '@gullwall/endpoint.openai'
+import { type NotRunStatus, type Ran, type SentAttempt } from '@gullwall/core.types'
+import { createResumeBody, addPriority, type StreamedCompletion } from '@gullwall/endpoint.openai'
 import { type DecisionLog } from '@gullwall/routing.decision-log'
 import { type Dispatcher, type Grant, type Refusal, type RoutedRequest } from '@gullwall/routing.dispatcher'
 import { nameOfPart } from '@gullwall/routing.quarantine'
 import { type RetryBudget } from '@gullwall/routing.limits'
 import { type AttemptHead } from '@gullwall/transport.attempt'
 import { runAttempt, type AttemptCall, type AttemptOutcome } from './attempt.ts'
-import { type CallerResponse } from './caller-response.ts'
+import { type CallerError, type CallerResponse } from './caller-response.ts'
+import { KeptAnswer } from './kept-answer.ts'
 import { AnswerTiming } from './timing.ts'
 
 /** A request with all that its attempts need. */
@@ -58,23 +59,20 @@
 const MAX_BROKEN_OFF = 3
 /** When a caller is asked to come back with a request that is held, in ms: it is held for minutes. */
 const HELD_RETRY_MS = 60_000
+/** When a caller is asked to come back with a request that every endpoint turned away, in ms. */
+const TURNED_AWAY_RETRY_MS = 1000
+const REFUSED_STATUS: NotRunStatus = 503
 /** A stream is cut off for higher tiers at most so many times, so that it ends at some time. */
 const MAX_PREEMPTIONS = 2
 const MAX_CANDIDATES_LOGGED = 3
-const JOIN_EVERY = 32
 
 export class RequestRun {
   private readonly timing: AnswerTiming
-  private kept: Buffer[] = []
-  private keptBytes = 0
-  /** How many of the kept buffers are joined ones. */
-  private joined = 0
-  private keepsAll = true
+  private readonly kept: KeptAnswer
   private preemptions = 0
   private attempts = 0
   private brokenOff = 0
   private hasBeenGranted = false
-  private ran: Ran = 'no'
 
   constructor (
     private readonly request: RequestToRun,
@@ -82,6 +80,7 @@
     private readonly services: RunServices
   ) {
     this.timing = new AnswerTiming(request.arrivedAt, request)
+    this.kept = new KeptAnswer(request.resumable ? services.maxAnswerBytes : 0)
     caller.gone.signal.addEventListener('abort', () => services.dispatcher.cancel(request))
   }
 
@@ -122,6 +121,7 @@
     const move = new AbortController()
     const onEjected = () => move.abort()
     if (this.isMovable) services.dispatcher.ejections.once(grant.endpoint, onEjected)
+    const sent = caller.evidence.recordSending()
     const outcome = await runAttempt({
       move: move.signal,
       pool: services.poolOf(grant.sidecar.address),
@@ -131,11 +131,12 @@
       timing: this.timing,
       resumes,
       revoke: () => services.revoke(grant, attemptId),
-      keep: (events) => this.keep(events)
+      keep: (events) => this.kept.add(events)
     })
     services.dispatcher.ejections.off(grant.endpoint, onEjected)
     services.dispatcher.completeGrant(grant, outcome.kind === 'whole' || outcome.kind === 'cancelled')
     request.late = 'serve'
+    recordOutcome(sent, outcome)
     if (outcome.kind !== 'not-run') services.recordAttempt(request)
     return this.settle(outcome, grant, attemptId)
   }
@@ -143,12 +144,10 @@
   private settle (outcome: AttemptOutcome, grant: Grant, attemptId: string): RunResult | undefined {
     switch (outcome.kind) {
       case 'whole':
-        this.ran = 'yes'
         this.services.retryBudget.recordSuccess(this.request.serves)
         this.log('finish', `answered with ${outcome.status}`, grant, attemptId)
         return this.result('answered', outcome.status)
       case 'cancelled':
-        this.ran = 'partly'
         this.log('cancel', 'the caller has gone', grant, attemptId)
         return this.result('cancelled')
       case 'not-run':
@@ -168,74 +167,73 @@
     this.request.avoidedEndpoints.add(grant.endpoint)
     // What an endpoint has turned away arrived there; to send it on is a repeat.
     if (reason === 'turned-away' && !this.services.retryBudget.tryTake(this.request.serves)) {
-      return this.fail(503, 'retry_budget_spent', `not run: ${why}`, grant)
+      return this.refuse('retry_budget_spent', `every attempt was turned away: ${why}`, grant)
     }
     if (this.attempts < MAX_ATTEMPTS) {
       this.log('retry', `not run: ${reason}`, grant, attemptId)
       return undefined
     }
-    return this.fail(503, 'endpoints_unavailable', `not run: ${reason}: ${why}`, grant)
+    return this.refuse('endpoints_unavailable', `${reason}: ${why}`, grant)
   }
 
   private settleBroken (outcome: AttemptOutcome & { kind: 'broken' }, grant: Grant, attemptId: string): RunResult | undefined {
-    this.ran = outcome.ran
     const { request, services, caller } = this
     const why = `${outcome.reason}: ${outcome.why}`
-    if (outcome.reason === 'preempted') {
+    // More preemptions than allowed are no order of a sidecar.
+    const isPreempted = outcome.reason === 'preempted' && this.preemptions < MAX_PREEMPTIONS
+    if (!isPreempted) request.avoidedEndpoints.add(grant.endpoint)
+    if (outcome.reason === 'stalled') services.dispatcher.health.recordStall(grant.endpoint)
+    if (!request.repeatable) return this.fail('may_have_run', `it may have run and is not repeated: ${why}`, grant)
+    if (isPreempted) {
       this.preemptions += 1
       this.attempts -= 1
-    } else if (outcome.reason === 'moved') {
-      request.avoidedEndpoints.add(grant.endpoint)
-    } else {
-      request.avoidedEndpoints.add(grant.endpoint)
-      if (outcome.reason === 'stalled') services.dispatcher.health.recordStall(grant.endpoint)
-      if (!request.repeatable) return this.fail(502, 'may_have_run', `it may have run and is not repeated: ${why}`, grant)
+    } else if (outcome.reason !== 'moved') {
       if (outcome.reason === 'endpoint-failed') this.brokenOff += 1
       const isSpent = this.attempts >= MAX_ATTEMPTS || this.brokenOff >= MAX_BROKEN_OFF
-      if (isSpent) return this.fail(502, 'endpoints_failed', why, grant)
-      if (!services.retryBudget.tryTake(request.serves)) return this.fail(502, 'retry_budget_spent', why, grant)
+      if (isSpent) return this.fail('endpoints_failed', why, grant)
+      if (!services.retryBudget.tryTake(request.serves)) return this.fail('retry_budget_spent', why, grant)
     }
-    if (caller.hasBegun && (!request.resumable || !this.keepsAll)) return this.fail(502, 'broken_off', why, grant)
+    if (caller.hasBegun && (!request.resumable || !this.kept.isComplete)) return this.fail('broken_off', why, grant)
     this.log(caller.hasBegun ? 'resume' : 'retry', why, grant, attemptId)
     return undefined
   }
 
+  /** Ends a request that the dispatcher sends to no endpoint. */
   private refused (refusal: Refusal): RunResult {
     if (refusal.reason === 'cancelled') {
       this.log('cancel', refusal.explanation)
       return this.result('cancelled')
     }
     this.log('refuse', `${refusal.reason}: ${refusal.explanation}`)
-    this.caller.fail({
-      status: 503,
+    return this.report({
+      status: REFUSED_STATUS,
       code: refusal.reason.replaceAll('-', '_'),
-      message: `${this.ran === 'no' ? 'not run' : 'not finished'}: ${refusal.explanation}`,
-      ran: this.ran,
+      message: refusal.explanation,
       step: 'queue',
       retryAfterMs: refusal.retryAfterMs
     })
-    return this.result('refused', 503)
   }
 
-  /** Refuses a request under which endpoints crash; it is not run any more, and says so where it never was. */
+  /** Ends a request under which endpoints crash; it is not sent any more. */
   private refuseHeld (why: string): RunResult {
     this.log('refuse', `held (${this.request.fingerprint}): ${why}`)
-    const hasNotRun = this.ran === 'no'
-    this.caller.fail({
-      status: hasNotRun ? 503 : 502,
-      code: 'crashes_endpoints',
-      message: why,
-      ran: this.ran,
-      step: 'quarantine',
-      retryAfterMs: hasNotRun ? HELD_RETRY_MS : undefined
-    })
-    return this.result('refused', hasNotRun ? 503 : 502)
+    return this.report({ status: REFUSED_STATUS, code: 'crashes_endpoints', message: why, step: 'quarantine', retryAfterMs: HELD_RETRY_MS })
+  }
+
+  /** Ends a request whose latest attempt did not run. */
+  private refuse (code: string, message: string, grant: Grant): RunResult {
+    this.log('refuse', message, grant)
+    return this.report({ status: REFUSED_STATUS, code, message, step: 'attempt', peer: describePeer(grant), retryAfterMs: TURNED_AWAY_RETRY_MS })
   }
 
-  private fail (status: number, code: string, message: string, grant: Grant): RunResult {
+  private fail (code: string, message: string, grant: Grant): RunResult {
     this.log('refuse', message, grant)
-    this.caller.fail({ status, code, message, ran: this.ran, step: 'attempt', peer: `${grant.endpoint}@${grant.sidecar.name}` })
-    return this.result('failed', status)
+    return this.report({ status: 502, code, message, ran: this.ran, step: 'attempt', peer: describePeer(grant) })
+  }
+
+  private report (error: CallerError): RunResult {
+    const status = this.caller.report(error)
+    return this.result(status === REFUSED_STATUS ? 'refused' : 'failed', status)
   }
 
   /** The text was whole when the stream broke; only its last event is missing. */
@@ -243,7 +241,6 @@
     this.services.dispatcher.completeGrant(grant, true)
     void this.caller.write(Buffer.from('data: [DONE]\n\n'))
     this.caller.end()
-    this.ran = 'yes'
     return this.result('answered', 200)
   }
 
@@ -252,26 +249,8 @@
     return { ran: this.ran, outcome, status, inTime: isGood && this.timing.inTime, firstTokenMs: this.timing.firstTokenMs }
   }
 
-  private keep (events: Buffer): void {
-    if (!this.request.resumable || !this.keepsAll) return
-    this.kept.push(events)
-    if (this.kept.length - this.joined >= JOIN_EVERY) this.joinKept()
-    this.keptBytes += events.length
-    if (this.keptBytes <= this.services.maxAnswerBytes) return
-    this.keepsAll = false
-    this.kept = []
-    this.joined = 0
-  }
-
-  /** Many small buffers take more memory than what is in them. */
-  private joinKept (): void {
-    this.kept.push(Buffer.concat(this.kept.splice(this.joined)))
-    this.joined = this.kept.length
-  }
-
   private answerSoFar (): StreamedCompletion | undefined {
-    if (!this.caller.hasBegun) return undefined
-    return readCompletion(this.kept)
+    return this.caller.hasBegun ? this.kept.read() : undefined
   }
 
   private call (resumes: StreamedCompletion | undefined): AttemptCall {
@@ -304,9 +283,13 @@
     }
   }
 
+  private get ran (): Ran {
+    return this.caller.evidence.ran
+  }
+
   /** Whether the stream can be broken off and go on elsewhere without a loss. */
   private get isMovable (): boolean {
-    return this.request.repeatable && this.request.resumable && this.keepsAll
+    return this.request.repeatable && this.request.resumable && this.kept.isComplete
   }
 
   private logWait (): void {
@@ -344,3 +327,16 @@
     })
   }
 }
+
+function recordOutcome (sent: SentAttempt, outcome: AttemptOutcome): void {
+  switch (outcome.kind) {
+    case 'not-run': sent.recordNotRun(); break
+    case 'broken': sent.recordRun(outcome.ran); break
+    case 'cancelled': sent.recordRun('partly'); break
+    case 'whole': sent.recordRun('yes'); break
+  }
+}
+
+function describePeer (grant: Grant): string {
+  return `${grant.endpoint}@${grant.sidecar.name}`
+}
--- a/entry/server/src/api.ts
+++ b/entry/server/src/api.ts
@@ -8,7 +8,7 @@
 import { type ControlClient } from '@gullwall/control.client'
 import { selectEndToEndHeaders } from '@gullwall/endpoint.http'
 import { chatRequestSchema, CHAT_PATH, isResumable, type ChatRequest } from '@gullwall/endpoint.openai'
-import { CallerResponse, errorBody, RequestRun, type CallerError, type RequestToRun, type RunResult, type RunServices } from '@gullwall/entry.answers'
+import { CallerResponse, RequestRun, type CallerError, type RequestToRun, type RunResult, type RunServices } from '@gullwall/entry.answers'
 import { computeFingerprint, findSharedParts } from '@gullwall/routing.quarantine'
 import { type OrganisationLimits } from '@gullwall/routing.limits'
 import { withoutOwnHeaders } from '@gullwall/transport.attempt'
@@ -75,13 +75,14 @@
 
   /** A failure of the entry itself is logged, and told to the caller as one that may have run. */
   async guard (context: Context, next: Next): Promise<void> {
+    context.state['caller'] = new CallerResponse(context.res, this.options.requestIds.next())
     try {
       await next()
     } catch (error) {
       this.options.logger.error({ channel: 'process', event: 'failed', why: `${context.method} ${context.path}`, error: errorRecord(error) })
       if (context.res.headersSent) abortResponse(context.res)
       else this.refuse(context, { status: 500, code: 'internal_error', message: messageOf(error), ran: 'unknown', step: 'entry' })
-      context.respond = !context.res.destroyed
+      context.respond = false
     }
   }
 
@@ -111,13 +112,10 @@
     })
   }
 
+  /** Reports an error to the caller, with the status that the evidence about its request allows. */
   refuse (context: Context, error: CallerError): void {
-    const requestId = this.options.requestIds.next()
-    context.status = error.status
-    context.set({ 'x-request-id': requestId, 'gullwall-ran': error.ran })
-    if (error.retryAfterMs !== undefined) context.set('retry-after', String(Math.ceil(error.retryAfterMs / NOT_READY_RETRY_MS)))
-    if (error.status === 401) context.set('www-authenticate', 'Bearer')
-    context.body = errorBody(error, requestId)
+    context.respond = false
+    callerOf(context).report(error)
   }
 
   private accept (context: Context, repeatableByNature: boolean): Either<CallerError, Caller> {
@@ -167,7 +165,7 @@
   /** Runs a request; one that must run at most once is claimed first. */
   private async runOnce (context: Context, caller: Caller, wanted: Wanted): Promise<void> {
     const request = this.requestOf(context, caller, wanted)
-    const needsClaim = caller.idempotencyKey !== undefined && !caller.repeatable
+    const needsClaim = caller.idempotencyKey !== undefined && !request.repeatable
     if (!needsClaim) {
       await this.run(context, request)
       return
@@ -187,15 +185,18 @@
       const answer = await this.options.control.claim(key, requestId, CLAIM_HOLD_MS)
       if (answer.granted) return undefined
       const ran = answer.outcome === 'yes' || answer.outcome === 'partly' ? answer.outcome : 'unknown'
-      return { ...refusal(409, 'already_claimed', `request ${answer.holder} holds this key; it ran: ${answer.outcome}`), ran }
+      const message = `request ${answer.holder} holds this key; it ran: ${answer.outcome}`
+      return { status: 409, code: 'already_claimed', message, ran, step: 'claim' }
     } catch (error) {
-      return { ...refusal(503, 'no_quorum', messageOf(error), NOT_READY_RETRY_MS), step: 'claim' }
+      // The claim may have been accepted all the same, and would keep the key from the caller's next request.
+      void this.options.control.settle(key, requestId, 'no')
+      return { status: 503, code: 'no_quorum', message: messageOf(error), step: 'claim', retryAfterMs: NOT_READY_RETRY_MS }
     }
   }
 
   private async run (context: Context, request: RequestToRun): Promise<RunResult> {
     context.respond = false
-    const run = new RequestRun(request, new CallerResponse(context.res, request.id), this.options.run)
+    const run = new RequestRun(request, callerOf(context), this.options.run)
     const result = await run.run()
     this.options.metrics.note(request.class, result)
     return result
@@ -205,7 +206,7 @@
     const { organisation } = caller
     const selectors = [caller.class.selector, this.namedSelector(caller), organisation.selector].filter((text) => text !== '')
     return {
-      id: this.options.requestIds.next(),
+      id: callerOf(context).requestId,
       group: [caller.className, wanted.kind, wanted.serves, ...selectors].join('|'),
       class: caller.className,
       tier: caller.class.tier,
@@ -225,7 +226,7 @@
         organisation: caller.organisationName, method: context.method, path: wanted.path, body: wanted.body
       }),
       parts: wanted.parts,
-      repeatable: caller.repeatable,
+      repeatable: isRepeatable(caller, wanted),
       stream: wanted.stream,
       resumable: wanted.resumable,
       call: {
@@ -249,6 +250,15 @@
   }
 }
 
+function callerOf (context: Context): CallerResponse {
+  return context.state['caller'] as CallerResponse
+}
+
+/** A stream that can't go on elsewhere may run once only, unless its caller has said otherwise. */
+function isRepeatable (caller: Caller, wanted: Wanted): boolean {
+  return caller.repeatable && (caller.isDeclaredRepeatable || !wanted.stream || wanted.resumable)
+}
+
 function readChat (bytes: Buffer): Either<CallerError, Wanted> {
   return parseJson(bytes).chain((value) => {
     const parsed = chatRequestSchema.safeParse(value)
--- a/entry/server/src/caller-dialect.ts
+++ b/entry/server/src/caller-dialect.ts
@@ -6,6 +6,7 @@
 import { type IncomingHttpHeaders } from 'node:http'
 import { Either, Left, Right } from 'purify-ts'
 import { type ClassRecord, type OrganisationRecord, type RecordMap, secretMatches, splitKey } from '@gullwall/config.records'
+import { isNotRunStatus } from '@gullwall/core.types'
 import { type CallerError } from '@gullwall/entry.answers'
 
 const CLASS_HEADER = 'gullwall-class'
@@ -20,6 +21,8 @@
   className: string
   class: ClassRecord
   repeatable: boolean
+  /** Whether the caller itself has said that the request may be repeated. */
+  isDeclaredRepeatable: boolean
   /** Makes a request that may not be repeated run at most once across resends. */
   idempotencyKey: string | undefined
 }
@@ -77,10 +80,11 @@
   }
   const byDefault = known.class.repeatable && options.repeatableByNature
   const repeatable = said === undefined ? byDefault : said === 'true'
-  return Right({ ...known, repeatable, idempotencyKey: typeof key === 'string' ? key : undefined })
+  return Right({ ...known, repeatable, isDeclaredRepeatable: said === 'true', idempotencyKey: typeof key === 'string' ? key : undefined })
 }
 
-/** An error of a request that was not run, since it was refused at the door. */
-export function refusal (status: number, code: string, message: string, retryAfterMs?: number): CallerError {
-  return { status, code, message, ran: 'no', step: 'accept', retryAfterMs }
+/** An error of a request that is turned down at the door, before anything of it is sent. */
+export function refusal (status: CallerError['status'], code: string, message: string, retryAfterMs?: number): CallerError {
+  const step = 'accept'
+  return isNotRunStatus(status) ? { status, code, message, step, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) } : { status, code, message, step, ran: 'no' }
 }
--- a/routing/dispatcher/src/types.ts
+++ b/routing/dispatcher/src/types.ts
@@ -36,7 +36,7 @@
 
 export type RefusalReason = 'resting' | 'queue-full' | 'wait-passed' | 'wait-too-long' | 'cancelled' | 'stopping'
 
-/** The result for a request that was certainly not run. */
+/** The result for a request that is sent to no endpoint now. An earlier attempt may have run it. */
 export interface Refusal {
   reason: RefusalReason
   explanation: string
