--- a/entry/gateway/test/gateway-deployment.ts
+++ b/entry/gateway/test/gateway-deployment.ts
@@ -71,6 +71,9 @@
   }
 }
 
+/** What is reported of an endpoint. */
+export type ReportedEndpoint = Pick<StubEndpoint, 'incarnation' | 'service' | 'address' | 'dataCentre' | 'build'>
+
 export interface RetrySettings {
   retryRatio: number
   retryWindowMs: number
@@ -161,7 +164,7 @@
   }
 
   /** Reports an endpoint to control and waits until the gateway uses it, or no longer uses it. */
-  async register (stub: StubEndpoint, state: 'ready' | 'draining' = 'ready', sequence = 1, coldMs?: number): Promise<void> {
+  async register (stub: ReportedEndpoint, state: 'ready' | 'draining' = 'ready', sequence = 1, coldMs?: number): Promise<void> {
     const { incarnation, service, address, dataCentre, build } = stub
     const lease = { incarnation, service, address, dataCentre, build, slots: 4, state, sequence, coldMs, ageMs: 0 }
     await this.control.get('registrar').receiveHeartbeat(lease)
