--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -1,6 +1,6 @@
 /** The typed log records, by channel. */
 import { type ErrorRecord } from '@gullwall/core.error'
-import { type Ran } from '@gullwall/core.types'
+import { type NotRunEvidence, type Ran } from '@gullwall/core.types'
 
 /** One decision on one request: where it runs, that it waits, or that it is refused. */
 export interface RoutingRecord {
@@ -71,7 +71,7 @@
   responseStatus?: number
   isMarkedNotRun?: boolean
   /** Why a caller is told that its request has not run; see `gullwall_refusals_total`. */
-  evidence?: 'unsent' | 'marked'
+  evidence?: NotRunEvidence
   /** What marks the end of the latest response: its length, its last chunk, or the end of its connection. */
   framing?: 'length' | 'chunks' | 'connection'
   /** Bytes of a stream behind its last complete event when its latest response ended. */
--- a/entry/gateway/src/attempt-history.ts
+++ b/entry/gateway/src/attempt-history.ts
@@ -1,6 +1,6 @@
 /** The attempts of one request so far, and whether another attempt is allowed. */
+import { RunEvidence } from '@gullwall/core.types'
 import { type Call } from './call.ts'
-import { RunEvidence } from './run-evidence.ts'
 
 /** Maximum number of attempts that endpoints reject without running the request. Rejected attempts do not count as sent. */
 const MAX_NOT_RUN = 5
--- a/entry/gateway/src/attempt-policy.ts
+++ b/entry/gateway/src/attempt-policy.ts
@@ -2,12 +2,12 @@
  * Decisions about one request: whether it is sent, what follows each attempt, and when an endpoint that does not respond is
  * abandoned. `request-forwarder.ts` carries them out.
  */
+import { type ForwardableStatus } from '@gullwall/core.types'
 import { type Candidate, type InFlightRequest, type RequestRetries } from '@gullwall/routing.balancer'
 import { type AttemptOutcome } from './attempt-response-receiver.ts'
 import { type AttemptHistory } from './attempt-history.ts'
 import { isRepeatable, type Call } from './call.ts'
 import { type Headers } from './dialect.ts'
-import { type ForwardableStatus } from './statuses.ts'
 
 /** Maximum predicted wait for the first event, as a multiple of the acceptable wait. Callers that are refused early can retry in time. */
 const MAX_WAIT_FACTOR = 1
--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -1,12 +1,12 @@
 /** Receives the response to one attempt and forwards its complete parts to the caller. */
 import { type AttemptVerdict, type Candidate, type InFlightRequest } from '@gullwall/routing.balancer'
+import { isNotRunStatus, toForwardable, type ForwardableStatus, type NotRunStatus, type SentAttempt } from '@gullwall/core.types'
 import { type BackoffPermit } from '@gullwall/routing.backoff'
 import { firstHeaderValue, type AttemptResponseHead, type Headers } from './dialect.ts'
 import { EventSplitter, hasField } from './event-splitter.ts'
 import { type ExchangeOutcome, type ExchangeHead, type ExchangeListener } from './exchange.ts'
 import { type RequestForwarder } from './request-forwarder.ts'
-import { type SentAttempt } from './run-evidence.ts'
-import { isNotRunStatus, toForwardable, type ForwardableStatus, type NotRunStatus } from './statuses.ts'
+import { recordResponse } from './run-evidence.ts'
 
 /** How one attempt ended. */
 export type AttemptOutcome =
@@ -84,7 +84,7 @@
     }
     this.head = head
     this.forwarder.recorder.recordResponseHead({ responseStatus: head.status, isMarkedNotRun: own.isNotRun })
-    this.sent?.recordResponse({ status: head.status, isMarkedNotRun: own.isNotRun })
+    if (this.sent !== undefined) recordResponse(this.sent, { status: head.status, isMarkedNotRun: own.isNotRun })
     if (this.isNotRun) return true
     this.permit.recordResponse()
     return own.requestId !== undefined && own.isFromService && head.headers['content-encoding'] === undefined
--- a/entry/gateway/src/caller-response.ts
+++ b/entry/gateway/src/caller-response.ts
@@ -1,9 +1,9 @@
 /** The HTTP response to a caller: the complete response of an endpoint, a stream event by event, or an error of this process. */
 import { type ServerResponse } from 'node:http'
+import { RunEvidence, type ForwardableStatus, type NotRunProof, type NotRunStatus } from '@gullwall/core.types'
 import { abortResponse } from '@gullwall/transport.http-server'
 import { type Headers } from './dialect.ts'
-import { RunEvidence, type NotRunProof } from './run-evidence.ts'
-import { type FailureStatus, type ForwardableStatus, type NotRunStatus } from './statuses.ts'
+import { type FailureStatus } from './run-evidence.ts'
 
 const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'trailer', 'upgrade', 'proxy-connection'])
 
--- a/entry/gateway/src/request-recorder.ts
+++ b/entry/gateway/src/request-recorder.ts
@@ -1,11 +1,10 @@
 /** Writes the log lines and metrics of one request. */
 import { type ForwardRecord } from '@gullwall/core.logger'
+import { type NotRunEvidence, type NotRunStatus } from '@gullwall/core.types'
 import { type Candidate } from '@gullwall/routing.balancer'
 import { type AttemptHistory } from './attempt-history.ts'
 import { type Call } from './call.ts'
 import { type GatewayServices } from './index.ts'
-import { type NotRunEvidence } from './run-evidence.ts'
-import { type NotRunStatus } from './statuses.ts'
 
 type Decision = ForwardRecord['decision']
 export type ResponseHeadFacts = Required<Pick<ForwardRecord, 'responseStatus' | 'isMarkedNotRun'>>
--- a/entry/gateway/test/attempt-policy.test.ts
+++ b/entry/gateway/test/attempt-policy.test.ts
@@ -1,10 +1,10 @@
 import { describe, expect, it } from 'vitest'
+import { toForwardable } from '@gullwall/core.types'
 import { EndpointState, RetryBudgets, type Candidate, type InFlightRequest } from '@gullwall/routing.balancer'
 import { type AttemptOutcome } from '../src/attempt-response-receiver.ts'
 import { AttemptHistory } from '../src/attempt-history.ts'
 import { admit, decideNextStep, findStallReason, type RequestState } from '../src/attempt-policy.ts'
 import { type Call } from '../src/call.ts'
-import { toForwardable } from '../src/statuses.ts'
 
 const TARGET_MS = 600
 
--- a/entry/gateway/test/run-evidence.test.ts
+++ b/entry/gateway/test/run-evidence.test.ts
@@ -1,10 +1,10 @@
 /** Guards against promises to callers that no evidence supports. */
 import { describe, expect, it } from 'vitest'
 import { type ServerResponse } from 'node:http'
+import { isNotRunStatus, RunEvidence, toForwardable } from '@gullwall/core.types'
 import { CallerResponse } from '../src/caller-response.ts'
 import { nativeDialect } from '../src/native-dialect.ts'
-import { RunEvidence } from '../src/run-evidence.ts'
-import { isNotRunStatus, toForwardable } from '../src/statuses.ts'
+import { recordResponse } from '../src/run-evidence.ts'
 
 const refusal = { status: 503, code: 'ERR_GULLWALL_REFUSED', message: 'full', retryAfterMs: 300 } as const
 
@@ -30,16 +30,16 @@
     [200, true, false], [204, true, false], [302, true, false]
   ])('of a response with %i, marked: %s, is given: %s', (status, isMarkedNotRun, isProof) => {
     const evidence = new RunEvidence()
-    evidence.recordSending().recordResponse({ status, isMarkedNotRun })
+    recordResponse(evidence.recordSending(), { status, isMarkedNotRun })
     expect(evidence.proveNotRun()?.evidence).toBe(isProof ? 'marked' : undefined)
   })
 
   it('needs the mark of each endpoint that received the request', () => {
     const evidence = new RunEvidence()
     const [first, second] = [evidence.recordSending(), evidence.recordSending()]
-    first.recordResponse({ status: 503, isMarkedNotRun: true })
+    recordResponse(first, { status: 503, isMarkedNotRun: true })
     expect(evidence.proveNotRun()).toBeUndefined()
-    second.recordResponse({ status: 503, isMarkedNotRun: true })
+    recordResponse(second, { status: 503, isMarkedNotRun: true })
     expect(evidence.proveNotRun()).toBeDefined()
   })
 })
