fix(endpoint-http): survive the reset of a response that is paused for a slow reader

Cause: the HTTP client takes the error ECONNRESET for the end of such a response and finishes its parser, which asserts that it is not paused, inside the socket's error handler. A reset never is the end of a response here, so the error now has a code of its own, and the client fails the response instead.

--- a/endpoint/http/src/connection-ends.ts
+++ b/endpoint/http/src/connection-ends.ts
@@ -2,6 +2,9 @@
 import { type Socket } from 'node:net'
 import { buildConnector } from 'undici'
 
+/** The code of the error of a connection that was reset. */
+const RESET_CODE = 'ERR_GULLWALL_CONNECTION_RESET'
+
 /**
  * Reports how each connection ends before the HTTP client handles its end. The client accepts a response without a length as
  * complete even if the connection was reset, and the runtime reports a reset that arrives together with data as an ordinary end.
@@ -22,7 +25,11 @@
       connect(options, (...result) => {
         const socket: Socket | null = result[1]
         socket?.prependListener('end', () => this.recordEnding(isWritable(socket)))
-        socket?.prependListener('error', () => this.recordEnding(Promise.resolve(false)))
+        socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
+          this.recordEnding(Promise.resolve(false))
+          // The HTTP client takes a reset for the end of a response without a length, and ends the process if that response is paused.
+          if (error.code === 'ECONNRESET') error.code = RESET_CODE
+        })
         callback(...result)
       })
     }
--- a/endpoint/http/test/http-endpoint.test.ts
+++ b/endpoint/http/test/http-endpoint.test.ts
@@ -44,6 +44,19 @@
     expect(await run()).toBe('ERR_GULLWALL_ENDPOINT_FAILED')
   })
 
+  // The HTTP client failed an assertion in the handler of the reset, which ended the process.
+  it('fails if its connection is reset while it is paused for a slow reader', async () => {
+    let pause: () => void = () => {}
+    const paused = new Promise<void>((resolve) => { pause = resolve })
+    respond = (socket) => {
+      socket.write(`${HEAD}\r\npart`)
+      void paused.then(() => socket.resetAndDestroy())
+    }
+    const call = { method: 'GET', path: '/', headers: {}, body: undefined, signal: new AbortController().signal }
+    const running = endpoint.run(call, { onHead: () => {}, onData: () => { pause(); return new Promise<void>(() => {}) } })
+    await expect(running).rejects.toMatchObject({ code: 'ERR_GULLWALL_ENDPOINT_FAILED' })
+  })
+
   it('in chunks is not complete without its last chunk, however its connection ends', async () => {
     const part = `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n8\r\n{"half":\r\n`
     respond = reset(part)
