fix(endpoint): bound reports, probes and events that have no end

Behind sidecars an endpoint could send bytes without end where none were bounded. A report of its load was kept until the sidecar's memory was full (the time-out of the HTTP client counts silence only, and the next report was requested a second later); an event of a stream was kept by the entry, joined to all before it and searched anew with each chunk, so that the process stood still for all its callers.

A report or probe has 2 s and 64 KiB now, an event 4 MiB; then the connection is closed, and the attempt counts as broken off: a stream that can be resumed goes on elsewhere. Chunks of an event are joined once, and only the new chunk is searched.

--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -14,6 +14,9 @@
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'
 ])
 const CONNECT_TIMEOUT_MS = 2000
+/** Bounds of the response to a probe or a query of the load. */
+const MAX_REPORT_BYTES = 65_536
+const REPORT_TIMEOUT_MS = 2000
 /** Codes of failures to connect. */
 const CONNECT_FAILURE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
 
@@ -75,18 +78,35 @@
 
   /** Requests a path and parses the response as JSON, whatever its status. */
   async getJson (path: string): Promise<unknown> {
-    return await (await this.request('GET', path)).body.json()
+    return JSON.parse(await this.request('GET', path)) as unknown
   }
 
   async probe (): Promise<void> {
-    await (await this.request('HEAD', '/')).body.dump()
+    await this.request('HEAD', '/')
   }
 
-  private async request (method: Dispatcher.HttpMethod, path: string): Promise<Dispatcher.ResponseData> {
-    const sentAt = performance.now()
-    const response = await this.pool.request({ method, path, headersTimeout: CONNECT_TIMEOUT_MS, bodyTimeout: CONNECT_TIMEOUT_MS })
-    this.onResponseHead({ status: response.statusCode, headers: response.headers, sentAt })
-    return response
+  /**
+   * Requests a path and returns the body. An endpoint may send bytes without end, so that both its length and the time are bounded.
+   * @throws Error if the response is longer, takes longer, or fails
+   */
+  private async request (method: Dispatcher.HttpMethod, path: string): Promise<string> {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    const receiver: ResponseReceiver = {
+      onHead: () => {},
+      onData: (chunk) => {
+        bytes += chunk.length
+        if (bytes > MAX_REPORT_BYTES) return Promise.reject(new Error(`a response of over ${MAX_REPORT_BYTES} bytes`))
+        chunks.push(chunk)
+        return undefined
+      }
+    }
+    await exchange(this.pool, { method, path }, receiver, AbortSignal.timeout(REPORT_TIMEOUT_MS), {
+      onResponseHead: this.onResponseHead,
+      // A response to HEAD has no body, whatever its head says of a length.
+      wasClosedCleanly: async () => method === 'HEAD' || await this.ends.wasClosedCleanly()
+    })
+    return Buffer.concat(chunks).toString('utf8')
   }
 
   close (): Promise<void> {
--- a/endpoint/http/test/unsent.test.ts
+++ b/endpoint/http/test/exchange.test.ts
@@ -94,3 +94,41 @@
     server.close()
   })
 })
+
+describe('a response to a report or a probe', () => {
+  const heads = { 'a body': 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n', 'interim responses': '' }
+  const repeated = { 'a body': '4\r\n    \r\n', 'interim responses': 'HTTP/1.1 102 Processing\r\n\r\n' }
+  for (const name of ['a body', 'interim responses'] as const) {
+    // The process kept such a body until it had no memory left.
+    it(`with ${name} without end fails, and its connection is closed`, async () => {
+      let closed: () => void
+      const isClosed = new Promise<void>((resolve) => { closed = resolve })
+      const server = createServer((socket) => {
+        socket.write(heads[name])
+        const send = () => { if (!socket.destroyed && socket.write(repeated[name].repeat(1000))) setImmediate(send) }
+        socket.once('data', send).on('drain', send).on('error', () => {}).on('close', () => closed())
+      })
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+      const endpoint = new HttpEndpoint('stub', `127.0.0.1:${(server.address() as AddressInfo).port}`)
+      await expect(endpoint.getJson('/load')).rejects.toThrow('over')
+      await isClosed
+      await endpoint.close()
+      server.close()
+    })
+  }
+
+  it('is read whole, and a response to HEAD needs no length', async () => {
+    const server = createServer((socket) => {
+      socket.on('data', (chunk) => {
+        const isHead = chunk.toString().startsWith('HEAD')
+        socket.write(isHead ? 'HTTP/1.1 200 OK\r\n\r\n' : 'HTTP/1.1 200 OK\r\ncontent-length: 15\r\n\r\n{"in_flight":3}')
+      }).on('error', () => {})
+    })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    const endpoint = new HttpEndpoint('stub', `127.0.0.1:${(server.address() as AddressInfo).port}`)
+    expect(await endpoint.getJson('/load')).toEqual({ in_flight: 3 })
+    await endpoint.probe()
+    await endpoint.close()
+    server.close()
+  })
+})
--- a/endpoint/openai/src/sse.ts
+++ b/endpoint/openai/src/sse.ts
@@ -9,6 +9,9 @@
 
 const EVENT_END = Buffer.from('\n\n')
 const DONE_EVENT = Buffer.from('data: [DONE]\n\n')
+const LINE_FEED = 10
+/** Maximum length of one event of a stream; an endpoint may send bytes without end. */
+const MAX_EVENT_BYTES = 4 * 1024 * 1024
 const END_COMMENT = ': gullwall-end '
 
 /** Whether a response is a stream of server-sent events. */
@@ -33,19 +36,38 @@
   /** The reason from the sidecar's end comment; undefined if there was none. */
   endReason: EndReason | undefined
   /** The beginning of an event that is not yet complete. */
-  private tail: Buffer | undefined
+  private tail: Buffer[] = []
+  private tailBytes = 0
 
-  /** Adds a chunk and returns the bytes up to the last complete event, or undefined if there are none. */
+  /**
+   * Adds a chunk and returns the bytes up to the last complete event, or undefined if there are none.
+   * @throws Error if an event is too long
+   */
   push (chunk: Buffer): Buffer | undefined {
-    const bytes = this.tail === undefined ? chunk : Buffer.concat([this.tail, chunk])
-    const end = bytes.lastIndexOf(EVENT_END)
+    const end = this.findEnd(chunk)
     if (end < 0) {
-      this.tail = bytes
+      this.keepTail(chunk)
       return undefined
     }
-    const tailStart = end + EVENT_END.length
-    this.tail = tailStart < bytes.length ? bytes.subarray(tailStart) : undefined
-    return this.removeEndComment(bytes.subarray(0, tailStart))
+    const whole = this.tail.length === 0 ? chunk.subarray(0, end) : Buffer.concat([...this.tail, chunk.subarray(0, end)])
+    this.tail = []
+    this.tailBytes = 0
+    if (end < chunk.length) this.keepTail(chunk.subarray(end))
+    return this.removeEndComment(whole)
+  }
+
+  /** Returns where the last event that ends in a chunk ends; its end may have begun in the chunk before. */
+  private findEnd (chunk: Buffer): number {
+    const last = chunk.lastIndexOf(EVENT_END)
+    if (last >= 0) return last + EVENT_END.length
+    return chunk[0] === LINE_FEED && this.tail.at(-1)?.at(-1) === LINE_FEED ? 1 : -1
+  }
+
+  private keepTail (bytes: Buffer): void {
+    if (bytes.length === 0) return
+    this.tail.push(bytes)
+    this.tailBytes += bytes.length
+    if (this.tailBytes > MAX_EVENT_BYTES) throw new Error(`an event of over ${MAX_EVENT_BYTES} bytes`)
   }
 
   private removeEndComment (events: Buffer): Buffer | undefined {
--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -103,7 +103,12 @@
       this.refusalText += chunk.toString('utf8')
       return undefined
     }
-    return this.isStream ? this.relayEvents(chunk) : this.relayBytes(chunk)
+    if (!this.isStream) return this.relayBytes(chunk)
+    try {
+      return this.relayEvents(chunk)
+    } catch (error) {
+      return Promise.reject(error)
+    }
   }
 
   /** How the attempt ended, once its answer has. */
--- a/entry/server/test/promises.test.ts
+++ b/entry/server/test/promises.test.ts
@@ -87,6 +87,19 @@
     expect(await entry.ask({}, ONCE)).toMatchObject({ status: 200 })
   })
 
+  it('whose endpoint sends an event without end is sent to another one, and the connection is closed', async () => {
+    let closed: Promise<unknown> | undefined
+    entry.attempts = [(response) => {
+      closed = new Promise((resolve) => response.once('close', resolve))
+      response.writeHead(200, { 'content-type': 'text/event-stream' })
+      const send = () => { if (!response.destroyed && response.write('data: '.repeat(10_000))) setImmediate(send) }
+      response.on('drain', send)
+      send()
+    }, streamOf('data: [DONE]\n\n')]
+    expect(await entry.ask({ stream: true })).toMatchObject({ status: 200, text: 'data: [DONE]\n\n' })
+    await closed
+  })
+
   // It can't go on at another endpoint, so that a second run of it would be one from its beginning.
   it('with a stream that can not be resumed may run once, unless its caller has said that it may be repeated', async () => {
     const stream = { stream: true, tools: [] }
