test(sidecar): an attempt that is moved away or left is closed at its endpoint at once

A request that goes on at another endpoint may not run at the first one for more than 400 ms. The entry closes its connection in the turn in which it moves away, and the sidecar closes that to the endpoint when its own closes. Both hold before these tests as well; nothing checked them.

--- a/entry/server/test/entry-fixture.ts
+++ b/entry/server/test/entry-fixture.ts
@@ -54,6 +54,8 @@
   revoked: Ran = 'unknown'
   hasRetries = true
   notReady: string | undefined
+  /** Reports that an endpoint is sick, by its name; all attempts run at `e`. */
+  readonly ejections = new EventEmitter()
   readonly control = { claim: async (): Promise<never> => { throw new Error('no quorum') }, settled: [] as string[] }
   private readonly sidecar: Server
   private pool!: Pool
@@ -141,7 +143,7 @@
       findQueuePosition: () => undefined,
       listUsableEndpoints: () => [],
       recordBusy: () => {},
-      ejections: new EventEmitter(),
+      ejections: this.ejections,
       health: { recordStall: () => {} },
       directory: { listServed: () => new Set([MODEL]), findReachableEndpoints: () => [] }
     }
--- a/entry/server/test/promises.test.ts
+++ b/entry/server/test/promises.test.ts
@@ -4,6 +4,8 @@
 
 const ONCE = { 'gullwall-repeatable': 'false' }
 const AGAIN = { 'gullwall-repeatable': 'true' }
+/** For so long an endpoint may go on with a request that was sent on to another one. */
+const STILL_WORKING_MS = 400
 const PROMISES = [408, 421, 429, 503]
 const turnedAway = refuseWith('turned-away', 'no')
 
@@ -100,6 +102,33 @@
     await closed
   })
 
+  it('that moves away from a sick endpoint is closed there at once, before it is sent on', async () => {
+    const order: string[] = []
+    entry.attempts = [(response) => {
+      response.once('close', () => order.push('closed'))
+      response.writeHead(200, { 'content-type': 'text/event-stream' }).write('data: {"choices":[{"delta":{"content":"a"}}]}\n\n')
+      setImmediate(() => entry.ejections.emit('e'))
+    }, (response) => {
+      // The end of a connection and the next request come on two connections, in any order within a turn or two.
+      setTimeout(() => {
+        order.push('second run goes on')
+        streamOf('data: [DONE]\n\n')(response)
+      }, STILL_WORKING_MS)
+    }]
+    expect((await entry.ask({ stream: true })).status).toBe(200)
+    expect(order).toEqual(['closed', 'second run goes on'])
+  })
+
+  it('that may run once is not moved away from a sick endpoint', async () => {
+    entry.attempts = [(response) => {
+      response.writeHead(200, { 'content-type': 'text/event-stream' }).write('data: {}\n\n')
+      entry.ejections.emit('e')
+      setImmediate(() => response.end('data: [DONE]\n\n'))
+    }, respondWith(200)]
+    expect(await entry.ask({ stream: true }, ONCE)).toMatchObject({ status: 200, text: 'data: {}\n\ndata: [DONE]\n\n' })
+    expect(entry.sentCount).toBe(1)
+  })
+
   // It can't go on at another endpoint, so that a second run of it would be one from its beginning.
   it('with a stream that can not be resumed may run once, unless its caller has said that it may be repeated', async () => {
     const stream = { stream: true, tools: [] }
--- a/sidecar/attempts/test/rejections.test.ts
+++ b/sidecar/attempts/test/rejections.test.ts
@@ -135,3 +135,26 @@
     expect(runs).toBe(0)
   })
 })
+
+describe('an attempt whose entry closes its connection', () => {
+  const sidecar = new SidecarFixture()
+  beforeEach(async () => await sidecar.start())
+  afterEach(async () => await sidecar.stop())
+
+  // The entry may have sent the request on: the endpoint may go on with it for 400 ms at most.
+  it.each(['before the head', 'within the body'])('%s is closed at its endpoint at once', async (when) => {
+    const entry = new AbortController()
+    let leftAt = 0
+    sidecar.respond = (socket) => {
+      if (when === 'within the body') socket.write('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf')
+      setTimeout(() => {
+        leftAt = performance.now()
+        entry.abort()
+      }, 20)
+    }
+    await sidecar.send(`left-${when.slice(0, 6)}`, {}, entry.signal).catch(() => {})
+    await sidecar.untilClosed()
+    expect(performance.now() - leftAt).toBeLessThan(400)
+    expect(sidecar.registry.revoke(`left-${when.slice(0, 6)}`)).not.toBe('never-started')
+  })
+})
--- a/sidecar/attempts/test/sidecar-fixture.ts
+++ b/sidecar/attempts/test/sidecar-fixture.ts
@@ -86,9 +86,9 @@
   }
 
   /** Sends an attempt as an entry does, and reads the response to its end. */
-  async send (attemptId: string, head: Partial<AttemptHead> = {}): Promise<EntryResponse> {
+  async send (attemptId: string, head: Partial<AttemptHead> = {}, signal?: AbortSignal): Promise<EntryResponse> {
     const { statusCode, headers, body } = await this.pool.request({
-      method: 'POST', path: '/attempt/path', body: '{}', headers: writeHead({ ...attemptHead(attemptId), ...head })
+      method: 'POST', path: '/attempt/path', body: '{}', headers: writeHead({ ...attemptHead(attemptId), ...head }), signal
     })
     await body.text().catch(() => {})
     return { status: statusCode, headers, refusal: readRefusal(headers) }
