--- a/entry/gateway/src/statuses.ts
+++ b/core/types/src/statuses.ts
@@ -10,9 +10,6 @@
 /** A status of an endpoint that promises nothing about the run, so that it can be forwarded. */
 export type ForwardableStatus = number & { readonly [promisesNothing]: true }
 
-/** Statuses with which this process reports a failure. */
-export type FailureStatus = 400 | 401 | 404 | 413 | 500 | 502 | 504
-
 export function isNotRunStatus (status: number): status is NotRunStatus {
   return (NOT_RUN_STATUSES as readonly number[]).includes(status)
 }
