test(soak): engines that refuse what they ran, and that send bytes without end

`not-run` looks at 408 and 421 as well. New checks: `unbounded`, `memory` and `beside`. A proxy of the soak reads no further while its target takes nothing.

--- a/bench/soak/src/answers.ts
+++ b/bench/soak/src/answers.ts
@@ -35,6 +35,11 @@
   return `id: ${number}\ndata: ${number} of ${eventCount(subject)} for ${subject} by ${build}\n\n`
 }
 
+/** The events of a stream behind one of them, until its end. */
+export function eventsBehind (subject: string, last: number, build: string): string {
+  return Array.from({ length: Math.max(0, eventCount(subject) - last) }, (_, index) => eventOf(subject, last + index + 1, build)).join('')
+}
+
 /** The builds of the events of a stream behind one of them, in their order; undefined if it is not just such events. */
 export function buildsOfEvents (subject: string, after: number, body: string): string[] | undefined {
   const builds: string[] = []
--- a/bench/soak/src/callers.ts
+++ b/bench/soak/src/callers.ts
@@ -2,7 +2,7 @@
 import { Agent, request, type ClientRequest } from 'node:http'
 import { sentBody } from './answers.ts'
 import { guestKey, HOST, KEY, KINDS, TIMEOUT_MS, versionPrefix } from './documents.ts'
-import { SMUGGLED } from './engine.ts'
+import { SMUGGLED } from './engine-requests.ts'
 import { type Attempt } from './journal.ts'
 import { countEvents, nextTakeUp } from './take-ups.ts'
 import { type Random } from './random.ts'
--- a/bench/soak/src/checks/answers.ts
+++ b/bench/soak/src/checks/answers.ts
@@ -7,7 +7,8 @@
 
 const OK = 200
 const UNAUTHORISED = 401
-const REFUSALS = [503, 429]
+/** Statuses that promise the caller that its request has not run and never will. */
+const REFUSALS = [503, 429, 408, 421]
 const REQUEST_ID = 'x-gullwall-request-id'
 const STREAMS = new Set(KINDS.filter(({ route }) => route === 'stream').map(({ name }) => name))
 /** Kinds whose requests may run once at most. */
@@ -40,11 +41,15 @@
   return runs > most ? `ran ${runs} times of ${most}` : undefined
 })
 
-/** A refusal, or the word that a request has not run, holds for good. */
+/**
+ * A refusal, or the word that a request has not run, holds for good. It is the gateway that promises: an engine that has run a request may
+ * answer with any status, which says nothing of its run.
+ */
 export const refusalsTrue: Check = ({ journal }) => forAnswers(journal, 'not-run', (attempt) => {
   const saysNot = REFUSALS.includes(attempt.status ?? 0) || (attempt.status !== OK && /"ran":"no"/.test(attempt.body ?? ''))
   const [run] = journal.runsOf(attempt.id)
-  return saysNot && run !== undefined ? `answered ${attempt.status}, not run, yet ${run.engine} has run it` : undefined
+  if (!saysNot || run === undefined) return undefined
+  return `answered ${attempt.status}, not run, yet ${run.engine} has run it${run.refusedWith === undefined ? '' : ` and answered ${run.refusedWith}`}`
 })
 
 /** Requests reach engines as they were sent, and nobody but gateways says what only gateways may say. */
--- a/bench/soak/src/checks/service.ts
+++ b/bench/soak/src/checks/service.ts
@@ -1,5 +1,6 @@
 /** Checks of the service as a whole: planned stops cut nothing, no process ends by itself, nothing starves, all recovers. */
 import { KINDS } from '../documents.ts'
+import { type Behaviour } from '../engine.ts'
 import { type Attempt, CONTACT_MS, type Journal } from '../journal.ts'
 import { GRACE_MS } from '../site.ts'
 import { type Check } from './violation.ts'
@@ -10,6 +11,8 @@
 /** Fewer requests of a kind than this in a window tell nothing. */
 const MIN_REQUESTS = 20
 const SERVED_SHARE = 0.5
+/** The behaviour of engines that send bytes without end. */
+const FLOODING: Behaviour = 'sending without end'
 const RECOVERED_SHARE = 0.9
 /** After the last fault so much time is left until all must be well, in ms. */
 export const RECOVER_MS = 10_000
@@ -61,6 +64,20 @@
   return !disturbances.some((disturbance) => disturbance.from <= to + WINDOW_MS && disturbance.to >= from - CONTACT_MS)
 }
 
+/** While engines send bytes without end and nothing else is disturbed, half of the requests that did not get such bytes are served. */
+export const othersAreServed: Check = ({ journal, isOver }) => {
+  if (!isOver) return []
+  const spells = journal.disturbances.filter(({ what, to }) => what === FLOODING && to < Infinity)
+  const flooded = new Set(journal.floods.map(({ id }) => id))
+  const others = journal.disturbances.filter(({ what }) => what !== FLOODING)
+  return spells.flatMap(({ who, from, to }) => {
+    if (others.some((disturbance) => disturbance.from <= to && disturbance.to >= from - CONTACT_MS)) return []
+    return kindsBelow(journal, from, to, SERVED_SHARE, ({ id }) => !flooded.has(id)).map((what) => (
+      { check: 'beside', at: from, subject: `${what.split(':')[0] ?? ''} beside ${who}`, what }
+    ))
+  })
+}
+
 /** Some seconds after the last fault nearly everything is served. */
 export const recovers: Check = ({ journal, healedAt, isOver }) => {
   if (!isOver || healedAt === undefined) return []
@@ -69,11 +86,11 @@
   ))
 }
 
-function kindsBelow (journal: Journal, from: number, to: number, share: number): string[] {
+function kindsBelow (journal: Journal, from: number, to: number, share: number, counts = (_attempt: Attempt) => true): string[] {
   return KINDS.flatMap(({ name }) => {
     const asked = journal.attempts.filter(({ kind, sentAt, endedAt, failure }) => (
       kind === name && sentAt >= from && sentAt < to && endedAt !== undefined && failure !== 'left'
-    ))
+    )).filter(counts)
     const served = asked.filter(isServed).length
     if (asked.length < MIN_REQUESTS || served >= share * asked.length) return []
     const statuses = [...new Set(asked.filter((attempt) => !isServed(attempt)).map(({ status, failure }) => status ?? failure))]
--- a/bench/soak/src/checks/violation.ts
+++ b/bench/soak/src/checks/violation.ts
@@ -27,6 +27,8 @@
   knownMs: number
   /** What reached a gateway before it took on a newer version may be decided later, by the older one. */
   crossingMs: number
+  /** After its deadline a request has its answer. */
+  lateAnswerMs: number
 }
 
 export const BOUNDS: Bounds = {
@@ -37,7 +39,8 @@
   limitHeardMs: 1500,
   drainMs: 2000,
   knownMs: 3000,
-  crossingMs: 250
+  crossingMs: 250,
+  lateAnswerMs: 500
 }
 
 export interface CheckInput {
--- a/bench/soak/src/engine.ts
+++ b/bench/soak/src/engine.ts
@@ -1,9 +1,11 @@
 /** A stand-in engine: answers with what its caller can check, and notes what has reached it. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { type AddressInfo, type Socket } from 'node:net'
+import { type AddressInfo } from 'node:net'
 import { answerBody, BUILDS, eventCount, eventOf, sentBody, subjectOf } from './answers.ts'
 import { BESIDE_PART, CRASHING, CRASHING_PART } from './crashing-requests.ts'
+import { headerOf, isStreamPath, smuggledIn } from './engine-requests.ts'
 import { type Break, type Journal, type Life, type Run } from './journal.ts'
+import { OddAnswers, type Received } from './odd-answers.ts'
 import { type Random } from './random.ts'
 
 export type Behaviour =
@@ -20,6 +22,10 @@
   | 'failing'
   /** Rejects some requests, and sends each rejection a second time when the next request comes on its connection. */
   | 'rejecting twice'
+  /** Runs some requests and then refuses them, and rejects others without running them. */
+  | 'refusing after running'
+  /** Sends bytes without end for some requests, until its connection is closed. */
+  | 'sending without end'
 
 export interface EnginePlan {
   name: string
@@ -47,14 +53,9 @@
 const SLOW_FACTOR = 10
 const CUT_SHARE = 0.4
 const SHED_SHARE = 0.7
-const REJECTED_TWICE_SHARE = 0.3
 const UNFRAMED_SHARE = 0.1
 const UNFRAMED_STREAM_SHARE = 0.4
 const SECOND_WHOLE_FRAME = 2
-/** Headers that a gateway sets, as engines see them. */
-const OWN_HEADERS = ['x-gullwall-incarnation', 'x-gullwall-organisation', 'x-gullwall-urgency', 'x-gullwall-prefix-source', 'x-gullwall-wait-ms']
-/** What callers put into headers that they have no business to set. */
-export const SMUGGLED = '7331'
 
 let serial = 0
 
@@ -75,12 +76,13 @@
   /** Whether this process has asked anybody for rest. */
   private hasRested = false
   private starts = 0
-  /** Rejections that are due a second time, by connection. */
-  private readonly rejections = new WeakMap<Socket, string>()
+  private readonly oddAnswers: OddAnswers
   private currentState: 'ready' | 'draining' | 'gone' = 'ready'
   private life: Life | undefined
 
-  constructor (readonly options: EngineOptions) {}
+  constructor (readonly options: EngineOptions) {
+    this.oddAnswers = new OddAnswers(options)
+  }
 
   get state (): 'ready' | 'draining' | 'gone' {
     return this.currentState
@@ -124,6 +126,7 @@
 
   private receive (request: IncomingMessage, response: ServerResponse): void {
     const chunks: Buffer[] = []
+    this.oddAnswers.noteRequest(request, response)
     request.on('data', (chunk: Buffer) => chunks.push(chunk))
     request.on('end', () => { this.take(request, response, Buffer.concat(chunks).toString()) })
   }
@@ -132,6 +135,7 @@
     const id = headerOf(request, 'x-gullwall-request-id')
     const from = this.options.sourceAt(request.socket.remotePort ?? 0)
     this.options.journal.deliveries.push({ id, service: this.options.service, at: this.options.journal.now })
+    if (this.oddAnswers.isFlooded(request.socket)) return
     if (headerOf(request, 'x-gullwall-incarnation') === this.incarnation) this.noteArrival(id, from, response)
     if (headerOf(request, 'x-gullwall-incarnation') !== this.incarnation) {
       response.writeHead(421, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
@@ -141,12 +145,9 @@
       this.askForRest(id, from, response)
       return
     }
-    this.repeatRejection(request)
-    if (this.behaviour === 'rejecting twice' && this.options.random.chance(REJECTED_TWICE_SHARE)) {
-      this.rejections.set(request.socket, `HTTP/1.1 503 Rejected\r\nx-gullwall-ran: no\r\nx-gullwall-request-id: ${id}\r\ncontent-length: 0\r\n\r\n`)
-      response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
-      return
-    }
+    this.oddAnswers.repeatRejection(request)
+    const received: Received = { id, request, response, incarnation: this.incarnation, build: this.build }
+    if (this.oddAnswers.rejects(this.behaviour, received)) return
     if (this.isRejecting) {
       response.writeHead(503, { 'x-gullwall-ran': 'no', 'x-gullwall-request-id': id }).end()
       return
@@ -169,19 +170,17 @@
     running.add(response)
     response.once('close', () => running.delete(response))
     if (this.behaviour === 'silent') return
-    const isStream = /^\/(draft|scan)\//.test(run.path)
+    const oddAnswer = this.oddAnswers.answerOf(this.behaviour, run, received)
+    if (oddAnswer !== undefined) {
+      this.after(WORK_MS.from, response, oddAnswer)
+      return
+    }
+    const isStream = isStreamPath(run.path)
     const isCut = this.behaviour === 'cutting' && this.options.random.chance(CUT_SHARE)
     if (isStream) this.stream(run, response, isCut)
     else this.answer(run, response, isCut)
   }
 
-  /** Writes the rejection of an earlier request on this connection again, before the response of this one. */
-  private repeatRejection ({ socket }: IncomingMessage): void {
-    const rejection = this.rejections.get(socket)
-    this.rejections.delete(socket)
-    if (rejection !== undefined) socket.write(rejection)
-  }
-
   private get isRejecting (): boolean {
     const { random } = this.options
     return this.behaviour === 'refusing' || (this.behaviour === 'shedding' && random.chance(SHED_SHARE)) || this.running.size >= SLOTS
@@ -320,13 +319,3 @@
   response.useChunkedEncodingByDefault = false
   response.shouldKeepAlive = false
 }
-
-function headerOf (request: IncomingMessage, name: string): string {
-  return String(request.headers[name] ?? '')
-}
-
-function smuggledIn (request: IncomingMessage): string[] {
-  return Object.entries(request.headers)
-    .filter(([name, value]) => OWN_HEADERS.includes(name.replaceAll('_', '-')) && String(value).includes(SMUGGLED))
-    .map(([name]) => name)
-}
--- a/bench/soak/src/faults.ts
+++ b/bench/soak/src/faults.ts
@@ -103,11 +103,15 @@
   'part crashes engines': async ({ site }, fault) => await sendCrashingPart(site, fault),
   'engine asks for rest': async (world, fault) => await misbehave(world, fault, 'resting'),
   'all engines ask for rest': restTogether,
-  'all engines shed': shedTogether,
+  // Often for longer than the window in which retries are counted.
+  'all engines shed': async (world, fault) => await misbehaveTogether(world, fault, 'shedding'),
   'engine leaves unheard': leaveUnheard,
   'engine leaves before a kill': leaveBeforeKill,
   'all engines reject twice': async (world, fault) => await misbehaveTogether(world, fault, 'rejecting twice'),
   'freeze control in a storm': freezeInStorm,
+  'engine refuses after running': async (world, fault) => await misbehave(world, fault, 'refusing after running'),
+  'all engines refuse after running': async (world, fault) => await misbehaveTogether(world, fault, 'refusing after running'),
+  'engine sends bytes without end': async (world, fault) => await misbehave(world, fault, 'sending without end'),
   'engine names a limit': nameLimit,
   burst: async ({ callers }, { durationMs }) => {
     callers.load *= BURST
@@ -283,11 +287,6 @@
   await misbehaveTogether(world, { ...fault, durationMs: Math.min(fault.durationMs, MAX_TOGETHER_MS) }, 'resting')
 }
 
-/** All engines of one service turn most requests away, often for longer than the window in which retries are counted. */
-async function shedTogether (world: World, fault: PlannedFault): Promise<void> {
-  await misbehaveTogether(world, fault, 'shedding')
-}
-
 async function misbehaveTogether (world: World, fault: PlannedFault, behaviour: Behaviour): Promise<void> {
   const service = world.site.engineNamed(fault.engine)?.options.service
   const names = world.site.engines.map(({ options }) => options).filter((options) => options.service === service).map(({ name }) => name)
--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -50,6 +50,8 @@
   isBrokenOff?: boolean
   /** How its answer was broken off. */
   brokenBy?: Break
+  /** The status with which the engine refused the request although it had run it. */
+  refusedWith?: number
 }
 
 export interface Break {
@@ -102,6 +104,20 @@
 /** An engine told a gateway, in the head of an answer, that it drains. */
 export interface DrainWord { incarnation: string, from: string, at: number }
 
+/** Bytes without end that an engine sent on a connection, until it was closed. */
+export interface Flood {
+  /** The request whose answer was due, or was the last one. */
+  id: string
+  engine: string
+  incarnation: string
+  from: string
+  place: string
+  at: number
+  endedAt?: number
+  /** Whether the bytes may be a proper answer that is just long. */
+  mayBeAnswer: boolean
+}
+
 /** A time in which the answers of an engine named a limit, in requests a second. */
 export interface LimitSpell { incarnation: string, perSecond: number, from: number, to: number }
 
@@ -140,6 +156,9 @@
   readonly deliveries: Delivery[] = []
   readonly drainWords: DrainWord[] = []
   readonly limits: LimitSpell[] = []
+  readonly floods: Flood[] = []
+  /** The peak of the resident memory of each gateway, over all its lives. */
+  readonly peakBytes = new Map<string, number>()
   /** Read once all should be well again. */
   readonly standings: Standing[] = []
   /** Answers of control to callers without its token. */
@@ -158,6 +177,10 @@
     else known.push(run)
   }
 
+  notePeak (gateway: string, bytes: number): void {
+    this.peakBytes.set(gateway, Math.max(bytes, this.peakBytes.get(gateway) ?? 0))
+  }
+
   /** When a caller sent a request. */
   sentAtOf (id: string): number | undefined {
     return this.attempts.find((attempt) => attempt.id === id)?.sentAt
--- a/bench/soak/src/main.ts
+++ b/bench/soak/src/main.ts
@@ -3,6 +3,7 @@
 import { FAULTS, MUTATIONS, prove, soak, type FaultKind } from './index.ts'
 
 const MINUTE_MS = 60_000
+const BYTES_PER_MB = 1_000_000
 
 const program = command({
   name: 'soak',
@@ -38,10 +39,11 @@
       kinds: kinds.length > 0 ? kinds as FaultKind[] : undefined,
       tell: (line) => console.log(line)
     })
-    const { violations, plan, attempts, served, outcomes, done, runs, orders, folder } = verdict
+    const { violations, plan, attempts, served, outcomes, done, runs, orders, misconduct, peakBytes, folder } = verdict
     console.log(`${plan.length} faults, ${attempts} requests, ${served} served, ${runs} runs, ${orders} orders, ${violations.length} broken`)
     console.log(`how requests ended: ${told(outcomes)}`)
     console.log(`what was done: ${told(done)}`)
+    console.log(`what engines did: ${told(misconduct) || 'nothing amiss'}; most memory of a gateway: ${Math.round(peakBytes / BYTES_PER_MB)} MB`)
     if (violations.length > 0) console.log(`logs and disks: ${folder}`)
     process.exitCode = violations.length > 0 ? 1 : 0
   }
--- a/bench/soak/src/pipe.ts
+++ b/bench/soak/src/pipe.ts
@@ -3,6 +3,9 @@
 
 interface Piece { due: number, content: Buffer | 'end' | 'reset' }
 
+/** With more than this waiting for the target, no more is read from the source. */
+const MAX_WAITING_BYTES = 1024 * 1024
+
 export interface PipeState {
   isHeld: boolean
   delayMs: number
@@ -17,13 +20,14 @@
   private readonly pieces: Piece[] = []
   private timer: NodeJS.Timeout | undefined
 
-  constructor (source: Socket, private readonly target: Socket) {
+  constructor (private readonly source: Socket, private readonly target: Socket) {
     source.on('data', (chunk: Buffer) => {
       this.usedAt = performance.now()
       this.take(chunk)
     })
     source.on('end', () => this.take('end'))
     source.on('error', () => {})
+    for (const event of ['drain', 'close']) target.on(event, () => source.resume())
     source.on('close', (hadError) => { if (hadError || !source.readableEnded) this.take('reset') })
   }
 
@@ -57,6 +61,11 @@
     if (this.target.destroyed) return
     if (content === 'reset') this.target.resetAndDestroy()
     else if (content === 'end') this.target.end()
-    else this.target.write(content)
+    else this.write(content)
+  }
+
+  private write (content: Buffer): void {
+    this.target.write(content)
+    if (this.target.writableLength > MAX_WAITING_BYTES) this.source.pause()
   }
 }
--- a/bench/soak/src/soak.ts
+++ b/bench/soak/src/soak.ts
@@ -6,6 +6,7 @@
 import { type Bounds, BOUNDS, checksFor, RECOVER_MS, runChecks, type Violation } from './checks/index.ts'
 import { REGIONS } from './documents.ts'
 import { type FaultKind, inject, type PlannedFault, type World } from './faults.ts'
+import { watchMemory } from './memory.ts'
 import { type Mutation } from './mutations.ts'
 import { buildOld } from './old-build.ts'
 import { Operator } from './operator.ts'
@@ -47,6 +48,10 @@
   done: Record<string, number>
   runs: number
   orders: number
+  /** Requests that engines refused after they had run them, by status, and bytes without end, by their place. */
+  misconduct: Record<string, number>
+  /** The most memory that a gateway has held. */
+  peakBytes: number
   /** Where logs and disks are kept if a rule was broken. */
   folder: string
 }
@@ -111,6 +116,7 @@
     const plan = this.plan()
     operator.start()
     callers.start()
+    const stopWatching = watchMemory(site)
     if (builds !== undefined) this.acting.push(this.upgrade(builds))
     await this.injectAll(plan)
     const healedAt = options.waitsForRecovery === false ? undefined : site.journal.now
@@ -120,6 +126,7 @@
     }
     await operator.stop()
     await callers.stop()
+    stopWatching()
     await this.readAtLast()
     this.check(true, healedAt)
     this.tell(`seed ${options.seed}: ${this.violations.length} broken`)
@@ -203,7 +210,7 @@
   }
 
   private verdict (plan: PlannedFault[]): Verdict {
-    const { attempts, runs, orders, disturbances } = this.site.journal
+    const { attempts, runs, orders, disturbances, floods, peakBytes } = this.site.journal
     const served = attempts.filter(({ status, isWhole }) => status === 200 && isWhole === true).length
     return {
       violations: this.violations,
@@ -214,6 +221,11 @@
       done: countOf(disturbances.map(({ what }) => what.replace(/ for \d+ ms/, ''))),
       runs: runs.length,
       orders: orders.length,
+      misconduct: countOf([
+        ...runs.flatMap(({ refusedWith }) => refusedWith === undefined ? [] : [`${refusedWith} after a run`]),
+        ...floods.map(({ place }) => `without end: ${place}`)
+      ]),
+      peakBytes: Math.max(0, ...peakBytes.values()),
       folder: this.site.folder
     }
   }
