--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -70,10 +70,10 @@
     name: 'answer-of-another',
     check: 'whole',
     file: `${GATEWAY}/attempt-response-receiver.ts`,
-    find: 'response.sendComplete(head.status, head.headers, Buffer.concat(this.chunks))',
-    replace: `const before = (globalThis as any).lastAnswer ?? head.headers
-      ;(globalThis as any).lastAnswer = head.headers
-      response.sendComplete(head.status, Math.random() < 0.05 ? before : head.headers, Buffer.concat(this.chunks))`,
+    find: 'response.sendComplete(status, headers, Buffer.concat(this.chunks))',
+    replace: `const before = (globalThis as any).lastAnswer ?? headers
+      ;(globalThis as any).lastAnswer = headers
+      response.sendComplete(status, Math.random() < 0.05 ? before : headers, Buffer.concat(this.chunks))`,
     faults: [CALM]
   },
   {
@@ -136,8 +136,8 @@
     name: 'refused-after-run',
     check: 'not-run',
     file: `${GATEWAY}/request-forwarder.ts`,
-    find: "this.end({ status, code, message: reason, ran: this.response.hasBegun ? 'partly' : 'unknown' }, 'fail')",
-    replace: "this.end({ status: 503, code, message: reason, ran: 'no' }, 'fail')",
+    find: "const failure: FailureResponse = { status, code, message: reason, ran: this.response.hasBegun ? 'partly' : 'unknown' }",
+    replace: "const failure: any = { status: 503, code, message: reason, ran: 'no' }",
     faults: ['engine cuts answers', 'engine crashes']
   },
   {
@@ -271,6 +271,29 @@
     replace: "if (!head.isNotRun && (head.requestId ?? '') !== call.requestId) return undefined",
     faults: ['all engines reject twice']
   },
+  {
+    name: 'status-taken-for-promise',
+    check: 'not-run',
+    file: `${GATEWAY}/attempt-response-receiver.ts`,
+    find: `if (isNotRunStatus(head.status)) return this.unproven(head.status)
+    const status = toForwardable(head.status)`,
+    replace: 'const status = head.status as ForwardableStatus',
+    faults: ['all engines refuse after running']
+  },
+  {
+    name: 'unmarked-421-taken-for-not-run',
+    check: 'once',
+    file: `${GATEWAY}/run-evidence.ts`,
+    find: 'this.hasProof = isMarkedNotRun && status >= MIN_FAILURE_STATUS',
+    replace: 'this.hasProof = status === 421 || (isMarkedNotRun && status >= MIN_FAILURE_STATUS)',
+    // Engines that count as ended would get no more requests.
+    more: [{
+      file: `${GATEWAY}/attempt-response-receiver.ts`,
+      find: "verdict: head.status === MISDIRECTED_REQUEST_STATUS ? 'ended' : 'shed'",
+      replace: "verdict: 'shed'"
+    }],
+    faults: ['all engines refuse after running']
+  },
   {
     name: 'leave-acknowledged-from-memory',
     check: 'leaves',
