--- a/bench/soak/test/soak.test.ts
+++ b/bench/soak/test/soak.test.ts
@@ -20,6 +20,19 @@
   expect(verdict.served).toBeGreaterThan(0)
 }, 60_000)
 
+/** Long enough for some hundred requests at the engines of one service. */
+const ODD_ANSWERS_MS = 20_000
+const PROMISES = [408, 421, 429, 503]
+
+it(`promises nothing for requests that engines refuse after they ran, seed ${SEED}`, async () => {
+  const kinds: FaultKind[] = ['engine refuses after running', 'all engines refuse after running']
+  const verdict = await soak({ seed: SEED, durationMs: ODD_ANSWERS_MS, processes: 5, slack: SLACK, kinds, waitsForRecovery: false })
+  folders.push(verdict.folder)
+  expect(verdict.violations).toEqual([])
+  // The engines have given each of the statuses.
+  expect(Object.keys(verdict.misconduct)).toEqual(expect.arrayContaining(PROMISES.map((status) => `${status} after a run`)))
+}, 120_000)
+
 it.each(MUTATIONS)('$name can be made', (mutation) => {
   for (const replacement of [mutation, ...mutation.more ?? []]) expect(mutate(replacement)).toContain(replacement.replace)
 })
