--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -284,8 +284,8 @@
     name: 'unmarked-421-taken-for-not-run',
     check: 'once',
     file: `${GATEWAY}/run-evidence.ts`,
-    find: 'this.hasProof = isMarkedNotRun && status >= MIN_FAILURE_STATUS',
-    replace: 'this.hasProof = status === 421 || (isMarkedNotRun && status >= MIN_FAILURE_STATUS)',
+    find: 'if (isMarkedNotRun && status >= MIN_FAILURE_STATUS)',
+    replace: 'if (status === 421 || (isMarkedNotRun && status >= MIN_FAILURE_STATUS))',
     // Engines that count as ended would get no more requests.
     more: [{
       file: `${GATEWAY}/attempt-response-receiver.ts`,
