--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -286,12 +286,20 @@
     file: `${GATEWAY}/run-evidence.ts`,
     find: 'if (isMarkedNotRun && status >= MIN_FAILURE_STATUS)',
     replace: 'if (status === 421 || (isMarkedNotRun && status >= MIN_FAILURE_STATUS))',
-    // Engines that count as ended would get no more requests.
-    more: [{
-      file: `${GATEWAY}/attempt-response-receiver.ts`,
-      find: "verdict: head.status === MISDIRECTED_REQUEST_STATUS ? 'ended' : 'shed'",
-      replace: "verdict: 'shed'"
-    }],
+    more: [
+      // Engines that count as ended would get no more requests.
+      {
+        file: `${GATEWAY}/attempt-response-receiver.ts`,
+        find: "verdict: head.status === MISDIRECTED_REQUEST_STATUS ? 'ended' : 'shed'",
+        replace: "verdict: 'shed'"
+      },
+      // The retry budget is soon used up by the engines' rejections.
+      {
+        file: `${GATEWAY}/attempt-policy.ts`,
+        find: "return retryOr(state, reason, (refusalReason) => ({ type: 'refuse', reason: refusalReason }))",
+        replace: "return { type: 'retry', reason, budgetLeft: 0 }"
+      }
+    ],
     faults: ['all engines refuse after running']
   },
   {
