fix(entry): believe a refusal that rests on an endpoint only with the id of the attempt

Such a refusal now counts as proof only with the id of the attempt, which new sidecars set.

A refusal whose body was cut off counts by its head. Before, a true "not run" became 502.

--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -4,7 +4,7 @@
 import { messageOf } from '@gullwall/core.error'
 import { isNotRunStatus, toForwardable, type Ran } from '@gullwall/core.types'
 import { type ResponseReceiver } from '@gullwall/endpoint.dialect'
-import { selectEndToEndHeaders, exchange, UnsentError } from '@gullwall/endpoint.http'
+import { ATTEMPT_ID_HEADER, selectEndToEndHeaders, exchange, UnsentError } from '@gullwall/endpoint.http'
 import { EventRelay, isEventStream, rewriteResumedEvents, type StreamedCompletion } from '@gullwall/endpoint.openai'
 import {
   ATTEMPT_PREFIX, readRefusal, withoutOwnHeaders, writeHead, type AttemptHead, type AttemptRefusal, type AttemptRefused
@@ -20,6 +20,9 @@
   body: Buffer | undefined
 }
 
+/** Refusals that rest on a response of the endpoint, or on the failure to connect to it. */
+const ENDPOINT_REFUSALS: ReadonlySet<AttemptRefusal> = new Set(['turned-away', 'endpoint-down'])
+
 /** How an attempt ended. */
 export type AttemptOutcome =
   | { kind: 'whole', status: number }
@@ -59,6 +62,7 @@
     if (relay.withheld.signal.aborted) return { kind: 'broken', ran: 'unknown', reason: 'turned-away', why: messageOf(error) }
     if (caller.isGone) return { kind: 'cancelled' }
     if (move.aborted) return { kind: 'broken', ran: 'partly', reason: 'moved', why: 'its endpoint was put aside' }
+    if (relay.isRefused) return relay.outcome()
     return relay.hasHead ? { kind: 'broken', ran: 'partly', reason: 'lost', why: messageOf(error) } : await whatBecameOf(options, error)
   }
   return relay.outcome()
@@ -85,11 +89,16 @@
 
   constructor (private readonly options: AttemptOptions) {}
 
+  /** Whether the sidecar has refused the attempt. The head says all, so that the rest of the response may be missing. */
+  get isRefused (): boolean {
+    return this.refusal !== undefined
+  }
+
   onHead (status: number, headers: IncomingHttpHeaders): void {
     this.hasHead = true
     this.status = status
     this.headers = headers
-    this.refusal = readRefusal(headers)
+    this.refusal = this.readRefusal(headers)
     if (this.refusal === undefined && isNotRunStatus(status)) {
       this.withheld.abort(new Error(`a response with ${status} does not prove that the request has not run`))
       return
@@ -98,6 +107,17 @@
     if (this.isStream) this.options.caller.markEventStream()
   }
 
+  /**
+   * Reads a refusal of the sidecar. One that rests on a response of the endpoint needs the id of the attempt: sidecars of earlier builds, which
+   * name no id there, believed any response.
+   */
+  private readRefusal (headers: IncomingHttpHeaders): AttemptRefused | undefined {
+    const refusal = readRefusal(headers)
+    if (refusal === undefined || !ENDPOINT_REFUSALS.has(refusal.reason)) return refusal
+    if (headers[ATTEMPT_ID_HEADER] === this.options.head.attemptId) return refusal
+    return { ...refusal, ran: refusal.ran === 'no' ? 'unknown' : refusal.ran }
+  }
+
   onData (chunk: Buffer): Promise<void> | undefined {
     if (this.refusal !== undefined) {
       this.refusalText += chunk.toString('utf8')
--- a/entry/server/test/entry-fixture.ts
+++ b/entry/server/test/entry-fixture.ts
@@ -53,6 +53,8 @@
   /** What the sidecar states when it is asked about an attempt whose connection broke. */
   revoked: Ran = 'unknown'
   hasRetries = true
+  /** Whether the sidecar is of a build that names no id of an attempt. */
+  isOldSidecar = false
   notReady: string | undefined
   /** Reports that an endpoint is sick, by its name; all attempts run at `e`. */
   readonly ejections = new EventEmitter()
@@ -66,6 +68,7 @@
     this.sidecar = createServer((request, response) => {
       this.sentCount += 1
       request.resume()
+      if (!this.isOldSidecar) response.setHeader('x-gullwall-attempt-id', String(request.headers['x-gullwall-attemptid']))
       this.attempts.shift()?.(response)
     })
   }
--- a/entry/server/test/promises.test.ts
+++ b/entry/server/test/promises.test.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net'
-import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { breakOff, EntryFixture, refuseWith, respondWith, streamOf } from './entry-fixture.ts'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { writeRefusal } from '@gullwall/transport.attempt'
+import { breakOff, EntryFixture, refuseWith, respondWith, streamOf, type Attempt } from './entry-fixture.ts'
 
 const ONCE = { 'gullwall-repeatable': 'false' }
 const AGAIN = { 'gullwall-repeatable': 'true' }
@@ -50,6 +51,38 @@
     }
   })
 
+  // Sidecars of earlier builds took any marked response of an endpoint for the proof.
+  it('that an earlier build of a sidecar reports as turned away may have run', async () => {
+    entry.isOldSidecar = true
+    entry.attempts = [turnedAway, respondWith(200)]
+    expect(await entry.ask({}, ONCE)).toMatchObject({ status: 502, error: { code: 'may_have_run', ran: 'unknown' } })
+    expect(entry.sentCount).toBe(1)
+  })
+
+  it('that was turned away is sent on although the rest of the refusal is cut off', async () => {
+    const cutOff: Attempt = (response) => {
+      response.writeHead(409, { ...writeRefusal({ reason: 'turned-away', ran: 'no' }), 'content-length': '100' })
+      response.write('a part', () => response.destroy())
+    }
+    entry.attempts = [cutOff, respondWith(200)]
+    expect(await entry.ask({}, ONCE)).toMatchObject({ status: 200, text: 'body' })
+  })
+
+  // A key that is given free while its request runs would let it run again.
+  it('keeps its idempotency key if its caller leaves while it runs', async () => {
+    Object.assign(entry.control, { claim: async () => ({ granted: true }) })
+    const begun = new Promise<void>((resolve) => { entry.attempts = [() => resolve()] })
+    const [host = '', port] = entry.address.split(':')
+    const socket = connect(Number(port), host)
+    const body = JSON.stringify({ model: 'parts', messages: [{ role: 'user', content: 'hello' }] })
+    const head = `POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: ${entry.authorization}\r\nidempotency-key: k\r\ngullwall-repeatable: false\r\n`
+    socket.write(`${head}content-length: ${body.length}\r\n\r\n${body}`)
+    await begun
+    socket.destroy()
+    await vi.waitFor(() => expect(entry.control.settled).toHaveLength(1))
+    expect(entry.control.settled[0]).not.toMatch(/: no$/)
+  })
+
   it('that was turned away is served by the next endpoint', async () => {
     entry.attempts = [turnedAway, refuseWith('busy', 'no'), respondWith(200)]
     expect(await entry.ask({}, ONCE)).toMatchObject({ status: 200, text: 'body' })
