--- a/entry/gateway/src/dialect.ts
+++ b/entry/gateway/src/dialect.ts
@@ -104,8 +104,8 @@
 }
 
 /**
- * Returns the value of a header that must be unambiguous. Several different values are returned together, which equals none of them:
- * a head with two ids belongs to no request.
+ * Returns the value of a header that must be unambiguous. Several different values are returned together, which equals none of them, so
+ * that a head with two ids belongs to no request. Ids have no commas.
  */
 export function singleHeaderValue (headers: Headers, name: string): string | undefined {
   const value = headers[name]
