fix(endpoint-http): take a response to HEAD without a length for complete

Behind a sidecar a HEAD request to a plain service whose response names no length ended with a connection that broke off, after its head had been passed on: the end of the connection was awaited as the end of a body that such a response does not have.

The test failed before (ERR_GULLWALL_ENDPOINT_FAILED).

--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -40,7 +40,7 @@
   pool: Pool, options: Dispatcher.DispatchOptions, receiver: ResponseReceiver, signal: AbortSignal, exchangeOptions: ExchangeOptions = {}
 ): Promise<void> {
   return new Promise((resolve, reject) => {
-    const handler = new ExchangeHandler(receiver, signal, exchangeOptions, (error) => {
+    const handler = new ExchangeHandler(options.method, receiver, signal, exchangeOptions, (error) => {
       signal.removeEventListener('abort', handler.abort)
       if (error === undefined) resolve()
       else reject(error)
@@ -58,6 +58,7 @@
   private interimCount = 0
 
   constructor (
+    private readonly method: string,
     private readonly receiver: ResponseReceiver,
     private readonly signal: AbortSignal,
     private readonly options: ExchangeOptions,
@@ -89,7 +90,8 @@
       if (this.interimCount > MAX_INTERIM_RESPONSES) started.abort(new Error(`over ${MAX_INTERIM_RESPONSES} interim responses`))
       return
     }
-    this.framing = framingOf(status, headers)
+    // A response to HEAD has no body, whatever its head says of a length.
+    this.framing = this.method === 'HEAD' ? 'length' : framingOf(status, headers)
     this.receiver.onHead(status, headers)
   }
 
--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -103,8 +103,7 @@
     }
     await exchange(this.pool, { method, path }, receiver, AbortSignal.timeout(REPORT_TIMEOUT_MS), {
       onResponseHead: this.onResponseHead,
-      // A response to HEAD has no body, whatever its head says of a length.
-      wasClosedCleanly: async () => method === 'HEAD' || await this.ends.wasClosedCleanly()
+      wasClosedCleanly: async () => await this.ends.wasClosedCleanly()
     })
     return Buffer.concat(chunks).toString('utf8')
   }
--- a/endpoint/http/test/http-endpoint.test.ts
+++ b/endpoint/http/test/http-endpoint.test.ts
@@ -23,10 +23,10 @@
 })
 
 /** Runs a request and returns the body, or the code of the error. */
-async function run (headers: Record<string, string> = {}): Promise<string> {
+async function run (headers: Record<string, string> = {}, method = 'GET'): Promise<string> {
   const chunks: Buffer[] = []
   try {
-    await endpoint.run({ method: 'GET', path: '/', headers, body: undefined, signal: new AbortController().signal }, {
+    await endpoint.run({ method, path: '/', headers, body: undefined, signal: new AbortController().signal }, {
       onHead: () => {},
       onData: (chunk) => { chunks.push(chunk); return undefined }
     })
@@ -52,6 +52,12 @@
     expect(await run()).toBe('ERR_GULLWALL_ENDPOINT_FAILED')
   })
 
+  // It has no body, so that nothing marks its end, and its connection stays open.
+  it('to HEAD is complete without a length', async () => {
+    respond = (socket) => { socket.write(`${HEAD}\r\n`) }
+    expect(await run({}, 'HEAD')).toBe('')
+  })
+
   it('without a length is complete if its connection was closed in order', async () => {
     respond = (socket) => { socket.end(`${HEAD}\r\n{}`) }
     expect(await run()).toBe('{}')
