--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -108,8 +108,8 @@
   }
 
   /**
-   * Reads a refusal of the sidecar. One that rests on a response of the endpoint needs the id of the attempt: sidecars of earlier builds, which
-   * name no id there, believed any response.
+   * Reads a refusal of the sidecar. One that rests on a response of the endpoint needs the id of the attempt: sidecars of earlier builds,
+   * which name no id there, believed any response.
    */
   private readRefusal (headers: IncomingHttpHeaders): AttemptRefused | undefined {
     const refusal = readRefusal(headers)
