--- a/entry/gateway/test/event-splitter.test.ts
+++ b/entry/gateway/test/event-splitter.test.ts
@@ -59,4 +59,31 @@
       if (!isWhole && /[a-z0-9]$/.test(all)) expect(splitter.isInsideEvent).toBe(true)
     }), { seed: SEED, numRuns: 500 })
   })
+
+  it(`are the same for any division into chunks, whatever the bytes are (seed ${SEED})`, () => {
+    const body = fc.array(fc.constantFrom('\r', '\n', '\r\n', 'id: 7', 'data', ':', 'x'), { maxLength: 30 }).map((parts) => Buffer.from(parts.join('')))
+    fc.assert(fc.property(body, fc.array(fc.integer({ min: 1, max: 7 }), { minLength: 1 }), (bytes, sizes) => {
+      const splitter = new EventSplitter()
+      const received: Buffer[] = []
+      for (let offset = 0, turn = 0; offset < bytes.length; turn++) {
+        const size = sizes[turn % sizes.length] ?? 1
+        const events = splitter.push(bytes.subarray(offset, offset + size))
+        if (events !== undefined) received.push(events.bytes)
+        offset += size
+        const rest = splitter.remainder()
+        expect(splitter.incompleteBytes).toBe(rest.length)
+        // No event is kept back: the rest has no blank line, but for one that began with a line end of the event before it.
+        expect(/[^\r\n](\r\n[\r\n]|\r\r|\n[\r\n])/.test(rest.toString())).toBe(false)
+      }
+      expect(Buffer.concat([...received, splitter.remainder()]).equals(bytes)).toBe(true)
+    }), { seed: SEED, numRuns: 1000 })
+  })
+
+  it('take time in proportion to their size, also if an event comes in many chunks', () => {
+    const splitter = new EventSplitter()
+    const chunk = Buffer.from('x')
+    const count = 1_000_000
+    for (let sent = 0; sent < count; sent++) splitter.push(chunk)
+    expect(splitter.push(Buffer.from('\n\n'))?.bytes).toHaveLength(count + 2)
+  })
 })
