fix(gateway): bound the bytes of an endpoint that come without end

Callers of plain requests whose endpoint wrote without end waited for the deadline (504), and everyone else with them: nothing bounded a status line, blank lines, interim heads, the size and extension of a chunk, one event or all bodies together, a body above 32 MiB was received until the deadline, and a rejection counted only once its body had come. Blank lines on an idle connection kept it open.

ConnectionReads counts on the socket the bytes that bring a response no further, since the HTTP client reports parsed parts only. An exchange bounds interim heads; a rejection is complete at its head, and its body is read within bounds for the connection's sake.

--- a/bench/latency/src/index.ts
+++ b/bench/latency/src/index.ts
@@ -1,9 +1,8 @@
 /** Measurements of one entry with its sidecars, against the stand-in engines reached directly. */
 import { setMaxListeners } from 'node:events'
-import { type Pool } from 'undici'
+import { Pool } from 'undici'
 import { promptText } from '@gullwall/bench.answers'
 import { figures, ProcessDeployment, quantiles, type Quantiles } from '@gullwall/bench.processes'
-import { createPool } from '@gullwall/endpoint.http'
 import { newOrganisationKey, type NewKey } from '@gullwall/config.records'
 
 export interface AddedLatency {
@@ -172,6 +171,10 @@
   onTokens: (count: number) => void
 }
 
+function createPool (address: string): Pool {
+  return new Pool(`http://${address}`, { headersTimeout: 0, bodyTimeout: 0 })
+}
+
 async function readAnswer (pool: Pool, options: AnswerOptions): Promise<void> {
   const { key, model, id, tokens, signal, onTokens } = options
   const answer = await pool.request({
--- a/bench/load/src/run-load.ts
+++ b/bench/load/src/run-load.ts
@@ -1,6 +1,6 @@
 /** Sends the arrivals of a scenario when they are due, whatever has become of those before. */
 import { setMaxListeners } from 'node:events'
-import { createPool } from '@gullwall/endpoint.http'
+import { Pool } from 'undici'
 import { drawArrivals, type Arrival } from './arrivals.ts'
 import { call, type CallOutcome } from './caller.ts'
 import { type Scenario } from './scenario.ts'
@@ -17,7 +17,7 @@
 
 export async function runLoad (scenario: Scenario, options: LoadOptions = {}): Promise<CallOutcome[]> {
   const arrivals = drawArrivals(scenario)
-  const pools = scenario.entries.map((address) => createPool(address))
+  const pools = scenario.entries.map((address) => new Pool(`http://${address}`, { headersTimeout: 0, bodyTimeout: 0 }))
   const giveUp = new AbortController()
   // Every call in flight listens to it.
   setMaxListeners(0, giveUp.signal)
--- a/core/logger/src/records.ts
+++ b/core/logger/src/records.ts
@@ -87,7 +87,7 @@
 export interface EndpointRecord {
   channel: 'endpoint'
   endpoint: string
-  event: 'up' | 'down' | 'leaving' | 'ejected' | 'probing' | 'readmitted' | 'limit' | 'cold' | 'warm' | 'granted' | 'not-granted' | 'refused' | 'notice' | 'foreign' | 'unproven' | 'backs-off' | 'back' | 'limited' | 'unlimited'
+  event: 'up' | 'down' | 'leaving' | 'ejected' | 'probing' | 'readmitted' | 'limit' | 'cold' | 'warm' | 'granted' | 'not-granted' | 'refused' | 'notice' | 'foreign' | 'unproven' | 'endless' | 'backs-off' | 'back' | 'limited' | 'unlimited'
   why: string
 }
 
--- a/endpoint/http/src/connection-ends.ts
+++ b/endpoint/http/src/connection-ends.ts
@@ -1,6 +1,7 @@
 /** Tells whether the connection of a response without a length was closed in order, which the HTTP client does not report. */
 import { type Socket } from 'node:net'
 import { buildConnector } from 'undici'
+import { ConnectionReads } from './connection-reads.ts'
 
 /**
  * Reports how each connection ends before the HTTP client handles its end. The client accepts a response without a length as
@@ -15,12 +16,17 @@
     return await (this.ending ?? false)
   }
 
-  /** Returns a connector for a pool of the HTTP client. */
+  /**
+   * Returns a connector for a pool of the HTTP client. The bytes of its connections are bounded, so that only exchanges may use the pool:
+   * they report the progress of their responses.
+   */
   createConnector (timeoutMs: number): buildConnector.connector {
     const connect = buildConnector({ timeout: timeoutMs })
     return (options, callback) => {
       connect(options, (...result) => {
-        const socket: Socket | null = result[1]
+        // The HTTP client gives no second argument with an error.
+        const socket: Socket | null | undefined = result[1]
+        if (socket != null) new ConnectionReads(socket).watch()
         socket?.prependListener('end', () => this.recordEnding(isWritable(socket)))
         socket?.prependListener('error', () => this.recordEnding(Promise.resolve(false)))
         callback(...result)
--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -5,6 +5,7 @@
 import { type Dispatcher, type Pool } from 'undici'
 import { GullwallError } from '@gullwall/core.error'
 import { type ResponseReceiver, type ResponseHeadListener } from '@gullwall/endpoint.dialect'
+import { findCurrentReads, EndlessResponseError, type ConnectionReads } from './connection-reads.ts'
 import { framingOf, type Framing } from './framing.ts'
 
 /** Names an attempt to an endpoint, which may repeat it in its response. */
@@ -12,6 +13,8 @@
 
 /** The lowest status of a final response; lower ones are interim responses. */
 const MIN_FINAL_STATUS = 200
+/** Maximum number of interim heads of one response: servers send one or two, and some one at each interval while they work. */
+export const MAX_INTERIM_HEADS = 64
 
 export interface ExchangeOptions {
   /** Called with all response headers, including those of interim responses. */
@@ -20,15 +23,20 @@
   attemptId?: string | undefined
   /** Whether the connection that is ending now was closed and not reset; a response without a length is complete only then. */
   wasClosedCleanly?: () => Promise<boolean>
+  /** Maximum size of the body; unlimited for a receiver that passes its parts on and keeps none. */
+  maxBodyBytes?: number
 }
 
 /** Sends a request. Resolves when the response is complete, and rejects if the response fails or the signal aborts it. */
 export function exchange (
   pool: Pool, options: Dispatcher.DispatchOptions, receiver: ResponseReceiver, signal: AbortSignal,
-  { onResponseHead = () => {}, wasClosedCleanly = async () => false, attemptId }: ExchangeOptions = {}
+  { onResponseHead = () => {}, wasClosedCleanly = async () => false, attemptId, maxBodyBytes = Infinity }: ExchangeOptions = {}
 ): Promise<void> {
   let sentAt = performance.now()
   let framing: Framing = 'length'
+  let reads: ConnectionReads | undefined
+  let interimHeadCount = 0
+  let bodyBytes = 0
   return new Promise((resolve, reject) => {
     let controller: Dispatcher.DispatchController | undefined
     const abort = () => controller?.abort(getAbortReason(signal))
@@ -45,22 +53,38 @@
         if (signal.aborted) abort()
       },
       onResponseStart: (started, status, headers) => {
+        reads = findCurrentReads()
+        if (status < MIN_FINAL_STATUS) {
+          reads?.recordInterimHead()
+          interimHeadCount += 1
+          if (interimHeadCount > MAX_INTERIM_HEADS) {
+            started.abort(new EndlessResponseError('interim', `${interimHeadCount} interim heads came before the response`))
+            return
+          }
+        } else reads?.recordProgress()
         if (isForeign(headers, attemptId)) {
           started.abort(new GullwallError('ERR_GULLWALL_FOREIGN_RESPONSE', 'the response belongs to another attempt', { step: 'run' }))
           return
         }
         onResponseHead({ status, headers, sentAt })
         if (status < MIN_FINAL_STATUS) return
-        framing = framingOf(status, headers)
+        framing = options.method === 'HEAD' ? 'length' : framingOf(status, headers)
         receiver.onHead(status, headers)
       },
       onResponseData: (started, chunk) => {
+        reads?.recordProgress()
+        bodyBytes += chunk.length
+        if (bodyBytes > maxBodyBytes) {
+          started.abort(new EndlessResponseError('body', `the response has more than ${maxBodyBytes} bytes`))
+          return
+        }
         const writable = receiver.onData(chunk)
         if (writable === undefined) return
         started.pause()
         writable.then(() => started.resume(), (error: Error) => started.abort(error))
       },
       onResponseEnd: () => {
+        reads?.recordEnd()
         if (framing !== 'connection') settle()
         else void wasClosedCleanly().then((isClean) => settle(isClean ? undefined : new Error('the connection was reset')))
       },
--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -6,7 +6,8 @@
 import { ATTEMPT_ID_HEADER, exchange } from './exchange.ts'
 
 export { ConnectionEnds } from './connection-ends.ts'
-export { ATTEMPT_ID_HEADER, exchange } from './exchange.ts'
+export { EndlessResponseError, findCurrentReads, findEndlessPlace, type ConnectionReads, type EndlessPlace } from './connection-reads.ts'
+export { ATTEMPT_ID_HEADER, exchange, MAX_INTERIM_HEADS } from './exchange.ts'
 export { framingOf, type Framing } from './framing.ts'
 
 /** Headers that apply to a single connection and are never forwarded (RFC 9110, section 7.6.1). */
@@ -14,10 +15,14 @@
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'
 ])
 const CONNECT_TIMEOUT_MS = 2000
+/** Time for a whole report or probe, in ms. */
+const REPORT_TIMEOUT_MS = 2000
+/** Maximum size of a report, which has some numbers for each model. */
+const MAX_REPORT_BYTES = 1024 * 1024
 /** Codes of errors that occur before the first byte of a request is sent. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
 
-/** Opens a pool of keep-alive connections to an address; `ends` reports how they end. */
+/** Opens a pool of keep-alive connections to an address, for the use of {@link exchange}; `ends` reports how they end. */
 export function createPool (address: string, ends = new ConnectionEnds()): Pool {
   return new Pool(`http://${address}`, {
     connections: null, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: ends.createConnector(CONNECT_TIMEOUT_MS)
@@ -72,18 +77,29 @@
 
   /** Requests a path and parses the response as JSON, whatever its status. */
   async getJson (path: string): Promise<unknown> {
-    return await (await this.request('GET', path)).body.json()
+    return JSON.parse((await this.request('GET', path)).toString('utf8'))
   }
 
   async probe (): Promise<void> {
-    await (await this.request('HEAD', '/')).body.dump()
+    await this.request('HEAD', '/')
   }
 
-  private async request (method: Dispatcher.HttpMethod, path: string): Promise<Dispatcher.ResponseData> {
-    const sentAt = performance.now()
-    const response = await this.pool.request({ method, path, headersTimeout: CONNECT_TIMEOUT_MS, bodyTimeout: CONNECT_TIMEOUT_MS })
-    this.onResponseHead({ status: response.statusCode, headers: response.headers, sentAt })
-    return response
+  /** Returns the body of a response that is small and comes soon. */
+  private async request (method: Dispatcher.HttpMethod, path: string): Promise<Buffer> {
+    const chunks: Buffer[] = []
+    const receiver: ResponseReceiver = {
+      onHead: () => {},
+      onData: (chunk) => {
+        chunks.push(chunk)
+        return undefined
+      }
+    }
+    await exchange(this.pool, { method, path }, receiver, AbortSignal.timeout(REPORT_TIMEOUT_MS), {
+      onResponseHead: this.onResponseHead,
+      wasClosedCleanly: async () => await this.ends.wasClosedCleanly(),
+      maxBodyBytes: MAX_REPORT_BYTES
+    })
+    return Buffer.concat(chunks)
   }
 
   close (): Promise<void> {
--- a/endpoint/http/test/http-endpoint.test.ts
+++ b/endpoint/http/test/http-endpoint.test.ts
@@ -1,5 +1,6 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { until } from '@gullwall/bench.deployment'
 import { HttpEndpoint } from '@gullwall/endpoint.http'
 
 const HEAD = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
@@ -75,3 +76,53 @@
     }
   })
 })
+
+it('a connection that is refused ends the request, and the process goes on', async () => {
+  await new Promise((resolve) => server.close(resolve))
+  expect(await run()).toBe('ERR_GULLWALL_ENDPOINT_REFUSED')
+  await expect(endpoint.probe()).rejects.toMatchObject({ code: 'ECONNREFUSED' })
+})
+
+describe('a response without end', () => {
+  const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`
+
+  /** Writes the same bytes until the connection closes. */
+  const endless = (begin: string, piece: string) => (socket: Socket) => {
+    socket.write(begin)
+    const timer = setInterval(() => { if (socket.writableLength === 0) socket.write(piece.repeat(20)) }, 1)
+    socket.on('close', () => {
+      clearInterval(timer)
+      closedCount += 1
+    })
+  }
+  let closedCount = 0
+
+  beforeEach(() => { closedCount = 0 })
+
+  it.each([
+    ['status line', 'HTTP/1.1 200 ', 'x'.repeat(1000)],
+    ['header lines', 'HTTP/1.1 200 OK\r\n', 'x-more: 1\r\n'],
+    ['interim heads', '', 'HTTP/1.1 103 Early\r\n\r\n'],
+    ['chunk extension', `${CHUNKED}4;`, 'x'.repeat(1000)],
+    ['trailers', `${CHUNKED}0\r\n`, 'x-more: 1\r\n']
+  ])('(%s) fails and closes the connection', async (_place, begin, piece) => {
+    respond = endless(begin, piece)
+    expect(await run()).toMatch(/^ERR_GULLWALL_EN/)
+    await until('the connection to be closed', () => closedCount === 1)
+  })
+
+  it('fails if it is a report, and closes the connection', async () => {
+    respond = endless(CHUNKED, `1000\r\n${'x'.repeat(0x1000)}\r\n`)
+    await expect(endpoint.getJson('/load')).rejects.toMatchObject({ code: 'ERR_GULLWALL_ENDLESS_RESPONSE' })
+    await until('the connection to be closed', () => closedCount === 1)
+  })
+
+  it('behind a report or a probe closes the connection', async () => {
+    respond = endless(`${HEAD}content-length: 2\r\n\r\n{}`, '\r\n')
+    expect(await endpoint.getJson('/load')).toEqual({})
+    await until('the connection to be closed', () => closedCount === 1)
+    respond = endless(`${HEAD}\r\n`, '\r\n')
+    await endpoint.probe()
+    await until('the connection to be closed', () => closedCount === 2)
+  })
+})
--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -1,10 +1,13 @@
 /** Receives the response to one attempt and forwards its complete parts to the caller. */
 import { type AttemptVerdict, type Candidate, type InFlightRequest } from '@gullwall/routing.balancer'
 import { type BackoffPermit } from '@gullwall/routing.backoff'
+import { type EndlessPlace } from '@gullwall/endpoint.http'
+import { ByteBlocks } from './byte-blocks.ts'
 import { firstHeaderValue, type AttemptResponseHead, type Headers } from './dialect.ts'
 import { EventSplitter, hasField } from './event-splitter.ts'
-import { type ExchangeOutcome, type ExchangeHead, type ExchangeListener } from './exchange.ts'
+import { type ExchangeOutcome, type ExchangeHead, type ExchangeListener, type HeadDecision } from './exchange.ts'
 import { type RequestForwarder } from './request-forwarder.ts'
+import { MAX_BODY_BYTES, MAX_EVENT_BYTES, MAX_EVENT_MS, type KeptBytes } from './response-memory.ts'
 import { type SentAttempt } from './run-evidence.ts'
 import { isNotRunStatus, toForwardable, type ForwardableStatus, type NotRunStatus } from './statuses.ts'
 
@@ -26,6 +29,14 @@
   | { type: 'broken', reason: string, isClosed: boolean }
   | { type: 'cancelled' }
 
+/** Controls the exchange of a response. */
+export interface ResponseFlow {
+  pause: () => void
+  resume: () => void
+  /** Ends the attempt, whose bytes come without end at a place. */
+  abandon: (place: EndlessPlace, reason: string) => void
+}
+
 /** What the response to an attempt shows about its run. */
 export interface AttemptRun {
   /** When the endpoint began to write, by the monotonic clock; when the attempt was sent, if it brought no event. */
@@ -40,7 +51,6 @@
 const RUNS_WELL_MS = 1000
 
 const EVENT_STREAM = 'text/event-stream'
-const MAX_BODY_BYTES = 32 * 1024 * 1024
 const MIN_SUCCESS_STATUS = 200
 const MIN_REDIRECT_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
@@ -52,19 +62,27 @@
   receivedBytes = 0
   private head: ExchangeHead | undefined
   private readonly splitter = new EventSplitter()
-  private readonly chunks: Buffer[] = []
-  private bodyBytes = 0
+  private readonly body = new ByteBlocks()
+  /** What is kept of the response in the memory of this process. */
+  private readonly kept: KeptBytes
   /** What was sent; undefined until the first byte is about to be written. */
   private sent: SentAttempt | undefined
   private firstEventAt: number | undefined
+  /** When the first byte of the incomplete event came. */
+  private eventBeganAt: number | undefined
   private hasRunWell = false
 
   constructor (
     private readonly forwarder: RequestForwarder,
     private readonly inFlightRequest: InFlightRequest,
     private readonly candidate: Candidate,
-    private readonly permit: BackoffPermit
-  ) {}
+    private readonly permit: BackoffPermit,
+    private readonly flow: ResponseFlow
+  ) {
+    const { pause, resume } = flow
+    const breakOff = (reason: string) => flow.abandon(this.isStream ? 'event' : 'body', reason)
+    this.kept = forwarder.context.services.responseMemory.open({ pause, resume, breakOff })
+  }
 
   /** Records that the first byte of the request is about to be written. */
   recordSending (sent: SentAttempt): void {
@@ -75,19 +93,30 @@
     this.readOwnHead(head)
   }
 
-  onHead (head: ExchangeHead): boolean {
+  onHead (head: ExchangeHead): HeadDecision {
     const { call, services } = this.forwarder.context
     const own = this.readOwnHead(head)
     if (own === undefined) {
       services.notices.recordForeignResponse(this.candidate.endpoint.description, head.status, call.requestId)
-      return false
+      return 'foreign'
     }
     this.head = head
     this.forwarder.recorder.recordResponseHead({ responseStatus: head.status, isMarkedNotRun: own.isNotRun })
     this.sent?.recordResponse({ status: head.status, isMarkedNotRun: own.isNotRun })
-    if (this.isNotRun) return true
+    if (this.isNotRun) return 'discard'
     this.permit.recordResponse()
-    return own.requestId !== undefined && own.isFromService && head.headers['content-encoding'] === undefined
+    if (own.requestId === undefined || !own.isFromService || head.headers['content-encoding'] !== undefined) return 'foreign'
+    if (isNotRunStatus(head.status)) return 'discard'
+    const declaredBytes = call.method === 'HEAD' ? 0 : Number(firstHeaderValue(head.headers, 'content-length') ?? 0)
+    if (!this.isStream && declaredBytes > MAX_BODY_BYTES) this.flow.abandon('body', `the response declares ${declaredBytes} bytes`)
+    return 'read'
+  }
+
+  onEndless (place: EndlessPlace, reason: string): void {
+    const { services } = this.forwarder.context
+    const { incarnation, service } = this.candidate.endpoint.description
+    services.metrics.endlessResponses.inc({ service, place })
+    services.logger.sampled('endless', { channel: 'endpoint', event: 'endless', endpoint: incarnation, why: `${place}: ${reason}` })
   }
 
   /**
@@ -112,8 +141,9 @@
       this.forwardEvents(chunk)
       return
     }
-    this.bodyBytes += chunk.length
-    if (this.bodyBytes <= MAX_BODY_BYTES) this.chunks.push(chunk)
+    this.body.push(chunk)
+    this.kept.update(this.body.length)
+    if (this.body.length > MAX_BODY_BYTES) this.flow.abandon('body', `the response has more than ${MAX_BODY_BYTES} bytes`)
   }
 
   /** Whether the endpoint has proven that it did not run the request. */
@@ -133,6 +163,8 @@
   /** Returns the outcome of the attempt, and ends the caller's response if it is complete. */
   finish (end: ExchangeOutcome): AttemptOutcome {
     const { head } = this
+    this.kept.release()
+    if (end.type === 'broken' && end.endless !== undefined) this.onEndless(end.endless, end.reason)
     if (head !== undefined) this.forwarder.recorder.recordResponseEnd({ framing: head.framing, incompleteBytes: this.incompleteBytes })
     const isCut = this.isCutInsideEvent
     if (isCut) this.forwarder.isEventUnfinished = true
@@ -148,7 +180,7 @@
     if (end.type === 'broken' || head === undefined) return end.type === 'broken' ? end : { type: 'broken', reason: 'no response head', isClosed: false }
     if (isNotRunStatus(head.status)) return this.unproven(head.status)
     const status = toForwardable(head.status)
-    if (status >= MIN_SERVER_ERROR_STATUS) return { type: 'failed', status, headers: head.headers, body: Buffer.concat(this.chunks) }
+    if (status >= MIN_SERVER_ERROR_STATUS) return { type: 'failed', status, headers: head.headers, body: this.body.join() }
     if (this.isStream && this.forwarder.isEventUnfinished) {
       const reason = `the stream ended ${isCut ? 'inside' : 'before'} the event after ${this.forwarder.lastEventId ?? 'its start'}`
       return { type: 'broken', reason, isClosed: head.framing === 'connection' }
@@ -173,9 +205,8 @@
       this.forwarder.recordAnswered()
       response.endStream(this.splitter.remainder())
     } else {
-      if (this.bodyBytes > MAX_BODY_BYTES) return { type: 'broken', reason: 'the response is too large', isClosed: false }
       this.forwarder.recordAnswered()
-      response.sendComplete(status, headers, Buffer.concat(this.chunks))
+      response.sendComplete(status, headers, this.body.join())
     }
     return { type: 'answered' }
   }
@@ -188,7 +219,7 @@
 
   /** Bytes of a stream behind its last complete event; undefined for any other response. */
   private get incompleteBytes (): number | undefined {
-    return this.isStream ? this.splitter.remainder().length : undefined
+    return this.isStream ? this.splitter.incompleteBytes : undefined
   }
 
   private get isStream (): boolean {
@@ -198,9 +229,10 @@
 
   private forwardEvents (chunk: Buffer): void {
     const events = this.splitter.push(chunk)
+    const now = performance.now()
+    this.checkEvent(now, events !== undefined)
     if (events === undefined || this.head === undefined) return
     const { response } = this.forwarder.context
-    const now = performance.now()
     this.candidate.endpoint.recordEvents(this.inFlightRequest, now)
     this.recordProgress(now)
     this.sendHead(toForwardable(this.head.status), this.head.headers)
@@ -209,6 +241,17 @@
     if (!response.writeEvents(events.bytes)) this.forwarder.pauseUntilDrained()
   }
 
+  /** Breaks off a stream in one of whose events bytes come without end. */
+  private checkEvent (now: number, isAnother: boolean): void {
+    const { incompleteBytes } = this.splitter
+    this.kept.update(incompleteBytes)
+    if (incompleteBytes === 0) this.eventBeganAt = undefined
+    else if (isAnother) this.eventBeganAt = now
+    else this.eventBeganAt ??= now
+    if (incompleteBytes > MAX_EVENT_BYTES) this.flow.abandon('event', `an event has more than ${MAX_EVENT_BYTES} bytes`)
+    else if (now - (this.eventBeganAt ?? now) > MAX_EVENT_MS) this.flow.abandon('event', `an event was not complete within ${MAX_EVENT_MS} ms`)
+  }
+
   private recordProgress (now: number): void {
     this.firstEventAt ??= now
     if (this.hasRunWell || now - this.firstEventAt < RUNS_WELL_MS) return
--- a/entry/gateway/src/connections.ts
+++ b/entry/gateway/src/connections.ts
@@ -1,6 +1,6 @@
 /** Connection pools to endpoints: one for each incarnation, limited to this entry's share of the endpoint's connections. */
 import { Pool, type buildConnector, type Dispatcher } from 'undici'
-import { ConnectionEnds } from '@gullwall/endpoint.http'
+import { ConnectionEnds, EndlessResponseError } from '@gullwall/endpoint.http'
 import { type EndpointDescription } from '@gullwall/routing.balancer'
 
 const KEEP_ALIVE_MS = 4000
@@ -14,8 +14,14 @@
 /** The error with which the HTTP client closes a connection on which a response arrives while no request waits for one. */
 const UNSOLICITED_RESPONSE = 'bad response'
 
-/** Called with the data centre of an endpoint and the time that it took to connect, in ms. */
-export type ConnectedListener = (dataCentre: string, tookMs: number) => void
+export interface ConnectionListener {
+  /** Called with the data centre of an endpoint and the time that it took to connect, in ms. */
+  onConnected: (dataCentre: string, tookMs: number) => void
+  /** Called when a connection was closed because bytes came while no request waited for a response. */
+  onUnsolicited: (endpoint: EndpointDescription) => void
+}
+
+const NO_LISTENER: ConnectionListener = { onConnected: () => {}, onUnsolicited: () => {} }
 
 interface LimitedPool {
   pool: Pool
@@ -30,7 +36,7 @@
   private readonly ends = new ConnectionEnds()
   private readonly connector = this.ends.createConnector(CONNECT_TIMEOUT_MS)
 
-  constructor (private readonly onConnected: ConnectedListener = () => {}) {}
+  constructor (private readonly listener = NO_LISTENER) {}
 
   /**
    * Returns whether the connection that is ending at this moment was closed by the endpoint rather than reset. Used for an answer
@@ -54,7 +60,8 @@
     return pool
   }
 
-  private createPool ({ address, dataCentre }: EndpointDescription, connections: number): Pool {
+  private createPool (endpoint: EndpointDescription, connections: number): Pool {
+    const { address, dataCentre } = endpoint
     const pool = new Pool(originOf(address), {
       connections,
       pipelining: 1,
@@ -62,9 +69,13 @@
       keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: timedConnector(this.connector, (tookMs) => this.onConnected(dataCentre, tookMs))
+      connect: timedConnector(this.connector, (tookMs) => this.listener.onConnected(dataCentre, tookMs))
+    })
+    pool.on('disconnect', (_origin, _targets, error) => {
+      if (!isUnsolicited(error)) return
+      this.unsolicitedCount += 1
+      this.listener.onUnsolicited(endpoint)
     })
-    pool.on('disconnect', (_origin, _targets, { message }) => { if (message === UNSOLICITED_RESPONSE) this.unsolicitedCount += 1 })
     return pool
   }
 
@@ -82,6 +93,11 @@
   }
 }
 
+/** Whether a connection was closed because bytes came while no request waited for a response. */
+function isUnsolicited (error: Error): boolean {
+  return error.message === UNSOLICITED_RESPONSE || (error instanceof EndlessResponseError && error.place === 'idle')
+}
+
 /** Reports how long it takes to connect. */
 function timedConnector (connect: buildConnector.connector, onConnected: (tookMs: number) => void): buildConnector.connector {
   return (options, callback) => {
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -1,7 +1,9 @@
 /** One HTTP exchange of an attempt: one request on one connection to one endpoint. */
 import { type Dispatcher } from 'undici'
 import { messageOf } from '@gullwall/core.error'
-import { framingOf, type Framing } from '@gullwall/endpoint.http'
+import {
+  findCurrentReads, findEndlessPlace, framingOf, MAX_INTERIM_HEADS, type ConnectionReads, type EndlessPlace, type Framing
+} from '@gullwall/endpoint.http'
 import { type Headers } from './dialect.ts'
 
 /** The head of an endpoint's response. */
@@ -32,25 +34,37 @@
 export interface ExchangeListener {
   /** Called for each interim head (1xx). */
   onInterim (head: ExchangeHead): void
-  /** Called for the final head. Returns false if it does not belong to the expected response; the exchange then ends. */
-  onHead (head: ExchangeHead): boolean
+  /** Called for the final head. Returns what follows it. */
+  onHead (head: ExchangeHead): HeadDecision
   onData (chunk: Buffer): void
+  /** Called if the body that is read behind a complete exchange has no end. */
+  onEndless (place: EndlessPlace, reason: string): void
 }
 
+/**
+ * What follows the final head: `read` the body; `discard` the body, since the head says all, so that the exchange is complete; or the
+ * head is `foreign`, and the exchange ends.
+ */
+export type HeadDecision = 'read' | 'discard' | 'foreign'
+
 /**
  * How an exchange ended. `unsent`: no byte was written, so that the request certainly did not run; `isRefused` says that nothing
  * listens at the address. `withheld`: no byte was written, because the request was no longer allowed. `broken`: the request may have
- * run; `isClosed` says that the connection was not closed by this process.
+ * run; `isClosed` says that the connection was not closed by this process, and `endless` where bytes came without end.
  */
 export type ExchangeOutcome =
   | { type: 'complete' }
   | { type: 'unsent', reason: string, isRefused?: boolean }
   | { type: 'withheld', reason: string }
-  | { type: 'broken', reason: string, isClosed: boolean }
+  | { type: 'broken', reason: string, isClosed: boolean, endless?: EndlessPlace }
   | { type: 'cancelled' }
 
 /** The lowest status of a final response; lower ones are interim. */
 const MIN_FINAL_STATUS = 200
+/** Maximum size of a body that is read only to use its connection again; a rejection has a short text. */
+const MAX_DISCARDED_BYTES = 64 * 1024
+/** Time for such a body, in ms, for which the connection is not available to other requests. */
+const MAX_DISCARD_MS = 100
 
 type Handler = Required<Pick<Dispatcher.DispatchHandler,
   'onRequestStart' | 'onResponseStart' | 'onResponseData' | 'onResponseEnd' | 'onResponseError'>>
@@ -63,6 +77,11 @@
   private framing: Framing = 'length'
   private connectTimer: NodeJS.Timeout | undefined
   private sentAt = -Infinity
+  private hasHead = false
+  private interimHeadCount = 0
+  private reads: ConnectionReads | undefined
+  /** Bytes of a body that is discarded, and the timer that ends it; undefined while none is. */
+  private discarded: { bytes: number, timer: NodeJS.Timeout } | undefined
 
   constructor (dispatcher: Dispatcher, origin: string, request: ExchangeRequest, private readonly listener: ExchangeListener) {
     this.outcome = new Promise((resolve) => { this.settle = resolve })
@@ -87,9 +106,10 @@
     this.end({ type: 'cancelled' })
   }
 
-  /** Ends the exchange, so that another attempt can be made. */
-  abandon (reason: string): void {
-    this.end(this.isSent ? { type: 'broken', reason, isClosed: false } : { type: 'unsent', reason })
+  /** Ends the exchange, so that another attempt can be made. `endless`: where its bytes came without end. */
+  abandon (reason: string, endless?: EndlessPlace): void {
+    if (!this.isSent) this.end({ type: 'unsent', reason })
+    else this.end({ type: 'broken', reason, isClosed: false, ...endless === undefined ? {} : { endless } })
   }
 
   pause (): void {
@@ -140,27 +160,73 @@
           controller.abort(new Error(reason))
         }
       },
-      onResponseStart: (_controller, status, headers) => {
-        const head: ExchangeHead = { status, headers, framing: framingOf(status, headers), sentAt: this.sentAt }
-        if (status < MIN_FINAL_STATUS) this.listener.onInterim(head)
-        if (this.isOver || status < MIN_FINAL_STATUS) return
-        this.framing = head.framing
-        if (this.listener.onHead(head)) return
-        this.end({ type: 'broken', reason: 'the response head does not match the request', isClosed: false })
-      },
+      onResponseStart: (_controller, status, headers) => this.receiveHead(status, headers),
       onResponseData: (_controller, chunk) => {
-        if (!this.isOver) this.listener.onData(chunk)
+        this.reads?.recordProgress()
+        if (this.discarded !== undefined) this.countDiscarded(this.discarded, chunk.length)
+        else if (!this.isOver) this.listener.onData(chunk)
       },
       onResponseEnd: () => {
+        this.reads?.recordEnd()
+        clearTimeout(this.discarded?.timer)
         if (this.framing === 'connection') void this.endUnframed(wasClosedCleanly())
         else this.end({ type: 'complete' })
       },
       onResponseError: (_controller, error) => {
         const reason = messageOf(error)
-        this.end(this.isSent ? { type: 'broken', reason, isClosed: true } : { type: 'unsent', reason, isRefused: isRefusal(error) })
+        clearTimeout(this.discarded?.timer)
+        const endless = findEndlessPlace(error, this.hasHead)
+        if (endless !== undefined) this.endEndless(endless, reason)
+        else this.end(this.isSent ? { type: 'broken', reason, isClosed: true } : { type: 'unsent', reason, isRefused: isRefusal(error) })
       }
     }
   }
+
+  private receiveHead (status: number, headers: Headers): void {
+    this.reads = findCurrentReads()
+    if (this.isOver) return
+    const head: ExchangeHead = { status, headers, framing: framingOf(status, headers), sentAt: this.sentAt }
+    if (status < MIN_FINAL_STATUS) {
+      this.receiveInterimHead(head)
+      return
+    }
+    this.hasHead = true
+    this.reads?.recordProgress()
+    this.framing = head.framing
+    const decision = this.listener.onHead(head)
+    if (decision === 'foreign') this.end({ type: 'broken', reason: 'the response head does not match the request', isClosed: false })
+    if (decision === 'discard') this.discard()
+  }
+
+  private receiveInterimHead (head: ExchangeHead): void {
+    this.reads?.recordInterimHead()
+    this.interimHeadCount += 1
+    if (this.interimHeadCount > MAX_INTERIM_HEADS) this.endEndless('interim', `${this.interimHeadCount} interim heads came before the response`)
+    else this.listener.onInterim(head)
+  }
+
+  /** Completes the exchange, and reads the rest of its body within bounds, so that its connection can be used again. */
+  private discard (): void {
+    const timer = setTimeout(() => this.closeDiscarded(`the body of a rejection was not complete within ${MAX_DISCARD_MS} ms`), MAX_DISCARD_MS)
+    this.discarded = { bytes: 0, timer }
+    this.end({ type: 'complete' })
+  }
+
+  private countDiscarded (discarded: { bytes: number }, bytes: number): void {
+    discarded.bytes += bytes
+    if (discarded.bytes > MAX_DISCARDED_BYTES) this.closeDiscarded(`the body of a rejection has more than ${MAX_DISCARDED_BYTES} bytes`)
+  }
+
+  private closeDiscarded (reason: string): void {
+    clearTimeout(this.discarded?.timer)
+    this.controller?.abort(new Error(reason))
+    this.listener.onEndless('rejection', reason)
+  }
+
+  private endEndless (endless: EndlessPlace, reason: string): void {
+    if (this.discarded === undefined) this.end({ type: 'broken', reason, isClosed: false, endless })
+    else this.listener.onEndless('rejection', reason)
+  }
 }
 
 function isRefusal (error: NodeJS.ErrnoException): boolean {
--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -24,6 +24,7 @@
 import { createGatewayMetrics, type GatewayMetrics } from './metrics.ts'
 import { nativeDialect } from './native-dialect.ts'
 import { Quarantine } from './quarantine.ts'
+import { ResponseMemory } from './response-memory.ts'
 import { ReturningCallers } from './returning-callers.ts'
 import { CrossRegionTraffic } from './cross-region-traffic.ts'
 import { StreamBuilds } from './stream-builds.ts'
@@ -53,6 +54,7 @@
   store: RevisionStore
   spreader: Spreader
   connections: Connections
+  responseMemory: ResponseMemory
   crossRegionTraffic: CrossRegionTraffic
   view: DeploymentView
   evacuatedDataCentres: EvacuatedDataCentres
@@ -96,7 +98,8 @@
     .service('metrics', ({ registry }) => createGatewayMetrics(registry))
     .service('store', ({ logger }) => new RevisionStore({ logger }))
     .service('spreader', ({ store }) => new Spreader(store, { takes: true }))
-    .service('connections', ({ crossRegionTraffic }) => new Connections((dataCentre, tookMs) => crossRegionTraffic.recordConnected(dataCentre, tookMs)))
+    .service('responseMemory', () => new ResponseMemory())
+    .service('connections', createConnections)
     .service('view', (services) => new DeploymentView(services))
     .service('crossRegionTraffic', (services) => new CrossRegionTraffic(services))
     .service('evacuatedDataCentres', (services) => new EvacuatedDataCentres(services))
@@ -117,6 +120,17 @@
     .service('ingress', (services) => new Ingress(services))
 }
 
+function createConnections ({ crossRegionTraffic, metrics, logger }: GatewayServices): Connections {
+  return new Connections({
+    onConnected: (dataCentre, tookMs) => crossRegionTraffic.recordConnected(dataCentre, tookMs),
+    onUnsolicited: ({ incarnation, service }) => {
+      metrics.endlessResponses.inc({ service, place: 'idle' })
+      const why = 'idle: bytes came while no request waited for a response'
+      logger.sampled('endless', { channel: 'endpoint', event: 'endless', endpoint: incarnation, why })
+    }
+  })
+}
+
 function createRetryBudgets (services: GatewayServices): RetryBudgets {
   const { settings } = services
   return new RetryBudgets({
--- a/entry/gateway/src/metrics.ts
+++ b/entry/gateway/src/metrics.ts
@@ -14,6 +14,8 @@
   refusals: Counter<'status' | 'evidence'>
   /** Responses of endpoints with such a status, but without the mark that would prove it. */
   unprovenResponses: Counter<'service' | 'status'>
+  /** Responses of endpoints, and idle connections, whose bytes came without end. */
+  endlessResponses: Counter<'service' | 'place'>
   crossRegionRequests: Counter<'region'>
   crossRegionBytes: Counter<'region'>
 }
@@ -31,6 +33,8 @@
       ['status', 'evidence']),
     unprovenResponses: counter(registry, 'gullwall_unproven_responses_total',
       'Responses of endpoints with 408, 421, 429 or 503 that are not marked as not run', ['service', 'status']),
+    endlessResponses: counter(registry, 'gullwall_endless_responses_total',
+      'Responses of endpoints that were broken off since their bytes came without end, by the place where they did', ['service', 'place']),
     crossRegionRequests: counter(registry, 'gullwall_leaving_requests_total', 'Attempts sent to another region', ['region']),
     crossRegionBytes: counter(registry, 'gullwall_leaving_bytes_total', 'Bytes of these and of their answers', ['region'])
   }
@@ -39,7 +43,7 @@
 /** Registers gauges for the state of this process, which are read when the metrics are scraped. */
 export function registerStateGauges (registry: Registry, services: GatewayServices): void {
   const { view, controlLinks, retryBudgets, evacuatedDataCentres, crossRegionTraffic } = services
-  const { coldEndpoints, limits, quarantine, notices, streamBuilds, connections } = services
+  const { coldEndpoints, limits, quarantine, notices, streamBuilds, connections, responseMemory } = services
   const add = (name: string, help: string, value: () => number) => {
     const metric = gauge(registry, name, help)
     Object.assign(metric, { collect: () => metric.set(value()) })
@@ -67,6 +71,7 @@
   add('gullwall_unreadable_notices_total', 'Times and limits named by endpoints that could not be understood', () => notices.totals.invalid)
   add('gullwall_foreign_responses_total', 'Responses that belong to another request than the one that waited for a response', () => notices.totals.foreign)
   add('gullwall_unsolicited_responses_total', 'Connections that were closed because a response came while no request was waiting', () => connections.unsolicitedCount)
+  add('gullwall_kept_response_bytes', 'Bytes of responses that are kept until they are complete', () => responseMemory.totalBytes)
   add('gullwall_limits_named_total', 'Answers in which endpoints named a limit of requests a second', () => notices.totals.limits)
   add('gullwall_limited_endpoints', 'Endpoints that have named a limit, as this process knows', () => limits.size)
   add('gullwall_limited_kept_requests_total', 'Requests kept from a limited endpoint for want of a grant', () => limits.totals.excluded)
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -159,7 +159,9 @@
     services.loadExchange.recordSent(unreadTokens)
     this.recorder.recordDispatch(candidate)
     const recordResponseBytes = services.crossRegionTraffic.beginRequest(call, endpoint)
-    const receiver = new AttemptResponseReceiver(this, inFlightRequest, candidate, permit.backoffPermit)
+    const receiver = new AttemptResponseReceiver(this, inFlightRequest, candidate, permit.backoffPermit, {
+      pause: () => exchange.pause(), resume: () => exchange.resume(), abandon: (place, reason) => exchange.abandon(reason, place)
+    })
     const exchange = this.send(candidate, receiver, permit)
     this.exchange = exchange
     const watchTimer = setInterval(() => this.checkAttempt(candidate, inFlightRequest), WATCH_INTERVAL_MS)
--- a/entry/gateway/test/connection-ends.test.ts
+++ b/entry/gateway/test/connection-ends.test.ts
@@ -47,7 +47,7 @@
     findRefusalReason: () => undefined,
     onSending: () => {},
     wasClosedCleanly: async () => await connections.wasClosedCleanly()
-  }, { onInterim: () => {}, onHead: () => true, onData: () => { received += 1 } }).outcome
+  }, { onInterim: () => {}, onHead: () => 'read', onEndless: () => {}, onData: () => { received += 1 } }).outcome
 }
 
 /** Keeps this process from handling anything, as if it was suspended. */
--- a/entry/gateway/test/evacuated-data-centres.test.ts
+++ b/entry/gateway/test/evacuated-data-centres.test.ts
@@ -83,7 +83,7 @@
       findRefusalReason: () => isEvacuated ? why : undefined,
       onSending: () => {},
       wasClosedCleanly: async () => true
-    }, { onInterim: () => {}, onHead: () => true, onData: () => {} })
+    }, { onInterim: () => {}, onHead: () => 'read', onEndless: () => {}, onData: () => {} })
     isEvacuated = true
     const abort = vi.fn()
     handler?.onRequestStart?.({ abort } as unknown as Dispatcher.DispatchController, {})
--- a/entry/gateway/test/exchange.test.ts
+++ b/entry/gateway/test/exchange.test.ts
@@ -11,7 +11,7 @@
   const dispatcher = { dispatch: (_options: unknown, given: Dispatcher.DispatchHandler) => { handler = given } } as unknown as Dispatcher
   const exchange = new Exchange(dispatcher, 'http://10.0.0.1:80', {
     method: 'GET', path: '/', headers: [], body: undefined, connectMs: CONNECT_MS, findRefusalReason: () => undefined, onSending, wasClosedCleanly: async () => true
-  }, { onInterim: () => {}, onHead: () => true, onData: () => {} })
+  }, { onInterim: () => {}, onHead: () => 'read', onEndless: () => {}, onData: () => {} })
   const abort = vi.fn()
   return { exchange, abort, onSending, connect: () => handler?.onRequestStart?.({ abort } as unknown as Dispatcher.DispatchController, {}) }
 }
