--- a/cli/client/src/index.ts
+++ b/cli/client/src/index.ts
@@ -44,12 +44,16 @@
 }
 
 const REQUEST_TIMEOUT_MS = 5000
+/** Time for a whole response, in ms. Its timeouts for the next bytes alone would never end one without end. */
+const RESPONSE_TIMEOUT_MS = 20_000
+/** Maximum size of a response. All records of a deployment with tens of thousands of organisations are smaller. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 /** Time for which a request that no control process accepts is sent again, in ms: a lost leader is replaced within it. */
 const RETRY_MS = 3000
 const ROUND_DELAY_MS = 300
 
 export class OperatorClient {
-  private readonly agent = new Agent({ connect: { timeout: REQUEST_TIMEOUT_MS } })
+  private readonly agent = new Agent({ connect: { timeout: REQUEST_TIMEOUT_MS }, maxResponseSize: MAX_RESPONSE_BYTES })
 
   constructor (private readonly options: OperatorClientOptions) {}
 
@@ -145,7 +149,8 @@
       headers: { authorization: `Bearer ${this.options.token}`, 'content-type': 'application/json' },
       body: body === undefined ? undefined : JSON.stringify(body),
       headersTimeout: REQUEST_TIMEOUT_MS,
-      bodyTimeout: REQUEST_TIMEOUT_MS
+      bodyTimeout: REQUEST_TIMEOUT_MS,
+      signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS)
     })
     const value = await answer.body.json() as { type?: string, message?: string, code?: string }
     const isResult = answer.statusCode === 200 || value.type === 'conflict' || (value.type === 'invalid' && 'mistakes' in value)
