fix(gateway): take no time to connect from a refused connection

The HTTP client calls the connector back with the error alone, so that the second argument is undefined and not null; the time until the failure was recorded as the round trip to the data centre. Found while the connections were watched for bytes without end. The test fails without the change.

--- a/entry/gateway/src/connections.ts
+++ b/entry/gateway/src/connections.ts
@@ -103,7 +103,8 @@
   return (options, callback) => {
     const startedAt = performance.now()
     connect(options, (...result) => {
-      if (result[1] !== null) onConnected(performance.now() - startedAt)
+      // The HTTP client gives no second argument with an error.
+      if (result[1] != null) onConnected(performance.now() - startedAt)
       callback(...result)
     })
   }
--- a/entry/gateway/test/connections.test.ts
+++ b/entry/gateway/test/connections.test.ts
@@ -70,4 +70,13 @@
     answers[0]?.()
     expect(await (await response).body.text()).toBe('done')
   })
+
+  it('report no time to connect if they are refused', async () => {
+    const connected: number[] = []
+    const refused = new Connections({ onConnected: (_dataCentre, tookMs) => connected.push(tookMs), onUnsolicited: () => {} })
+    await new Promise((resolve) => server.close(resolve))
+    await expect(request(refused.dispatcherFor(endpoint, MAX_CONNECTIONS, 1))).rejects.toMatchObject({ code: 'ECONNREFUSED' })
+    expect(connected).toEqual([])
+    await refused.stop()
+  })
 })
