--- a/endpoint/http/src/connection-ends.ts
+++ b/endpoint/http/src/connection-ends.ts
@@ -1,6 +1,7 @@
 /** Tells whether the connection of a response without a length was closed in order, which the HTTP client does not report. */
 import { type Socket } from 'node:net'
 import { buildConnector } from 'undici'
+import { ConnectionReads } from './connection-reads.ts'
 
 /** The code of the error of a connection that was reset. */
 const RESET_CODE = 'ERR_GULLWALL_CONNECTION_RESET'
@@ -18,12 +19,17 @@
     return await (this.ending ?? false)
   }
 
-  /** Returns a connector for a pool of the HTTP client. */
+  /**
+   * Returns a connector for a pool of the HTTP client. The bytes of its connections are bounded, so that only exchanges may use the pool:
+   * they report the progress of their responses.
+   */
   createConnector (timeoutMs: number): buildConnector.connector {
     const connect = buildConnector({ timeout: timeoutMs })
     return (options, callback) => {
       connect(options, (...result) => {
-        const socket: Socket | null = result[1]
+        // The HTTP client gives no second argument with an error.
+        const socket: Socket | null | undefined = result[1]
+        if (socket != null) new ConnectionReads(socket).watch()
         socket?.prependListener('end', () => this.recordEnding(isWritable(socket)))
         socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
           this.recordEnding(Promise.resolve(false))
--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -6,6 +6,7 @@
 import { type Dispatcher, type Pool } from 'undici'
 import { GullwallError, messageOf } from '@gullwall/core.error'
 import { type ResponseReceiver, type ResponseHeadListener } from '@gullwall/endpoint.dialect'
+import { findCurrentReads, EndlessResponseError, type ConnectionReads } from './connection-reads.ts'
 import { framingOf, type Framing } from './framing.ts'
 
 /** Names an attempt to an endpoint, which may repeat it in its response. */
@@ -13,8 +14,8 @@
 
 /** The lowest status of a final response; lower ones are interim responses. */
 const MIN_FINAL_STATUS = 200
-/** Interim responses to one request; an endpoint that sends more may never send a final one. */
-const MAX_INTERIM_RESPONSES = 100
+/** Maximum number of interim heads of one response: servers send one or two, and some one at each interval while they work. */
+export const MAX_INTERIM_HEADS = 64
 
 /** The failure of an exchange of which no byte was written, so that its request has certainly not run. */
 export class UnsentError extends Error {
@@ -30,6 +31,8 @@
   attemptId?: string | undefined
   /** Whether the connection that is ending now was closed and not reset; a response without a length is complete only then. */
   wasClosedCleanly?: () => Promise<boolean>
+  /** Maximum size of the body; unlimited for a receiver that passes its parts on and keeps none. */
+  maxBodyBytes?: number
 }
 
 /**
@@ -55,7 +58,9 @@
   private controller: Dispatcher.DispatchController | undefined
   private sentAt = 0
   private framing: Framing = 'length'
-  private interimCount = 0
+  private reads: ConnectionReads | undefined
+  private interimHeadCount = 0
+  private bodyBytes = 0
 
   constructor (
     private readonly method: string,
@@ -80,22 +85,37 @@
   }
 
   onResponseStart (started: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    this.reads = findCurrentReads()
+    if (status < MIN_FINAL_STATUS && !this.recordInterimHead(started)) return
+    if (status >= MIN_FINAL_STATUS) this.reads?.recordProgress()
     if (isForeign(headers, this.options.attemptId)) {
       started.abort(new GullwallError('ERR_GULLWALL_FOREIGN_RESPONSE', 'the response belongs to another attempt', { step: 'run' }))
       return
     }
     this.options.onResponseHead?.({ status, headers, sentAt: this.sentAt })
-    if (status < MIN_FINAL_STATUS) {
-      this.interimCount += 1
-      if (this.interimCount > MAX_INTERIM_RESPONSES) started.abort(new Error(`over ${MAX_INTERIM_RESPONSES} interim responses`))
-      return
-    }
+    if (status < MIN_FINAL_STATUS) return
     // A response to HEAD has no body, whatever its head says of a length.
     this.framing = this.method === 'HEAD' ? 'length' : framingOf(status, headers)
     this.receiver.onHead(status, headers)
   }
 
+  /** Counts an interim head, and ends the exchange if too many came. Returns whether it goes on. */
+  private recordInterimHead (started: Dispatcher.DispatchController): boolean {
+    this.reads?.recordInterimHead()
+    this.interimHeadCount += 1
+    if (this.interimHeadCount <= MAX_INTERIM_HEADS) return true
+    started.abort(new EndlessResponseError('interim', `${this.interimHeadCount} interim heads came before the response`))
+    return false
+  }
+
   onResponseData (started: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.reads?.recordProgress()
+    this.bodyBytes += chunk.length
+    const { maxBodyBytes = Infinity } = this.options
+    if (this.bodyBytes > maxBodyBytes) {
+      started.abort(new EndlessResponseError('body', `the response has more than ${maxBodyBytes} bytes`))
+      return
+    }
     const writable = this.receiver.onData(chunk)
     if (writable === undefined) return
     started.pause()
@@ -103,6 +123,7 @@
   }
 
   onResponseEnd (): void {
+    this.reads?.recordEnd()
     if (this.framing !== 'connection') this.settle()
     else void this.endUnframed(this.options.wasClosedCleanly?.())
   }
--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -6,7 +6,8 @@
 import { ATTEMPT_ID_HEADER, exchange, UnsentError } from './exchange.ts'
 
 export { ConnectionEnds } from './connection-ends.ts'
-export { ATTEMPT_ID_HEADER, exchange, UnsentError } from './exchange.ts'
+export { EndlessResponseError, findCurrentReads, findEndlessPlace, type ConnectionReads, type EndlessPlace } from './connection-reads.ts'
+export { ATTEMPT_ID_HEADER, exchange, MAX_INTERIM_HEADS, UnsentError } from './exchange.ts'
 export { framingOf, type Framing } from './framing.ts'
 
 /** Headers that apply to a single connection and are never forwarded (RFC 9110, section 7.6.1). */
@@ -14,13 +15,14 @@
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'
 ])
 const CONNECT_TIMEOUT_MS = 2000
-/** Bounds of the response to a probe or a query of the load. */
-const MAX_REPORT_BYTES = 65_536
+/** Time for a whole report or probe, in ms. */
 const REPORT_TIMEOUT_MS = 2000
+/** Maximum size of a report, which has some numbers for each model. */
+const MAX_REPORT_BYTES = 1024 * 1024
 /** Codes of failures to connect. */
 const CONNECT_FAILURE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL'])
 
-/** Opens a pool of keep-alive connections to an address; `ends` reports how they end. */
+/** Opens a pool of keep-alive connections to an address, for the use of {@link exchange}; `ends` reports how they end. */
 export function createPool (address: string, ends = new ConnectionEnds()): Pool {
   return new Pool(`http://${address}`, {
     connections: null, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: ends.createConnector(CONNECT_TIMEOUT_MS)
@@ -78,34 +80,29 @@
 
   /** Requests a path and parses the response as JSON, whatever its status. */
   async getJson (path: string): Promise<unknown> {
-    return JSON.parse(await this.request('GET', path)) as unknown
+    return JSON.parse((await this.request('GET', path)).toString('utf8')) as unknown
   }
 
   async probe (): Promise<void> {
     await this.request('HEAD', '/')
   }
 
-  /**
-   * Requests a path and returns the body. An endpoint may send bytes without end, so that both its length and the time are bounded.
-   * @throws Error if the response is longer, takes longer, or fails
-   */
-  private async request (method: Dispatcher.HttpMethod, path: string): Promise<string> {
+  /** Returns the body of a response that is small and comes soon. */
+  private async request (method: Dispatcher.HttpMethod, path: string): Promise<Buffer> {
     const chunks: Buffer[] = []
-    let bytes = 0
     const receiver: ResponseReceiver = {
       onHead: () => {},
       onData: (chunk) => {
-        bytes += chunk.length
-        if (bytes > MAX_REPORT_BYTES) return Promise.reject(new Error(`a response of over ${MAX_REPORT_BYTES} bytes`))
         chunks.push(chunk)
         return undefined
       }
     }
     await exchange(this.pool, { method, path }, receiver, AbortSignal.timeout(REPORT_TIMEOUT_MS), {
       onResponseHead: this.onResponseHead,
-      wasClosedCleanly: async () => await this.ends.wasClosedCleanly()
+      wasClosedCleanly: async () => await this.ends.wasClosedCleanly(),
+      maxBodyBytes: MAX_REPORT_BYTES
     })
-    return Buffer.concat(chunks).toString('utf8')
+    return Buffer.concat(chunks)
   }
 
   close (): Promise<void> {
--- a/entry/gateway/test/paused-reset.test.ts
+++ b/entry/gateway/test/paused-reset.test.ts
@@ -48,7 +48,7 @@
       findRefusalReason: () => undefined,
       onSending: () => {},
       wasClosedCleanly: async () => await connections.wasClosedCleanly()
-    }, { onInterim: () => {}, onHead: () => true, onData: () => { exchange.pause(); isPaused = true } }
+    }, { onInterim: () => {}, onHead: () => 'read', onData: () => { exchange.pause(); isPaused = true }, onEndless: () => {} }
   )
   await until('the response to be paused', () => isPaused)
   socket?.resetAndDestroy()
--- a/entry/gateway/test/sent-twice.test.ts
+++ b/entry/gateway/test/sent-twice.test.ts
@@ -51,7 +51,7 @@
       findRefusalReason: () => choices.chance(0.02) ? 'no longer allowed' : undefined,
       onSending: () => {},
       wasClosedCleanly: async () => await connections.wasClosedCleanly()
-    }, { onInterim: () => {}, onHead: ({ headers }) => headers['x-gullwall-request-id'] === id, onData: () => {} })
+    }, { onInterim: () => {}, onHead: ({ headers }) => headers['x-gullwall-request-id'] === id ? 'read' : 'foreign', onData: () => {}, onEndless: () => {} })
     if (choices.chance(0.1)) setTimeout(() => started.cancel(), choices.pick([0, 1, 2, 4]))
     else if (choices.chance(0.1)) setTimeout(() => started.abandon('it takes too long'), choices.pick([0, 1, 2, 4]))
     outcomes.set(id, (await started.outcome).type)
