test(gateway): a response whose end is missing is not complete, however its connection ends

The property met a reset within a response without a length too rarely: with every end of a connection taken for an orderly one, its 100 default runs held.

--- a/entry/gateway/test/promise.test.ts
+++ b/entry/gateway/test/promise.test.ts
@@ -113,6 +113,24 @@
   expect(broken).toEqual([])
 })
 
+describe.each(['order', 'look-up', 'scan', 'draft'] as const)('a response to /%s/ whose end is missing', (kind) => {
+  it.each([
+    ['connection', 'reset'], ['cut', 'close'], ['cut', 'reset'], ['cut chunks', 'close'], ['cut chunks', 'reset']
+  ] as const)('is not complete (%s, %s)', async (framing, extra) => {
+    const reply = await played.send(kind, Array.from({ length: ENDPOINTS }, () => ({ ...SERVE, framing, extra })))
+    await played.renew()
+    expect(reply.status === 200 && reply.isComplete).toBe(false)
+    expect(played.findViolations(reply)).toEqual([])
+  })
+
+  it('is complete if the close of the connection marks its end', async () => {
+    const reply = await played.send(kind, [{ ...SERVE, framing: 'connection', extra: 'close' }])
+    await played.renew()
+    expect(reply).toMatchObject({ status: 200, isComplete: true })
+    expect(played.findViolations(reply)).toEqual([])
+  })
+})
+
 it('nothing has run by the end whose caller was told that it never would', async () => {
   await played.settle()
   expect(played.findAllViolations()).toEqual([])
