fix(gateway): count no time of an event while its caller reads nothing

An event counts as endless if it is not complete within 10 s. A caller that read nothing for longer in the middle of one would have had its stream broken off, since the response is paused meanwhile (read off the code, before any landing).

--- a/endpoint/dialect/src/index.ts
+++ b/endpoint/dialect/src/index.ts
@@ -41,7 +41,7 @@
   /**
    * Runs a request; resolves when the response is complete.
    * @throws ERR_GULLWALL_ENDPOINT_REFUSED or ERR_GULLWALL_UNSENT if no byte of the request was written,
-   *   ERR_GULLWALL_ENDPOINT_FAILED or ERR_GULLWALL_FOREIGN_RESPONSE if it may have run.
+   *   ERR_GULLWALL_ENDPOINT_FAILED, ERR_GULLWALL_FOREIGN_RESPONSE or ERR_GULLWALL_ENDLESS_RESPONSE if it may have run.
    */
   run (call: EndpointCall, receiver: ResponseReceiver): Promise<void>
   /** Queries the load report, if the dialect has one. */
--- a/endpoint/http/test/exchange.test.ts
+++ b/endpoint/http/test/exchange.test.ts
@@ -89,7 +89,7 @@
       socket.once('data', send).on('drain', send).on('error', () => {}).on('close', () => closed())
     })
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-    expect(await run(`127.0.0.1:${(server.address() as AddressInfo).port}`)).toBe('ERR_GULLWALL_ENDPOINT_FAILED')
+    expect(await run(`127.0.0.1:${(server.address() as AddressInfo).port}`)).toBe('ERR_GULLWALL_ENDLESS_RESPONSE')
     await isClosed
     server.close()
   })
@@ -98,6 +98,7 @@
 describe('a response to a report or a probe', () => {
   const heads = { 'a body': 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n', 'interim responses': '' }
   const repeated = { 'a body': '4\r\n    \r\n', 'interim responses': 'HTTP/1.1 102 Processing\r\n\r\n' }
+  const places = { 'a body': 'body', 'interim responses': 'interim' }
   for (const name of ['a body', 'interim responses'] as const) {
     // The process kept such a body until it had no memory left.
     it(`with ${name} without end fails, and its connection is closed`, async () => {
@@ -110,7 +111,7 @@
       })
       await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
       const endpoint = new HttpEndpoint('stub', `127.0.0.1:${(server.address() as AddressInfo).port}`)
-      await expect(endpoint.getJson('/load')).rejects.toThrow('over')
+      await expect(endpoint.getJson('/load')).rejects.toMatchObject({ code: 'ERR_GULLWALL_ENDLESS_RESPONSE', place: places[name] })
       await isClosed
       await endpoint.close()
       server.close()
--- a/endpoint/http/test/http-endpoint.test.ts
+++ b/endpoint/http/test/http-endpoint.test.ts
@@ -99,7 +99,7 @@
 it('a connection that is refused ends the request, and the process goes on', async () => {
   await new Promise((resolve) => server.close(resolve))
   expect(await run()).toBe('ERR_GULLWALL_ENDPOINT_REFUSED')
-  await expect(endpoint.probe()).rejects.toMatchObject({ code: 'ECONNREFUSED' })
+  await expect(endpoint.probe()).rejects.toMatchObject({ cause: { code: 'ECONNREFUSED' } })
 })
 
 describe('a response without end', () => {
--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -238,7 +238,10 @@
     this.sendHead(toForwardable(this.head.status), this.head.headers)
     this.recordFirstFields(events.bytes)
     this.forwarder.recordEvents(events.lastId)
-    if (!response.writeEvents(events.bytes)) this.forwarder.pauseUntilDrained()
+    if (response.writeEvents(events.bytes)) return
+    // The time for which the caller reads nothing says nothing of the endpoint's event.
+    this.eventBeganAt = undefined
+    this.forwarder.pauseUntilDrained()
   }
 
   /** Breaks off a stream in one of whose events bytes come without end. */
