fix(gateway): take a response to HEAD without a length for complete

Callers of HEAD got 502 ("the connection was reset") where the endpoint's head names no length: a body whose end is the end of its connection was awaited, though HEAD has no body. Found on the path with sidecars, the gateway had the same.

--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -76,6 +76,7 @@
   private isOver = false
   private framing: Framing = 'length'
   private connectTimer: NodeJS.Timeout | undefined
+  private readonly method: string
   private sentAt = -Infinity
   private hasHead = false
   private interimHeadCount = 0
@@ -87,6 +88,7 @@
     this.outcome = new Promise((resolve) => { this.settle = resolve })
     this.connectTimer = setTimeout(() => this.end({ type: 'unsent', reason: `no connection within ${request.connectMs} ms` }), request.connectMs)
     const { method, path, headers, body } = request
+    this.method = method
     try {
       dispatcher.dispatch({
         origin, method: method as Dispatcher.HttpMethod, path, headers, body: body ?? null, headersTimeout: 0, bodyTimeout: 0, reset: false
@@ -185,7 +187,9 @@
   private receiveHead (status: number, headers: Headers): void {
     this.reads = findCurrentReads()
     if (this.isOver) return
-    const head: ExchangeHead = { status, headers, framing: framingOf(status, headers), sentAt: this.sentAt }
+    // A response to HEAD has no body, whatever its head says of a length.
+    const framing = this.method === 'HEAD' ? 'length' : framingOf(status, headers)
+    const head: ExchangeHead = { status, headers, framing, sentAt: this.sentAt }
     if (status < MIN_FINAL_STATUS) {
       this.receiveInterimHead(head)
       return
