--- a/bench/soak/test/soak.test.ts
+++ b/bench/soak/test/soak.test.ts
@@ -33,6 +33,14 @@
   expect(Object.keys(verdict.misconduct)).toEqual(expect.arrayContaining(PROMISES.map((status) => `${status} after a run`)))
 }, 120_000)
 
+it(`closes connections on which engines send bytes without end, seed ${SEED}`, async () => {
+  const kinds: FaultKind[] = ['engine sends bytes without end']
+  const verdict = await soak({ seed: SEED, durationMs: ODD_ANSWERS_MS, processes: 5, slack: SLACK, kinds, waitsForRecovery: false })
+  folders.push(verdict.folder)
+  expect(verdict.violations).toEqual([])
+  expect(Object.keys(verdict.misconduct)).not.toEqual([])
+}, 120_000)
+
 it.each(MUTATIONS)('$name can be made', (mutation) => {
   for (const replacement of [mutation, ...mutation.more ?? []]) expect(mutate(replacement)).toContain(replacement.replace)
 })
