--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -70,10 +70,10 @@
     name: 'answer-of-another',
     check: 'whole',
     file: `${GATEWAY}/attempt-response-receiver.ts`,
-    find: 'response.sendComplete(status, headers, Buffer.concat(this.chunks))',
+    find: 'response.sendComplete(status, headers, this.body.join())',
     replace: `const before = (globalThis as any).lastAnswer ?? headers
       ;(globalThis as any).lastAnswer = headers
-      response.sendComplete(status, Math.random() < 0.05 ? before : headers, Buffer.concat(this.chunks))`,
+      response.sendComplete(status, Math.random() < 0.05 ? before : headers, this.body.join())`,
     faults: [CALM]
   },
   {
