fix(endpoint-http): survive the end of a connection whose response is paused at its last byte

A gateway ended by itself (ERR_ASSERTION in onHttpSocketEnd) when a response without a length was resumed, its last bytes and the end of its connection were read together, and the response was paused again with them: a slow caller, or the bound on the memory of responses.

Cause: the HTTP client finishes its parser at the end of a connection and asserts that it is not paused. ConnectionReads now knows which response is paused, resumes it right before the client handles the end, and ignores later pauses of that connection.

The test failed before (the assertion, uncaught) and holds now; the reset of a paused response was the same class.

--- a/endpoint/http/src/connection-reads.ts
+++ b/endpoint/http/src/connection-reads.ts
@@ -54,6 +54,12 @@
   return reading
 }
 
+/** The part of the HTTP client's controller that holds a response back. */
+export interface PausableResponse {
+  pause: () => void
+  resume: () => void
+}
+
 /** What has been read from one connection. */
 export class ConnectionReads {
   private phase: 'idle' | 'head' | 'body' = 'idle'
@@ -63,12 +69,35 @@
   private headBeganAt: number | undefined
   /** Bytes that had been received and written when the latest response ended. */
   private atRest = { received: 0, written: 0 }
+  /** The response that is paused; undefined if none is. */
+  private paused: PausableResponse | undefined
+  private hasEnded = false
 
   constructor (private readonly socket: Socket) {}
 
   watch (): void {
     // This listener has to run before that of the HTTP client, which parses the bytes.
     this.socket.prependListener('readable', () => this.handleReadable())
+    this.socket.prependListener('end', () => this.handleEnd())
+  }
+
+  /** Pauses a response until it is resumed or its connection ends. */
+  pause (response: PausableResponse): void {
+    if (this.hasEnded) return
+    this.paused = response
+    response.pause()
+  }
+
+  resume (response: PausableResponse): void {
+    this.paused = undefined
+    response.resume()
+  }
+
+  /** Resumes a paused response. The HTTP client fails an assertion, and the process ends, if the end of a connection finds one paused. */
+  private handleEnd (): void {
+    this.hasEnded = true
+    this.paused?.resume()
+    this.paused = undefined
   }
 
   /** Records an interim head: another head is expected behind it. */
--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -118,8 +118,9 @@
     }
     const writable = this.receiver.onData(chunk)
     if (writable === undefined) return
-    started.pause()
-    writable.then(() => started.resume(), (error: Error) => started.abort(error))
+    const { reads } = this
+    reads?.pause(started)
+    writable.then(() => reads?.resume(started), (error: Error) => started.abort(error))
   }
 
   onResponseEnd (): void {
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -115,11 +115,11 @@
   }
 
   pause (): void {
-    this.controller?.pause()
+    if (this.controller !== undefined) this.reads?.pause(this.controller)
   }
 
   resume (): void {
-    this.controller?.resume()
+    if (this.controller !== undefined) this.reads?.resume(this.controller)
   }
 
   /** Ends a response without a length, which is complete only if its connection was closed and not reset. */
--- a/entry/gateway/test/paused-reset.test.ts
+++ b/entry/gateway/test/paused-reset.test.ts
@@ -1,11 +1,14 @@
-/** Guards against a process that ends because a response that is paused for a slow caller is reset by its endpoint. */
+/** Guards against a process that ends because the connection of a response ends while that response is paused for a slow caller. */
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { afterEach, beforeEach, expect, it } from 'vitest'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { until } from '@gullwall/bench.deployment'
 import { Connections } from '../src/connections.ts'
 import { Exchange } from '../src/exchange.ts'
 
 const CONNECT_MS = 1000
+/** Time for bytes to arrive over loopback, in ms. */
+const ARRIVAL_MS = 100
 
 let server: Server
 let socket: Socket | undefined
@@ -29,6 +32,23 @@
   await connections.stop()
 })
 
+/** Sends a request, and pauses its response at each part of the body. */
+function exchangeWith (onData: (text: string) => void): Exchange {
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  const dispatcher = connections.dispatcherFor({ incarnation: 'i-1', service: 's', address, dataCentre: 'dc1', slots: 1 }, 10, 1)
+  const exchange: Exchange = new Exchange(dispatcher, `http://${address}`, {
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: undefined,
+    connectMs: CONNECT_MS,
+    findRefusalReason: () => undefined,
+    onSending: () => {},
+    wasClosedCleanly: async () => await connections.wasClosedCleanly()
+  }, { onInterim: () => {}, onHead: () => 'read', onData: (chunk) => { exchange.pause(); onData(chunk.toString()) }, onEndless: () => {} })
+  return exchange
+}
+
 it.each([
   ['without a length', ''],
   ['with a length, on a connection that closes', 'content-length: 1000\r\nconnection: close\r\n'],
@@ -36,21 +56,22 @@
   ['with a length, on a connection that is kept', 'content-length: 1000\r\n']
 ])('a paused response %s is broken if its connection is reset', async (_what, framing) => {
   head = `HTTP/1.1 200 OK\r\n${framing}\r\n3\r\nabc\r\n`
-  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   let isPaused = false
-  const exchange: Exchange = new Exchange(
-    connections.dispatcherFor({ incarnation: 'i-1', service: 's', address, dataCentre: 'dc1', slots: 1 }, 10, 1), `http://${address}`, {
-      method: 'GET',
-      path: '/',
-      headers: [],
-      body: undefined,
-      connectMs: CONNECT_MS,
-      findRefusalReason: () => undefined,
-      onSending: () => {},
-      wasClosedCleanly: async () => await connections.wasClosedCleanly()
-    }, { onInterim: () => {}, onHead: () => 'read', onData: () => { exchange.pause(); isPaused = true }, onEndless: () => {} }
-  )
+  const exchange = exchangeWith(() => { isPaused = true })
   await until('the response to be paused', () => isPaused)
   socket?.resetAndDestroy()
   expect((await exchange.outcome).type).toBe('broken')
 })
+
+it('a response without a length that is paused again at its last byte is complete once its connection has been closed', async () => {
+  head = 'HTTP/1.1 200 OK\r\n\r\nthe first part'
+  let received = ''
+  const exchange = exchangeWith((text) => { received += text })
+  await until('the first part', () => received !== '')
+  await new Promise<void>((resolve) => socket?.end('the last part', resolve))
+  // The last part and the end of the connection are read together only if both have arrived.
+  await sleep(ARRIVAL_MS)
+  exchange.resume()
+  expect(await exchange.outcome).toEqual({ type: 'complete' })
+  expect(received).toBe('the first partthe last part')
+})
