--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -56,19 +56,19 @@
     body: call.body
   }
   try {
-    const signal = AbortSignal.any([caller.gone.signal, move, relay.withheld.signal])
+    const signal = AbortSignal.any([caller.gone.signal, move, relay.unproven.signal])
     await exchange(pool, request, relay, signal, { attemptId: head.attemptId })
   } catch (error) {
-    if (relay.withheld.signal.aborted) return { kind: 'broken', ran: 'unknown', reason: 'turned-away', why: messageOf(error) }
+    if (relay.unproven.signal.aborted) return { kind: 'broken', ran: 'unknown', reason: 'turned-away', why: messageOf(error) }
     if (caller.isGone) return { kind: 'cancelled' }
     if (move.aborted) return { kind: 'broken', ran: 'partly', reason: 'moved', why: 'its endpoint was put aside' }
     if (relay.isRefused) return relay.outcome()
-    return relay.hasHead ? { kind: 'broken', ran: 'partly', reason: 'lost', why: messageOf(error) } : await whatBecameOf(options, error)
+    return relay.hasHead ? { kind: 'broken', ran: 'partly', reason: 'lost', why: messageOf(error) } : await determineOutcome(options, error)
   }
   return relay.outcome()
 }
 
-async function whatBecameOf (options: AttemptOptions, error: unknown): Promise<AttemptOutcome> {
+async function determineOutcome (options: AttemptOptions, error: unknown): Promise<AttemptOutcome> {
   const why = messageOf(error)
   if (error instanceof UnsentError) return { kind: 'not-run', reason: 'unreachable', why }
   const ran = await options.revoke()
@@ -79,7 +79,7 @@
 class AnswerRelay implements ResponseReceiver {
   hasHead = false
   /** Aborts when the response has a status that would be a promise to the caller, without the proof of a sidecar. */
-  readonly withheld = new AbortController()
+  readonly unproven = new AbortController()
   private status = 0
   private headers: IncomingHttpHeaders = {}
   private refusal: AttemptRefused | undefined
@@ -100,7 +100,7 @@
     this.headers = headers
     this.refusal = this.readRefusal(headers)
     if (this.refusal === undefined && isNotRunStatus(status)) {
-      this.withheld.abort(new Error(`a response with ${status} does not prove that the request has not run`))
+      this.unproven.abort(new Error(`a response with ${status} does not prove that the request has not run`))
       return
     }
     this.isStream = isEventStream(headers)
--- a/entry/server/src/caller-dialect.ts
+++ b/entry/server/src/caller-dialect.ts
@@ -83,7 +83,7 @@
   return Right({ ...known, repeatable, isDeclaredRepeatable: said === 'true', idempotencyKey: typeof key === 'string' ? key : undefined })
 }
 
-/** An error of a request that is turned down at the door, before anything of it is sent. */
+/** An error of a request of which nothing has been sent yet. */
 export function refusal (status: CallerError['status'], code: string, message: string, retryAfterMs?: number): CallerError {
   const step = 'accept'
   return isNotRunStatus(status) ? { status, code, message, step, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) } : { status, code, message, step, ran: 'no' }
--- a/entry/server/test/promises.test.ts
+++ b/entry/server/test/promises.test.ts
@@ -175,7 +175,7 @@
   })
 })
 
-describe('a request that is turned down at the door', () => {
+describe('a request of which nothing was sent', () => {
   let entry: EntryFixture
   beforeEach(async () => {
     entry = new EntryFixture()
--- a/sidecar/attempts/test/rejections.test.ts
+++ b/sidecar/attempts/test/rejections.test.ts
@@ -33,7 +33,7 @@
   return `${interim}HTTP/1.1 ${status} Status\r\n${ids}${marks}${framed}\r\n${body}`
 }
 
-describe('the word of an endpoint behind a sidecar', () => {
+describe('the statement of an endpoint behind a sidecar', () => {
   const sidecar = new SidecarFixture()
   beforeEach(async () => await sidecar.start())
   afterEach(async () => await sidecar.stop())
