--- a/endpoint/http/src/connection-reads.ts
+++ b/endpoint/http/src/connection-reads.ts
@@ -89,7 +89,8 @@
   }
 
   resume (response: PausableResponse): void {
-    this.paused = undefined
+    // A caller may drain only after the connection has gone on to another response.
+    if (this.paused === response) this.paused = undefined
     response.resume()
   }
 
