fix(gateway): keep a response paused until all who paused it have resumed it

Callers saw nothing; a response that was paused both for a slow caller and for the memory of the process was read on as soon as either resumed it, so that a part of it was received and kept in spite of the other. Each owner of a pause is now counted by itself.

paused-reset.test fails without the count: expected 'abcdef' to be 'abc'.

--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -66,6 +66,9 @@
 /** Time for such a body, in ms, for which the connection is not available to other requests. */
 const MAX_DISCARD_MS = 100
 
+/** On whose behalf a response is paused: of a caller that reads too slowly, or of the memory of the process. */
+export type PauseOwner = 'caller' | 'memory'
+
 type Handler = Required<Pick<Dispatcher.DispatchHandler,
   'onRequestStart' | 'onResponseStart' | 'onResponseData' | 'onResponseEnd' | 'onResponseError'>>
 
@@ -81,6 +84,7 @@
   private hasHead = false
   private interimHeadCount = 0
   private reads: ConnectionReads | undefined
+  private readonly pauseOwners = new Set<PauseOwner>()
   /** Bytes of a body that is discarded, and the timer that ends it; undefined while none is. */
   private discarded: { bytes: number, timer: NodeJS.Timeout } | undefined
 
@@ -114,12 +118,16 @@
     else this.end({ type: 'broken', reason, isClosed: false, ...endless === undefined ? {} : { endless } })
   }
 
-  pause (): void {
-    if (this.controller !== undefined) this.reads?.pause(this.controller)
+  pause (owner: PauseOwner): void {
+    if (this.controller === undefined) return
+    this.pauseOwners.add(owner)
+    this.reads?.pause(this.controller)
   }
 
-  resume (): void {
-    if (this.controller !== undefined) this.reads?.resume(this.controller)
+  /** Reads on unless the response is still paused for another owner. */
+  resume (owner: PauseOwner): void {
+    this.pauseOwners.delete(owner)
+    if (this.controller !== undefined && this.pauseOwners.size === 0) this.reads?.resume(this.controller)
   }
 
   /** Ends a response without a length, which is complete only if its connection was closed and not reset. */
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -160,7 +160,7 @@
     this.recorder.recordDispatch(candidate)
     const recordResponseBytes = services.crossRegionTraffic.beginRequest(call, endpoint)
     const receiver = new AttemptResponseReceiver(this, inFlightRequest, candidate, permit.backoffPermit, {
-      pause: () => exchange.pause(), resume: () => exchange.resume(), abandon: (place, reason) => exchange.abandon(reason, place)
+      pause: () => exchange.pause('memory'), resume: () => exchange.resume('memory'), abandon: (place, reason) => exchange.abandon(reason, place)
     })
     const exchange = this.send(candidate, receiver, permit)
     this.exchange = exchange
@@ -269,8 +269,8 @@
   /** Pauses reading from the endpoint while the caller reads too slowly. */
   pauseUntilDrained (): void {
     const { exchange } = this
-    exchange?.pause()
-    this.response.onceDrained(() => exchange?.resume())
+    exchange?.pause('caller')
+    this.response.onceDrained(() => exchange?.resume('caller'))
   }
 
   /** Records that complete events were forwarded to the caller. */
--- a/entry/gateway/test/paused-reset.test.ts
+++ b/entry/gateway/test/paused-reset.test.ts
@@ -45,7 +45,16 @@
     findRefusalReason: () => undefined,
     onSending: () => {},
     wasClosedCleanly: async () => await connections.wasClosedCleanly()
-  }, { onInterim: () => {}, onHead: () => 'read', onData: (chunk) => { exchange.pause(); onData(chunk.toString()) }, onEndless: () => {} })
+  }, {
+    onInterim: () => {},
+    onHead: () => 'read',
+    onData: (chunk) => {
+      // The HTTP client begins to read on with an empty part.
+      if (chunk.length > 0) exchange.pause('caller')
+      onData(chunk.toString())
+    },
+    onEndless: () => {}
+  })
   return exchange
 }
 
@@ -71,7 +80,23 @@
   await new Promise<void>((resolve) => socket?.end('the last part', resolve))
   // The last part and the end of the connection are read together only if both have arrived.
   await sleep(ARRIVAL_MS)
-  exchange.resume()
+  exchange.resume('caller')
   expect(await exchange.outcome).toEqual({ type: 'complete' })
   expect(received).toBe('the first partthe last part')
 })
+
+it('a response that is paused for two owners is read on only once both have resumed it', async () => {
+  head = 'HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nabc'
+  let received = ''
+  const exchange = exchangeWith((text) => { received += text })
+  await until('the first part', () => received === 'abc')
+  exchange.pause('memory')
+  socket?.write('def')
+  exchange.resume('memory')
+  await sleep(ARRIVAL_MS)
+  expect(received).toBe('abc')
+  exchange.resume('caller')
+  await until('the last part', () => received === 'abcdef')
+  exchange.resume('caller')
+  expect(await exchange.outcome).toEqual({ type: 'complete' })
+})
