--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -29,6 +29,8 @@
   onResponseHead?: ResponseHeadListener
   /** The id of this attempt. A response that names another one belongs to an earlier attempt, and nothing of it is used. */
   attemptId?: string | undefined
+  /** Called right before the first byte is written, after any wait for a connection; the request is sent only if it returns true. */
+  maySend?: () => boolean
   /** Whether the connection that is ending now was closed and not reset; a response without a length is complete only then. */
   wasClosedCleanly?: () => Promise<boolean>
   /** Maximum size of the body; unlimited for a receiver that passes its parts on and keeps none. */
@@ -78,6 +80,8 @@
       started.abort(new Error('the request was sent before, and is not sent again'))
     } else if (this.signal.aborted) {
       started.abort(getAbortReason(this.signal))
+    } else if (this.options.maySend?.() === false) {
+      started.abort(new Error('the request may no longer be sent'))
     } else {
       this.controller = started
       this.sentAt = performance.now()
