--- a/bench/soak/src/build.ts
+++ b/bench/soak/src/build.ts
@@ -1,4 +1,4 @@
-/** Builds the programs that a run starts; with a mutation, the one source file that it names is changed on the way. */
+/** Builds the programs that a run starts; with a mutation, the source files that it names are changed on the way. */
 import { readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import { join } from 'node:path'
@@ -40,9 +40,8 @@
   return built
 }
 
-/** The mutated text of a source file. */
-export function mutate ({ file, find, replace }: Replacement): string {
-  const text = readFileSync(join(ROOT, file), 'utf8')
+/** The mutated text of a source file, or of a text of it that has been mutated before. */
+export function mutate ({ file, find, replace }: Replacement, text = readFileSync(join(ROOT, file), 'utf8')): string {
   const places = text.split(find).length - 1
   if (places !== 1) throw new GullwallError('ERR_GULLWALL_SOAK', `mutation: ${places} places of «${find}» in ${file}, not 1`, { step: 'mutate' })
   return text.replace(find, () => replace)
@@ -54,8 +53,9 @@
     name: 'mutation',
     setup (builder) {
       builder.onLoad({ filter: /\.ts$/ }, ({ path }) => {
-        const replacement = replacements.find(({ file }) => path === join(ROOT, file))
-        return replacement === undefined ? undefined : { contents: mutate(replacement), loader: 'ts' }
+        const ofFile = replacements.filter(({ file }) => path === join(ROOT, file))
+        const contents = ofFile.reduce<string | undefined>((text, replacement) => mutate(replacement, text), undefined)
+        return contents === undefined ? undefined : { contents, loader: 'ts' }
       })
     }
   }
--- /dev/null
+++ b/bench/soak/src/endless-mutations.ts
@@ -0,0 +1,20 @@
+/** Deliberate faults of the gateway against engines that send bytes without end. */
+import { type Mutation } from './mutations.ts'
+
+const GATEWAY = 'entry/gateway/src'
+
+export const ENDLESS_MUTATIONS: readonly Mutation[] = [
+  {
+    name: 'endless-responses-read-on',
+    check: 'unbounded',
+    file: 'endpoint/http/src/connection-reads.ts',
+    find: 'this.socket.destroy(new EndlessResponseError(place, message))',
+    replace: '',
+    more: [
+      { file: `${GATEWAY}/exchange.ts`, find: 'if (this.interimHeadCount > MAX_INTERIM_HEADS)', replace: 'if (this.interimHeadCount < 0)' },
+      { file: `${GATEWAY}/exchange.ts`, find: 'this.controller?.abort(new Error(reason))', replace: '' },
+      { file: `${GATEWAY}/attempt-response-receiver.ts`, find: 'if (incompleteBytes > MAX_EVENT_BYTES)', replace: 'if (incompleteBytes < 0)' }
+    ],
+    faults: ['engine sends bytes without end']
+  }
+]
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -2,6 +2,7 @@
  * Deliberate faults of the programs, each of which one check must catch. They are made in the sources on their way into a
  * test build (`build.ts`), so that no product build can carry one; a mutation whose text is gone fails the build.
  */
+import { ENDLESS_MUTATIONS } from './endless-mutations.ts'
 import { type FaultKind } from './faults.ts'
 
 /** A text in one source file that is replaced. */
@@ -326,5 +327,6 @@
       }
     ],
     faults: ['freeze control in a storm']
-  }
+  },
+  ...ENDLESS_MUTATIONS
 ]
