--- a/bench/processes/src/child.ts
+++ b/bench/processes/src/child.ts
@@ -2,9 +2,10 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { createWriteStream } from 'node:fs'
+import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-export type ProgramName = 'gullwall-entry' | 'gullwall-sidecar' | 'gullwall-control' | 'gullwall-fake-engine'
+export type ProgramName = 'gullwall-entry' | 'gullwall-gateway' | 'gullwall-sidecar' | 'gullwall-control' | 'gullwall-fake-engine'
 
 export interface ChildOptions {
   settings: string
@@ -12,6 +13,10 @@
   log: string
   /** Keep its heap below so many MiB. */
   maxHeapMiB?: number
+  /** More options of Node.js. */
+  nodeOptions?: string[]
+  /** Folder of the built programs; that of this checkout if it is undefined. */
+  programs?: string | undefined
 }
 
 const DIST = fileURLToPath(new URL('../../../dist/', import.meta.url))
@@ -21,8 +26,9 @@
   private readonly exited: Promise<unknown>
 
   constructor (readonly program: ProgramName, options: ChildOptions) {
-    const nodeOptions = options.maxHeapMiB === undefined ? [] : [`--max-old-space-size=${options.maxHeapMiB}`]
-    this.process = spawn(process.execPath, [...nodeOptions, `${DIST}${program}.mjs`, '--settings', options.settings], {
+    const { maxHeapMiB, nodeOptions = [], programs = DIST } = options
+    const heapOptions = maxHeapMiB === undefined ? [] : [`--max-old-space-size=${maxHeapMiB}`]
+    this.process = spawn(process.execPath, [...heapOptions, ...nodeOptions, join(programs, `${program}.mjs`), '--settings', options.settings], {
       stdio: ['ignore', 'pipe', 'pipe']
     })
     const log = createWriteStream(options.log, { flags: 'a' })
