fix(endpoint-http): end a request that is aborted while its connection is made

The new test of the exchange fails without the fix (time limit of 30 s). An abort before the start settles as unsent; the start, if it comes, is aborted before its first byte.

--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -72,7 +72,11 @@
     private readonly settle: (error?: Error) => void
   ) {}
 
-  readonly abort = (): void => { this.controller?.abort(getAbortReason(this.signal)) }
+  readonly abort = (): void => {
+    // A request that still waits for its connection is aborted before its first byte once it has one.
+    if (this.controller === undefined) this.settle(new UnsentError(getAbortReason(this.signal)))
+    else this.controller.abort(getAbortReason(this.signal))
+  }
 
   onRequestStart (started: Dispatcher.DispatchController): void {
     if (this.controller !== undefined) {
--- a/endpoint/http/test/exchange.test.ts
+++ b/endpoint/http/test/exchange.test.ts
@@ -36,6 +36,21 @@
   }
 }
 
+describe('a request that is aborted while its connection is made', () => {
+  afterEach(() => vi.restoreAllMocks())
+
+  // It stayed unsettled until the connection was made.
+  it('is unsent at once, and is not written later', async () => {
+    let startLater: (() => Controller) | undefined
+    stubClient((_handler, start) => { startLater = start })
+    const caller = new AbortController()
+    const outcome = run('127.0.0.1:1', caller.signal)
+    caller.abort()
+    expect(await outcome).toBe('ERR_GULLWALL_UNSENT')
+    expect(startLater?.().abort).toHaveBeenCalledOnce()
+  })
+})
+
 describe('a request that was written', () => {
   afterEach(() => vi.restoreAllMocks())
 
