test(gateway): shed no connections in tests that run gateways in their own process

Landing runs failed in tests of entry/gateway that have nothing to do with shedding: callers saw "other side closed" or ECONNRESET before a byte was read.

Cause: these tests run gateways, endpoints and callers in one process. A gateway measures the event loop, so that it took the work of the test, and time in which the machine ran other processes, for its own overload, and closed connections unread.

How busy a gateway is becomes an option of createGateway; by default it is the use of the event loop, as before. Tests whose gateways share their process pass 0, as one of them did already by a spy.

--- a/entry/gateway/src/index.ts
+++ b/entry/gateway/src/index.ts
@@ -28,6 +28,7 @@
 import { ReturningCallers } from './returning-callers.ts'
 import { CrossRegionTraffic } from './cross-region-traffic.ts'
 import { StreamBuilds } from './stream-builds.ts'
+import { createUtilizationMeter } from './utilization.ts'
 import { UsageTracker } from './usage-tracker.ts'
 import { LoadExchange } from './load-exchange.ts'
 
@@ -51,6 +52,8 @@
   format: DocumentFormat
   dialect: CallDialect
   weights: ChoiceWeights
+  /** Returns the share of the time since its last call in which this gateway was busy, from 0 to 1. */
+  measureUtilization: () => number
   store: RevisionStore
   spreader: Spreader
   connections: Connections
@@ -82,6 +85,11 @@
   dialect?: CallDialect
   format?: DocumentFormat
   weights?: Partial<ChoiceWeights>
+  /**
+   * Returns the share of the time since its last call in which this gateway was busy, from 0 to 1. By default that of the event loop,
+   * which tells something only where the gateway has the process to itself.
+   */
+  measureUtilization?: () => number
 }
 
 /** Creates a gateway; nothing runs until its kernel is started. */
@@ -94,6 +102,7 @@
     .value('format', options.format ?? nativeFormat)
     .value('dialect', options.dialect ?? nativeDialect)
     .value('weights', { ...DEFAULT_WEIGHTS, ...options.weights })
+    .value('measureUtilization', options.measureUtilization ?? createUtilizationMeter())
     .service('registry', () => createGatewayRegistry())
     .service('metrics', ({ registry }) => createGatewayMetrics(registry))
     .service('store', ({ logger }) => new RevisionStore({ logger }))
--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -78,12 +78,10 @@
 
   /** Measures the use of the event loop. A process that starts has work of its own, which says nothing about its callers. */
   private measureUtilization (): void {
-    let latest = performance.eventLoopUtilization()
+    const { startedAt, measureUtilization } = this.services
     this.utilizationTimer = setInterval(() => {
-      const present = performance.eventLoopUtilization()
-      const { utilization } = performance.eventLoopUtilization(present, latest)
-      latest = present
-      if (performance.now() - this.services.startedAt > START_UP_MS + WINDOW_MS) this.shedder.recordUtilization(utilization)
+      const utilization = measureUtilization()
+      if (performance.now() - startedAt > START_UP_MS + WINDOW_MS) this.shedder.recordUtilization(utilization)
     }, WINDOW_MS)
   }
 
--- a/entry/gateway/test/evacuation.test.ts
+++ b/entry/gateway/test/evacuation.test.ts
@@ -4,7 +4,7 @@
 import { until } from '@gullwall/bench.deployment'
 import { type OrderCaller } from '@gullwall/control.program'
 import { createGateway } from '@gullwall/entry.gateway'
-import { answerNotRun, answerOk, GatewayDeployment, StubEndpoint, type Behaviour } from './gateway-deployment.ts'
+import { answerNotRun, answerOk, GatewayDeployment, inProcess, StubEndpoint, type Behaviour } from './gateway-deployment.ts'
 
 const near = new StubEndpoint('i-near', 'app')
 const far = new StubEndpoint('i-far', 'app')
@@ -212,7 +212,7 @@
 it('a gateway that starts during an evacuation applies it before its first request', async () => {
   await applyOrder('dc2', true)
   const before = far.requestIds.length
-  const gateway = createGateway(deployment.gateway.get('settings'), { write: () => {} })
+  const gateway = createGateway(deployment.gateway.get('settings'), inProcess(() => {}))
   await gateway.start()
   const base = `http://${gateway.get('ingress').address}`
   try {
--- a/entry/gateway/test/gateway-deployment.ts
+++ b/entry/gateway/test/gateway-deployment.ts
@@ -5,7 +5,7 @@
 import { type ControlSettings } from '@gullwall/config.settings'
 import { createControl, type ControlServices } from '@gullwall/control.program'
 import { MemoryDisk } from '@gullwall/control.storage'
-import { createGateway, type GatewayServices } from '@gullwall/entry.gateway'
+import { createGateway, type GatewayOptions, type GatewayServices } from '@gullwall/entry.gateway'
 import { type Kernel } from '@gullwall/core.kernel'
 
 export type Behaviour = (request: IncomingMessage, response: ServerResponse, body: string) => void
@@ -71,6 +71,11 @@
   }
 }
 
+/** Options for a gateway that shares its process with endpoints and callers: the use of the event loop tells nothing about the gateway. */
+export function inProcess (write: (line: string) => void): GatewayOptions {
+  return { write, measureUtilization: () => 0 }
+}
+
 /** What is reported of an endpoint. */
 export type ReportedEndpoint = Pick<StubEndpoint, 'incarnation' | 'service' | 'address' | 'dataCentre' | 'build'>
 
@@ -121,7 +126,7 @@
       graceMs: 6000,
       ...this.retrySettings,
       usageWindowMs: USAGE_WINDOW_MS
-    }, { write: (line) => this.logLines.push(line) })
+    }, inProcess((line) => this.logLines.push(line)))
     await this.control.start()
     for (const stub of this.stubs) await stub.start()
     await this.gateway.start()
@@ -177,7 +182,7 @@
 
   /** Starts another gateway with the same endpoints; the test must stop it. */
   async startGateway (box: string): Promise<Kernel<GatewayServices>> {
-    const gateway = createGateway({ ...this.gateway.get('settings'), box }, { write: (line) => this.logLines.push(line) })
+    const gateway = createGateway({ ...this.gateway.get('settings'), box }, inProcess((line) => this.logLines.push(line)))
     await gateway.start()
     await until(`${box} is ready`, () => gateway.get('controlLinks').findNotReadyReason() === undefined)
     return gateway
--- a/entry/gateway/test/minority-region.test.ts
+++ b/entry/gateway/test/minority-region.test.ts
@@ -6,7 +6,7 @@
 import { MemoryDisk } from '@gullwall/control.storage'
 import { type Kernel } from '@gullwall/core.kernel'
 import { createGateway, type GatewayServices } from '@gullwall/entry.gateway'
-import { createDocument, StubEndpoint } from './gateway-deployment.ts'
+import { createDocument, inProcess, StubEndpoint } from './gateway-deployment.ts'
 
 const REGIONS = { n1: 'north', n2: 'north', n3: 'north', s1: 'south', s2: 'south', s3: 'south' }
 const CONTROLS = ['n1', 'n2', 'n3', 's1', 's2'] as const
@@ -55,7 +55,7 @@
     retryRatio: 0.2,
     retryWindowMs: 10_000,
     retrySlack: 60
-  }, { write: () => {} })
+  }, inProcess(() => {}))
   await gateway.start()
   gateways.push(gateway)
   return gateway
--- a/entry/gateway/test/promise-deployment.ts
+++ b/entry/gateway/test/promise-deployment.ts
@@ -1,5 +1,4 @@
 /** A gateway whose endpoints play given cases, with what both ends have seen of each request, and the rules that hold between them. */
-import { vi } from 'vitest'
 import { Pool } from 'undici'
 import { until } from '@gullwall/bench.deployment'
 import { GatewayDeployment } from './gateway-deployment.ts'
@@ -57,8 +56,6 @@
     }
     await this.deployment.configure(1)
     await this.deployment.awaitRetryBudget()
-    // A busy gateway would close connections unread.
-    vi.spyOn(this.deployment.gateway.get('ingress').shedder, 'shouldClose').mockReturnValue(false)
     this.callers = new Pool(this.deployment.url(''), { connections: CALLER_CONNECTIONS })
   }
 
