fix(endpoint-http): end a request that is aborted before it begins at once

A request whose caller had left before its exchange began opened a connection first and ended only with it, up to the 2 s of a connect: the exchange listened for an abort that had already come.

An aborted signal now rejects with UnsentError before anything is given to the HTTP client, so that no byte can be written.

--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -44,6 +44,7 @@
 export function exchange (
   pool: Pool, options: Dispatcher.DispatchOptions, receiver: ResponseReceiver, signal: AbortSignal, exchangeOptions: ExchangeOptions = {}
 ): Promise<void> {
+  if (signal.aborted) return Promise.reject(new UnsentError(getAbortReason(signal)))
   return new Promise((resolve, reject) => {
     const handler = new ExchangeHandler(options.method, receiver, signal, exchangeOptions, (error) => {
       signal.removeEventListener('abort', handler.abort)
--- a/endpoint/http/test/exchange.test.ts
+++ b/endpoint/http/test/exchange.test.ts
@@ -51,6 +51,19 @@
   })
 })
 
+describe('a request that is aborted before it is sent', () => {
+  afterEach(() => vi.restoreAllMocks())
+
+  // It waited for a connection, up to the timeout of the connect.
+  it('is unsent at once, and takes no connection', async () => {
+    const dispatch = vi.spyOn(Pool.prototype, 'dispatch').mockReturnValue(true)
+    const caller = new AbortController()
+    caller.abort()
+    expect(await run('127.0.0.1:1', caller.signal)).toBe('ERR_GULLWALL_UNSENT')
+    expect(dispatch).not.toHaveBeenCalled()
+  }, 5000)
+})
+
 describe('a request that was written', () => {
   afterEach(() => vi.restoreAllMocks())
 
