refactor(gateway): hold the owners of a pause in one place

KeptBytes kept a flag of its own for what the exchange already records as the owner 'memory' of a pause, so that the two could disagree. The response memory now asks the exchange. No change that callers see. The double of the test holds the same state as the exchange does. response-memory, byte-blocks and paused-reset tests pass (13).

--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -31,6 +31,8 @@
 
 /** Controls the exchange of a response. */
 export interface ResponseFlow {
+  /** Whether the response is paused for the memory of the process. */
+  isPaused: () => boolean
   pause: () => void
   resume: () => void
   /** Ends the attempt, whose bytes come without end at a place. */
@@ -79,9 +81,9 @@
     private readonly permit: BackoffPermit,
     private readonly flow: ResponseFlow
   ) {
-    const { pause, resume } = flow
+    const { isPaused, pause, resume } = flow
     const breakOff = (reason: string) => flow.abandon(this.isStream ? 'event' : 'body', reason)
-    this.kept = forwarder.context.services.responseMemory.open({ pause, resume, breakOff })
+    this.kept = forwarder.context.services.responseMemory.open({ isPaused, pause, resume, breakOff })
   }
 
   /** Records that the first byte of the request is about to be written. */
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -118,6 +118,10 @@
     else this.end({ type: 'broken', reason, isClosed: false, ...endless === undefined ? {} : { endless } })
   }
 
+  isPausedFor (owner: PauseOwner): boolean {
+    return this.pauseOwners.has(owner)
+  }
+
   pause (owner: PauseOwner): void {
     if (this.controller === undefined) return
     this.pauseOwners.add(owner)
--- a/entry/gateway/src/request-forwarder.ts
+++ b/entry/gateway/src/request-forwarder.ts
@@ -160,7 +160,10 @@
     this.recorder.recordDispatch(candidate)
     const recordResponseBytes = services.crossRegionTraffic.beginRequest(call, endpoint)
     const receiver = new AttemptResponseReceiver(this, inFlightRequest, candidate, permit.backoffPermit, {
-      pause: () => exchange.pause('memory'), resume: () => exchange.resume('memory'), abandon: (place, reason) => exchange.abandon(reason, place)
+      isPaused: () => exchange.isPausedFor('memory'),
+      pause: () => exchange.pause('memory'),
+      resume: () => exchange.resume('memory'),
+      abandon: (place, reason) => exchange.abandon(reason, place)
     })
     const exchange = this.send(candidate, receiver, permit)
     this.exchange = exchange
--- a/entry/gateway/src/response-memory.ts
+++ b/entry/gateway/src/response-memory.ts
@@ -19,6 +19,8 @@
 
 /** The exchange of a response. */
 export interface PausableResponse {
+  /** Whether the response is paused for the memory of the process, whatever else it is paused for. */
+  isPaused: () => boolean
   pause: () => void
   resume: () => void
   /** Ends the response, whose bytes take too much memory. */
@@ -30,7 +32,6 @@
   bytes = 0
   /** When the first of these bytes came, by the monotonic clock. */
   since = 0
-  isPaused = false
 
   constructor (private readonly memory: ResponseMemory, readonly response: PausableResponse) {}
 
@@ -42,7 +43,6 @@
 
   /** Reports that nothing of the response is kept any more. */
   release (): void {
-    this.isPaused = false
     this.memory.update(this, 0)
   }
 }
@@ -74,15 +74,15 @@
   }
 
   private get isAnyPaused (): boolean {
-    for (const { isPaused } of this.kept) if (isPaused) return true
+    for (const { response } of this.kept) if (response.isPaused()) return true
     return false
   }
 
   /** Lets only the largest response go on: it is the next to end, by itself or by its bound, and frees the most. */
   private serveLargest (updated: KeptBytes): void {
     const largest = this.findLargest()
-    if (updated !== largest && updated.bytes > UNPAUSED_BYTES) this.setPaused(updated, true)
-    if (largest?.isPaused === true) this.setPaused(largest, false)
+    if (updated !== largest && updated.bytes > UNPAUSED_BYTES && !updated.response.isPaused()) updated.response.pause()
+    if (largest?.response.isPaused() === true) largest.response.resume()
     this.timer ??= setInterval(() => this.checkLargest(), CHECK_INTERVAL_MS).unref()
   }
 
@@ -106,13 +106,6 @@
   }
 
   private resumeAll (): void {
-    for (const entry of this.kept) if (entry.isPaused) this.setPaused(entry, false)
-  }
-
-  private setPaused (entry: KeptBytes, isPaused: boolean): void {
-    if (entry.isPaused === isPaused) return
-    entry.isPaused = isPaused
-    if (isPaused) entry.response.pause()
-    else entry.response.resume()
+    for (const { response } of this.kept) if (response.isPaused()) response.resume()
   }
 }
--- a/entry/gateway/test/response-memory.test.ts
+++ b/entry/gateway/test/response-memory.test.ts
@@ -8,7 +8,13 @@
 let memory: ResponseMemory
 
 function open () {
-  const response = { pause: vi.fn(), resume: vi.fn(), breakOff: vi.fn() }
+  let isPaused = false
+  const response = {
+    isPaused: () => isPaused,
+    pause: vi.fn(() => { isPaused = true }),
+    resume: vi.fn(() => { isPaused = false }),
+    breakOff: vi.fn()
+  }
   return { response, kept: memory.open(response) }
 }
 
