--- a/bench/endless-responses/src/measure.ts
+++ b/bench/endless-responses/src/measure.ts
@@ -10,7 +10,9 @@
   seed: number
   seconds: number
   /** Number of endless responses at once. */
-  atOnce?: number
+  atOnce?: number | undefined
+  /** Number of sound requests a second, on average. */
+  soundPerSecond?: number | undefined
   /** Folder of the built programs; those of this checkout if it is undefined. */
   programs?: string | undefined
   /** Whether the gateway is asked for the parts of its memory. */
@@ -32,7 +34,7 @@
   /** Bytes that the engines wrote without end, and for how long. */
   writtenBytes: number
   elapsedMs: number
-  sound: { sent: number, served: number, p50Ms: number, p95Ms: number, failures: Record<string, number> }
+  sound: { sent: number, served: number, p50Ms: number, p95Ms: number, p99Ms: number, failures: Record<string, number> }
   /** The endless requests, by the status of the response. */
   told: Record<string, Ended>
   /** Connections with bytes without end that are still open once all requests have ended. */
@@ -63,15 +65,15 @@
 }
 
 async function measure (deployment: GatewayWithEngines, flood: Flood, place: Place, options: MeasureOptions): Promise<Measurement> {
-  const { seed, seconds, atOnce = AT_ONCE, hasDetails = false } = options
+  const { seed, seconds, atOnce = AT_ONCE, soundPerSecond = SOUND_PER_SECOND, hasDetails = false } = options
   const [endless, sound] = ['endless', 'sound'].map((name) => new Caller(deployment.gatewayAddress, name)) as [Caller, Caller]
   try {
-    await sendSound(sound, seed, SOUND_PER_SECOND, WARM_UP_SECONDS)
+    await sendSound(sound, seed, soundPerSecond, WARM_UP_SECONDS)
     const endDetails = hasDetails ? watchDetails(deployment.admin) : undefined
     const startedAt = performance.now()
     const before = readUse(deployment.gatewayPid)
     const [endlessReplies, soundReplies] = await Promise.all([
-      sendEndless(endless, place.path, atOnce, seconds), sendSound(sound, seed, SOUND_PER_SECOND, seconds)
+      sendEndless(endless, place.path, atOnce, seconds), sendSound(sound, seed, soundPerSecond, seconds)
     ])
     const after = readUse(deployment.gatewayPid)
     const elapsedMs = performance.now() - startedAt
@@ -98,7 +100,7 @@
   const failures: Record<string, number> = {}
   for (const reply of replies) if (!served.includes(reply)) failures[reply.status] = (failures[reply.status] ?? 0) + 1
   const timeAt = quantileOf(served)
-  return { sent: replies.length, served: served.length, p50Ms: timeAt(0.5), p95Ms: timeAt(0.95), failures }
+  return { sent: replies.length, served: served.length, p50Ms: timeAt(0.5), p95Ms: timeAt(0.95), p99Ms: timeAt(0.99), failures }
 }
 
 function summarizeEndless (replies: Reply[]): Measurement['told'] {
--- a/bench/endless-responses/src/table.ts
+++ b/bench/endless-responses/src/table.ts
@@ -3,7 +3,7 @@
 
 const BYTES_PER_MB = 1_000_000
 const MS_PER_SECOND = 1000
-const HEADER = ['place', 'before, MB', 'peak, MB', 'processor, s', 'written, MB', 'for, s', 'sound: served of sent', 'p50, ms', 'p95, ms', 'told: status count (p50, longest ms)', 'open']
+const HEADER = ['place', 'before, MB', 'peak, MB', 'processor, s', 'written, MB', 'for, s', 'sound: served of sent', 'p50, ms', 'p95, ms', 'p99, ms', 'told: status count (p50, longest ms)', 'open']
 
 export function formatTable (measurements: readonly Measurement[]): string {
   const rows = [HEADER, HEADER.map(() => '---'), ...measurements.map(rowOf)]
@@ -18,7 +18,7 @@
   const endings = Object.entries(told).map(([status, { count, p50Ms, longestMs }]) => `${status} ${count} (${p50Ms.toFixed(0)}, ${longestMs.toFixed(0)})`)
   return [
     place, toMb(beforeBytes), toMb(peakBytes), cpuSeconds.toFixed(1), toMb(writtenBytes), (elapsedMs / MS_PER_SECOND).toFixed(1), `${sound.served} of ${sound.sent}`,
-    sound.p50Ms.toFixed(0), sound.p95Ms.toFixed(0), endings.join(', '), String(openCount)
+    sound.p50Ms.toFixed(0), sound.p95Ms.toFixed(0), sound.p99Ms.toFixed(0), endings.join(', '), String(openCount)
   ]
 }
 
--- a/entry/gateway/src/attempt-response-receiver.ts
+++ b/entry/gateway/src/attempt-response-receiver.ts
@@ -164,6 +164,13 @@
 
   /** Returns the outcome of the attempt, and ends the caller's response if it is complete. */
   finish (end: ExchangeOutcome): AttemptOutcome {
+    const outcome = this.conclude(end)
+    this.body.clear()
+    this.splitter.clear()
+    return outcome
+  }
+
+  private conclude (end: ExchangeOutcome): AttemptOutcome {
     const { head } = this
     this.kept.release()
     if (end.type === 'broken' && end.endless !== undefined) this.onEndless(end.endless, end.reason)
--- a/entry/gateway/src/event-splitter.ts
+++ b/entry/gateway/src/event-splitter.ts
@@ -41,6 +41,12 @@
     return this.incomplete.join()
   }
 
+  /** Forgets the bytes behind the last complete event. */
+  clear (): void {
+    this.incomplete.clear()
+    this.tail = NO_BYTES
+  }
+
   /** Number of bytes behind the last complete event. */
   get incompleteBytes (): number {
     return this.incomplete.length
--- a/entry/gateway/src/response-memory.ts
+++ b/entry/gateway/src/response-memory.ts
@@ -10,7 +10,7 @@
 /** Time from the first byte of an event to its last, in ms. A server writes an event at once; one that grows for longer has no end. */
 export const MAX_EVENT_MS = 10_000
 /** Bytes of all responses together beyond which only the largest is received. The program itself takes half of the memory of a gateway. */
-export const MAX_KEPT_BYTES = 16 * 1024 * 1024
+export const MAX_KEPT_BYTES = 8 * 1024 * 1024
 /** Bytes that each response may have in any case, so that small ones never wait for large ones. */
 const UNPAUSED_BYTES = 64 * 1024
 /** Time for the largest response while the others wait for it, in ms, since its first byte: it is broken off then. */
