test(soak): show by a mutation that the check for memory can fail

The check `memory` had no mutation. `received-bytes-leak` keeps 4 MiB, 80 times at most, for each part of a response body that comes after its first 64 KiB.

--- a/bench/soak/src/endless-mutations.ts
+++ b/bench/soak/src/endless-mutations.ts
@@ -16,5 +16,15 @@
       { file: `${GATEWAY}/attempt-response-receiver.ts`, find: 'if (incompleteBytes > MAX_EVENT_BYTES)', replace: 'if (incompleteBytes < 0)' }
     ],
     faults: ['engine sends bytes without end']
+  },
+  {
+    name: 'received-bytes-leak',
+    check: 'memory',
+    file: `${GATEWAY}/attempt-response-receiver.ts`,
+    find: 'this.receivedBytes += chunk.length',
+    replace: `this.receivedBytes += chunk.length
+    const leak = ((globalThis as any).leak ??= [])
+    if (this.receivedBytes > 64 * 1024 && leak.length < 80) leak.push(Buffer.alloc(4 * 1024 * 1024, 1))`,
+    faults: ['engine sends bytes without end']
   }
 ]
