test(soak): show by a mutation that the check for requests beside bytes without end can fail

The check `beside` had no mutation. With `kept-bytes-not-released` the bytes of a response without end count as kept for good, so that later responses are paused.

--- a/bench/soak/src/endless-mutations.ts
+++ b/bench/soak/src/endless-mutations.ts
@@ -26,5 +26,18 @@
     const leak = ((globalThis as any).leak ??= [])
     if (this.receivedBytes > 64 * 1024 && leak.length < 80) leak.push(Buffer.alloc(4 * 1024 * 1024, 1))`,
     faults: ['engine sends bytes without end']
+  },
+  {
+    name: 'kept-bytes-not-released',
+    check: 'beside',
+    file: `${GATEWAY}/attempt-response-receiver.ts`,
+    find: 'services.metrics.endlessResponses.inc({ service, place })',
+    replace: `services.metrics.endlessResponses.inc({ service, place })
+    this.kept.update(1e9)`,
+    more: [
+      { file: `${GATEWAY}/response-memory.ts`, find: 'largest.release()', replace: '' },
+      { file: `${GATEWAY}/response-memory.ts`, find: 'const UNPAUSED_BYTES = 64 * 1024', replace: 'const UNPAUSED_BYTES = 0' }
+    ],
+    faults: ['engine sends bytes without end']
   }
 ]
