fix(gateway): resume a response behind the bytes of another, not in the midst of them

What callers saw: under memory pressure (responses that together keep more than the bound) a stream whose event had come whole was broken off, or resumed elsewhere, and another stream stood still until its deadline. The endpoint of the first was counted as one that closed its connection.

Cause: when an event is complete the process keeps fewer bytes, and lets the responses go on that wait for memory. It did so within the parser's callback for the first response. The HTTP client can't parse the bytes of one connection in a callback for those of another: its assertion (currentParser === null) ended the first response, and the second was neither paused for the gateway nor read by the client.

Found by a review that read the code and played two streams on sockets.

Why it works: a response is resumed in a microtask, which runs when the client has taken all bytes that were read. If it was paused again or ended meanwhile, nothing is resumed.

--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -131,7 +131,10 @@
   /** Reads on unless the response is still paused for another owner. */
   resume (owner: PauseOwner): void {
     this.pauseOwners.delete(owner)
-    if (this.controller !== undefined && this.pauseOwners.size === 0) this.reads?.resume(this.controller)
+    // The HTTP client can't parse the bytes of one response in a callback for those of another.
+    queueMicrotask(() => {
+      if (this.controller !== undefined && !this.isOver && this.pauseOwners.size === 0) this.reads?.resume(this.controller)
+    })
   }
 
   /** Ends a response without a length, which is complete only if its connection was closed and not reset. */
