--- a/entry/gateway/test/head-request.test.ts
+++ b/entry/gateway/test/head-request.test.ts
@@ -19,6 +19,6 @@
   const headers = { authorization: 'Bearer secret', 'x-gullwall-request-id': `request${path}` }
   const { statusCode, body } = await request(deployment.url(path), { method: 'HEAD', headers })
   await body.dump()
-  expect(statusCode).toBe(200)
+  expect(statusCode, deployment.logLines.join('\n')).toBe(200)
   expect(endpoint.requestIds.filter((id) => id === `request${path}`)).toHaveLength(1)
 })
--- a/entry/gateway/test/http-1.0-caller.test.ts
+++ b/entry/gateway/test/http-1.0-caller.test.ts
@@ -13,15 +13,16 @@
 })
 afterAll(async () => await deployment.stop())
 
-/** Sends a request with HTTP/1.0, whose responses end with their connection, and returns how the connection ended. */
-async function endOfCall (): Promise<'closed' | 'reset'> {
+/** Sends a request with HTTP/1.0, whose responses end with their connection, and returns how the connection ended, and what came before. */
+async function endOfCall (): Promise<{ end: 'closed' | 'reset', text: string }> {
   const [host, port] = deployment.gateway.get('ingress').address.split(':')
   return await new Promise((resolve) => {
     const socket = connect(Number(port), host)
     socket.write('GET /scan/1 HTTP/1.0\r\nHost: 127.0.0.1\r\nAuthorization: Bearer secret\r\nX-Gullwall-Request-Id: old-caller\r\n\r\n')
-    socket.on('data', () => {})
-    socket.once('end', () => resolve('closed'))
-    socket.once('error', () => resolve('reset'))
+    let text = ''
+    socket.on('data', (chunk) => { text += String(chunk) })
+    socket.once('end', () => resolve({ end: 'closed', text }))
+    socket.once('error', () => resolve({ end: 'reset', text }))
   })
 }
 
@@ -30,10 +31,12 @@
     response.writeHead(200, { 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
     response.write(`${EVENT}id: 2\n`, () => setTimeout(() => response.destroy(), 20))
   }
-  expect(await endOfCall()).toBe('reset')
+  const brokenOff = await endOfCall()
+  expect(brokenOff.text, deployment.logLines.join('\n')).toContain(' 200 ')
+  expect(brokenOff.end).toBe('reset')
   endpoint.behaviour = (incoming, response) => {
     response.writeHead(200, { 'x-gullwall-request-id': String(incoming.headers['x-gullwall-request-id']) })
     response.end(EVENT)
   }
-  expect(await endOfCall()).toBe('closed')
+  expect((await endOfCall()).end).toBe('closed')
 })
