--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -52,7 +52,7 @@
       // Nothing has been read yet, so that the caller may send any request again elsewhere.
       if (this.shedder.shouldClose()) socket.destroy()
     })
-    this.measureUtilization()
+    this.watchUtilization()
     this.applyLimits()
     store.onChange(() => this.applyLimits())
     if (isOpenedEarly(settings.listen)) {
@@ -76,8 +76,8 @@
     await listenOn(server, settings.listen)
   }
 
-  /** Measures the use of the event loop. A process that starts has work of its own, which says nothing about its callers. */
-  private measureUtilization (): void {
+  /** Tells the shedder how busy this gateway is. A process that starts has work of its own, which says nothing about its callers. */
+  private watchUtilization (): void {
     const { startedAt, measureUtilization } = this.services
     this.utilizationTimer = setInterval(() => {
       const utilization = measureUtilization()
