--- a/bench/endless-responses/src/engine.ts
+++ b/bench/endless-responses/src/engine.ts
@@ -1,10 +1,8 @@
 /** Engines on raw sockets, which can write what no HTTP server would. */
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { readRequests } from '@gullwall/bench.deployment'
 import { type Place, wholeResponse } from './places.ts'
 
-const HEAD_END = '\r\n\r\n'
-const LENGTH = /content-length: (\d+)/i
-const REQUEST_ID = /x-gullwall-request-id: (.*)/i
 const BYTES_PER_SECOND = 3_000_000
 const WRITE_INTERVAL_MS = 5
 const MS_PER_SECOND = 1000
@@ -78,16 +76,7 @@
   private accept (socket: Socket): void {
     this.sockets.add(socket)
     socket.on('error', () => {}).on('close', () => this.sockets.delete(socket))
-    let received = ''
-    socket.on('data', (chunk) => {
-      received += chunk.toString('latin1')
-      const end = received.indexOf(HEAD_END)
-      if (end < 0) return
-      const head = received.slice(0, end)
-      const length = Number(LENGTH.exec(head)?.[1] ?? 0)
-      if (received.length < end + HEAD_END.length + length) return
-      received = ''
-      const id = REQUEST_ID.exec(head)?.[1] ?? ''
+    readRequests(socket, (id) => {
       if (this.flood === undefined) socket.write(wholeResponse(id))
       else this.flood.begin(socket, id)
     })
--- a/entry/gateway/test/endless-endpoint.ts
+++ b/entry/gateway/test/endless-endpoint.ts
@@ -1,5 +1,6 @@
 /** A stub endpoint on a raw socket, which can write what no HTTP server would. */
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { readRequests } from '@gullwall/bench.deployment'
 import { StubEndpoint } from './gateway-deployment.ts'
 
 /** One request as it arrived. */
@@ -12,7 +13,6 @@
 /** Writes what the endpoint answers. */
 export type RawAnswer = (socket: Socket, request: RawRequest) => void
 
-const HEAD_END = '\r\n\r\n'
 const FLOOD_INTERVAL_MS = 5
 
 export class RawEndpoint extends StubEndpoint {
@@ -38,16 +38,7 @@
   private accept (socket: Socket): void {
     this.sockets.add(socket)
     socket.on('error', () => {}).on('close', () => this.sockets.delete(socket))
-    let received = ''
-    socket.on('data', (chunk) => {
-      received += chunk.toString('latin1')
-      const end = received.indexOf(HEAD_END)
-      if (end < 0) return
-      const head = received.slice(0, end)
-      const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0)
-      if (received.length < end + HEAD_END.length + length) return
-      received = ''
-      const id = /x-gullwall-request-id: (.*)/i.exec(head)?.[1] ?? ''
+    readRequests(socket, (id) => {
       const attempt = (this.attempts.get(id) ?? 0) + 1
       this.attempts.set(id, attempt)
       this.requestIds.push(id)
