--- a/review/kit-2/runner.mjs
+++ b/review/kit-2/runner.mjs
@@ -10,13 +10,14 @@
   /**
    * @param handle works on one request: (request, response, body) => void; it gets `base`, the headers that every answer carries
    */
-  constructor (deployment, { service, ip, zone = 'ulemiste', slots = 64, handle, version = 'v1' }) {
+  constructor (deployment, { service, ip, zone = 'ulemiste', slots = 64, handle, version = 'v1', maxHeaderSize = 32_768 }) {
     Object.assign(this, { deployment, service, ip, zone, slots, handle, version })
     this.id = `i-${randomBytes(4).toString('hex')}`
     this.state = 'ready'
     this.sequence = 0
     this.runs = []
-    this.server = createServer({ requestTimeout: 0, keepAliveTimeout: 5000 }, (request, response) => this.serve(request, response))
+    const options = { requestTimeout: 0, keepAliveTimeout: 5000, maxHeaderSize }
+    this.server = createServer(options, (request, response) => this.serve(request, response))
   }
 
   async start () {
