--- a/review/kit-2/deployment.mjs
+++ b/review/kit-2/deployment.mjs
@@ -90,7 +90,8 @@
       bootstrap: isFirst,
       data_dir: this.dataFolder,
       fault_tolerance: { machines: Math.floor((deployment.controls.length - 1) / 2), zones: 0, regions: 0 },
-      bounds: BOUNDS
+      bounds: { ...BOUNDS, ...deployment.extra.bounds },
+      cloud_api: deployment.extra.cloud_api
     }
   }
 
@@ -139,8 +140,10 @@
 }
 
 export class Deployment {
-  constructor (record, { controls = 3, gateways = 1 } = {}) {
+  /** `extra` has further fields of the settings: bounds, and the address of the platform's interface. */
+  constructor (record, { controls = 3, gateways = 1, extra = {} } = {}) {
     this.record = record
+    this.extra = extra
     this.folder = mkdtempSync(join(tmpdir(), 'gullwall-review-'))
     this.isStopping = false
     this.programs = readDeployFile()
