--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,75 +1,101 @@
-/** The platform is down and answers usage reports with an error page of 70,000 bytes, while the operator sends configurations. */
-import { createServer } from 'node:http'
-import { once } from 'node:events'
+/** A control process loses its disk right after a change whose names have characters beyond the basic plane, and is brought up to date. */
+import { rmSync } from 'node:fs'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { runCase } from '../kit-2/case.mjs'
-import { call } from '../kit-2/deployment.mjs'
+import { BOUNDS, call } from '../kit-2/deployment.mjs'
 import { configurationOf, routeOf, serviceOf } from '../kit-2/documents.mjs'
 
-const PAGE = Buffer.alloc(70_000, 'x')
-/** The bounds of varuk-tln-now-grown that differ from those of varuk-tln. */
-const BOUNDS = {
-  contact_ms: 4000, ack_ms: 5000, config_apply_ms: 2500, report_window_s: 5, usage_off: 0.05, usage_late_s: 10, lease_ms: 3000
+/** The largest `big_config` of varuk-tln-large adds so many routes. */
+const ROUTES = 1400
+/** Characters of the name of a route, each of which takes two units of UTF-16. */
+const NAME_LENGTH = 200
+const SIGNS = ['🥖', '🥐', '🔧', '🚗', '🛞']
+const ROUNDS = 7
+const MOST_CHANGES = 12
+const GAP_MS = 330
+const ADMIN_PORT = 7355
+const READ_MS = 10_000
+
+function textOf (version) {
+  // The first name has another length in each version, as names differ from day to day.
+  const name = (index) => `${index === 0 ? 'x'.repeat(version * 131 % 997) : ''}${SIGNS[(version + index) % SIGNS.length].repeat(NAME_LENGTH)}${index}`
+  const routes = Array.from({ length: ROUTES }, (_, index) => routeOf({ path_prefix: `/r${index}/`, service: 'svc', name: name(index) }))
+  return JSON.stringify(configurationOf({ version, routes, services: [serviceOf('svc')] }))
 }
-const MS_PER_ROUTE = 3
-const PLAY_MS = 45_000
-const ANSWER_MS = 1000
-const SEND_EVERY_MS = 500
-const BACKOFF = { firstMs: 50, factor: 1.5, mostMs: 500 }
 
-const hasTrouble = process.env.TROUBLE !== '0'
-let record
-const platform = createServer((request, response) => {
-  request.resume()
-  request.on('end', () => {
-    record?.note(`${request.method} ${request.url} of ${request.headers['x-lease-holder']}, fence ${request.headers['x-fencing-token']}`)
-    if (hasTrouble) response.writeHead(503, { 'Content-Type': 'text/html', 'Content-Length': PAGE.length }).end(PAGE)
-    else response.writeHead(200, { 'Content-Length': 0 }).end()
-  })
-})
-platform.listen(0, '127.0.0.1')
-await once(platform, 'listening')
+async function put (deployment, record, text, version) {
+  const body = Buffer.from(text)
+  const headers = { 'content-type': 'application/json', 'content-length': body.length }
+  for (let turn = 0; turn < 30; turn += 1) {
+    const control = deployment.controls[turn % deployment.controls.length]
+    try {
+      const { status } = await call(control.address('control'), { method: 'PUT', path: '/v1/config', headers, body, timeoutMs: 4000 })
+      if (status === 200) {
+        record.note(`configuration ${version}, ${body.length} bytes: acknowledged by ${control.name}`)
+        return
+      }
+    } catch {}
+    await sleep(100)
+  }
+  throw new Error(`configuration ${version} is not acknowledged`)
+}
 
-const configuration = (version) => configurationOf({
-  version, routes: [routeOf({ path_prefix: '/ask/', service: 'svc' })], services: [serviceOf('svc')]
-})
+/** The state that a control process tells of itself; used only to know when its latest change lies in a snapshot. */
+async function statusOf (machine) {
+  try {
+    return JSON.parse((await call(`${machine.ip}:${ADMIN_PORT}`, { path: '/status' })).body.toString()).quorum
+  } catch {
+    return undefined
+  }
+}
 
-/** Sends one configuration to the control processes in turn until it is acknowledged, as the operator does; returns how long that took. */
-async function order (deployment, version, endsAt) {
-  const body = JSON.stringify(configuration(version))
-  const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
-  const sentAt = record.now
-  const tries = []
-  for (let turn = version, backoffMs = BACKOFF.firstMs; performance.now() < endsAt; turn += 1) {
-    const control = deployment.controls[turn % deployment.controls.length]
+/** Reads the configuration at one control process until it gives one. */
+async function read (machine) {
+  for (const endsAt = performance.now() + READ_MS; performance.now() < endsAt; await sleep(100)) {
     try {
-      const { status } = await call(control.address('control'), { method: 'PUT', path: '/v1/config', headers, body, timeoutMs: ANSWER_MS })
-      tries.push(`${control.name} ${status}`)
-      if (status === 200) break
-    } catch (error) {
-      tries.push(`${control.name} ${error.message}`)
-    }
-    await sleep(backoffMs)
-    backoffMs = Math.min(BACKOFF.mostMs, backoffMs * BACKOFF.factor)
+      const { status, body } = await call(machine.address('control'), { path: '/v1/config', timeoutMs: 4000 })
+      if (status === 200) return body.toString()
+    } catch {}
   }
-  const tookMs = record.now - sentAt
-  record.note(`configuration ${version}: ${tookMs} ms; ${tries.join(', ')}`)
-  return tookMs
+  return undefined
 }
 
-const extra = { bounds: BOUNDS, cloud_api: { address: `127.0.0.1:${platform.address().port}`, duties: [] } }
-await runCase(import.meta.dirname, { controls: 5, gateways: 1, extra }, async ({ deployment, record: given }) => {
-  record = given
+function describeDifference (sent, given) {
+  let at = 0
+  while (at < sent.length && sent[at] === given[at]) at += 1
+  const excerpt = (text) => [...text.slice(at, at + 4)].map((sign) => `U+${sign.codePointAt(0).toString(16).toUpperCase()}`).join(' ')
+  return `from character ${at} on: sent ${excerpt(sent)}, given ${excerpt(given)}`
+}
+
+await runCase(import.meta.dirname, { controls: 5, gateways: 1 }, async ({ deployment, record, hasTrouble }) => {
   await deployment.start()
-  await deployment.configure(configuration(1))
+  await deployment.configure(configurationOf({ routes: [routeOf({ path_prefix: '/a/', service: 'svc' })], services: [serviceOf('svc')] }))
   await sleep(BOUNDS.contact_ms)
-  const allowedMs = BOUNDS.ack_ms + MS_PER_ROUTE
-  const endsAt = performance.now() + PLAY_MS
-  let longestMs = 0
-  for (let version = 2; performance.now() < endsAt && longestMs <= allowedMs; version += 1) {
-    longestMs = Math.max(longestMs, await order(deployment, version, endsAt))
-    await sleep(SEND_EVERY_MS)
+  let version = 1
+  for (let round = 0; round < ROUNDS; round += 1) {
+    let text = ''
+    let leader
+    for (let change = 0; change < MOST_CHANGES; change += 1) {
+      version += 1
+      text = textOf(version)
+      await put(deployment, record, text, version)
+      await sleep(GAP_MS)
+      const states = await Promise.all(deployment.controls.map(statusOf))
+      leader = states.findIndex((state) => state?.role === 'leader')
+      const { snapshotIndex = 0, commitIndex = -1 } = states[leader] ?? {}
+      if (snapshotIndex === commitIndex) break
+    }
+    const machine = deployment.controls.find((_control, index) => index !== leader && index % 2 === round % 2)
+    if (hasTrouble) {
+      await machine.end('SIGKILL')
+      rmSync(machine.dataFolder, { recursive: true })
+      record.note(`${machine.name} has lost its disk`)
+      machine.start()
+    }
+    await sleep(BOUNDS.catch_up_s * 1000)
+    const given = await read(machine)
+    record.note(`round ${round}: ${machine.name} gives ${given === undefined ? 'nothing' : `${given.length} characters, ${given === text ? 'as sent' : 'not as sent'}`}`)
+    if (given !== undefined && given !== text) return `${machine.name} gives another content of version ${version}: ${describeDifference(text, given)}`
   }
-  record.note(`the longest wait for an acknowledgement was ${longestMs} ms`)
-  return longestMs > allowedMs ? `a valid configuration had no acknowledgement for ${longestMs} ms of ${allowedMs}` : undefined
+  return undefined
 })
