--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -2,7 +2,7 @@
 import { rmSync } from 'node:fs'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { runCase } from '../kit-2/case.mjs'
-import { BOUNDS, call } from '../kit-2/deployment.mjs'
+import { call } from '../kit-2/deployment.mjs'
 import { configurationOf, routeOf, serviceOf } from '../kit-2/documents.mjs'
 
 /** The largest `big_config` of varuk-tln-large adds so many routes. */
@@ -11,6 +11,8 @@
 const NAME_LENGTH = 200
 const SIGNS = ['🥖', '🥐', '🔧', '🚗', '🛞']
 const ROUNDS = 7
+/** Bounds of varuk-tln-large. */
+const BOUNDS = { contact_ms: 5000, catch_up_s: 6 }
 const MOST_CHANGES = 12
 const GAP_MS = 330
 const ADMIN_PORT = 7355
@@ -67,7 +69,7 @@
   return `from character ${at} on: sent ${excerpt(sent)}, given ${excerpt(given)}`
 }
 
-await runCase(import.meta.dirname, { controls: 5, gateways: 1 }, async ({ deployment, record, hasTrouble }) => {
+await runCase(import.meta.dirname, { controls: 5, gateways: 1, extra: { bounds: BOUNDS } }, async ({ deployment, record, hasTrouble }) => {
   await deployment.start()
   await deployment.configure(configurationOf({ routes: [routeOf({ path_prefix: '/a/', service: 'svc' })], services: [serviceOf('svc')] }))
   await sleep(BOUNDS.contact_ms)
--- a/review/kit-2/case.mjs
+++ b/review/kit-2/case.mjs
@@ -1,10 +1,13 @@
-/** Runs a case: sets up its deployment, judges it by its exit code, and ends all that it started. */
+/**
+ * Runs a case: sets up its deployment, judges it by its exit code, and ends all that it started. The code of a broken rule is none that the
+ * runtime uses for an error of its own; `run.sh` makes it 1, and every other failure 2.
+ */
 import { join } from 'node:path'
 import { Deployment } from './deployment.mjs'
 import { Record } from './record.mjs'
 
 const HELD = 0
-const BROKEN = 1
+const BROKEN = 10
 const COULD_NOT_RUN = 2
 const MAX_MS = 110_000
 
@@ -25,6 +28,9 @@
     await deployment.stop()
     process.exit(code)
   }
+  for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT']) {
+    process.once(event, (reason) => { void end(COULD_NOT_RUN, `could not run: ${event}: ${reason?.stack ?? reason}`) })
+  }
   const isLate = new Promise((_resolve, reject) => setTimeout(() => reject(new Error('the case takes too long')), MAX_MS))
   try {
     const breach = await Promise.race([isLate, play({ deployment, record, runners, hasTrouble })])
--- a/review/kit-2/runner.mjs
+++ b/review/kit-2/runner.mjs
@@ -61,6 +61,8 @@
     request.on('data', (chunk) => chunks.push(chunk))
     request.on('end', () => {
       this.runs.push({ id, at: this.deployment.record.now, headers: request.headers })
+      this.deployment.record.note(`runner ${this.id} of ${this.service} has got ${id}`)
+      response.once('finish', () => this.deployment.record.note(`runner ${this.id} has answered ${id} with ${response.statusCode}`))
       this.handle({ request, response, body: Buffer.concat(chunks), id, base, runner: this })
     })
     request.on('error', () => {})
