--- a/transport/link/test/codec.test.ts
+++ b/transport/link/test/codec.test.ts
@@ -14,6 +14,15 @@
     }), { seed: 7 })
   })
 
+  it('keep a byte order mark at the beginning of a string of any length', () => {
+    for (const length of [1, 30, 63, 64, 65, 100, 5000, 70_000]) {
+      for (const text of ['\ufeff'.repeat(length), `\ufeff${'a'.repeat(length)}`, `\ufeff\ufeff${'漢'.repeat(length)}`]) {
+        const message = { kind: 'revisions', names: [text, 'plain'], byName: { [text]: { nested: text } }, data: Buffer.from(text) }
+        expect(decode(encode(message), MAX_BYTES)).toEqual(message)
+      }
+    }
+  })
+
   it('are shorter where they repeat themselves', () => {
     const routes = Array.from({ length: 200 }, (_, index) => ({ name: `route-${index}`, host: 'parts.example', timeoutMs: 4000, kind: 'stream' }))
     const text = JSON.stringify(routes)
