fix(document): refuse bodies whose text can't be kept

What callers saw: a configuration with bytes that are not UTF-8 was acknowledged and given back with U+FFFD in their place. One whose service is named by half a surrogate pair, written as an escape, was acknowledged, but no endpoint could be found: the name changes on every link. A byte order mark got 400 with a message that shows nothing.

Cause: bodies were decoded with a decoder that replaces what it can't read, and nothing checked strings that UTF-8 can't carry.

Why the fix works: nothing is acknowledged whose bytes could not be stored as they were sent or whose strings change on a link; the answer says which it is. Only what is newly sent is checked, so that a document that an earlier build accepted stays in force. Whole pairs as escapes, bodies in chunks that end inside characters, controls and replacement characters are taken, and given back byte for byte (tests).

--- a/control/program/src/documents.ts
+++ b/control/program/src/documents.ts
@@ -1,7 +1,7 @@
 /** Stores routing documents through the replicated log, and reads the newest one after the quorum has confirmed it. */
 import { type Either, Left, Right } from 'purify-ts'
 import { type Mistake } from '@gullwall/config.checker'
-import { checkRegions, type RoutingDocument } from '@gullwall/config.document'
+import { checkRegions, decodeJson, type RoutingDocument } from '@gullwall/config.document'
 import { Regions } from '@gullwall/config.settings'
 import { type DocumentResult, type StoredDocument } from '@gullwall/control.state'
 import { waitUntilApplied } from './wait-until-applied.ts'
@@ -18,15 +18,17 @@
    * Proposes a document. A version that is not higher than the stored version changes nothing.
    * @throws ERR_GULLWALL_NO_QUORUM, ERR_GULLWALL_NOT_LEADER, ERR_GULLWALL_OUTCOME_UNKNOWN
    */
-  async put (text: string): Promise<Either<Mistake[], DocumentResult>> {
+  async put (body: Buffer | string): Promise<Either<Mistake[], DocumentResult>> {
     const { format, logger } = this.services
-    const parsed = format.parse(text).chain((document) => this.checkKnownRegions(document))
+    const parsed = decodeJson(body).chain((text) => format.parse(text)
+      .chain((document) => this.checkKnownRegions(document))
+      .map(({ version }) => ({ version, text })))
     if (parsed.isLeft()) {
       const mistakes = parsed.swap().orDefault([])
       logger.warn({ channel: 'configuration', event: 'refused', revision: this.services.store.revision, why: describeMistakes(mistakes) })
       return Left(mistakes)
     }
-    const { version } = parsed.unsafeCoerce()
+    const { version, text } = parsed.unsafeCoerce()
     const current = this.services.state.document
     // A document that is applied in this process was accepted by the quorum before.
     if (current !== undefined && current.version >= version) return Right({ taken: false, version: current.version })
--- a/control/program/test/control-processes.ts
+++ b/control/program/test/control-processes.ts
@@ -2,6 +2,7 @@
 import { type ControlSettings } from '@gullwall/config.settings'
 import { createControl, type ControlServices, type OperatorApi, type ScalingSink, type UsageSink } from '@gullwall/control.program'
 import { MemoryDisk } from '@gullwall/control.storage'
+import { type DocumentFormat } from '@gullwall/config.document'
 import { type Kernel } from '@gullwall/core.kernel'
 
 export type Control = Kernel<ControlServices>
@@ -20,6 +21,7 @@
   scalingSink?: ScalingSink
   regions?: ControlSettings['regions']
   api?: OperatorApi
+  format?: DocumentFormat
   write?: (line: string) => void
   cold?: ControlSettings['cold']
   tolerance?: number
@@ -28,7 +30,7 @@
 
 export async function start (options: StartOptions): Promise<Control> {
   const { address, seeds, founds = true, disk = new MemoryDisk(), dataCentre = 'dc1', usage, usageSink, regions, cold } = options
-  const { scaling, scalingSink, api, write = () => {}, tolerance = 2, electionMs = 200 } = options
+  const { scaling, scalingSink, api, format, write = () => {}, tolerance = 2, electionMs = 200 } = options
   const control = await createControl({
     box: `box-${address.split(':')[1] ?? ''}`,
     dataCentre,
@@ -50,7 +52,7 @@
     scaling,
     regions,
     cold
-  }, { disk, usageSink, scalingSink, api, write })
+  }, { disk, usageSink, scalingSink, api, format, write })
   await control.start()
   running.set(address, control)
   return control
