--- a/control/quorum/test/fuzz.ts
+++ b/control/quorum/test/fuzz.ts
@@ -106,6 +106,14 @@
   await cluster.advance(50)
 }
 
+/** A member that is slowed counts as lost until it has had time to catch up, and no more than one may be lost at once. */
+export async function loseDiskInCalm (cluster: Cluster, lost: string, calmMs: number): Promise<void> {
+  cluster.answerDelays.clear()
+  cluster.requestDelays.clear()
+  await cluster.advance(calmMs)
+  await loseDisk(cluster, lost)
+}
+
 /** What an operator does after a lost disk: remove the member and add it again. */
 export async function readmitAll (cluster: Cluster): Promise<void> {
   for (const name of NAMES) {
--- a/control/quorum/test/late-answers.fuzz.test.ts
+++ b/control/quorum/test/late-answers.fuzz.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest'
 import fc from 'fast-check'
 import { Cluster } from './cluster.ts'
-import { applyStep, NAMES, readmitAll, type Step } from './fuzz.ts'
+import { applyStep, loseDiskInCalm, NAMES, readmitAll, type Step } from './fuzz.ts'
 import { followAsOlderBuild, leadAsOlderBuild } from './older-builds.ts'
 import { checkAgreement, settle } from './oracle.ts'
 
@@ -52,13 +52,7 @@
       cluster.snapshotEvery.set(next.at, next.every)
       Object.assign(cluster.get(next.at).node.options, { snapshotEvery: next.every })
       break
-    case 'loseDisk':
-      // A member that is slowed counts as lost until it has had time to catch up, and no more than one may be lost at once.
-      cluster.answerDelays.clear()
-      cluster.requestDelays.clear()
-      await cluster.advance(CALM_MS)
-      await applyStep(cluster, next, reads)
-      break
+    case 'loseDisk': await loseDiskInCalm(cluster, next.at, CALM_MS); break
     default: await applyStep(cluster, next, reads)
   }
 }
--- a/control/quorum/test/snapshot-transfer.fuzz.test.ts
+++ b/control/quorum/test/snapshot-transfer.fuzz.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest'
 import fc from 'fast-check'
 import { Cluster } from './cluster.ts'
-import { applyStep, NAMES, readmitAll, type Step } from './fuzz.ts'
+import { applyStep, loseDiskInCalm, NAMES, readmitAll, type Step } from './fuzz.ts'
 import { followAsOlderBuild, sendSnapshotsAsOlderBuild } from './older-builds.ts'
 import { checkAgreement, settle } from './oracle.ts'
 
@@ -50,6 +50,7 @@
     case 'text': cluster.proposeText(cluster.leader()?.name ?? NAMES[0] ?? '', next.text); break
     case 'late requests': cluster.requestDelays.set(next.at, next.ms); break
     case 'doubled': cluster.doubledShare = next.share; break
+    case 'loseDisk': await loseDiskInCalm(cluster, next.at, CALM_MS); break
     default: await applyStep(cluster, next, [])
   }
 }
