--- a/control/quorum/test/older-builds.ts
+++ b/control/quorum/test/older-builds.ts
@@ -51,6 +51,7 @@
 interface TextSender {
   member: { address: string, incarnation: string }
   leadership: OpenReplicator['leadership'] & { transport: QuorumTransport, timing: QuorumTiming, isActive: () => boolean, snapshotPartBytes: number }
+  acknowledgedAt: number
   sendSnapshot: (takesBytes: boolean) => Promise<string>
   noteMatch: (index: number) => boolean
 }
@@ -67,11 +68,13 @@
     const { term, name: leader, snapshotPartBytes: length } = leadership
     for (let offset = 0; offset < text.length && leadership.isActive(); offset += length) {
       const part = { kind: 'install', to, term, leader, index, offset, last: offset + length >= text.length, data: text.slice(offset, offset + length) } as const
+      const sentAt = performance.now()
       const reply = await leadership.transport.call(address, part, 'appended', leadership.timing.callMs)
       if (reply.term > term) {
         leadership.sawTerm(reply.term)
         return 'none'
       }
+      this.acknowledgedAt = sentAt
       leadership.acknowledged()
     }
     return this.noteMatch(index) ? 'more' : 'stalled'
