--- a/bench/soak/src/checks/service.ts
+++ b/bench/soak/src/checks/service.ts
@@ -88,8 +88,9 @@
 
 function kindsBelow (journal: Journal, from: number, to: number, share: number, counts = (_attempt: Attempt) => true): string[] {
   return KINDS.flatMap(({ name }) => {
-    const asked = journal.attempts.filter(({ kind, sentAt, endedAt, failure }) => (
-      kind === name && sentAt >= from && sentAt < to && endedAt !== undefined && failure !== 'left'
+    // Streams whose callers do not name the request that began them are refused while the build is not known.
+    const asked = journal.attempts.filter(({ kind, sentAt, endedAt, failure, naming = 'first' }) => (
+      kind === name && sentAt >= from && sentAt < to && endedAt !== undefined && failure !== 'left' && naming === 'first'
     )).filter(counts)
     const served = asked.filter(isServed).length
     if (asked.length < MIN_REQUESTS || served >= share * asked.length) return []
--- a/bench/soak/src/engine.ts
+++ b/bench/soak/src/engine.ts
@@ -93,12 +93,12 @@
     if (state !== 'ready' && this.life !== undefined) this.life.to = Math.min(this.life.to, this.options.journal.now)
   }
 
-  /** Starts anew under a new incarnation. */
-  async start (coldMs = 0): Promise<void> {
+  /** Starts anew under a new incarnation, of a given build or any. */
+  async start (coldMs = 0, build?: string): Promise<void> {
     const { name, service, journal, random, hasBuilds } = this.options
     this.starts += 1
     this.incarnation = `${name}-${this.starts}`
-    this.build = hasBuilds ? random.pick(BUILDS) : BUILDS[0]
+    this.build = build ?? (hasBuilds ? random.pick(BUILDS) : BUILDS[0])
     this.state = 'ready'
     this.life = { engine: name, service, build: this.build, from: journal.now, to: Infinity }
     journal.lives.push(this.life)
--- a/bench/soak/src/journal.ts
+++ b/bench/soak/src/journal.ts
@@ -1,5 +1,9 @@
 /** What callers, engines and the operator have seen, for the checks. Times are in ms since the start of the run. */
 
+/** By the request that brought the first event, by the latest one, or not at all. */
+export const NAMINGS = ['first', 'latest', 'none'] as const
+export type Naming = typeof NAMINGS[number]
+
 /** One request of a caller. */
 export interface Attempt {
   id: string
@@ -7,6 +11,8 @@
   subject: string
   /** The last event that the caller has of the stream; 0 for a new one. */
   after: number
+  /** How the caller names a stream that it takes up. */
+  naming?: Naming
   /** When the first request for the stream was sent, if this one takes it up. */
   beganAt?: number
   kind: string
--- a/bench/soak/src/main.ts
+++ b/bench/soak/src/main.ts
@@ -39,9 +39,10 @@
       kinds: kinds.length > 0 ? kinds as FaultKind[] : undefined,
       tell: (line) => console.log(line)
     })
-    const { violations, plan, attempts, served, outcomes, done, runs, orders, misconduct, peakBytes, folder } = verdict
+    const { violations, plan, attempts, served, outcomes, done, takeUps, runs, orders, misconduct, peakBytes, folder } = verdict
     console.log(`${plan.length} faults, ${attempts} requests, ${served} served, ${runs} runs, ${orders} orders, ${violations.length} broken`)
     console.log(`how requests ended: ${told(outcomes)}`)
+    console.log(`how streams were taken up: ${told(takeUps)}`)
     console.log(`what was done: ${told(done)}`)
     console.log(`what engines did: ${told(misconduct) || 'nothing amiss'}; most memory of a gateway: ${Math.round(peakBytes / BYTES_PER_MB)} MB`)
     if (violations.length > 0) console.log(`logs and disks: ${folder}`)
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -67,6 +67,15 @@
     if (answer.type === 'unknown') {`,
     faults: ['cut gateway off', 'kill everything']
   },
+  {
+    name: 'unnamed-stream-guessed',
+    check: 'one-build',
+    file: `${GATEWAY}/request-forwarder.ts`,
+    find: "if (answer.type === 'unknown') {",
+    replace: `if (answer.type === 'unknown' && this.call.resumes === undefined) return
+    if (answer.type === 'unknown') {`,
+    faults: ['build replaced beside a kill', 'engine crashes']
+  },
   {
     name: 'answer-of-another',
     check: 'whole',
--- a/bench/soak/src/plan.ts
+++ b/bench/soak/src/plan.ts
@@ -29,7 +29,8 @@
 const APART: readonly FaultKind[] = [
   'request crashes engines', 'engine asks for rest', 'engine leaves unheard', 'all engines ask for rest', 'engine names a limit',
   'all engines shed', 'kill gateways in series', 'part crashes engines', 'engine leaves before a kill', 'all engines reject twice',
-  'freeze control in a storm', 'engine refuses after running', 'all engines refuse after running', 'engine sends bytes without end'
+  'freeze control in a storm', 'engine refuses after running', 'all engines refuse after running', 'engine sends bytes without end',
+  'build replaced beside a kill'
 ]
 const APART_MS = { from: 15_000, to: 35_000 }
 const APART_LENGTH_MS = { from: 6000, to: 15_000 }
--- a/bench/soak/src/soak.ts
+++ b/bench/soak/src/soak.ts
@@ -46,6 +46,8 @@
   outcomes: Record<string, number>
   /** What was really done; a fault is left out where its process is being started, or a disk may not be lost yet. */
   done: Record<string, number>
+  /** How requests that take a stream up ended, by how they name it. */
+  takeUps: Record<string, number>
   runs: number
   orders: number
   /** Requests that engines refused after they had run them, by status, and bytes without end, by their place. */
@@ -219,6 +221,7 @@
       served,
       outcomes: countOf(attempts.map(({ status, failure }) => String(failure ?? status))),
       done: countOf(disturbances.map(({ what }) => what.replace(/ for \d+ ms/, ''))),
+      takeUps: countOf(attempts.filter(({ after }) => after > 0).map(({ naming, status, failure }) => `${naming} ${failure ?? status}`)),
       runs: runs.length,
       orders: orders.length,
       misconduct: countOf([
--- a/bench/soak/src/upgrade.ts
+++ b/bench/soak/src/upgrade.ts
@@ -1,6 +1,6 @@
 /** Replaces the programs of a running deployment, one process after the other, by another build, and back. */
 import { type BuiltPrograms } from './build.ts'
-import { replace } from './faults.ts'
+import { replace } from './restarts.ts'
 import { type Program } from './program.ts'
 import { type Random } from './random.ts'
 import { type Site } from './site.ts'
