fix(gateway): ask most known control processes, for as long as any caller waits, who began an unnamed stream

By tests of the rule, a caller that does not name its stream could get the rest from another build.

Cause, two in one answer to "has this service had one build only": a gateway counted a majority of the control processes that it dials, which after a start are the seeds of its settings, so that two processes cut off from three others decided. And it asked for the longer of the route's time-out and what the caller still waits: a stream may be as old as both together, and older where callers wait longer than one attempt. Only the two minutes for which leases of endpoints that have gone are kept hid it, which nothing ties to this rule.

Why the fix works: the majority is of all control processes that are announced or named by the settings. Control raises the time asked for to the longest that a gateway has told of any stream of the service, by which every such stream has expired. What remains: control processes that have all lost what they were told know only the time that the gateway asks for.

--- a/control/program/src/stream-builds.ts
+++ b/control/program/src/stream-builds.ts
@@ -29,7 +29,9 @@
   receive ({ bindings, records }: MessageOf<'streamBuilds'>): void {
     for (const [key, index, validMs] of records) {
       const binding = bindings[index]
-      if (binding !== undefined) this.table.record({ key, binding, validMs })
+      if (binding === undefined) continue
+      this.table.record({ key, binding, validMs })
+      this.serviceBuilds.recordStream(binding.service, validMs)
     }
   }
 
--- a/entry/gateway/src/control-addresses.ts
+++ b/entry/gateway/src/control-addresses.ts
@@ -16,6 +16,11 @@
     this.recordAnnounced(addresses, now)
   }
 
+  /** Number of addresses that have not expired. */
+  get size (): number {
+    return this.announcedAt.size
+  }
+
   /** Records the addresses that a control process has announced. */
   recordAnnounced (addresses: readonly string[], now: number): void {
     for (const address of addresses) this.announcedAt.set(address, now)
--- a/entry/gateway/src/control-links.ts
+++ b/entry/gateway/src/control-links.ts
@@ -88,6 +88,11 @@
     return [...this.dialers.keys()]
   }
 
+  /** Number of control processes that are known, those that are not dialled yet included. */
+  get knownCount (): number {
+    return this.addresses.size
+  }
+
   stop (): void {
     this.stopped = true
     clearTimeout(this.timer)
--- a/entry/gateway/src/stream-builds.ts
+++ b/entry/gateway/src/stream-builds.ts
@@ -103,7 +103,8 @@
 
   /**
    * Finds the build of a stream whose caller does not name it: most control processes must say that its service has had that build only,
-   * for as long as the caller can have been waiting.
+   * for as long as the caller can have been waiting. It has waited for one attempt at least, and for as long again as it still waits at
+   * most, unless control has been told of callers that wait longer.
    */
   private async findOnly ({ route, waitMs }: Call): Promise<StreamBuildAnswer> {
     const unnamed = 'the request does not name the request that brought the first event of the stream'
@@ -111,7 +112,7 @@
     const [service] = services
     if (service === undefined || services.length > 1) return { type: 'unknown', reason: `${unnamed}, and its route has several services` }
     const { controlLinks } = this.services
-    const forMs = Math.ceil(Math.max(route.timeoutMs, waitMs ?? 0)) + VALID_MARGIN_MS
+    const forMs = Math.ceil(route.timeoutMs + (waitMs ?? 0)) + VALID_MARGIN_MS
     const { local, others } = controlLinks.linksByRegion()
     const answers = await Promise.allSettled([...local, ...others].map(async (link) => (
       await link.request({ kind: 'onlyBuildOf', service, forMs }, 'streamBuild', ASK_TIMEOUT_MS)
@@ -119,7 +120,8 @@
     const bindings = answers.flatMap((answer) => answer.status === 'fulfilled' ? [answer.value.binding] : [])
     const [binding] = bindings
     const isOnly = binding !== undefined && bindings.every((other) => other?.build === binding.build)
-    if (isOnly && bindings.length > controlLinks.dialledAddresses.length / 2) {
+    // A gateway that has just started dials a few of them only, which may all be cut off from the others.
+    if (isOnly && bindings.length > controlLinks.knownCount / 2) {
       return { type: 'known', binding, source: `${bindings.length} control processes` }
     }
     return { type: 'unknown', reason: `${unnamed}, and ${service} may have had several builds` }
--- a/routing/stream-builds/src/service-builds.ts
+++ b/routing/stream-builds/src/service-builds.ts
@@ -10,6 +10,13 @@
 
 export class ServiceBuilds {
   private histories = new Map<string, ServiceHistory>()
+  /** The longest time for which a caller of each service could take its stream up, in ms. */
+  private readonly longestWaits = new Map<string, number>()
+
+  /** Records a stream that began, and for how long its caller may take it up, in ms. */
+  recordStream (service: string, validMs: number): void {
+    this.longestWaits.set(service, Math.max(validMs, this.longestWaits.get(service) ?? 0))
+  }
 
   /** Records endpoints that have come or changed. It looks at these only, since all endpoints may change within a second. */
   recordChanged (endpoints: Iterable<EndpointBuild>, now: number): void {
@@ -35,10 +42,14 @@
     this.histories = histories
   }
 
-  /** Returns the only build that a service has had for some time, in ms; undefined if there may have been another. */
+  /**
+   * Returns the only build that a service has had for some time, in ms, and for as long as any caller of it could wait; undefined if
+   * there may have been another. A caller that comes back tells how long it still waits, not how long it has waited.
+   */
   findOnly (service: string, forMs: number, now: number): BuildBinding | undefined {
     const history = this.histories.get(service)
-    if (history?.only === undefined || now - history.since < forMs) return undefined
+    const sinceMs = Math.max(forMs, this.longestWaits.get(service) ?? 0)
+    if (history?.only === undefined || now - history.since < sinceMs) return undefined
     return { service, incarnation: '', build: history.only }
   }
 }
--- a/routing/stream-builds/test/stream-builds.test.ts
+++ b/routing/stream-builds/test/stream-builds.test.ts
@@ -107,6 +107,18 @@
     expect(builds.findOnly('nobody', 0, 5999)).toBeUndefined()
   })
 
+  it('is not known as long as the longest-waiting caller of the service can take up a stream of the build before', () => {
+    const builds = new ServiceBuilds()
+    builds.update([endpoint('a', 'v1'), endpoint('x', 'v1', 'other')], 0)
+    builds.recordStream('app', 21_000)
+    builds.recordStream('app', 5000)
+    builds.update([endpoint('b', 'v2'), endpoint('x', 'v1', 'other')], 2600)
+    expect(builds.findOnly('app', 13_000, 16_000)).toBeUndefined()
+    expect(builds.findOnly('app', 13_000, 23_599)).toBeUndefined()
+    expect(builds.findOnly('app', 13_000, 23_600)?.build).toBe('v2')
+    expect(builds.findOnly('other', 13_000, 13_000)?.build).toBe('v1')
+  })
+
   it('is not known for a while after another one that has gone before anybody asked', () => {
     const builds = new ServiceBuilds()
     builds.update([endpoint('a', 'v1')], 0)
