fix(answers): let a stream behind sidecars go on at its build only

What callers saw: when the engine of a stream crashed, the rest came from any other engine of its class, also one of another build, with nothing in the answer to show it.

Cause: the path with sidecars knew no builds; docs/design/stream-builds.md named this as a limit. The rule is one of the users, not of one path.

Why the fix works: from its first bytes a stream is bound to the label `build` of its engine. Engines of other builds are avoided, and a grant for one ends the stream visibly. Without the label nothing is known, so that the stream ends visibly after a break, is not moved away from a sick engine, and goes on only where that engine was asked to set it aside. The stand-in engines of deployments name their build now, as their tests of moves and resumption assume one.

--- a/bench/deployment/src/deployment.ts
+++ b/bench/deployment/src/deployment.ts
@@ -39,6 +39,8 @@
 
 const LINK_KEY = 'a-shared-key-for-loopback'
 export const OPERATOR_TOKEN = 'an-operator-token-for-loopback'
+/** What the labels of stand-in engines name as their build, unless a plan names another. */
+const ENGINE_BUILD = 'stand-in'
 const ANY_ADDRESS = '127.0.0.1:0'
 /** Settings of control that the schema would fill in. */
 const CONTROL_DEFAULTS = { seeds: [], founds: true, quorumHeartbeatMs: 100, quorumElectionMs: 500, firstElectionShare: 1 }
@@ -171,7 +173,7 @@
   private localEndpoints (plan: BoxPlan): LocalEndpoint[] {
     const limits = { startLimit: this.options.startLimit ?? 8, maxLimit: this.options.maxLimit ?? 64, checksFence: false }
     const engines = plan.engines.map(({ name, model, labels }): LocalEndpoint => ({
-      name, kind: 'engine', serves: model, address: this.engines.get(name)?.address ?? '', labels: labels ?? {}, ...limits
+      name, kind: 'engine', serves: model, address: this.engines.get(name)?.address ?? '', labels: { build: ENGINE_BUILD, ...labels }, ...limits
     }))
     const services = (plan.services ?? []).map((name): LocalEndpoint => ({
       name: `${plan.box}-${name}`, kind: 'service', serves: name, address: this.services.get(`${plan.box}-${name}`)?.address ?? '', labels: {}, ...limits
--- a/entry/answers/src/attempt.ts
+++ b/entry/answers/src/attempt.ts
@@ -2,7 +2,7 @@
 import { type IncomingHttpHeaders } from 'node:http'
 import { type Dispatcher as UndiciDispatcher, type Pool } from 'undici'
 import { messageOf } from '@gullwall/core.error'
-import { isNotRunStatus, toForwardable, type Ran } from '@gullwall/core.types'
+import { isNotRunStatus, toForwardable, type Ran, type SentAttempt } from '@gullwall/core.types'
 import { type ResponseReceiver } from '@gullwall/endpoint.dialect'
 import { ATTEMPT_ID_HEADER, selectEndToEndHeaders, exchange, UnsentError } from '@gullwall/endpoint.http'
 import { EventRelay, isEventStream, rewriteResumedEvents, type StreamedCompletion } from '@gullwall/endpoint.openai'
@@ -175,3 +175,13 @@
     return this.events.endReason === 'engine-failed' ? 'endpoint-failed' : this.events.endReason ?? 'lost'
   }
 }
+
+/** Records what an attempt proves about whether its request ran. */
+export function recordOutcome (sent: SentAttempt, outcome: AttemptOutcome): void {
+  switch (outcome.kind) {
+    case 'not-run': sent.recordNotRun(); break
+    case 'broken': sent.recordRun(outcome.ran); break
+    case 'cancelled': sent.recordRun('partly'); break
+    case 'whole': sent.recordRun('yes'); break
+  }
+}
--- a/entry/answers/src/request-run.ts
+++ b/entry/answers/src/request-run.ts
@@ -2,16 +2,17 @@
 import { type Pool } from 'undici'
 import { type IdSequence } from '@gullwall/core.ids'
 import { type RoutingRecord } from '@gullwall/core.logger'
-import { type NotRunStatus, type Ran, type SentAttempt } from '@gullwall/core.types'
+import { type NotRunStatus, type Ran } from '@gullwall/core.types'
 import { createResumeBody, addPriority, type StreamedCompletion } from '@gullwall/endpoint.openai'
 import { type DecisionLog } from '@gullwall/routing.decision-log'
 import { type Dispatcher, type Grant, type Refusal, type RoutedRequest } from '@gullwall/routing.dispatcher'
 import { nameOfPart } from '@gullwall/routing.quarantine'
 import { type RetryBudget } from '@gullwall/routing.limits'
 import { type AttemptHead } from '@gullwall/transport.attempt'
-import { runAttempt, type AttemptCall, type AttemptOutcome } from './attempt.ts'
+import { recordOutcome, runAttempt, type AttemptCall, type AttemptOutcome } from './attempt.ts'
 import { type CallerError, type CallerResponse } from './caller-response.ts'
 import { KeptAnswer } from './kept-answer.ts'
+import { StreamBinding } from './stream-binding.ts'
 import { AnswerTiming } from './timing.ts'
 
 /** A request with all that its attempts need. */
@@ -65,10 +66,12 @@
 /** A stream is cut off for higher tiers at most so many times, so that it ends at some time. */
 const MAX_PREEMPTIONS = 2
 const MAX_CANDIDATES_LOGGED = 3
+const OTHER_BUILD = 'no endpoint is known to run the build that began the stream'
 
 export class RequestRun {
   private readonly timing: AnswerTiming
   private readonly kept: KeptAnswer
+  private readonly binding: StreamBinding
   private preemptions = 0
   private attempts = 0
   private brokenOff = 0
@@ -81,6 +84,7 @@
   ) {
     this.timing = new AnswerTiming(request.arrivedAt, request)
     this.kept = new KeptAnswer(request.resumable ? services.maxAnswerBytes : 0)
+    this.binding = new StreamBinding(request, services.dispatcher)
     caller.gone.signal.addEventListener('abort', () => services.dispatcher.cancel(request))
   }
 
@@ -112,6 +116,10 @@
       services.dispatcher.completeGrant(grant, true)
       return this.refuseHeld(held)
     }
+    if (!this.binding.allows(grant.endpoint)) {
+      services.dispatcher.completeGrant(grant, true)
+      return this.fail('broken_off', OTHER_BUILD, grant)
+    }
     this.attempts += 1
     this.hasBeenGranted = true
     const attemptId = services.attemptIds.next()
@@ -119,8 +127,9 @@
     this.logGrant(grant, attemptId, resumes)
     if (resumes?.isFinished === true) return this.finishWhole(grant)
     const move = new AbortController()
-    const onEjected = () => move.abort()
+    const onEjected = () => { if (!caller.hasBegun || build !== undefined) move.abort() }
     if (this.isMovable) services.dispatcher.ejections.once(grant.endpoint, onEjected)
+    const build = this.binding.findBuild(grant.endpoint)
     const sent = caller.evidence.recordSending()
     const outcome = await runAttempt({
       move: move.signal,
@@ -138,6 +147,7 @@
     request.late = 'serve'
     recordOutcome(sent, outcome)
     if (outcome.kind !== 'not-run') services.recordAttempt(request)
+    if (caller.hasBegun) this.binding.bind(grant.endpoint, build)
     return this.settle(outcome, grant, attemptId)
   }
 
@@ -194,6 +204,7 @@
       if (!services.retryBudget.tryTake(request.serves)) return this.fail('retry_budget_spent', why, grant)
     }
     if (caller.hasBegun && (!request.resumable || !this.kept.isComplete)) return this.fail('broken_off', why, grant)
+    if (caller.hasBegun && !this.binding.canGoOn({ isPreempted })) return this.fail('broken_off', `${why}; ${OTHER_BUILD}`, grant)
     this.log(caller.hasBegun ? 'resume' : 'retry', why, grant, attemptId)
     return undefined
   }
@@ -328,15 +339,6 @@
   }
 }
 
-function recordOutcome (sent: SentAttempt, outcome: AttemptOutcome): void {
-  switch (outcome.kind) {
-    case 'not-run': sent.recordNotRun(); break
-    case 'broken': sent.recordRun(outcome.ran); break
-    case 'cancelled': sent.recordRun('partly'); break
-    case 'whole': sent.recordRun('yes'); break
-  }
-}
-
 function describePeer (grant: Grant): string {
   return `${grant.endpoint}@${grant.sidecar.name}`
 }
--- a/entry/server/test/entry-fixture.ts
+++ b/entry/server/test/entry-fixture.ts
@@ -144,11 +144,11 @@
       cancel: () => {},
       completeGrant: () => {},
       findQueuePosition: () => undefined,
-      listUsableEndpoints: () => [],
+      listUsableEndpoints: () => [{ description: { name: 'e' }, sidecar: { name: 's', dataCentre: 'd' }, load: {} }],
       recordBusy: () => {},
       ejections: this.ejections,
       health: { recordStall: () => {} },
-      directory: { listServed: () => new Set([MODEL]), findReachableEndpoints: () => [] }
+      directory: { listServed: () => new Set([MODEL]), findReachableEndpoints: () => [], labelsOf: () => ({ build: 'v1' }) }
     }
     return {
       dispatcher,
--- a/routing/dispatcher/src/endpoint-directory.ts
+++ b/routing/dispatcher/src/endpoint-directory.ts
@@ -71,6 +71,12 @@
     return this.views.get(endpoint)
   }
 
+  /** Returns the labels of an endpoint, operators' and built-in ones included; none if it is not linked. */
+  labelsOf (endpoint: string): Labels {
+    const view = this.views.get(endpoint)
+    return view === undefined ? {} : mergeLabels(view, this.records.get('endpoint', endpoint)?.labels ?? {})
+  }
+
   all (): IterableIterator<EndpointView> {
     return this.views.values()
   }
@@ -113,9 +119,8 @@
     const { description, sidecar } = view
     if (description.kind !== query.kind || description.serves !== query.serves) return false
     if (this.sidecars.get(sidecar.name)?.isLeaving === true || this.leavingBoxes.has(sidecar.name)) return false
-    const record = this.records.get('endpoint', description.name)
-    if (record?.cordoned === true) return false
-    const labels = mergeLabels(view, record?.labels ?? {})
+    if (this.records.get('endpoint', description.name)?.cordoned === true) return false
+    const labels = this.labelsOf(description.name)
     return selectors.every((selector) => matches(selector, labels))
   }
 }
