fix(build): keep the lines of bundles short, so that a failed assertion costs milliseconds

Cause, of two: an assertion without a text fails in the HTTP client, and the runtime makes its text from the source of the call. It parses the file for that, and the minified bundle has lines of up to 229,000 characters. The other cause, that the assertion fails at all, is a matter of its own.

Why the fix works: whichever assertion of a library fails, the runtime parses a few short lines. Lines break only where the minifier may break them.

--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -5,9 +5,9 @@
 import { resolve } from 'node:path'
 import { build } from 'esbuild'
 import { warmUp } from '../platform/adapter/build/warm-up.mjs'
+import { bundleScript } from './bundle-script.mjs'
 import { makeCodeCache } from './code-cache.mjs'
 import { EARLY_SIGNALS } from './early-signals.mjs'
-import { leanLibraries } from './lean-libraries.mjs'
 import { NODE_OPTIONS } from './node-options.mjs'
 
 const PRODUCT = {
@@ -50,18 +50,7 @@
 /** A script, unlike a module, can be started from a code cache. */
 async function buildPlatform (folder) {
   for (const [name, entryPoint] of Object.entries(PLATFORM)) {
-    await build({
-      entryPoints: [entryPoint],
-      outfile: `${folder}/${name}.bundle.cjs`,
-      bundle: true,
-      minify: true,
-      keepNames: true,
-      platform: 'node',
-      target: 'node20',
-      format: 'cjs',
-      plugins: [leanLibraries],
-      logLevel: 'warning'
-    })
+    await bundleScript(entryPoint, `${folder}/${name}.bundle.cjs`)
     makeCodeCache(folder, name, NODE_OPTIONS[name])
     console.log(`${folder}/${name}.cjs`)
   }
