fix(http): close a connection that is given up after the client has handled its data

Cause: a response was aborted from the callback for its data: a rejection of more than 64 KiB, a body beyond its limit, a caller that had gone. The client looks for an abort after a head, but not there. Where the end of the message came with the same bytes and the connection closes, it failed at its end.

Why the fix works: such an exchange ends at once for its owner, and its connection is closed in the next microtask, when the client is done with the bytes that it has. Data in between is not handed on. Where the message has ended by then, the exchange ends with the reason for which it was given up, not as a success.

--- a/endpoint/http/src/exchange.ts
+++ b/endpoint/http/src/exchange.ts
@@ -6,6 +6,7 @@
 import { type Dispatcher, type Pool } from 'undici'
 import { GullwallError, messageOf } from '@gullwall/core.error'
 import { type ResponseReceiver, type ResponseHeadListener } from '@gullwall/endpoint.dialect'
+import { ConnectionAbort } from './connection-abort.ts'
 import { findCurrentReads, EndlessResponseError, type ConnectionReads } from './connection-reads.ts'
 import { framingOf, type Framing } from './framing.ts'
 
@@ -64,6 +65,7 @@
   private reads: ConnectionReads | undefined
   private interimHeadCount = 0
   private bodyBytes = 0
+  private readonly connectionAbort = new ConnectionAbort()
 
   constructor (
     private readonly method: string,
@@ -76,7 +78,7 @@
   readonly abort = (): void => {
     // A request that still waits for its connection is aborted before its first byte once it has one.
     if (this.controller === undefined) this.settle(new UnsentError(getAbortReason(this.signal)))
-    else this.controller.abort(getAbortReason(this.signal))
+    else this.connectionAbort.abort(this.controller, getAbortReason(this.signal))
   }
 
   onRequestStart (started: Dispatcher.DispatchController): void {
@@ -119,10 +121,14 @@
 
   onResponseData (started: Dispatcher.DispatchController, chunk: Buffer): void {
     this.reads?.recordProgress()
+    this.connectionAbort.receiveData(() => this.receiveData(started, chunk))
+  }
+
+  private receiveData (started: Dispatcher.DispatchController, chunk: Buffer): void {
     this.bodyBytes += chunk.length
     const { maxBodyBytes = Infinity } = this.options
     if (this.bodyBytes > maxBodyBytes) {
-      started.abort(new EndlessResponseError('body', `the response has more than ${maxBodyBytes} bytes`))
+      this.connectionAbort.abort(started, new EndlessResponseError('body', `the response has more than ${maxBodyBytes} bytes`))
       return
     }
     const writable = this.receiver.onData(chunk)
@@ -134,7 +140,8 @@
 
   onResponseEnd (): void {
     this.reads?.recordEnd()
-    if (this.framing !== 'connection') this.settle()
+    if (this.connectionAbort.reason !== undefined) this.settle(this.connectionAbort.reason)
+    else if (this.framing !== 'connection') this.settle()
     else void this.endUnframed(this.options.wasClosedCleanly?.())
   }
 
--- a/endpoint/http/src/index.ts
+++ b/endpoint/http/src/index.ts
@@ -5,6 +5,7 @@
 import { ConnectionEnds } from './connection-ends.ts'
 import { ATTEMPT_ID_HEADER, exchange, UnsentError } from './exchange.ts'
 
+export { ConnectionAbort } from './connection-abort.ts'
 export { ConnectionEnds } from './connection-ends.ts'
 export { EndlessResponseError, findCurrentReads, findEndlessPlace, type ConnectionReads, type EndlessPlace } from './connection-reads.ts'
 export { ATTEMPT_ID_HEADER, exchange, MAX_INTERIM_HEADS, UnsentError } from './exchange.ts'
--- a/entry/gateway/src/exchange.ts
+++ b/entry/gateway/src/exchange.ts
@@ -2,7 +2,7 @@
 import { type Dispatcher } from 'undici'
 import { messageOf } from '@gullwall/core.error'
 import {
-  findCurrentReads, findEndlessPlace, framingOf, MAX_INTERIM_HEADS, type ConnectionReads, type EndlessPlace, type Framing
+  ConnectionAbort, findCurrentReads, findEndlessPlace, framingOf, MAX_INTERIM_HEADS, type ConnectionReads, type EndlessPlace, type Framing
 } from '@gullwall/endpoint.http'
 import { type Headers } from './dialect.ts'
 
@@ -82,6 +82,7 @@
   private readonly method: string
   private sentAt = -Infinity
   private hasHead = false
+  private readonly connectionAbort = new ConnectionAbort()
   private interimHeadCount = 0
   private reads: ConnectionReads | undefined
   private readonly pauseOwners = new Set<PauseOwner>()
@@ -146,10 +147,14 @@
     if (this.isOver) return
     this.isOver = true
     clearTimeout(this.connectTimer)
-    if (outcome.type !== 'complete') this.controller?.abort(new Error(outcome.type))
+    if (outcome.type !== 'complete') this.closeConnection(outcome.type)
     this.settle(outcome)
   }
 
+  private closeConnection (reason: string): void {
+    if (this.controller !== undefined) this.connectionAbort.abort(this.controller, new Error(reason))
+  }
+
   private handler ({ wasClosedCleanly, findRefusalReason, onSending }: ExchangeRequest, connectBy: number): Handler {
     return {
       onRequestStart: (controller) => {
@@ -180,8 +185,7 @@
       onResponseStart: (_controller, status, headers) => this.receiveHead(status, headers),
       onResponseData: (_controller, chunk) => {
         this.reads?.recordProgress()
-        if (this.discarded !== undefined) this.countDiscarded(this.discarded, chunk.length)
-        else if (!this.isOver) this.listener.onData(chunk)
+        this.connectionAbort.receiveData(() => this.receiveData(chunk))
       },
       onResponseEnd: () => {
         this.reads?.recordEnd()
@@ -231,6 +235,11 @@
     this.end({ type: 'complete' })
   }
 
+  private receiveData (chunk: Buffer): void {
+    if (this.discarded !== undefined) this.countDiscarded(this.discarded, chunk.length)
+    else if (!this.isOver) this.listener.onData(chunk)
+  }
+
   private countDiscarded (discarded: { bytes: number }, bytes: number): void {
     discarded.bytes += bytes
     if (discarded.bytes > MAX_DISCARDED_BYTES) this.closeDiscarded(`the body of a rejection has more than ${MAX_DISCARDED_BYTES} bytes`)
@@ -238,7 +247,7 @@
 
   private closeDiscarded (reason: string): void {
     clearTimeout(this.discarded?.timer)
-    this.controller?.abort(new Error(reason))
+    this.closeConnection(reason)
     this.listener.onEndless('rejection', reason)
   }
 
