fix(http-server): stop only once every response has been sent

Cause: a request counted as in flight until its answer was written to the HTTP server. That server takes a connection for idle from then on, also where the caller has not received the answer, and closes it when idle connections are closed; its own close does that first.

Why the fix works: one tracker holds every response until it was handed to the operating system or its connection is gone. The listening socket is closed by itself, idle connections only while no response waits to be sent, and the rest once none is open or the time is over. Gateways, control, entries and sidecars use it. A stop with idle connections only ends as fast as before (test).

--- a/entry/gateway/src/ingress.ts
+++ b/entry/gateway/src/ingress.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for callers: reads requests, handles those that need no endpoint, and stops without interrupting any. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { messageOf } from '@gullwall/core.error'
-import { handleClientErrors, isOpenedEarly, listenOn } from '@gullwall/transport.http-server'
+import { handleClientErrors, isOpenedEarly, listenOn, ResponseTracker } from '@gullwall/transport.http-server'
 import { ConnectionShedder, WINDOW_MS } from './connection-shedder.ts'
 import { CallerResponse, type FailureResponse, type RefusalResponse } from './caller-response.ts'
 import { resolveCall, type InvalidCall } from './call.ts'
@@ -34,7 +34,7 @@
   private server: Server | undefined
   /** Settles when the server listens at an address that was opened early. */
   private takeOver: Promise<void> | undefined
-  private inFlight = 0
+  private responses: ResponseTracker | undefined
   private utilizationTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly services: GatewayServices) {}
@@ -47,6 +47,7 @@
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
       keepAlive: false
     }, (request, response) => { void this.serve(request, response) })
+    this.responses = new ResponseTracker(this.server)
     handleClientErrors(this.server)
     this.server.on('connection', (socket) => {
       // Nothing has been read yet, so that the caller may send any request again elsewhere.
@@ -95,10 +96,7 @@
     await this.takeOver?.catch(() => {})
     await this.until(() => false, Math.min(startedAt + ACCEPT_WHILE_STOPPING_MS, endsAt))
     this.isRefusingAll = true
-    this.server?.close()
-    this.server?.closeIdleConnections()
-    await this.until(() => this.inFlight === 0, endsAt)
-    this.server?.closeAllConnections()
+    await this.responses?.stop(endsAt)
     clearInterval(this.utilizationTimer)
   }
 
@@ -119,16 +117,11 @@
     const { services } = this
     const requestId = services.dialect.readCall(request.headers).requestId
     const callerResponse = new CallerResponse(response, requestId, () => this.isStopping)
-    this.inFlight += 1
     try {
       await this.serveWith(request, callerResponse, requestId, arrivedAt)
     } catch (error) {
       services.logger.error({ channel: 'process', event: 'failed', why: `request ${requestId}: ${messageOf(error)}` })
       callerResponse.fail({ status: 500, code: 'ERR_GULLWALL_UNEXPECTED', message: 'unexpected error', ran: 'unknown' })
-    } finally {
-      this.inFlight -= 1
-      // A response that began before the stop has no `connection: close` header.
-      if (this.isRefusingAll) response.once('close', () => setImmediate(() => this.server?.closeIdleConnections()))
     }
   }
 
--- a/transport/http-server/src/index.ts
+++ b/transport/http-server/src/index.ts
@@ -1,4 +1,5 @@
 /** HTTP servers by koa: one way to listen, to close without cutting off answers, and the admin page of each program. */
+import { once } from 'node:events'
 import { createServer, type Server } from 'node:http'
 import { type AddressInfo } from 'node:net'
 import Koa from 'koa'
@@ -6,30 +7,28 @@
 import { type Registry } from '@gullwall/core.metrics'
 import { handleClientErrors } from './client-errors.ts'
 import { listenOn } from './listen.ts'
+import { ResponseTracker } from './response-tracker.ts'
 
 export * from './abort-response.ts'
 export * from './client-errors.ts'
 export * from './listen.ts'
+export * from './response-tracker.ts'
 export { Koa, Router }
 
 /** Connections that send no whole header within this time are closed. */
 const HEADERS_TIMEOUT_MS = 10_000
 const KEEP_ALIVE_MS = 30_000
-const DRAIN_POLL_MS = 20
 
 /** A listening server that knows its answers in flight. */
 export class HttpServer {
   readonly server: Server
-  private inFlight = 0
+  private readonly responses: ResponseTracker
 
   constructor (readonly app: Koa) {
     const handler = app.callback()
     const timeouts = { headersTimeout: HEADERS_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 }
-    this.server = createServer(timeouts, (request, response) => {
-      this.inFlight += 1
-      response.once('close', () => { this.inFlight -= 1 })
-      void handler(request, response)
-    })
+    this.server = createServer(timeouts, (request, response) => { void handler(request, response) })
+    this.responses = new ResponseTracker(this.server)
     handleClientErrors(this.server)
   }
 
@@ -44,17 +43,15 @@
     return info.family === 'IPv6' ? `[${info.address}]:${info.port}` : `${info.address}:${info.port}`
   }
 
-  /** Waits until no answer is in flight. */
+  /** Waits until every answer has been sent. */
   async drained (): Promise<void> {
-    while (this.inFlight > 0) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
+    await this.responses.drained()
   }
 
   /** Takes no new connections, waits for answers in flight, and closes. */
   async close (): Promise<void> {
-    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()))
-    this.server.closeIdleConnections()
-    await this.drained()
-    this.server.closeAllConnections()
+    const closed = once(this.server, 'close')
+    await this.responses.stop()
     await closed
   }
 }
