--- a/control/program/src/index.ts
+++ b/control/program/src/index.ts
@@ -37,6 +37,7 @@
 import { LoadRelay } from './load-relay.ts'
 import { StreamBuilds } from './stream-builds.ts'
 
+export { MAX_COMMAND_BYTES } from './proposer.ts'
 export * from './order-caller.ts'
 export * from './scaling-sink.ts'
 export * from './usage-sink.ts'
--- a/control/program/src/proposer.ts
+++ b/control/program/src/proposer.ts
@@ -16,7 +16,8 @@
 /** What a message holds beside a command, in bytes, with room to spare. */
 const MESSAGE_OVERHEAD_BYTES = 64 * 1024
 /** The largest command that reaches other control processes. A larger one would be sent to them for ever, since links refuse it. */
-const MAX_COMMAND_BYTES = MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES
+/** The longest command that can be stored, and so the longest body whose content could be. */
+export const MAX_COMMAND_BYTES = MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES
 
 export class Proposer {
   private clockBase = 0
