--- a/control/quorum/src/incoming-snapshot.ts
+++ b/control/quorum/src/incoming-snapshot.ts
@@ -5,7 +5,7 @@
 import { type SnapshotMessage } from './snapshot-parts.ts'
 
 /** The longest snapshot that is taken, in bytes or UTF-16 units; a process that held a longer one would exceed its memory. */
-export const MAX_SNAPSHOT_SIZE = 64 * 1024 * 1024
+const MAX_SNAPSHOT_SIZE = 64 * 1024 * 1024
 /** What a link carries in place of half a character. */
 const REPLACEMENT = '\ufffd'
 
--- a/endpoint/http/test/abort-in-data.test.ts
+++ b/endpoint/http/test/abort-in-data.test.ts
@@ -1,27 +1,18 @@
 /** Guards against an assertion of the HTTP client that fails because a response was given up in the callback for its last data. */
 import { createServer, type AddressInfo, type Server } from 'node:net'
 import { type Pool } from 'undici'
-import { afterEach, beforeEach, expect, it } from 'vitest'
+import { afterEach, expect, it } from 'vitest'
 import { createPool, EndlessResponseError, exchange } from '@gullwall/endpoint.http'
+import { watchAssertions } from './failed-assertions.ts'
 
 const MAX_BODY_BYTES = 64 * 1024
 const BODY_BYTES = 70_000
 
-const { prepareStackTrace } = Error
 let server: Server
 let pool: Pool
-let failedAssertions: string[] = []
+const failedAssertions = watchAssertions()
 
-beforeEach(() => {
-  failedAssertions = []
-  // The client handles its own assertions; only the stack that each of them is given tells of it.
-  Error.prepareStackTrace = (error) => {
-    if (error.constructor.name === 'AssertionError') failedAssertions.push(String(error))
-    return String(error)
-  }
-})
 afterEach(async () => {
-  Error.prepareStackTrace = prepareStackTrace
   await pool.destroy()
   server.close()
 })
--- a/entry/gateway/test/long-rejection.test.ts
+++ b/entry/gateway/test/long-rejection.test.ts
@@ -1,27 +1,19 @@
 /** Guards against an assertion of the HTTP client that fails because a long rejection is given up in the callback for its data. */
 import { createServer, type AddressInfo, type Server } from 'node:net'
 import { type Pool } from 'undici'
-import { afterEach, beforeEach, expect, it } from 'vitest'
+import { afterEach, expect, it } from 'vitest'
 import { until } from '@gullwall/bench.deployment'
 import { createPool } from '@gullwall/endpoint.http'
 import { Exchange, type HeadDecision } from '../src/exchange.ts'
+import { watchAssertions } from '../../../endpoint/http/test/failed-assertions.ts'
 
 const BODY_BYTES = 70_000
 
-const { prepareStackTrace } = Error
 let server: Server
 let pool: Pool
-let failedAssertions: string[] = []
+const failedAssertions = watchAssertions()
 
-beforeEach(() => {
-  failedAssertions = []
-  Error.prepareStackTrace = (error) => {
-    if (error.constructor.name === 'AssertionError') failedAssertions.push(String(error))
-    return String(error)
-  }
-})
 afterEach(async () => {
-  Error.prepareStackTrace = prepareStackTrace
   await pool.destroy()
   server.close()
 })
