--- a/endpoint/http/test/failed-assertions.ts
+++ b/endpoint/http/test/failed-assertions.ts
@@ -1,4 +1,4 @@
-/** Notes the assertions that fail in this process. The HTTP client handles its own; only the stack that each of them is given tells of it. */
+/** Notes the assertions that fail in this process. The HTTP client handles its own; only the stack that each is given tells of it. */
 import { afterEach, beforeEach } from 'vitest'
 
 /** Returns the list of those that fail during a test. */
