--- a/bench/soak/src/endless-mutations.ts
+++ b/bench/soak/src/endless-mutations.ts
@@ -12,7 +12,7 @@
     replace: '',
     more: [
       { file: `${GATEWAY}/exchange.ts`, find: 'if (this.interimHeadCount > MAX_INTERIM_HEADS)', replace: 'if (this.interimHeadCount < 0)' },
-      { file: `${GATEWAY}/exchange.ts`, find: 'this.controller?.abort(new Error(reason))', replace: '' },
+      { file: `${GATEWAY}/exchange.ts`, find: 'this.closeConnection(reason)', replace: '' },
       { file: `${GATEWAY}/attempt-response-receiver.ts`, find: 'if (incompleteBytes > MAX_EVENT_BYTES)', replace: 'if (incompleteBytes < 0)' }
     ],
     faults: ['engine sends bytes without end']
--- a/bench/soak/src/mutations.ts
+++ b/bench/soak/src/mutations.ts
@@ -245,8 +245,8 @@
     name: 'stop-cuts-off',
     check: 'planned-stop',
     file: `${GATEWAY}/ingress.ts`,
-    find: 'await this.until(() => this.inFlight === 0, endsAt)',
-    replace: '',
+    find: 'await this.responses?.stop(endsAt)',
+    replace: 'await this.responses?.stop(0)',
     faults: ['stop gateway']
   },
   {
